--- /dev/null
+++ b/fleet/dispatch/dispatch.go
@@ -0,0 +1,188 @@
+package dispatch
+
+import (
+	"cmp"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// Settings are the figures of the policy; zero values mean the defaults.
+type Settings struct {
+	// Lease is how long a worker goes on without a hold.
+	Lease time.Duration
+	// StartLease is how long a start may be on its way; a worker refuses it later.
+	StartLease time.Duration
+	// Takeover is how long a lost holder may have gone on giving orders after its successor began.
+	Takeover time.Duration
+	// Silence is the time without a report after which a worker gets no starts and no longer leases.
+	Silence time.Duration
+	// ClockRate is the slowest that a worker's clock may run.
+	ClockRate float64
+	// FarFactor is how many times longer a task takes away from its data.
+	FarFactor float64
+	// MissingEntry is how long a worker whose registration is gone is still held.
+	MissingEntry time.Duration
+	// StopRepeat is the time after which an unanswered stop is sent again.
+	StopRepeat time.Duration
+	// MaxSuspect is the longest time for which a worker whose runs fail gets no starts.
+	MaxSuspect time.Duration
+	// StatusKept is how long the state of a finished job is kept.
+	StatusKept time.Duration
+}
+
+// Default returns s with unset fields filled.
+func (s Settings) Default() Settings {
+	s.Lease = cmp.Or(s.Lease, 3500*time.Millisecond)
+	s.StartLease = cmp.Or(s.StartLease, 1500*time.Millisecond)
+	s.Takeover = cmp.Or(s.Takeover, 2500*time.Millisecond)
+	s.Silence = cmp.Or(s.Silence, 1500*time.Millisecond)
+	// The platform states that a worker's clock may be 2% slow.
+	s.ClockRate = cmp.Or(s.ClockRate, 0.975)
+	s.FarFactor = cmp.Or(s.FarFactor, 3)
+	s.MissingEntry = cmp.Or(s.MissingEntry, 2500*time.Millisecond)
+	s.StopRepeat = cmp.Or(s.StopRepeat, 400*time.Millisecond)
+	s.MaxSuspect = cmp.Or(s.MaxSuspect, 16*time.Second)
+	s.StatusKept = cmp.Or(s.StatusKept, 120*time.Second)
+	return s
+}
+
+// leaseMargin is added to the computed end of a lease for the granularity of clocks.
+const leaseMargin = 60 * time.Millisecond
+
+// Action is an output of Plan.
+type Action interface{ action() }
+
+// Start orders a worker to run a task.
+type Start struct {
+	Worker     workload.Worker
+	Task       workload.TaskID
+	Run        int
+	Spec       string
+	Checkpoint string
+	Ticket     string
+	// LeaseEnd is the time of the worker's clock after which it refuses the start.
+	LeaseEnd time.Duration
+	// Waited is how long the task was ready before the start.
+	Waited time.Duration
+}
+
+// Stop orders the end of a run.
+type Stop struct {
+	Worker workload.Worker
+	Task   workload.TaskID
+	Run    int
+	Reason string
+}
+
+// Pace sets the share of its speed at which a task works.
+type Pace struct {
+	Worker  workload.Worker
+	Task    workload.TaskID
+	Run     int
+	Percent int
+}
+
+// Ask asks the advice service which of the workers may run a step.
+type Ask struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Workers    []string
+}
+
+func (Start) action() {}
+func (Stop) action()  {}
+func (Pace) action()  {}
+func (Ask) action()   {}
+
+// Pool decides for one pool; it is not safe for concurrent use. Set the exported fields before Begin.
+type Pool struct {
+	Name     string
+	Settings Settings
+	// Note is told each decision that touches a job or changes what is believed; unset drops them.
+	Note func(Event)
+
+	queues  map[string]workload.Queue
+	workers map[string]*worker
+	jobs    map[string]*job
+	active  []*job
+	learned map[string]*figures
+	tickets map[stepKey]*ticketSet
+	// unsureUntil is the end of the time in which a lost holder's runs may be present on workers that were not heard.
+	unsureUntil time.Time
+	began       time.Time
+	actions     []Action
+	dirty       map[string]*job
+}
+
+// Event tells a decision for the log.
+type Event struct {
+	What   string
+	Job    string
+	Task   workload.TaskID
+	Run    int
+	Worker string
+	Reason string
+	Age    time.Duration
+}
+
+// Begin starts the pool's decisions at a take-over.
+func (p *Pool) Begin(now time.Time) {
+	p.Settings = p.Settings.Default()
+	p.queues = map[string]workload.Queue{}
+	p.workers = map[string]*worker{}
+	p.jobs = map[string]*job{}
+	p.learned = map[string]*figures{}
+	p.tickets = map[stepKey]*ticketSet{}
+	p.dirty = map[string]*job{}
+	p.began = now
+	p.unsureUntil = now.Add(p.Settings.Takeover + p.stretch(p.Settings.Lease))
+}
+
+// stretch returns the longest time in which a worker's clock advances by d.
+func (p *Pool) stretch(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/p.Settings.ClockRate) + leaseMargin
+}
+
+func (p *Pool) note(e Event) {
+	if p.Note != nil {
+		p.Note(e)
+	}
+}
+
+// SetQueues replaces the queues of the pool.
+func (p *Pool) SetQueues(queues []workload.Queue) {
+	p.queues = make(map[string]workload.Queue, len(queues))
+	for _, q := range queues {
+		p.queues[q.Name] = q
+	}
+	for _, j := range p.active {
+		if q, ok := p.queues[j.Queue]; ok {
+			j.queue = q
+		}
+	}
+}
+
+// JobState returns what is known of a job.
+func (p *Pool) JobState(id string) (workload.State, bool) {
+	j := p.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.state == workload.Queued && j.started {
+		return workload.Running, true
+	}
+	return j.state, true
+}
+
+// Pending returns the number of accepted jobs of a queue of which no task has started.
+func (p *Pool) Pending(queue string) int {
+	n := 0
+	for _, j := range p.active {
+		if j.Queue == queue && !j.started {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/dispatch/job.go
@@ -0,0 +1,273 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+type task struct {
+	id   workload.TaskID
+	job  *job
+	step *workload.Step
+	done bool
+	// failures counts the runs that ended as failed.
+	failures   int
+	lastRun    int
+	checkpoint string
+	runs       []*run
+	avoid      []string
+	// readySince is since when the task waits to be started.
+	readySince time.Time
+}
+
+type stepState struct {
+	tasks []*task
+	done  int
+	// ready is true once all earlier steps that it waits for are done.
+	ready bool
+	began time.Time
+}
+
+type occurrence struct {
+	due   time.Time
+	steps []stepState
+	left  int
+}
+
+type job struct {
+	workload.Job
+	queue   workload.Queue
+	state   workload.State
+	started bool
+	// restored jobs were accepted before this holder began; a lost holder may have started their tasks.
+	restored    bool
+	occurrences []occurrence
+	finished    time.Time
+	value       float64
+	// version counts the changes of the record, recordedVersion the last one that is known to be in the store.
+	version         int
+	recordedVersion int
+}
+
+// runGap is left between the runs that are known of a restored task and the next one, for starts that were not heard of.
+const runGap = 16
+
+// AddJob adds an accepted job; record is the one that an earlier holder left, if any.
+func (p *Pool) AddJob(spec workload.Job, record *Record, restored bool, now time.Time) {
+	if p.jobs[spec.ID] != nil {
+		return
+	}
+	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored}
+	if q, ok := p.queues[spec.Queue]; ok {
+		j.queue = q
+	}
+	p.jobs[spec.ID] = j
+	if record != nil && record.State.Terminal() {
+		j.state, j.finished = record.State, record.Finished
+		if j.finished.IsZero() {
+			j.finished = now
+		}
+		j.Job.Steps, j.Job.Spec = nil, ""
+		return
+	}
+	j.build(now)
+	if record != nil {
+		p.restore(j, record)
+	}
+	p.active = append(p.active, j)
+	for o := range j.occurrences {
+		p.advance(j, o, now)
+	}
+	p.finishIfDone(j, now)
+}
+
+func (j *job) build(now time.Time) {
+	j.occurrences = make([]occurrence, j.Occurrences())
+	for o := range j.occurrences {
+		oc := &j.occurrences[o]
+		oc.due, oc.steps, oc.left = j.Due(o), make([]stepState, len(j.Steps)), len(j.Steps)
+		for s := range j.Steps {
+			step := &j.Steps[s]
+			tasks := make([]*task, step.Tasks)
+			block := make([]task, step.Tasks)
+			for i := range tasks {
+				block[i] = task{id: workload.TaskID{Job: j.ID, Occurrence: o, Step: s, Index: i}, job: j, step: step, readySince: now}
+				tasks[i] = &block[i]
+			}
+			oc.steps[s].tasks = tasks
+		}
+	}
+}
+
+func (p *Pool) restore(j *job, r *Record) {
+	j.started = r.Started
+	for _, s := range r.Steps {
+		if s.Occurrence >= len(j.occurrences) || s.Step >= len(j.Steps) {
+			continue
+		}
+		state := &j.occurrences[s.Occurrence].steps[s.Step]
+		for _, i := range s.Done {
+			if i < len(state.tasks) && !state.tasks[i].done {
+				state.tasks[i].done = true
+				state.done++
+			}
+		}
+		for _, f := range s.Tasks {
+			if f.Index < len(state.tasks) {
+				t := state.tasks[f.Index]
+				t.failures, t.lastRun, t.checkpoint = f.Failures, f.LastRun, f.Checkpoint
+			}
+		}
+	}
+	for o := range j.occurrences {
+		for s := range j.occurrences[o].steps {
+			if st := &j.occurrences[o].steps[s]; st.done == len(st.tasks) {
+				j.occurrences[o].left--
+			}
+		}
+	}
+}
+
+// advance marks the steps whose earlier steps are done as ready.
+func (p *Pool) advance(j *job, o int, now time.Time) {
+	oc := &j.occurrences[o]
+	for s := range oc.steps {
+		st := &oc.steps[s]
+		if st.ready {
+			continue
+		}
+		st.ready = true
+		for _, a := range j.Steps[s].After {
+			if oc.steps[a].done < len(oc.steps[a].tasks) {
+				st.ready = false
+			}
+		}
+		if st.ready {
+			for _, t := range st.tasks {
+				t.readySince = now
+			}
+		}
+	}
+}
+
+func (p *Pool) find(id workload.TaskID) *task {
+	j := p.jobs[id.Job]
+	if j == nil || j.state.Terminal() || id.Occurrence >= len(j.occurrences) || id.Step >= len(j.Steps) {
+		return nil
+	}
+	tasks := j.occurrences[id.Occurrence].steps[id.Step].tasks
+	if id.Index >= len(tasks) {
+		return nil
+	}
+	return tasks[id.Index]
+}
+
+func (p *Pool) touch(j *job) {
+	j.version++
+	p.dirty[j.ID] = j
+}
+
+// markDone takes note of a task that is done; it returns true when that completed its job.
+func (p *Pool) markDone(t *task, now time.Time) bool {
+	if t.done {
+		return false
+	}
+	t.done = true
+	j := t.job
+	p.touch(j)
+	oc := &j.occurrences[t.id.Occurrence]
+	st := &oc.steps[t.id.Step]
+	st.done++
+	if st.done < len(st.tasks) {
+		return false
+	}
+	oc.left--
+	p.advance(j, t.id.Occurrence, now)
+	return p.finishIfDone(j, now)
+}
+
+func (p *Pool) finishIfDone(j *job, now time.Time) bool {
+	for o := range j.occurrences {
+		if j.occurrences[o].left > 0 {
+			return false
+		}
+	}
+	p.finish(j, workload.Completed, now)
+	return true
+}
+
+// finish ends a job; runs that are left are stopped.
+func (p *Pool) finish(j *job, state workload.State, now time.Time) {
+	if j.state.Terminal() {
+		return
+	}
+	j.state, j.finished = state, now
+	p.touch(j)
+	for o := range j.occurrences {
+		for s := range j.occurrences[o].steps {
+			for _, t := range j.occurrences[o].steps[s].tasks {
+				for _, r := range t.runs {
+					p.stop(r, string(state))
+				}
+			}
+		}
+	}
+	if i := slices.Index(p.active, j); i >= 0 {
+		p.active = slices.Delete(p.active, i, i+1)
+	}
+	p.note(Event{What: "job " + string(state), Job: j.ID, Age: now.Sub(j.Accepted)})
+}
+
+// Cancel ends a job at its caller's wish; it reports false for a job that is not known.
+func (p *Pool) Cancel(id string, now time.Time) bool {
+	j := p.jobs[id]
+	if j == nil {
+		return false
+	}
+	p.finish(j, workload.Cancelled, now)
+	return true
+}
+
+// Expired removes and returns finished jobs whose state need not be kept any longer.
+func (p *Pool) Expired(now time.Time) []string {
+	var ids []string
+	for id, j := range p.jobs {
+		if j.state.Terminal() && now.Sub(j.finished) > 2*p.Settings.StatusKept && p.dirty[id] == nil {
+			ids = append(ids, id)
+			delete(p.jobs, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (p *Pool) stop(r *run, reason string) {
+	if r.phase != stopping {
+		r.phase, r.stopReason, r.stopSent = stopping, reason, time.Time{}
+	}
+}
+
+// removeRun forgets a run and frees its room.
+func (p *Pool) removeRun(r *run) {
+	w := r.worker
+	delete(w.runs, runKey{r.task.id, r.number})
+	w.used = w.used.Minus(r.task.step.Reserved())
+	if i := slices.Index(r.task.runs, r); i >= 0 {
+		r.task.runs = slices.Delete(r.task.runs, i, i+1)
+	}
+}
+
+// lose forgets a run that ended without a result; its task waits again.
+func (p *Pool) lose(r *run, reason string) {
+	p.removeRun(r)
+	p.note(Event{What: "run lost", Job: r.task.id.Job, Task: r.task.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
+}
+
+func compareRuns(a, b *run) int { return compareTasks(a.task.id, b.task.id, a.number, b.number) }
+
+func compareTasks(a, b workload.TaskID, m, n int) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), a.Occurrence-b.Occurrence, a.Step-b.Step, a.Index-b.Index, m-n)
+}
--- /dev/null
+++ b/fleet/dispatch/plan.go
@@ -0,0 +1,434 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// candidate is an occurrence of a job with tasks that can be started.
+type candidate struct {
+	job        *job
+	occurrence int
+	lasting    bool
+	inTime     bool
+	begun      bool
+	density    float64
+	lateness   time.Duration
+}
+
+// Plan returns the orders that are due; it reserves the room of its starts.
+func (p *Pool) Plan(now time.Time) []Action {
+	p.checkLeases(now)
+	p.repeatStops(now)
+	p.replaceDraining(now)
+	for _, c := range p.candidates(now) {
+		p.place(c, now)
+	}
+	actions := p.actions
+	p.actions = nil
+	return actions
+}
+
+func (p *Pool) repeatStops(now time.Time) {
+	for _, id := range p.WorkerIDs() {
+		w := p.workers[id]
+		for _, x := range w.runs {
+			if x.phase == stopping && now.Sub(x.stopSent) >= p.Settings.StopRepeat {
+				x.stopSent = now
+				p.actions = append(p.actions, Stop{Worker: w.Worker, Task: x.task.id, Run: x.number, Reason: x.stopReason})
+			}
+		}
+	}
+}
+
+// replaceDraining ends the long-running tasks on workers that leave, one of a step after the other, so that they go on elsewhere.
+func (p *Pool) replaceDraining(now time.Time) {
+	for _, id := range p.WorkerIDs() {
+		w := p.workers[id]
+		if !w.Draining {
+			continue
+		}
+		for _, x := range w.sorted() {
+			if x.task.step.LongRunning && x.phase == present && p.placeable(x.task, now) {
+				p.stop(x, "worker drains")
+			}
+		}
+	}
+}
+
+func (p *Pool) placeable(t *task, now time.Time) bool {
+	return p.choose(t, t.step.Reserved(), now, nil) != nil
+}
+
+// waiting reports whether a task can be started now.
+func (p *Pool) waiting(t *task) bool { return !t.done && len(t.runs) == 0 }
+
+func (p *Pool) candidates(now time.Time) []candidate {
+	heard := p.allHeard(now)
+	var list []candidate
+	for _, j := range p.active {
+		for o := range j.occurrences {
+			if c, ok := p.candidate(j, o, heard, now); ok {
+				list = append(list, c)
+			}
+		}
+	}
+	slices.SortStableFunc(list, compareCandidates)
+	return list
+}
+
+func (p *Pool) candidate(j *job, o int, heard bool, now time.Time) (candidate, bool) {
+	oc := &j.occurrences[o]
+	if oc.left == 0 || oc.due.After(now) {
+		return candidate{}, false
+	}
+	found := false
+	begun := false
+	lasting := false
+	for s := range oc.steps {
+		st := &oc.steps[s]
+		begun = begun || st.done > 0 || !st.began.IsZero()
+		if !st.ready || st.done == len(st.tasks) || (j.restored && !heard) {
+			continue
+		}
+		if anyWaiting(st) {
+			found = true
+			lasting = lasting || j.Steps[s].LongRunning
+		}
+	}
+	if !found {
+		return candidate{}, false
+	}
+	c := candidate{job: j, occurrence: o, lasting: lasting, begun: begun}
+	if lasting {
+		return c, true
+	}
+	out := p.outlook(j, o, now)
+	from := j.Accepted
+	if oc.due.After(from) {
+		from = oc.due
+	}
+	target := from.Add(time.Duration(j.queue.Stretch*float64(out.whole)) + j.queue.TargetDuration)
+	c.lateness = now.Add(out.chain).Sub(target)
+	c.inTime = c.lateness <= 0
+	c.density = p.worth(j, out) / max(out.work, 0.001)
+	return c, true
+}
+
+// Parts of a job's worth: a share that each job has, and one in proportion to its work against the mean of its queue.
+const (
+	fixedWorth = 0.3
+	workWorth  = 0.7
+	maxWorth   = 4
+)
+
+func (p *Pool) worth(j *job, out outlook) float64 {
+	f := p.learned[j.Queue]
+	if f == nil {
+		f = &figures{ratio: out.total}
+		p.learned[j.Queue] = f
+	}
+	if j.value == 0 {
+		f.samples++
+		f.ratio += max(learnWeight, 1/float64(f.samples)) * (out.total - f.ratio)
+		j.value = min(fixedWorth+workWorth*out.total/max(f.ratio, 0.001), maxWorth)
+	}
+	return j.value
+}
+
+// compareCandidates orders long-running tasks first, then by priority; what can still be in time goes before the rest, and
+// work that was begun before other work; then by worth for each core-second.
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		first(a.lasting, b.lasting),
+		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+		first(a.inTime, b.inTime),
+		first(a.begun, b.begun),
+		-cmp.Compare(a.density, b.density),
+		a.job.Accepted.Compare(b.job.Accepted),
+	)
+}
+
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// place starts the tasks of a candidate for which there is room.
+func (p *Pool) place(c candidate, now time.Time) {
+	oc := &c.job.occurrences[c.occurrence]
+	for s := range oc.steps {
+		st := &oc.steps[s]
+		if !st.ready || st.done == len(st.tasks) {
+			continue
+		}
+		if c.job.Steps[s].Gang {
+			p.placeGang(st, now)
+			continue
+		}
+		for _, t := range st.tasks {
+			if !p.waiting(t) {
+				continue
+			}
+			w := p.choose(t, t.step.Reserved(), now, nil)
+			if w == nil && t.step.LongRunning && !t.step.Fills {
+				p.makeRoom(t, now)
+			}
+			if w == nil {
+				// The other tasks of a step are equal to this one and find no place either.
+				break
+			}
+			p.start(t, w, p.nextRun(t), now)
+		}
+	}
+}
+
+func (p *Pool) nextRun(t *task) int {
+	if t.job.restored && t.lastRun < runGap {
+		return runGap
+	}
+	return t.lastRun + 1
+}
+
+func (p *Pool) start(t *task, w *worker, number int, now time.Time) {
+	j := t.job
+	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100}
+	x.startEnd = w.clockAt(now) + p.Settings.StartLease
+	p.extend(w, now, p.Settings.StartLease)
+	w.runs[runKey{t.id, number}] = x
+	w.used = w.used.Plus(t.step.Reserved())
+	t.runs = append(t.runs, x)
+	t.lastRun = number
+	st := &j.occurrences[t.id.Occurrence].steps[t.id.Step]
+	if st.began.IsZero() {
+		st.began = now
+	}
+	j.started = true
+	p.actions = append(p.actions, Start{
+		Worker: w.Worker, Task: t.id, Run: number, Spec: j.Spec, Checkpoint: t.checkpoint, Ticket: p.ticket(t, w, now),
+		LeaseEnd: x.startEnd, Waited: now.Sub(t.readySince),
+	})
+}
+
+// choose returns the worker for a task, or nil; taken is room that is promised to other tasks of the same gang.
+func (p *Pool) choose(t *task, need workload.Room, now time.Time, taken map[*worker]workload.Room) *worker {
+	var best *worker
+	var bestScore float64
+	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
+		return nil
+	}
+	for _, id := range p.WorkerIDs() {
+		w := p.workers[id]
+		if !p.usable(w, now) || !p.admits(w, t, now) {
+			continue
+		}
+		free := w.free().Minus(taken[w])
+		if !free.Fits(need) {
+			continue
+		}
+		if score := p.score(w, t, free, now); best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// admits reports whether the rules of the step allow a task on a worker.
+func (p *Pool) admits(w *worker, t *task, now time.Time) bool {
+	step := t.step
+	if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
+		return false
+	}
+	if t.job.queue.Advice != nil && p.ticket(t, w, now) == "" {
+		return false
+	}
+	if step.MaxPerWorker > 0 && p.onWorker(t, w) >= step.MaxPerWorker {
+		return false
+	}
+	return true
+}
+
+// onWorker counts the runs of the task's step and occurrence on a worker.
+func (p *Pool) onWorker(t *task, w *worker) int {
+	n := 0
+	for _, other := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step].tasks {
+		for _, x := range other.runs {
+			if x.worker == w {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Weights of a worker's score for a task; a lower score is better. A worker that is suspected or on which the task failed is
+// used only when no other has room.
+const (
+	scoreFailedHere = 100
+	scoreSuspect    = 50
+	scoreFailures   = 5
+	scoreFar        = 20
+	scoreSlow       = 8
+)
+
+func (p *Pool) score(w *worker, t *task, free workload.Room, now time.Time) float64 {
+	// The fullest worker that has room leaves the others empty for large tasks and for maintenance.
+	score := float64(free.CPU) / float64(max(1, w.Room.CPU))
+	if t.step.LongRunning {
+		// Long-running tasks disturb each other, and a failure of a worker ends fewer of them when they are spread.
+		score = -score
+	}
+	if slices.Contains(t.avoid, w.ID) {
+		score += scoreFailedHere
+	}
+	if now.Before(w.suspectUntil) {
+		score += scoreSuspect
+	}
+	score += scoreFailures * float64(w.failures)
+	if t.step.DataRack != "" && t.step.DataRack != w.Rack {
+		score += scoreFar
+	}
+	if w.slowness > 1.5 {
+		score += scoreSlow * w.slowness
+	}
+	return score
+}
+
+// placeGang starts all tasks of a gang at once, or none.
+func (p *Pool) placeGang(st *stepState, now time.Time) {
+	for _, t := range st.tasks {
+		if !p.waiting(t) {
+			return
+		}
+	}
+	chosen := make([]*worker, len(st.tasks))
+	taken := map[*worker]workload.Room{}
+	racks := []string{""}
+	if st.tasks[0].step.SameRack {
+		racks = p.racks()
+	}
+	for _, rack := range racks {
+		clear(taken)
+		if p.fitGang(st, rack, chosen, taken, now) {
+			number := 0
+			checkpoint := ""
+			for _, t := range st.tasks {
+				number = max(number, p.nextRun(t))
+				checkpoint = max(checkpoint, t.checkpoint)
+			}
+			for i, t := range st.tasks {
+				t.checkpoint = checkpoint
+				p.start(t, chosen[i], number, now)
+			}
+			return
+		}
+	}
+}
+
+func (p *Pool) fitGang(st *stepState, rack string, chosen []*worker, taken map[*worker]workload.Room, now time.Time) bool {
+	perWorker := map[*worker]int{}
+	for i, t := range st.tasks {
+		chosen[i] = nil
+		need := t.step.Reserved()
+		for _, id := range p.WorkerIDs() {
+			w := p.workers[id]
+			if rack != "" && w.Rack != rack {
+				continue
+			}
+			if !p.usable(w, now) || now.Before(w.suspectUntil) || !p.admits(w, t, now) || !w.free().Minus(taken[w]).Fits(need) {
+				continue
+			}
+			if limit := t.step.MaxPerWorker; limit > 0 && perWorker[w] >= limit {
+				continue
+			}
+			chosen[i] = w
+			break
+		}
+		if chosen[i] == nil {
+			return false
+		}
+		taken[chosen[i]] = taken[chosen[i]].Plus(need)
+		perWorker[chosen[i]]++
+	}
+	return true
+}
+
+func (p *Pool) racks() []string {
+	var list []string
+	for _, w := range p.workers {
+		if !slices.Contains(list, w.Rack) {
+			list = append(list, w.Rack)
+		}
+	}
+	slices.Sort(list)
+	// Tasks that fit on no single rack still run, only slower.
+	return append(list, "")
+}
+
+// makeRoom stops other work for a long-running task, which must not wait; work with the least progress goes first.
+func (p *Pool) makeRoom(t *task, now time.Time) {
+	need := t.step.Reserved()
+	var best *worker
+	var bestLoss time.Duration
+	for _, id := range p.WorkerIDs() {
+		w := p.workers[id]
+		if !p.usable(w, now) || !p.admits(w, t, now) {
+			continue
+		}
+		free, loss := w.free(), time.Duration(0)
+		pending := false
+		for _, x := range victims(w) {
+			if x.phase == stopping {
+				free = free.Plus(x.task.step.Reserved())
+				pending = true
+			}
+		}
+		if pending && free.Fits(need) {
+			// Room is being made here already.
+			return
+		}
+		for _, x := range victims(w) {
+			if free.Fits(need) {
+				break
+			}
+			if x.phase != stopping {
+				free = free.Plus(x.task.step.Reserved())
+				loss += now.Sub(x.orderedAt)
+			}
+		}
+		if free.Fits(need) && (best == nil || loss < bestLoss) {
+			best, bestLoss = w, loss
+		}
+	}
+	if best == nil {
+		return
+	}
+	free := best.free()
+	for _, x := range victims(best) {
+		if free.Fits(need) {
+			return
+		}
+		free = free.Plus(x.task.step.Reserved())
+		p.stop(x, "room for a long-running task")
+	}
+}
+
+// victims returns the worker's runs of finite tasks, the youngest first.
+func victims(w *worker) []*run {
+	var list []*run
+	for _, x := range w.sorted() {
+		if !x.task.step.LongRunning {
+			list = append(list, x)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *run) int { return b.orderedAt.Compare(a.orderedAt) })
+	return list
+}
--- /dev/null
+++ b/fleet/dispatch/record.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// Record is what the store keeps of a job's progress.
+type Record struct {
+	State    workload.State `json:"state"`
+	Started  bool           `json:"started,omitempty"`
+	Finished time.Time      `json:"finished,omitzero"`
+	Steps    []StepRecord   `json:"steps,omitempty"`
+}
+
+// StepRecord is the progress of a step in one occurrence.
+type StepRecord struct {
+	Occurrence int   `json:"occurrence,omitempty"`
+	Step       int   `json:"step,omitempty"`
+	Done       []int `json:"done,omitempty"`
+	// Tasks holds the tasks that are not done and have failures or a checkpoint.
+	Tasks []TaskRecord `json:"tasks,omitempty"`
+}
+
+// TaskRecord is the progress of a task that is not done.
+type TaskRecord struct {
+	Index      int    `json:"index"`
+	Failures   int    `json:"failures,omitempty"`
+	LastRun    int    `json:"lastRun,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Change is a record that has to be written.
+type Change struct {
+	Job     string
+	Record  Record
+	version int
+}
+
+// Batch is a set of changes together with the ends that may be acknowledged once they are written.
+type Batch struct {
+	Changes []Change
+	// Terminal is true when a job of the batch has ended.
+	Terminal bool
+	ends     map[string]int64
+	births   map[string]int64
+}
+
+// Batch returns all changes that are not written yet.
+func (p *Pool) Batch() Batch {
+	b := Batch{ends: map[string]int64{}, births: map[string]int64{}}
+	for id, w := range p.workers {
+		if w.processed > w.recorded {
+			b.ends[id], b.births[id] = w.processed, w.Born
+		}
+	}
+	for _, j := range p.dirty {
+		b.Changes = append(b.Changes, Change{Job: j.ID, Record: j.record(), version: j.version})
+		b.Terminal = b.Terminal || j.state.Terminal()
+	}
+	slices.SortFunc(b.Changes, func(a, c Change) int {
+		return compareTasks(workload.TaskID{Job: a.Job}, workload.TaskID{Job: c.Job}, 0, 0)
+	})
+	return b
+}
+
+// Unrecorded reports whether there are changes to write, and whether one of them ends a job.
+func (p *Pool) Unrecorded() (changes, terminal bool) {
+	for _, j := range p.dirty {
+		if j.state.Terminal() {
+			return true, true
+		}
+	}
+	return len(p.dirty) > 0, false
+}
+
+// HasEnds reports whether ends wait to be acknowledged.
+func (p *Pool) HasEnds() bool {
+	for _, w := range p.workers {
+		if w.processed > w.recorded {
+			return true
+		}
+	}
+	return false
+}
+
+// Recorded takes note that all changes of a batch are in the store, so that its ends may be acknowledged.
+func (p *Pool) Recorded(b Batch) {
+	for _, c := range b.Changes {
+		j := p.dirty[c.Job]
+		if j == nil {
+			continue
+		}
+		j.recordedVersion = c.version
+		if j.version == c.version {
+			delete(p.dirty, c.Job)
+		}
+		if j.state.Terminal() {
+			j.release()
+		}
+	}
+	for id, n := range b.ends {
+		if w := p.workers[id]; w != nil && w.Born == b.births[id] {
+			w.recorded = max(w.recorded, n)
+		}
+	}
+}
+
+// release drops what is no longer needed of a job that has ended and has no runs left.
+func (j *job) release() {
+	for o := range j.occurrences {
+		for s := range j.occurrences[o].steps {
+			for _, t := range j.occurrences[o].steps[s].tasks {
+				if len(t.runs) > 0 {
+					return
+				}
+			}
+		}
+	}
+	j.occurrences, j.Job.Spec = nil, ""
+}
+
+func (j *job) record() Record {
+	r := Record{State: j.state, Started: j.started}
+	if j.state.Terminal() {
+		r.Finished = j.finished
+		return r
+	}
+	for o := range j.occurrences {
+		for s := range j.occurrences[o].steps {
+			step := StepRecord{Occurrence: o, Step: s}
+			for i, t := range j.occurrences[o].steps[s].tasks {
+				switch {
+				case t.done:
+					step.Done = append(step.Done, i)
+				case t.failures > 0 || t.checkpoint != "":
+					step.Tasks = append(step.Tasks, TaskRecord{i, t.failures, t.lastRun, t.checkpoint})
+				}
+			}
+			if len(step.Done)+len(step.Tasks) > 0 {
+				r.Steps = append(r.Steps, step)
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/fleet/dispatch/report.go
@@ -0,0 +1,262 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// Report takes a worker's lists over; heard is when the answer arrived.
+func (p *Pool) Report(id string, r workload.Report, heard time.Time) {
+	w := p.workers[id]
+	if w == nil || (r.Born != 0 && r.Born < w.Born) {
+		return
+	}
+	if r.Born > w.Born {
+		if w.Born != 0 || len(w.runs) > 0 {
+			p.rebirth(w, r.Born)
+		}
+		w.Born = r.Born
+	}
+	if w.synced && r.Clock < w.clock {
+		return
+	}
+	w.clock, w.heard = r.Clock, heard
+	if !w.synced {
+		w.synced = true
+		if heard.Before(p.unsureUntil) && p.unsureUntil.After(w.leaseEnd) {
+			w.leaseEnd = p.unsureUntil
+		}
+		p.note(Event{What: "worker heard", Worker: id})
+	}
+	for _, e := range r.Ended {
+		if e.Number > w.processed {
+			w.processed = e.Number
+			p.end(w, e, heard)
+		}
+	}
+	seen := make(map[runKey]bool, len(r.Active))
+	for _, a := range r.Active {
+		seen[runKey{a.Task, a.Run}] = true
+		p.observe(w, a, heard)
+	}
+	if !r.Partial {
+		p.missing(w, r, seen)
+	}
+	p.pace(w, heard)
+}
+
+// missing ends the runs that a worker does not list though it would have to.
+func (p *Pool) missing(w *worker, r workload.Report, seen map[runKey]bool) {
+	for _, x := range w.sorted() {
+		if seen[runKey{x.task.id, x.number}] || x.uncertain {
+			continue
+		}
+		// An ordered run is kept until its start is refused by its own lease end, a present one was listed before.
+		if (x.phase == ordered || x.phase == unanswered || x.startClock == 0) && r.Clock <= x.startEnd {
+			continue
+		}
+		if x.startClock != 0 && r.Clock <= x.startClock {
+			continue
+		}
+		p.lose(x, "not listed by the worker")
+	}
+}
+
+// observe takes over what a worker says of a run that is present.
+func (p *Pool) observe(w *worker, a workload.ActiveRun, now time.Time) {
+	x := w.runs[runKey{a.Task, a.Run}]
+	if x == nil {
+		x = p.adopt(w, a, now)
+		if x == nil {
+			return
+		}
+	}
+	if x.phase == ordered || x.phase == unanswered {
+		x.phase = present
+	}
+	if x.presentAt.IsZero() {
+		x.presentAt = now
+	}
+	if x.startClock == 0 {
+		x.startClock = w.clock
+	}
+	if a.Percent != x.percent || x.percentAt.IsZero() {
+		x.percent, x.percentAt = a.Percent, now
+	}
+	x.figure = a.Figure
+	if a.Checkpoint != "" {
+		x.task.checkpoint = a.Checkpoint
+	}
+}
+
+// adopt takes a run over that another holder started, or has it stopped.
+func (p *Pool) adopt(w *worker, a workload.ActiveRun, now time.Time) *run {
+	t := p.find(a.Task)
+	if t == nil || t.done || (len(t.runs) > 0 && !t.step.Speculative) {
+		p.note(Event{What: "unknown run", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
+		p.actions = append(p.actions, Stop{Worker: w.Worker, Task: a.Task, Run: a.Run, Reason: "not wanted"})
+		return nil
+	}
+	x := &run{task: t, number: a.Run, worker: w, phase: present, orderedAt: now, presentAt: now, startClock: w.clock, pace: 100}
+	w.runs[runKey{a.Task, a.Run}] = x
+	w.used = w.used.Plus(t.step.Reserved())
+	t.runs = append(t.runs, x)
+	t.lastRun = max(t.lastRun, a.Run)
+	t.job.started = true
+	p.note(Event{What: "run taken over", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
+	return x
+}
+
+// end takes note of an end that a worker lists for the first time.
+func (p *Pool) end(w *worker, e workload.EndedRun, now time.Time) {
+	x := w.runs[runKey{e.Task, e.Run}]
+	t := p.find(e.Task)
+	if x != nil {
+		p.removeRun(x)
+		t = x.task
+	}
+	p.note(Event{What: "run ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How)})
+	if t == nil || t.job.state.Terminal() || t.done {
+		return
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	t.readySince = now
+	t.job.started = true
+	if x == nil && len(t.runs) > 0 && !t.step.Speculative {
+		// The run was given up when its worker's lease ended, and the task runs elsewhere.
+		return
+	}
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+		p.touch(t.job)
+	}
+	switch {
+	case t.step.LongRunning:
+	case e.How == workload.EndDone:
+		p.done(w, x, t, now)
+	case e.How == workload.EndFailed:
+		p.failed(w, t, now)
+	}
+}
+
+func (p *Pool) done(w *worker, x *run, t *task, now time.Time) {
+	w.failures, w.failedJob = 0, ""
+	w.suspectUntil = time.Time{}
+	if x != nil {
+		p.learn(x, now)
+	}
+	tasks := []*task{t}
+	if t.step.Gang {
+		// One end stands for all tasks of the gang.
+		tasks = t.job.occurrences[t.id.Occurrence].steps[t.id.Step].tasks
+	}
+	for _, d := range tasks {
+		for _, other := range d.runs {
+			p.stop(other, "done elsewhere")
+		}
+		if p.markDone(d, now) {
+			return
+		}
+	}
+}
+
+// firstSuspicion is how long a worker gets no starts after its second failure in a row; it doubles with each further one.
+const firstSuspicion = 2 * time.Second
+
+func (p *Pool) failed(w *worker, t *task, now time.Time) {
+	t.failures++
+	p.touch(t.job)
+	if !slices.Contains(t.avoid, w.ID) {
+		t.avoid = append(t.avoid, w.ID)
+	}
+	// A task that failed elsewhere too is at fault itself.
+	if t.failures == 1 && w.failedJob != t.id.Job {
+		w.failures++
+		w.failedJob = t.id.Job
+		if w.failures >= 2 {
+			w.suspectUntil = now.Add(min(firstSuspicion<<min(w.failures-2, 8), p.Settings.MaxSuspect))
+			p.note(Event{What: "worker suspected", Worker: w.ID, Reason: "runs of several jobs failed in a row"})
+		}
+	}
+	if t.failures >= t.job.queue.MaxAttempts {
+		p.finish(t.job, workload.Failed, now)
+	}
+}
+
+// Answer is what became of a start.
+type Answer int
+
+// The answers to a start.
+const (
+	// Present means that the run is on the worker.
+	Present Answer = iota
+	// Refused means that the run is not there and never comes from this start.
+	Refused
+	// RefusedRoom means that the worker had no room.
+	RefusedRoom
+	// RefusedOld means that the run number was used before.
+	RefusedOld
+	// RefusedUnhealthy means that the worker takes no work now.
+	RefusedUnhealthy
+	// RefusedTicket means that the ticket is not valid any more.
+	RefusedTicket
+	// Unknown means that the start may be carried out until its lease ends.
+	Unknown
+)
+
+// fullWait keeps starts away from a worker that said it had no room, until its next report.
+const fullWait = 150 * time.Millisecond
+
+// StartAnswered takes the answer to a start over; clock is the worker's clock in it.
+func (p *Pool) StartAnswered(s Start, a Answer, clock time.Duration, now time.Time) {
+	w := p.workers[s.Worker.ID]
+	if w == nil {
+		return
+	}
+	x := w.runs[runKey{s.Task, s.Run}]
+	if x == nil {
+		return
+	}
+	if a == Unknown {
+		if x.phase == ordered {
+			x.phase = unanswered
+		}
+		return
+	}
+	if a == Present {
+		if x.phase == ordered || x.phase == unanswered {
+			x.phase = present
+		}
+		x.startClock, x.presentAt = clock, now
+		return
+	}
+	p.removeRun(x)
+	p.note(Event{What: "start refused", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: w.ID, Reason: a.String()})
+	switch a {
+	case RefusedRoom:
+		w.fullUntil = now.Add(fullWait)
+	case RefusedUnhealthy:
+		w.suspectUntil = now.Add(firstSuspicion / 2)
+	case RefusedTicket:
+		delete(p.tickets, stepKey{s.Task.Job, s.Task.Occurrence, s.Task.Step})
+	}
+}
+
+// String returns the answer's name.
+func (a Answer) String() string {
+	return [...]string{"present", "refused", "room", "old", "unhealthy", "ticket", "unanswered"}[a]
+}
+
+// StopAnswered takes note that a worker took a stop: a start of that run that is still on its way is refused from now on.
+func (p *Pool) StopAnswered(s Stop) {
+	w := p.workers[s.Worker.ID]
+	if w == nil {
+		return
+	}
+	x := w.runs[runKey{s.Task, s.Run}]
+	if x != nil && x.uncertain {
+		p.lose(x, x.stopReason)
+	}
+}
--- /dev/null
+++ b/fleet/dispatch/worker.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+type runKey struct {
+	task workload.TaskID
+	run  int
+}
+
+type phase int
+
+const (
+	// ordered runs have a start on its way.
+	ordered phase = iota
+	// unanswered runs may be present, now or until the start's lease ends.
+	unanswered
+	present
+	stopping
+)
+
+type run struct {
+	task   *task
+	number int
+	worker *worker
+	phase  phase
+	// startEnd is the worker's clock at which a start on its way is refused, startClock the one at which it was present.
+	startEnd   time.Duration
+	startClock time.Duration
+	orderedAt  time.Time
+	presentAt  time.Time
+	stopSent   time.Time
+	stopReason string
+	percent    int
+	percentAt  time.Time
+	figure     float64
+	pace       int
+	pacedAt    time.Time
+	// uncertain runs may be carried out by a later life of the worker; only an answered stop rules that out.
+	uncertain bool
+}
+
+type worker struct {
+	workload.Worker
+	added time.Time
+	// missing is since when the registration is gone; zero while it is there.
+	missing  time.Time
+	cordoned bool
+	synced   bool
+	// clock is the worker's clock in the last report, heard the local time at which that report arrived.
+	clock time.Duration
+	heard time.Time
+	// leaseEnd is the latest local time at which the worker still runs what it was given.
+	leaseEnd  time.Time
+	runs      map[runKey]*run
+	used      workload.Room
+	processed int64
+	recorded  int64
+	// failures counts the runs that failed in a row.
+	failures     int
+	failedJob    string
+	suspectUntil time.Time
+	fullUntil    time.Time
+	// slowness is the learned factor of run times against the pool's.
+	slowness float64
+	overTail time.Time
+	calmTail time.Time
+}
+
+func (w *worker) free() workload.Room { return w.Room.Minus(w.used) }
+
+// clockAt estimates the worker's clock, never ahead of it by more than its rate allows.
+func (w *worker) clockAt(now time.Time) time.Duration {
+	return w.clock + now.Sub(w.heard)
+}
+
+// SetWorker adds a worker or takes over a change of its registration.
+func (p *Pool) SetWorker(info workload.Worker, now time.Time) {
+	w := p.workers[info.ID]
+	if w == nil {
+		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1}
+		p.workers[info.ID] = w
+		p.note(Event{What: "worker added", Worker: info.ID})
+		return
+	}
+	if info.Born > w.Born && w.Born != 0 {
+		p.rebirth(w, info.Born)
+	}
+	if info.Draining && !w.Draining {
+		p.note(Event{What: "worker drains", Worker: info.ID})
+	}
+	w.Worker, w.missing = info, time.Time{}
+}
+
+// DropWorker takes note that a worker's registration is gone; its runs end with its lease.
+func (p *Pool) DropWorker(id string, now time.Time) {
+	w := p.workers[id]
+	if w == nil || !w.missing.IsZero() {
+		return
+	}
+	w.missing = now
+	p.note(Event{What: "worker registration gone", Worker: id, Age: now.Sub(w.heard)})
+}
+
+// Terminated takes note of a proof that a worker's life has ended with all its runs.
+func (p *Pool) Terminated(id, reason string) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	p.endAll(w, reason)
+	delete(p.workers, id)
+	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
+}
+
+func (p *Pool) endAll(w *worker, reason string) {
+	for _, r := range w.sorted() {
+		p.lose(r, reason)
+	}
+}
+
+// sorted returns the worker's runs in a fixed order, so that equal inputs give equal decisions.
+func (w *worker) sorted() []*run {
+	list := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, compareRuns)
+	return list
+}
+
+// rebirth takes note that a worker started again under its id; it knows nothing of before.
+func (p *Pool) rebirth(w *worker, born int64) {
+	p.note(Event{What: "worker restarted", Worker: w.ID})
+	for _, r := range w.sorted() {
+		if r.phase == ordered || r.phase == unanswered {
+			// Its clock began anew, so the lease end of a start that is still on its way does not stop it.
+			r.uncertain, r.phase, r.stopReason = true, stopping, "worker restarted"
+			continue
+		}
+		p.lose(r, "worker restarted")
+	}
+	w.Born, w.processed, w.recorded, w.clock, w.synced = born, 0, 0, 0, false
+}
+
+// Hold is what to send to a worker next.
+type Hold struct {
+	// LeaseEnd is a time of the worker's clock; 0 leaves the lease as it is.
+	LeaseEnd   time.Duration
+	AckedUntil int64
+	// Known is false for a worker that is not in the pool any more.
+	Known bool
+	// Busy is true while tasks run on the worker.
+	Busy   bool
+	Worker workload.Worker
+}
+
+// NextHold returns the hold to send to a worker; the lease that it grants is counted from now on.
+func (p *Pool) NextHold(id string, now time.Time) Hold {
+	w := p.workers[id]
+	if w == nil {
+		return Hold{}
+	}
+	h := Hold{AckedUntil: w.recorded, Known: true, Worker: w.Worker, Busy: len(w.runs) > 0}
+	if !w.synced || now.Sub(w.heard) > p.Settings.Silence || p.abandoned(w, now) {
+		return h
+	}
+	h.LeaseEnd = w.clockAt(now) + p.Settings.Lease
+	p.extend(w, now, p.Settings.Lease)
+	return h
+}
+
+// abandoned reports whether a worker has been without registration for so long that its lease may end.
+func (p *Pool) abandoned(w *worker, now time.Time) bool {
+	return !w.missing.IsZero() && now.Sub(w.missing) > p.Settings.MissingEntry
+}
+
+// extend moves the latest end of the worker's lease, by the local clock.
+func (p *Pool) extend(w *worker, now time.Time, lease time.Duration) {
+	end := w.heard.Add(p.stretch(now.Sub(w.heard) + lease))
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
+// WorkerIDs returns the ids of the workers of the pool.
+func (p *Pool) WorkerIDs() []string {
+	ids := make([]string, 0, len(p.workers))
+	for id := range p.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// checkLeases declares the runs of workers lost whose lease has ended unheard, and forgets workers that left.
+func (p *Pool) checkLeases(now time.Time) {
+	for _, id := range p.WorkerIDs() {
+		w := p.workers[id]
+		silent := now.Sub(w.heard) > p.Settings.Silence
+		if len(w.runs) > 0 && now.After(w.leaseEnd) && (silent || p.abandoned(w, now)) {
+			p.note(Event{What: "worker lease ended", Worker: id, Age: now.Sub(w.heard)})
+			for _, r := range w.sorted() {
+				if !r.uncertain {
+					p.lose(r, "lease ended")
+				}
+			}
+			// What runs here from now on was not ordered after the last report.
+			w.synced = false
+		}
+		if len(w.runs) == 0 && p.abandoned(w, now) && silent {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// allHeard reports whether every worker that a lost holder may have used has reported to this holder.
+func (p *Pool) allHeard(now time.Time) bool {
+	if now.After(p.unsureUntil) {
+		return true
+	}
+	for _, w := range p.workers {
+		if !w.synced && w.heard.IsZero() {
+			return false
+		}
+	}
+	return len(p.workers) > 0
+}
+
+func (p *Pool) usable(w *worker, now time.Time) bool {
+	return w.synced && !w.Draining && !w.cordoned && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence && !now.Before(w.fullUntil)
+}
--- /dev/null
+++ b/fleet/follow/follow.go
@@ -0,0 +1,140 @@
+package follow
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+)
+
+const (
+	// firstBackoff and maxBackoff bound the wait before a failed call is repeated.
+	firstBackoff = 30 * time.Millisecond
+	maxBackoff   = 400 * time.Millisecond
+	// answerMargin is how much longer than the wait of a watch its answer may take; a connection that went silent is given
+	// up after that.
+	answerMargin = 700 * time.Millisecond
+	// listTimeout bounds one page of a list.
+	listTimeout = 2 * time.Second
+)
+
+// Follower lists the keys under a prefix and then follows their changes.
+type Follower struct {
+	Store  store.Store
+	Prefix string
+	// Wait is the longest time that a watch waits at the store; a connection that went silent costs as much.
+	Wait time.Duration
+	// Apply takes changes over, in order; listed is true for the first batch and after the history was forgotten, when keys
+	// that are gone come as deleted.
+	Apply func(events []store.Event, listed bool)
+	// State is told when the store is lost and regained; unset drops it.
+	State func(err error)
+
+	known  map[string]store.Revision
+	after  store.Revision
+	failed bool
+}
+
+// Run follows the prefix until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.Wait = cmp.Or(f.Wait, 2*time.Second)
+	backoff := firstBackoff
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = f.watch(ctx)
+		} else {
+			err = f.list(ctx)
+			listed = err == nil
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			listed = false
+			continue
+		}
+		f.tell(err)
+		if err == nil {
+			backoff = firstBackoff
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return nil
+}
+
+func (f *Follower) tell(err error) {
+	if f.State != nil && (err != nil) != f.failed {
+		f.State(err)
+	}
+	f.failed = err != nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	known := map[string]store.Revision{}
+	var events []store.Event
+	var first store.Revision
+	from := ""
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		page, err := f.Store.List(callCtx, f.Prefix, from, 0)
+		cancel()
+		if err != nil {
+			return err
+		}
+		// Pages are not a snapshot: changes since the first page come again from the watch.
+		if first == 0 {
+			first = page.Revision
+		}
+		for _, e := range page.Entries {
+			known[e.Key] = e.Revision
+			if f.known[e.Key] != e.Revision {
+				events = append(events, store.Event{Entry: e})
+			}
+		}
+		if page.Next == "" {
+			break
+		}
+		from = page.Next
+	}
+	for key := range f.known {
+		if _, ok := known[key]; !ok {
+			events = append(events, store.Event{Entry: store.Entry{Key: key}, Deleted: true})
+		}
+	}
+	f.known, f.after = known, first
+	f.Apply(events, true)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, f.Wait+answerMargin)
+	defer cancel()
+	batch, err := f.Store.Watch(callCtx, f.Prefix, f.after, f.Wait)
+	if err != nil {
+		return err
+	}
+	var events []store.Event
+	for _, e := range batch.Events {
+		// A list may have shown a change before the watch does.
+		if !e.Deleted && e.Entry.Revision <= f.known[e.Entry.Key] {
+			continue
+		}
+		if e.Deleted {
+			delete(f.known, e.Entry.Key)
+		} else {
+			f.known[e.Entry.Key] = e.Entry.Revision
+		}
+		events = append(events, e)
+	}
+	f.after = max(f.after, batch.Revision)
+	if len(events) > 0 {
+		f.Apply(events, false)
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/steady/steady.go
@@ -0,0 +1,32 @@
+package steady
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock tells the time of day at its creation plus the time that has passed since, suspensions included.
+type Clock struct {
+	base  time.Time
+	began time.Duration
+}
+
+// New returns a clock that agrees with the time of day now.
+func New() *Clock {
+	return &Clock{base: time.Now().Round(0), began: sinceBoot()}
+}
+
+// Now returns the clock's time; it has no monotonic reading, so that differences count suspensions.
+func (c *Clock) Now() time.Time {
+	return c.base.Add(sinceBoot() - c.began)
+}
+
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Linux has had this clock since 2.6.39; without it no lease can be kept safely.
+		panic("no boot-time clock: " + err.Error())
+	}
+	return time.Duration(t.Nano())
+}
--- a/fleet/store/store.go
+++ b/fleet/store/store.go
@@ -22,6 +22,8 @@
 	ErrCompacted = errors.New("watch revision compacted")
 	// ErrTooLarge is returned when a value is larger than MaxValueSize; the write was not applied.
 	ErrTooLarge = errors.New("value too large")
+	// ErrRefused is returned when the store turned the call away; it was not applied.
+	ErrRefused = errors.New("refused by the store")
 	// ErrOverShare is returned by Metered when a mechanism has used up its share; the call was not sent.
 	ErrOverShare = errors.New("call rate above the mechanism's share")
 )
@@ -37,7 +39,9 @@
 	Key      string   `json:"key"`
 	Value    []byte   `json:"value"`
 	Revision Revision `json:"revision"`
-	Lease    LeaseID  `json:"lease,omitempty"`
+	// Created is the revision of the write that created the key; stores without it leave it 0.
+	Created Revision `json:"created,omitempty"`
+	Lease   LeaseID  `json:"lease,omitempty"`
 }
 
 // PutRequest is a compare-and-swap write.
@@ -92,6 +96,38 @@
 	Revoke(ctx context.Context, id LeaseID) error
 }
 
+// MaxTransaction is the largest number of conditions, puts and deletes in one transaction.
+const MaxTransaction = 32
+
+// Condition requires that a key has a revision; 0 requires that it does not exist.
+type Condition struct {
+	Key      string
+	Revision Revision
+}
+
+// Write puts a value in a transaction.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Transaction is a set of writes that apply all together when every condition holds, or not at all.
+type Transaction struct {
+	If     []Condition
+	Put    []Write
+	Delete []string
+}
+
+// Transactor is a store that changes several keys in one call.
+type Transactor interface {
+	Store
+	// Apply runs a transaction and returns its revision. With ErrConflict it returns the current entries of the conditions'
+	// keys that exist; ErrRefused means that nothing was done, and ErrUnavailable that the transaction may take effect now
+	// or seconds later.
+	Apply(ctx context.Context, t Transaction) (Revision, []Entry, error)
+}
+
 // ListAll reads every page under prefix and returns the entries with the revision of the first page.
 func ListAll(ctx context.Context, s Store, prefix string) ([]Entry, Revision, error) {
 	const pageLimit = 500
--- /dev/null
+++ b/fleet/upkeep/upkeep.go
@@ -0,0 +1,91 @@
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+)
+
+// Candidate is a machine of the pool whose upkeep is still to be done.
+type Candidate struct {
+	Machine string
+	Load    dispatch.Load
+	// Cordoned machines get no new tasks and are waited for.
+	Cordoned bool
+}
+
+// Input is what is known of a wave.
+type Input struct {
+	Now      time.Time
+	Deadline time.Time
+	// MaxDown is how many machines of the wave may be in upkeep at once, Down how many are.
+	MaxDown int
+	Down    int
+	// Left is how many machines of all pools are still to be done, those of Candidates included.
+	Left int
+	// Cycle is how long a machine is away.
+	Cycle      time.Duration
+	Candidates []Candidate
+}
+
+// Choice is a machine to empty, or to take into upkeep now.
+type Choice struct {
+	Machine string
+	Begin   bool
+}
+
+// spare is the part of the time to the deadline that is kept for machines that fail or wait.
+const spare = 0.3
+
+// Plan returns the machines to begin with now: idle ones at once, busy ones when the time that is left demands it, with the
+// least to lose first.
+func Plan(in Input) []Choice {
+	free := in.MaxDown - in.Down
+	if free <= 0 || len(in.Candidates) == 0 {
+		return nil
+	}
+	list := slices.Clone(in.Candidates)
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(a.Machine, b.Machine))
+	})
+	pressed := pressed(in)
+	var choices []Choice
+	lasting := false
+	for _, c := range list {
+		if len(choices) >= free {
+			break
+		}
+		if !c.Load.Allowed {
+			continue
+		}
+		if c.Load.Lasting > 0 {
+			// One machine with long-running tasks at a time, since they may belong to one step.
+			if lasting {
+				continue
+			}
+			lasting = true
+		}
+		if c.Load.Lost == 0 || pressed {
+			choices = append(choices, Choice{c.Machine, true})
+		}
+	}
+	return choices
+}
+
+// pressed reports whether the machines that are left need all the time that is left.
+func pressed(in Input) bool {
+	rounds := (in.Left + in.MaxDown - 1) / in.MaxDown
+	// Machines of one pool follow each other where their tasks must not be away together.
+	rounds = max(rounds, len(in.Candidates))
+	need := time.Duration(rounds) * in.Cycle
+	left := in.Deadline.Sub(in.Now)
+	return left-time.Duration(spare*float64(left)) <= need
+}
+
+// loss orders machines by what their upkeep ends.
+func loss(c Candidate) time.Duration {
+	const lastingLoss = 2 * time.Second
+	return c.Load.Lost + time.Duration(c.Load.Lasting)*lastingLoss
+}
--- /dev/null
+++ b/verbenaentry/command/command.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"verbenalanding.example/platform"
+	"verbenalanding.example/verbenaentry/node"
+)
+
+// Version is set at build time by -ldflags "-X verbenalanding.example/verbenaentry/command.Version=1.2.3".
+var Version = "development"
+
+// The exit codes of the program.
+const (
+	ExitOK = iota
+	// ExitFailed means that the program failed while it ran.
+	ExitFailed
+	// ExitUsage means that the command line or a setting is wrong.
+	ExitUsage
+	// ExitListen means that an address cannot be used.
+	ExitListen
+)
+
+type options struct {
+	Settings string     `long:"settings" env:"VERBENA_SETTINGS" value-name:"PATH" description:"settings file; the platform's own place when not given"`
+	Check    bool       `long:"check" description:"check the settings file, print what is wrong with it and exit"`
+	Version  bool       `long:"version" description:"print the version and exit"`
+	Node     node.Flags `group:"Node"`
+}
+
+// Run runs the command line and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	var o options
+	parser := flags.NewNamedParser("verbenaentry", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &o); err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitFailed
+	}
+	rest, err := parser.ParseArgs(args)
+	var asked *flags.Error
+	if errors.As(err, &asked) && asked.Type == flags.ErrHelp {
+		fmt.Fprintln(out, asked.Message)
+		return ExitOK
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if err == nil {
+		err = o.Node.Check()
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	if o.Version {
+		fmt.Fprintln(out, "verbenaentry", Version)
+		return ExitOK
+	}
+	settings, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	if o.Check {
+		fmt.Fprintln(out, "settings are valid: node", settings.Node, "in data centre", settings.DataCentre)
+		return ExitOK
+	}
+	return serve(settings, o, out, errOut)
+}
+
+func serve(settings platform.Settings, o options, out, errOut io.Writer) int {
+	err := node.Run(context.Background(), settings, o.Settings, o.Node, out)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, node.ErrListen):
+		fmt.Fprintln(errOut, err)
+		return ExitListen
+	default:
+		fmt.Fprintln(errOut, err)
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/verbenaentry/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of verbenaentry.
+package command
--- /dev/null
+++ b/verbenaentry/node/metrics.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// sampleSize is how many values a histogram keeps; its quantiles have an error of about 4% at that size.
+const sampleSize = 514
+
+// observe counts an event with the time that it took.
+func observe(r metrics.Registry, name string, took time.Duration) {
+	h := r.GetOrRegister(name, func() metrics.Histogram { return metrics.NewHistogram(metrics.NewUniformSample(sampleSize)) })
+	h.(metrics.Histogram).Update(took.Microseconds())
+}
+
+// metrics writes counters and histograms in the text format that Prometheus reads; durations are in seconds.
+func (n *Node) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	var names []string
+	all := map[string]any{}
+	n.Registry.Each(func(name string, m any) {
+		names = append(names, name)
+		all[name] = m
+	})
+	slices.Sort(names)
+	for _, name := range names {
+		family, label, _ := strings.Cut(name, ".")
+		switch m := all[name].(type) {
+		case metrics.Histogram:
+			s := m.Snapshot()
+			quantiles := s.Percentiles([]float64{0.5, 0.99})
+			fmt.Fprintf(w, "verbena_%s_seconds{kind=%q,quantile=\"0.5\"} %g\n", family, label, quantiles[0]/1e6)
+			fmt.Fprintf(w, "verbena_%s_seconds{kind=%q,quantile=\"0.99\"} %g\n", family, label, quantiles[1]/1e6)
+			fmt.Fprintf(w, "verbena_%s_seconds_count{kind=%q} %d\n", family, label, s.Count())
+		case metrics.Counter:
+			fmt.Fprintf(w, "verbena_%s_total{kind=%q} %d\n", family, label, m.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "verbena_%s{kind=%q} %d\n", family, label, m.Value())
+		}
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	fmt.Fprintf(w, "verbena_memory_bytes %d\nverbena_goroutines %d\n", memory.Sys, runtime.NumGoroutine())
+}
--- /dev/null
+++ b/verbenaentry/node/node.go
@@ -0,0 +1,292 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/steady"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/tenure"
+	"verbenalanding.example/platform"
+	"verbenalanding.example/verbenaentry/logs"
+)
+
+// ErrListen is returned when an address cannot be used.
+var ErrListen = errors.New("address cannot be used")
+
+// ErrFlags is returned by Flags.Check for a flag out of its range.
+var ErrFlags = errors.New("invalid flag")
+
+// Flags are the settings of a node that are the project's own.
+type Flags struct {
+	DutyTTL     time.Duration `long:"duty-ttl" env:"VERBENA_DUTY_TTL" default:"2500ms" description:"time after which a holder that is not heard loses its duties"`
+	WorkerLease time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker goes on without hearing its holder"`
+	LogLevel    string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the lines that are written"`
+}
+
+// Check returns ErrFlags with the flag at fault.
+func (f Flags) Check() error {
+	const shortest = 500 * time.Millisecond
+	if f.DutyTTL < shortest || f.DutyTTL > time.Minute {
+		return fmt.Errorf("%w: --duty-ttl is %v, want %v to %v", ErrFlags, f.DutyTTL, shortest, time.Minute)
+	}
+	if f.WorkerLease < shortest || f.WorkerLease > time.Minute {
+		return fmt.Errorf("%w: --worker-lease is %v, want %v to %v", ErrFlags, f.WorkerLease, shortest, time.Minute)
+	}
+	return nil
+}
+
+// Node is a running entry instance.
+type Node struct {
+	Settings     platform.Settings
+	SettingsPath string
+	Flags        Flags
+	Log          zerolog.Logger
+	Clock        *steady.Clock
+	Store        *platform.Store
+	Workers      *platform.Workers
+	Machines     *platform.Machines
+	Advice       *platform.Advice
+	Tenure       *tenure.Tenure
+	View         *View
+	Peers        *Peers
+	Registry     metrics.Registry
+
+	pools   pools
+	leaving atomic.Bool
+}
+
+// Run runs an entry instance until SIGTERM.
+func Run(ctx context.Context, settings platform.Settings, settingsPath string, flags Flags, out io.Writer) error {
+	lines := logs.NewWriter(out)
+	logCtx, endLogs := context.WithCancel(context.WithoutCancel(ctx))
+	var logGroup errgroup.Group
+	logGroup.Go(func() error { return lines.Run(logCtx) })
+	defer func() {
+		endLogs()
+		_ = logGroup.Wait()
+	}()
+	container := dig.New()
+	for _, constructor := range []any{
+		func() platform.Settings { return settings },
+		func() Flags { return flags },
+		func() zerolog.Logger { return newLogger(lines, flags, settings) },
+		steady.New, platform.NewClient, metrics.NewRegistry, newStore, newWorkers, newMachines, newAdvice, newTenure, newView, newPeers,
+		newNode,
+	} {
+		if err := container.Provide(constructor); err != nil {
+			return fmt.Errorf("wire node: %w", err)
+		}
+	}
+	var failed error
+	err := container.Invoke(func(n *Node) {
+		n.SettingsPath = settingsPath
+		failed = n.run(ctx)
+	})
+	return cmp.Or(failed, err)
+}
+
+func newLogger(lines *logs.Writer, flags Flags, settings platform.Settings) zerolog.Logger {
+	level, err := zerolog.ParseLevel(flags.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	return zerolog.New(lines).Level(level).With().Timestamp().Str("node", settings.Node).Logger()
+}
+
+func newStore(c *platform.Client, s platform.Settings, registry metrics.Registry) *platform.Store {
+	return &platform.Store{Client: c, Addr: s.Store, Calls: func(mechanism, outcome string, took time.Duration) {
+		observe(registry, "storeCalls."+mechanism+"."+outcome, took)
+	}}
+}
+
+func newWorkers(c *platform.Client) *platform.Workers { return &platform.Workers{Client: c} }
+
+func newMachines(c *platform.Client, s platform.Settings) *platform.Machines {
+	return &platform.Machines{Client: c, Addr: s.Machines}
+}
+
+func newAdvice(c *platform.Client, s platform.Settings) *platform.Advice {
+	return &platform.Advice{Client: c, Addr: s.Advice}
+}
+
+func newTenure(s platform.Settings, f Flags, st *platform.Store, clock *steady.Clock, log zerolog.Logger) *tenure.Tenure {
+	return &tenure.Tenure{
+		Store: st, TTL: max(f.DutyTTL, s.MinLeaseTTL), Clock: clock.Now,
+		Self: tenure.Holder{Node: s.Node, Session: rand.Text()[:8], Peer: netip.AddrPortFrom(s.IP, s.PeerPorts[0])},
+		Note: func(what, duty string, err error) {
+			level := zerolog.InfoLevel
+			if err != nil {
+				level = zerolog.WarnLevel
+			}
+			log.WithLevel(level).Str("duty", duty).Err(err).Msg(what)
+		},
+	}
+}
+
+func newNode(s platform.Settings, f Flags, log zerolog.Logger, clock *steady.Clock, st *platform.Store, w *platform.Workers,
+	m *platform.Machines, a *platform.Advice, t *tenure.Tenure, v *View, p *Peers, r metrics.Registry,
+) *Node {
+	return &Node{Settings: s, Flags: f, Log: log, Clock: clock, Store: st, Workers: w, Machines: m, Advice: a, Tenure: t, View: v, Peers: p, Registry: r}
+}
+
+const (
+	// servingAfterSignal is how long a stopping node still takes requests: the balancer needs two missed probes, one a second.
+	servingAfterSignal = 2600 * time.Millisecond
+	// leaveTimeout bounds the giving back of duties.
+	leaveTimeout = 1500 * time.Millisecond
+	// killMargin is left before the platform kills the process.
+	killMargin = 700 * time.Millisecond
+)
+
+func (n *Node) run(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	runCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.Log.Info().Str("session", n.Tenure.Self.Session).Str("entry", n.Settings.Entry.String()).
+		Str("peer", n.Tenure.Self.Peer.String()).Msg("started")
+	group, groupCtx := errgroup.WithContext(runCtx)
+	n.Tenure.Gained = n.holdPool
+	n.View.Changed = n.configured
+	n.Peers.Answer = n.answerPeer
+	group.Go(func() error { return n.View.Run(groupCtx) })
+	group.Go(func() error { return n.Tenure.Run(groupCtx) })
+	group.Go(func() error { return n.Peers.Serve(groupCtx, listeners.peer) })
+	servers := n.serve(group, listeners)
+	group.Go(func() error { return n.watchSettings(groupCtx) })
+	group.Go(func() error {
+		defer stop()
+		return n.awaitSignal(groupCtx, signals, servers)
+	})
+	err = group.Wait()
+	n.Log.Info().Err(err).Msg("stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+type listeners struct{ entry, readiness, peer net.Listener }
+
+func (n *Node) listen() (listeners, error) {
+	var l listeners
+	for _, x := range []struct {
+		addr netip.AddrPort
+		to   *net.Listener
+	}{{n.Settings.Entry, &l.entry}, {n.Settings.Readiness, &l.readiness}, {n.Tenure.Self.Peer, &l.peer}} {
+		opened, err := net.Listen("tcp", x.addr.String())
+		if err != nil {
+			return l, fmt.Errorf("%w: %w", ErrListen, err)
+		}
+		*x.to = opened
+	}
+	return l, nil
+}
+
+// awaitSignal ends the node gracefully: duties go back at once, requests are taken until the balancer has noticed.
+func (n *Node) awaitSignal(ctx context.Context, signals <-chan os.Signal, servers []shutdowner) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				n.reloadSettings("signal")
+				continue
+			}
+		}
+		break
+	}
+	began := time.Now()
+	n.leaving.Store(true)
+	n.Log.Info().Msg("stopping")
+	leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	n.Tenure.Leave(leaveCtx)
+	cancel()
+	grace := max(cmp.Or(n.Settings.Bounds.Grace, 6*time.Second)-killMargin, servingAfterSignal)
+	select {
+	case <-time.After(servingAfterSignal - time.Since(began)):
+	case <-ctx.Done():
+	}
+	endCtx, cancel := context.WithTimeout(ctx, grace-time.Since(began))
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(endCtx); err != nil {
+			n.Log.Warn().Err(err).Msg("requests cut at the end of the grace period")
+		}
+	}
+	return nil
+}
+
+// settingsEvery is how often the settings file is compared; the platform may change it without a signal.
+const settingsEvery = 10 * time.Second
+
+func (n *Node) watchSettings(ctx context.Context) error {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.reloadSettings("file")
+		}
+	}
+}
+
+// reloadSettings checks a changed settings file; addresses of a running process do not change, so it only takes note.
+func (n *Node) reloadSettings(why string) {
+	s, err := platform.ReadSettings(n.SettingsPath)
+	if err != nil {
+		n.Log.Warn().Err(err).Str("trigger", why).Msg("changed settings refused, the old ones stay in force")
+		return
+	}
+	if s == n.Settings && why == "file" {
+		return
+	}
+	n.Log.Info().Str("trigger", why).Bool("changed", s != n.Settings).Msg("settings read again")
+}
+
+// configured passes a new configuration on to the duties.
+func (n *Node) configured() {
+	c := n.View.Configuration()
+	names := make([]string, 0, len(c.Pools))
+	for _, p := range c.Pools {
+		names = append(names, p.Name)
+	}
+	n.Tenure.Want(names)
+	n.pools.configure(c)
+}
+
+func (n *Node) dispatchSettings() dispatch.Settings {
+	b := n.Settings.Bounds
+	return dispatch.Settings{
+		Lease: min(n.Flags.WorkerLease, b.MaxLease), Takeover: n.Tenure.TTL, FarFactor: b.FarFactor, StatusKept: b.StatusKept,
+	}
+}
+
+var _ store.Transactor = (*platform.Store)(nil)
--- /dev/null
+++ b/verbenaentry/node/order.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
+)
+
+const (
+	// orderTimeout bounds an order to a worker; what got no answer is settled by the worker's lists.
+	orderTimeout = time.Second
+	// holdWait is how long a worker's answer waits for an end.
+	holdWait = time.Second
+	// holdReserve is how much longer than that the answer may take.
+	holdReserve = 500 * time.Millisecond
+	// holdPause lies between two attempts at a worker that does not answer.
+	holdPause = 150 * time.Millisecond
+)
+
+// send gives an order in a goroutine of its own.
+func (p *pool) send(ctx context.Context, a dispatch.Action) {
+	p.orders.Go(func() error {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if !p.node.Tenure.Valid(p.name, p.fence) {
+			p.unsent(a)
+			return nil
+		}
+		switch a := a.(type) {
+		case dispatch.Start:
+			p.sendStart(callCtx, a)
+		case dispatch.Stop:
+			p.sendStop(callCtx, a)
+		case dispatch.Pace:
+			p.sendPace(callCtx, a)
+		case dispatch.Ask:
+			p.ask(ctx, a)
+		}
+		return nil
+	})
+}
+
+// unsent takes note of an order that was not given because the duty may be lost.
+func (p *pool) unsent(a dispatch.Action) {
+	if s, ok := a.(dispatch.Start); ok {
+		p.mu.Lock()
+		p.core.StartAnswered(s, dispatch.Refused, 0, p.node.Clock.Now())
+		p.mu.Unlock()
+	}
+}
+
+func (p *pool) order(w workload.Worker, task workload.TaskID, run int) platform.Order {
+	return platform.Order{Worker: w, Task: task, Run: run, Fence: p.fence}
+}
+
+func (p *pool) sendStart(ctx context.Context, s dispatch.Start) {
+	began := time.Now()
+	outcome, clock, err := p.node.Workers.Start(ctx, platform.StartOrder{
+		Order: p.order(s.Worker, s.Task, s.Run), Spec: s.Spec, LeaseEnd: s.LeaseEnd, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+	})
+	observe(p.node.Registry, "starts."+string(outcome), time.Since(began))
+	p.note(dispatch.Event{What: "start", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Reason: string(outcome), Age: s.Waited})
+	if err != nil {
+		p.log.Debug().Err(err).Str("worker", s.Worker.ID).Msg("start not answered")
+	}
+	answer := dispatch.Unknown
+	switch outcome {
+	case platform.Started:
+		answer = dispatch.Present
+	case platform.RefusedRoom:
+		answer = dispatch.RefusedRoom
+	case platform.RefusedOld:
+		answer = dispatch.RefusedOld
+	case platform.RefusedUnhealthy:
+		answer = dispatch.RefusedUnhealthy
+	case platform.RefusedTicket:
+		answer = dispatch.RefusedTicket
+	case platform.RefusedFence, platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker:
+		answer = dispatch.Refused
+	case platform.Unanswered:
+	}
+	now := p.node.Clock.Now()
+	p.mu.Lock()
+	p.core.StartAnswered(s, answer, clock, now)
+	if outcome == platform.OtherWorker {
+		p.core.Terminated(s.Worker.ID, "another worker has its address")
+	}
+	p.mu.Unlock()
+	if answer != dispatch.Present {
+		p.kick()
+	}
+}
+
+func (p *pool) sendStop(ctx context.Context, s dispatch.Stop) {
+	taken, err := p.node.Workers.Stop(ctx, p.order(s.Worker, s.Task, s.Run))
+	p.note(dispatch.Event{What: "stop", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Reason: s.Reason})
+	if err != nil {
+		p.log.Debug().Err(err).Str("worker", s.Worker.ID).Msg("stop not answered")
+	}
+	if taken {
+		p.mu.Lock()
+		p.core.StopAnswered(s)
+		p.mu.Unlock()
+	}
+}
+
+func (p *pool) sendPace(ctx context.Context, a dispatch.Pace) {
+	if _, err := p.node.Workers.Pace(ctx, p.order(a.Worker, a.Task, a.Run), a.Percent); err != nil {
+		p.log.Debug().Err(err).Str("worker", a.Worker.ID).Msg("pace not answered")
+	}
+	p.log.Debug().Str("job", a.Task.Job).Str("worker", a.Worker.ID).Int("percent", a.Percent).Msg("pace")
+}
+
+// adviceTimeout bounds a question to the advice service, which answers one question of a node after the other.
+const adviceTimeout = 5 * time.Second
+
+func (p *pool) ask(ctx context.Context, a dispatch.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	tickets, limited, err := p.node.Advice.Ask(ctx, a.Job, a.Occurrence, a.Step, a.Workers)
+	if err != nil || limited {
+		p.log.Warn().Err(err).Bool("limited", limited).Str("job", a.Job).Msg("no advice")
+		tickets.ByWorker = nil
+	} else if tickets.ByWorker == nil {
+		tickets.ByWorker = map[string]string{}
+	}
+	now := p.node.Clock.Now()
+	p.mu.Lock()
+	p.core.Advised(a, tickets.ByWorker, now.Add(tickets.Valid), now)
+	p.mu.Unlock()
+	p.kick()
+}
+
+// hold prolongs a worker's lease and follows its lists until the worker is not in the pool any more.
+func (p *pool) hold(ctx context.Context, id string) error {
+	defer func() {
+		p.mu.Lock()
+		delete(p.holding, id)
+		p.mu.Unlock()
+	}()
+	known := false
+	for ctx.Err() == nil {
+		if !p.node.Tenure.Valid(p.name, p.fence) {
+			pause(ctx, holdPause)
+			continue
+		}
+		p.mu.Lock()
+		next := p.core.NextHold(id, p.node.Clock.Now())
+		p.mu.Unlock()
+		if !next.Known {
+			return nil
+		}
+		wait := time.Duration(0)
+		if known {
+			wait = holdWait
+		}
+		known = p.holdOnce(ctx, next, wait)
+		if !known {
+			pause(ctx, holdPause)
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// holdOnce reports whether the worker answered with its lists.
+func (p *pool) holdOnce(ctx context.Context, next dispatch.Hold, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait+holdReserve)
+	defer cancel()
+	outcome, report, err := p.node.Workers.Hold(ctx, platform.HoldOrder{
+		Worker: next.Worker, Fence: p.fence, LeaseEnd: next.LeaseEnd, AckedUntil: next.AckedUntil, Wait: wait,
+	})
+	now := p.node.Clock.Now()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		p.log.Debug().Err(err).Str("worker", next.Worker.ID).Msg("hold not answered whole")
+	}
+	switch outcome {
+	case platform.Held:
+		p.mu.Lock()
+		p.core.Report(next.Worker.ID, report, now)
+		p.mu.Unlock()
+		p.kick()
+		return true
+	case platform.HoldOther:
+		p.mu.Lock()
+		p.core.Terminated(next.Worker.ID, "another worker has its address")
+		p.mu.Unlock()
+		p.kick()
+	case platform.HoldFenced:
+		p.log.Warn().Str("worker", next.Worker.ID).Msg("worker follows a newer holder")
+	case platform.HoldUnanswered:
+	}
+	return false
+}
--- /dev/null
+++ b/verbenaentry/node/pool.go
@@ -0,0 +1,331 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/follow"
+	"verbenalanding.example/fleet/ring"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
+	"verbenalanding.example/verbenaentry/logs"
+)
+
+const (
+	// eventRing is how many events may wait for the pool's decisions; reports that find no place come again.
+	eventRing = 4096
+	// planEvery is how often decisions are made without an event, for leases and repeated orders.
+	planEvery = 50 * time.Millisecond
+	// planPause lies between two plans, so that events that arrive together are decided together.
+	planPause = 4 * time.Millisecond
+	// orderLimit is how many orders of a pool may be on their way at once.
+	orderLimit = 96
+	// decisionLines is the budget of log lines a second for decisions of a pool.
+	decisionLines = 2000
+)
+
+// pools are the pools that the node holds.
+type pools struct {
+	mu   sync.Mutex
+	held map[string]*pool
+}
+
+func (p *pools) get(name string) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held[name]
+}
+
+func (p *pools) set(name string, held *pool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held == nil {
+		p.held = map[string]*pool{}
+	}
+	p.held[name] = held
+}
+
+func (p *pools) remove(name string, held *pool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held[name] == held {
+		delete(p.held, name)
+	}
+}
+
+func (p *pools) configure(c *workload.Configuration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, held := range p.held {
+		held.configure(c)
+	}
+}
+
+// pool is a pool whose duty the node holds.
+type pool struct {
+	node  *Node
+	name  string
+	fence uint64
+	log   zerolog.Logger
+	began time.Time
+
+	mu     sync.Mutex
+	core   *dispatch.Pool
+	budget logs.Budget
+	// revisions are those of the records of jobs in the store.
+	revisions map[string]store.Revision
+	holding   map[string]bool
+
+	wake    *ring.Ring[struct{}]
+	writes  *ring.Ring[struct{}]
+	group   *errgroup.Group
+	orders  errgroup.Group
+	ended   atomic.Bool
+	upkeeps *upkeeps
+}
+
+// holdPool runs the duty of a pool until its context ends.
+func (n *Node) holdPool(ctx context.Context, name string, fence uint64) error {
+	p := &pool{
+		node: n, name: name, fence: fence, began: n.Clock.Now(), log: n.Log.With().Str("pool", name).Uint64("fence", fence).Logger(),
+		revisions: map[string]store.Revision{}, holding: map[string]bool{},
+		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
+	}
+	p.orders.SetLimit(orderLimit)
+	p.core = &dispatch.Pool{Name: name, Settings: n.dispatchSettings(), Note: p.note}
+	p.core.Begin(p.began)
+	p.upkeeps = newUpkeeps(p)
+	p.configure(n.View.Configuration())
+	records, err := p.loadRecords(ctx)
+	if err != nil {
+		return err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	p.group = group
+	jobs := &jobFollower{pool: p, records: records}
+	followers := []follow.Follower{
+		{Store: n.Store, Prefix: "job/" + name + "/", Apply: jobs.apply},
+		{Store: n.Store, Prefix: platform.WorkerPrefix, Apply: func(events []store.Event, _ bool) { p.applyWorkers(groupCtx, events) }},
+		{Store: n.Store, Prefix: wavePrefix, Apply: p.upkeeps.apply},
+	}
+	for i := range followers {
+		group.Go(func() error { return followers[i].Run(groupCtx) })
+	}
+	group.Go(func() error { return p.decide(groupCtx) })
+	group.Go(func() error { return p.write(groupCtx) })
+	group.Go(func() error { return p.upkeeps.run(groupCtx) })
+	err = group.Wait()
+	p.ended.Store(true)
+	n.pools.remove(name, p)
+	_ = p.orders.Wait()
+	if errors.Is(context.Cause(ctx), errLeaving) {
+		p.writeLast(ctx)
+	}
+	p.log.Info().Err(context.Cause(ctx)).Dur("held", n.Clock.Now().Sub(p.began)).Msg("duty ended")
+	return err
+}
+
+// loadRecords reads the progress of the pool's jobs; the duty is held, so no other node writes it any more.
+func (p *pool) loadRecords(ctx context.Context) (map[string]dispatch.Record, error) {
+	prefix := stateKey(p.name, "")
+	records := map[string]dispatch.Record{}
+	for {
+		entries, _, err := store.ListAll(ctx, p.node.Store, prefix)
+		if err == nil {
+			for _, e := range entries {
+				id := strings.TrimPrefix(e.Key, prefix)
+				var r dispatch.Record
+				if err := json.Unmarshal(e.Value, &r); err != nil {
+					return nil, fmt.Errorf("read record of job %s: %w", id, err)
+				}
+				records[id], p.revisions[id] = r, e.Revision
+			}
+			return records, nil
+		}
+		p.log.Warn().Err(err).Msg("records of jobs not read yet")
+		select {
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case <-time.After(storePause):
+		}
+	}
+}
+
+// note writes a decision of the pool to the log.
+func (p *pool) note(e dispatch.Event) {
+	leftOut, ok := p.budget.Allow(time.Now())
+	if !ok {
+		return
+	}
+	line := p.log.Info()
+	if leftOut > 0 {
+		line = line.Int64("linesLeftOut", leftOut)
+	}
+	if e.Job != "" {
+		line = line.Str("job", e.Job)
+	}
+	if e.Task.Job != "" {
+		line = line.Ints("task", []int{e.Task.Occurrence, e.Task.Step, e.Task.Index}).Int("run", e.Run)
+	}
+	if e.Worker != "" {
+		line = line.Str("worker", e.Worker)
+	}
+	if e.Reason != "" {
+		line = line.Str("reason", e.Reason)
+	}
+	if e.Age != 0 {
+		line = line.Dur("age", e.Age)
+	}
+	line.Msg(e.What)
+}
+
+func (p *pool) kick() { _ = p.wake.Offer(struct{}{}) }
+
+func (p *pool) configure(c *workload.Configuration) {
+	if c == nil {
+		return
+	}
+	var queues []workload.Queue
+	for _, q := range c.Queues {
+		if q.Pool == p.name {
+			queues = append(queues, q)
+		}
+	}
+	p.mu.Lock()
+	p.core.SetQueues(queues)
+	p.mu.Unlock()
+	p.kick()
+}
+
+func (p *pool) jobState(id string) jobAnswer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state, known := p.core.JobState(id)
+	return jobAnswer{Known: known, State: state}
+}
+
+func (p *pool) pending(queue string) (pendingAnswer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return pendingAnswer{Pending: p.core.Pending(queue)}, nil
+}
+
+// jobFollower passes accepted and cancelled jobs on to the pool.
+type jobFollower struct {
+	pool    *pool
+	records map[string]dispatch.Record
+	begun   bool
+}
+
+func (f *jobFollower) apply(events []store.Event, _ bool) {
+	p := f.pool
+	now := p.node.Clock.Now()
+	p.mu.Lock()
+	var cancelled []string
+	for _, e := range events {
+		id := strings.TrimPrefix(e.Entry.Key, "job/"+p.name+"/")
+		if e.Deleted {
+			continue
+		}
+		if strings.HasSuffix(id, cancelSuffix) {
+			cancelled = append(cancelled, strings.TrimSuffix(id, cancelSuffix))
+			continue
+		}
+		var j workload.Job
+		if err := json.Unmarshal(e.Entry.Value, &j); err != nil {
+			p.log.Error().Err(err).Str("job", id).Msg("stored job cannot be read")
+			continue
+		}
+		var record *dispatch.Record
+		if r, ok := f.records[id]; ok {
+			record = &r
+		}
+		p.core.AddJob(j, record, uint64(e.Entry.Revision) < p.fence, now)
+	}
+	for _, id := range cancelled {
+		p.core.Cancel(id, now)
+	}
+	p.mu.Unlock()
+	if !f.begun {
+		f.begun, f.records = true, nil
+		p.node.pools.set(p.name, p)
+		p.log.Info().Dur("took", now.Sub(p.began)).Int("jobs", len(events)).Msg("pool taken over")
+	}
+	p.kick()
+}
+
+func (p *pool) applyWorkers(ctx context.Context, events []store.Event) {
+	now := p.node.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range events {
+		if e.Deleted {
+			p.core.DropWorker(strings.TrimPrefix(e.Entry.Key, platform.WorkerPrefix), now)
+			continue
+		}
+		w, err := platform.DecodeWorker(e.Entry.Key, e.Entry.Value)
+		if err != nil {
+			p.log.Warn().Err(err).Msg("registration ignored")
+			p.core.DropWorker(strings.TrimPrefix(e.Entry.Key, platform.WorkerPrefix), now)
+			continue
+		}
+		if w.Pool != p.name {
+			p.core.DropWorker(w.ID, now)
+			continue
+		}
+		p.core.SetWorker(w, now)
+		p.upkeeps.registered(w)
+		if !p.holding[w.ID] {
+			p.holding[w.ID] = true
+			p.group.Go(func() error { return p.hold(ctx, w.ID) })
+		}
+	}
+	p.kick()
+}
+
+// decide plans after each event and sends the orders.
+func (p *pool) decide(ctx context.Context) error {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.wake.Items():
+		case <-ticker.C:
+		}
+		if !p.node.Tenure.Valid(p.name, p.fence) {
+			continue
+		}
+		now := p.node.Clock.Now()
+		p.mu.Lock()
+		var actions []dispatch.Action
+		if p.node.pools.get(p.name) == p {
+			actions = p.core.Plan(now)
+		}
+		dirty, terminal := p.core.Unrecorded()
+		p.mu.Unlock()
+		if dirty && terminal {
+			_ = p.writes.Offer(struct{}{})
+		}
+		for _, a := range actions {
+			p.send(ctx, a)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(planPause):
+		}
+	}
+}
--- /dev/null
+++ b/verbenaentry/node/view.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"verbenalanding.example/fleet/follow"
+	"verbenalanding.example/fleet/steady"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
+)
+
+// operatorPrefix is the prefix of what the operator writes.
+const operatorPrefix = "op/"
+
+// View holds the operator's configuration and waves as the node knows them.
+type View struct {
+	Store *platform.Store
+	Log   zerolog.Logger
+	Clock *steady.Clock
+	// Changed is called after each change of the configuration.
+	Changed func()
+
+	configuration atomic.Pointer[routes]
+	mu            sync.Mutex
+	waves         map[string]wave
+}
+
+// wave is an operator's wave and when it was first seen.
+type wave struct {
+	workload.Wave
+	key string
+}
+
+func newView(s *platform.Store, log zerolog.Logger, clock *steady.Clock) *View {
+	return &View{Store: s, Log: log, Clock: clock, waves: map[string]wave{}}
+}
+
+// Run follows the operator's keys until the context ends.
+func (v *View) Run(ctx context.Context) error {
+	f := follow.Follower{Store: v.Store, Prefix: operatorPrefix, Apply: v.apply, State: func(err error) {
+		if err != nil {
+			v.Log.Warn().Err(err).Msg("store lost for the operator's keys")
+		} else {
+			v.Log.Info().Msg("store regained for the operator's keys")
+		}
+	}}
+	return f.Run(ctx)
+}
+
+func (v *View) apply(events []store.Event, _ bool) {
+	for _, e := range events {
+		switch {
+		case e.Entry.Key == platform.ConfigurationKey && !e.Deleted:
+			v.configure(e.Entry.Value)
+		case strings.HasPrefix(e.Entry.Key, platform.WavePrefix):
+			v.setWave(e)
+		}
+	}
+}
+
+func (v *View) configure(value []byte) {
+	c, err := platform.DecodeConfiguration(value)
+	if err != nil {
+		v.Log.Error().Err(err).Msg("configuration refused")
+		return
+	}
+	if old := v.configuration.Load(); old != nil && old.Version >= c.Version {
+		v.Log.Warn().Int64("version", c.Version).Int64("inForce", old.Version).Msg("older configuration ignored")
+		return
+	}
+	v.configuration.Store(newRoutes(c))
+	v.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Msg("configuration in force")
+	v.Changed()
+}
+
+func (v *View) setWave(e store.Event) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e.Deleted {
+		delete(v.waves, e.Entry.Key)
+		return
+	}
+	w, err := platform.DecodeWave(e.Entry.Value)
+	if err != nil {
+		v.Log.Error().Err(err).Str("key", e.Entry.Key).Msg("wave refused")
+		return
+	}
+	v.waves[e.Entry.Key] = wave{w, e.Entry.Key}
+	v.Log.Info().Str("wave", w.ID).Int("machines", len(w.Machines)).Int("maxDown", w.MaxDown).Dur("within", w.Within).Msg("wave asked for")
+}
+
+// Waves returns the operator's waves.
+func (v *View) Waves() []workload.Wave {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := make([]workload.Wave, 0, len(v.waves))
+	for _, w := range v.waves {
+		list = append(list, w.Wave)
+	}
+	return list
+}
+
+// Configuration returns the configuration in force, or nil before the first one.
+func (v *View) Configuration() *workload.Configuration {
+	if r := v.configuration.Load(); r != nil {
+		return r.Configuration
+	}
+	return nil
+}
+
+// routes returns the queues by host and prefix, or nil before the first configuration.
+func (v *View) routes() *routes { return v.configuration.Load() }
+
+// routes finds the queue of a request.
+type routes struct {
+	*workload.Configuration
+	byHost map[string][]workload.Queue
+}
+
+func newRoutes(c *workload.Configuration) *routes {
+	r := &routes{Configuration: c, byHost: map[string][]workload.Queue{}}
+	for _, q := range c.Queues {
+		r.byHost[strings.ToLower(q.Host)] = append(r.byHost[strings.ToLower(q.Host)], q)
+	}
+	return r
+}
+
+// find returns the queue with the longest prefix of the path, and the rest of the path.
+func (r *routes) find(host, path string) (queue *workload.Queue, rest string) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	list := r.byHost[host]
+	for i := range list {
+		if strings.HasPrefix(path, list[i].Prefix) && (queue == nil || len(list[i].Prefix) > len(queue.Prefix)) {
+			queue = &list[i]
+		}
+	}
+	if queue == nil {
+		return nil, ""
+	}
+	return queue, path[len(queue.Prefix):]
+}
--- /dev/null
+++ b/verbenaentry/node/wave.go
@@ -0,0 +1,421 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/upkeep"
+	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
+)
+
+// wavePrefix is the prefix of the keys by which the holders of pools share a wave's limit.
+const wavePrefix = "wave/"
+
+const (
+	waveEvery = 100 * time.Millisecond
+	// listEvery is how often the platform's machines are listed during a wave.
+	listEvery      = time.Second
+	machineTimeout = 1500 * time.Millisecond
+	// backMargin is how much longer than its upkeep a machine may take before the list of machines decides.
+	backMargin = time.Second
+)
+
+// slot is the value of a key that stands for one machine of a wave in upkeep.
+type slot struct {
+	Machine string `json:"machine"`
+	Pool    string `json:"pool"`
+	// Worker is the life of the machine that the upkeep ends.
+	Worker string `json:"worker"`
+}
+
+func slotKey(wave string, n int) string   { return wavePrefix + wave + "/slot/" + strconv.Itoa(n) }
+func doneKey(wave, machine string) string { return wavePrefix + wave + "/done/" + machine }
+func statusKey(wave string) string        { return platform.WaveStatusPrefix + wave }
+func waveOf(key string) (wave, rest string) {
+	w, r, _ := strings.Cut(strings.TrimPrefix(key, wavePrefix), "/")
+	return w, r
+}
+
+// upkeeps carries out the machines of waves that are in the pool.
+type upkeeps struct {
+	pool *pool
+
+	mu    sync.Mutex
+	slots map[string]heldSlot
+	done  map[string]map[string]bool
+	seen  map[string]time.Time
+	// lives holds the newest worker of each machine.
+	lives    map[string]string
+	machines map[string]workload.Machine
+	listed   time.Time
+	told     map[string]bool
+	cordoned map[string]bool
+}
+
+type heldSlot struct {
+	slot
+	revision store.Revision
+	// ordered is when this holder had the upkeep accepted; zero for one that an earlier holder left.
+	ordered time.Time
+	since   time.Time
+}
+
+func newUpkeeps(p *pool) *upkeeps {
+	return &upkeeps{
+		pool: p, slots: map[string]heldSlot{}, done: map[string]map[string]bool{}, seen: map[string]time.Time{},
+		lives: map[string]string{}, machines: map[string]workload.Machine{}, told: map[string]bool{}, cordoned: map[string]bool{},
+	}
+}
+
+// apply takes over what the store shows of waves.
+func (u *upkeeps) apply(events []store.Event, _ bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, e := range events {
+		wave, rest := waveOf(e.Entry.Key)
+		if machine, ok := strings.CutPrefix(rest, "done/"); ok && !e.Deleted {
+			if u.done[wave] == nil {
+				u.done[wave] = map[string]bool{}
+			}
+			u.done[wave][machine] = true
+			continue
+		}
+		if e.Deleted {
+			delete(u.slots, e.Entry.Key)
+			continue
+		}
+		var s slot
+		if err := json.Unmarshal(e.Entry.Value, &s); err != nil {
+			u.pool.log.Error().Err(err).Str("key", e.Entry.Key).Msg("slot of a wave cannot be read")
+			continue
+		}
+		old := u.slots[e.Entry.Key]
+		since := u.pool.node.Clock.Now()
+		if old.Machine == s.Machine {
+			since = old.since
+		}
+		u.slots[e.Entry.Key] = heldSlot{slot: s, revision: e.Entry.Revision, ordered: old.ordered, since: since}
+	}
+}
+
+// registered takes note of the newest worker of a machine.
+func (u *upkeeps) registered(w workload.Worker) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if w.Machine != "" {
+		u.lives[w.Machine] = w.ID
+	}
+}
+
+func (u *upkeeps) run(ctx context.Context) error {
+	ticker := time.NewTicker(waveEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, w := range u.pool.node.View.Waves() {
+			if u.pool.node.Tenure.Valid(u.pool.name, u.pool.fence) && u.pool.node.pools.get(u.pool.name) == u.pool {
+				u.step(ctx, w)
+			}
+		}
+	}
+}
+
+func (u *upkeeps) step(ctx context.Context, w workload.Wave) {
+	now := u.pool.node.Clock.Now()
+	u.mu.Lock()
+	if u.seen[w.ID].IsZero() {
+		u.seen[w.ID] = now
+	}
+	completed := u.told[w.ID]
+	stale := now.Sub(u.listed) >= listEvery
+	u.mu.Unlock()
+	if completed {
+		return
+	}
+	if stale {
+		u.list(ctx, now)
+	}
+	u.finish(ctx, w, now)
+	u.begin(ctx, w, now)
+	u.report(ctx, w)
+}
+
+func (u *upkeeps) list(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	list, err := u.pool.node.Machines.List(ctx)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.listed = now
+	if err != nil {
+		u.pool.log.Warn().Err(err).Msg("machines not listed")
+		return
+	}
+	clear(u.machines)
+	for _, m := range list {
+		u.machines[m.ID] = m
+	}
+}
+
+// finish frees the slots of the pool's machines that are back.
+func (u *upkeeps) finish(ctx context.Context, w workload.Wave, now time.Time) {
+	for key, s := range u.mine(w) {
+		if !u.back(s, now) {
+			continue
+		}
+		err := u.apply1(ctx, store.Transaction{
+			If:     []store.Condition{u.pool.dutyCondition(), {Key: key, Revision: s.revision}},
+			Put:    []store.Write{{Key: doneKey(w.ID, s.Machine), Value: []byte("{}")}},
+			Delete: []string{key},
+		})
+		u.pool.log.Info().Err(err).Str("wave", w.ID).Str("machine", s.Machine).Dur("down", now.Sub(s.since)).Msg("machine back from upkeep")
+		if err == nil {
+			u.mu.Lock()
+			delete(u.slots, key)
+			delete(u.cordoned, s.Machine)
+			if u.done[w.ID] == nil {
+				u.done[w.ID] = map[string]bool{}
+			}
+			u.done[w.ID][s.Machine] = true
+			u.mu.Unlock()
+		}
+	}
+}
+
+func (u *upkeeps) apply1(ctx context.Context, t store.Transaction) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, _, err := u.pool.node.Store.Apply(ctx, t)
+	return err
+}
+
+// mine returns the slots of a wave that are used by machines of the pool.
+func (u *upkeeps) mine(w workload.Wave) map[string]heldSlot {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	mine := map[string]heldSlot{}
+	for key, s := range u.slots {
+		if wave, _ := waveOf(key); wave == w.ID && s.Pool == u.pool.name {
+			mine[key] = s
+		}
+	}
+	return mine
+}
+
+// back reports whether a machine has come back from its upkeep.
+func (u *upkeeps) back(s heldSlot, now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if s.ordered.IsZero() {
+		// The order of an earlier holder may not have been given; begin gives it again.
+		return false
+	}
+	if life := u.lives[s.Machine]; s.Worker != "" && life != "" && life != s.Worker {
+		return true
+	}
+	m, listed := u.machines[s.Machine]
+	if u.listed.Sub(s.ordered) < u.pool.node.Settings.Bounds.Upkeep {
+		return false
+	}
+	return (listed && m.State == workload.MachineUp && m.Worker != s.Worker) || (!listed && now.Sub(s.ordered) > u.pool.node.Settings.Bounds.Upkeep+backMargin)
+}
+
+// begin takes the next machines of the pool into upkeep.
+func (u *upkeeps) begin(ctx context.Context, w workload.Wave, now time.Time) {
+	for key, s := range u.mine(w) {
+		if s.ordered.IsZero() {
+			u.order(ctx, w, key, s)
+		}
+	}
+	// The platform wants a pause between the orders of two holders to one machine.
+	if now.Sub(u.pool.began) < u.pool.node.Settings.Bounds.OrderGap {
+		return
+	}
+	input, machines := u.input(w, now)
+	for _, choice := range upkeep.Plan(input) {
+		m := machines[choice.Machine]
+		u.pool.mu.Lock()
+		u.pool.core.Cordon(m.Worker, true)
+		u.pool.mu.Unlock()
+		u.mu.Lock()
+		u.cordoned[m.ID] = true
+		u.mu.Unlock()
+		if !choice.Begin {
+			continue
+		}
+		if err := u.take(ctx, w, m); err != nil {
+			u.pool.log.Debug().Err(err).Str("machine", m.ID).Msg("no slot of the wave")
+			return
+		}
+	}
+}
+
+// input gathers what the planner needs to know of a wave.
+func (u *upkeeps) input(w workload.Wave, now time.Time) (upkeep.Input, map[string]workload.Machine) {
+	u.mu.Lock()
+	in := upkeep.Input{
+		Now: now, Deadline: u.seen[w.ID].Add(w.Within), MaxDown: w.MaxDown, Cycle: u.pool.node.Settings.Bounds.Upkeep + backMargin,
+	}
+	busy := map[string]bool{}
+	for key, s := range u.slots {
+		if wave, _ := waveOf(key); wave == w.ID {
+			in.Down++
+			busy[s.Machine] = true
+		}
+	}
+	machines := map[string]workload.Machine{}
+	for _, id := range w.Machines {
+		m, ok := u.machines[id]
+		if !ok || busy[id] || u.done[w.ID][id] {
+			continue
+		}
+		in.Left++
+		if m.Pool == u.pool.name && m.State == workload.MachineUp {
+			if life := u.lives[id]; life != "" {
+				m.Worker = life
+			}
+			machines[id] = m
+		}
+	}
+	cordoned := make(map[string]bool, len(u.cordoned))
+	for id := range u.cordoned {
+		cordoned[id] = true
+	}
+	u.mu.Unlock()
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	for id, m := range machines {
+		in.Candidates = append(in.Candidates, upkeep.Candidate{Machine: id, Load: u.pool.core.LoadOf(m.Worker, now), Cordoned: cordoned[id]})
+	}
+	slices.SortFunc(in.Candidates, func(a, b upkeep.Candidate) int { return strings.Compare(a.Machine, b.Machine) })
+	return in, machines
+}
+
+var errNoSlot = errors.New("all slots of the wave are taken")
+
+// take reserves a free slot of the wave for a machine and orders its upkeep.
+func (u *upkeeps) take(ctx context.Context, w workload.Wave, m workload.Machine) error {
+	s := slot{Machine: m.ID, Pool: u.pool.name, Worker: m.Worker}
+	value, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("encode slot: %w", err)
+	}
+	for n := range w.MaxDown {
+		key := slotKey(w.ID, n)
+		u.mu.Lock()
+		_, used := u.slots[key]
+		u.mu.Unlock()
+		if used {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		revision, _, err := u.pool.node.Store.Apply(callCtx, store.Transaction{
+			If: []store.Condition{u.pool.dutyCondition(), {Key: key}}, Put: []store.Write{{Key: key, Value: value}},
+		})
+		cancel()
+		if errors.Is(err, store.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		held := heldSlot{slot: s, revision: revision, since: u.pool.node.Clock.Now()}
+		u.mu.Lock()
+		u.slots[key] = held
+		u.mu.Unlock()
+		u.order(ctx, w, key, held)
+		return nil
+	}
+	return errNoSlot
+}
+
+// order has the platform begin the upkeep of a machine that has a slot; an order that was carried out before is accepted again.
+func (u *upkeeps) order(ctx context.Context, w workload.Wave, key string, s heldSlot) {
+	now := u.pool.node.Clock.Now()
+	if now.Sub(u.pool.began) < u.pool.node.Settings.Bounds.OrderGap {
+		return
+	}
+	u.pool.mu.Lock()
+	load := u.pool.core.LoadOf(s.Worker, now)
+	u.pool.mu.Unlock()
+	if load.Known && !load.Allowed {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	outcome, err := u.pool.node.Machines.Upkeep(callCtx, platform.Holder{Node: u.pool.node.Settings.Node, Fence: u.pool.fence}, s.Machine, w.ID)
+	u.pool.log.Info().Err(err).Str("wave", w.ID).Str("machine", s.Machine).Str("worker", s.Worker).Str("outcome", string(outcome)).
+		Bool("idle", load.Idle).Dur("lost", load.Lost).Int("lasting", load.Lasting).Msg("upkeep ordered")
+	if outcome != platform.MachineAccepted {
+		return
+	}
+	u.mu.Lock()
+	if held, ok := u.slots[key]; ok {
+		held.ordered = now
+		u.slots[key] = held
+	}
+	u.mu.Unlock()
+	u.pool.mu.Lock()
+	if s.Worker != "" {
+		u.pool.core.Terminated(s.Worker, "upkeep")
+	}
+	u.pool.mu.Unlock()
+	u.pool.kick()
+}
+
+// report tells the operator how far the wave is; the holder of the first pool does it for all.
+func (u *upkeeps) report(ctx context.Context, w workload.Wave) {
+	c := u.pool.node.View.Configuration()
+	if c == nil || len(c.Pools) == 0 || c.Pools[0].Name != u.pool.name {
+		return
+	}
+	u.mu.Lock()
+	completed := len(u.machines) > 0
+	for _, id := range w.Machines {
+		if _, stays := u.machines[id]; stays && !u.done[w.ID][id] {
+			completed = false
+		}
+	}
+	for key := range u.slots {
+		if wave, _ := waveOf(key); wave == w.ID {
+			completed = false
+		}
+	}
+	running := u.told["running "+w.ID]
+	u.mu.Unlock()
+	if running && !completed {
+		return
+	}
+	value, err := platform.EncodeWaveStatus(w, completed)
+	if err != nil {
+		u.pool.log.Error().Err(err).Str("wave", w.ID).Msg("state of a wave not encoded")
+		return
+	}
+	err = u.apply1(ctx, store.Transaction{
+		If: []store.Condition{u.pool.dutyCondition()}, Put: []store.Write{{Key: statusKey(w.ID), Value: value}},
+	})
+	u.pool.log.Info().Err(err).Str("wave", w.ID).Bool("completed", completed).Msg("state of a wave told")
+	if err != nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if completed {
+		u.told[w.ID] = true
+	} else {
+		u.told["running "+w.ID] = true
+	}
+}
--- /dev/null
+++ b/verbenaentry/node/write.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/tenure"
+)
+
+const (
+	// writeEvery is how long changes that end no job wait for others; ends are acknowledged after that.
+	writeEvery = 250 * time.Millisecond
+	// writeTimeout bounds one write of records.
+	writeTimeout = 800 * time.Millisecond
+	// recordsPerWrite leaves room in a transaction for a condition for each record and one for the duty.
+	recordsPerWrite = (store.MaxTransaction - 2) / 2
+	// expireEvery is how often records that need not be kept are looked for.
+	expireEvery = 20 * time.Second
+)
+
+var (
+	errLeaving = tenure.ErrLeaving
+	errLost    = tenure.ErrLost
+)
+
+// write records changes in the store: at once when a job has ended, else gathered.
+func (p *pool) write(ctx context.Context) error {
+	ticker := time.NewTicker(writeEvery)
+	defer ticker.Stop()
+	expired := p.began
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-p.writes.Items():
+		}
+		if !p.node.Tenure.Valid(p.name, p.fence) {
+			continue
+		}
+		if err := p.writeOnce(ctx); err != nil {
+			p.log.Warn().Err(err).Msg("records not written yet")
+			if errors.Is(err, errLost) {
+				pause(ctx, writeEvery)
+			}
+			pause(ctx, storePause)
+		}
+		if now := p.node.Clock.Now(); now.Sub(expired) > expireEvery {
+			expired = now
+			p.expire(ctx, now)
+		}
+	}
+}
+
+// writeLast records what is left when the duty is given back.
+func (p *pool) writeLast(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
+	defer cancel()
+	if err := p.writeOnce(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("last records not written")
+	}
+}
+
+func (p *pool) writeOnce(ctx context.Context) error {
+	p.mu.Lock()
+	batch := p.core.Batch()
+	p.mu.Unlock()
+	for from := 0; from < len(batch.Changes); from += recordsPerWrite {
+		if err := p.writeRecords(ctx, batch.Changes[from:min(from+recordsPerWrite, len(batch.Changes))]); err != nil {
+			return err
+		}
+	}
+	p.mu.Lock()
+	p.core.Recorded(batch)
+	p.mu.Unlock()
+	return nil
+}
+
+func (p *pool) dutyCondition() store.Condition {
+	return store.Condition{Key: tenure.Prefix + p.name, Revision: store.Revision(p.fence)}
+}
+
+// writeRecords writes under the condition that the duty is still held and that each record is the one last seen, so that a
+// write that takes effect late changes nothing.
+func (p *pool) writeRecords(ctx context.Context, changes []dispatch.Change) error {
+	t := store.Transaction{If: []store.Condition{p.dutyCondition()}}
+	for _, c := range changes {
+		value, err := json.Marshal(c.Record)
+		if err != nil {
+			return err
+		}
+		key := stateKey(p.name, c.Job)
+		t.If = append(t.If, store.Condition{Key: key, Revision: p.revisions[c.Job]})
+		t.Put = append(t.Put, store.Write{Key: key, Value: value})
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	revision, current, err := p.node.Store.Apply(ctx, t)
+	if errors.Is(err, store.ErrConflict) {
+		return p.conflict(changes, current)
+	}
+	if err != nil {
+		return err
+	}
+	for _, c := range changes {
+		p.revisions[c.Job] = revision
+	}
+	return nil
+}
+
+// conflict takes over the revisions that the store has; an earlier write of this holder may have taken effect unheard.
+func (p *pool) conflict(changes []dispatch.Change, current []store.Entry) error {
+	for _, c := range changes {
+		delete(p.revisions, c.Job)
+	}
+	held := false
+	for _, e := range current {
+		if e.Key == tenure.Prefix+p.name {
+			held = uint64(e.Revision) == p.fence
+			continue
+		}
+		p.revisions[strings.TrimPrefix(e.Key, stateKey(p.name, ""))] = e.Revision
+	}
+	if !held {
+		return errLost
+	}
+	return store.ErrConflict
+}
+
+// expire deletes the records of jobs whose state need not be told any longer.
+func (p *pool) expire(ctx context.Context, now time.Time) {
+	p.mu.Lock()
+	ids := p.core.Expired(now)
+	p.mu.Unlock()
+	const keysPerJob = 3
+	const perCall = (store.MaxTransaction - 1) / keysPerJob
+	for from := 0; from < len(ids); from += perCall {
+		t := store.Transaction{If: []store.Condition{p.dutyCondition()}}
+		for _, id := range ids[from:min(from+perCall, len(ids))] {
+			t.Delete = append(t.Delete, jobKey(p.name, id), stateKey(p.name, id), cancelKey(p.name, id))
+			delete(p.revisions, id)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, _, err := p.node.Store.Apply(callCtx, t)
+		cancel()
+		if err != nil {
+			p.log.Warn().Err(err).Int("jobs", len(ids)).Msg("records of old jobs not deleted; the next holder does it")
+			return
+		}
+	}
+}
