fix(dispatch): load jobs before workers are asked

A node also took a duty that another had taken between its look and its write, and a worker with open ends was looked at without a pause. Change: the job list is applied first; a vacant duty is taken only under the condition that its key does not exist; looks at a worker with open ends have a pause, records are written every 80 ms.

--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -76,14 +76,10 @@
 	return len(p.dirty) > 0, false
 }
 
-// HasEnds reports whether ends wait to be acknowledged.
-func (p *Pool) HasEnds() bool {
-	for _, w := range p.workers {
-		if w.processed > w.recorded {
-			return true
-		}
-	}
-	return false
+// OpenEnds reports whether ends of a worker wait to be recorded.
+func (p *Pool) OpenEnds(id string) bool {
+	w := p.workers[id]
+	return w != nil && w.processed > w.recorded
 }
 
 // Recorded takes note that all changes of a batch are in the store, so that its ends may be acknowledged.
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -34,24 +34,36 @@
 
 	known  map[string]store.Revision
 	after  store.Revision
+	listed bool
 	failed bool
 }
 
+// Begin lists the prefix, so that all keys of before are applied when it returns; Run then goes on.
+func (f *Follower) Begin(ctx context.Context) error {
+	return f.follow(ctx, func() bool { return f.listed })
+}
+
 // Run follows the prefix until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
+	if err := f.follow(ctx, func() bool { return false }); !errors.Is(err, ctx.Err()) {
+		return err
+	}
+	return nil
+}
+
+func (f *Follower) follow(ctx context.Context, enough func() bool) error {
 	f.Wait = cmp.Or(f.Wait, 2*time.Second)
 	backoff := firstBackoff
-	listed := false
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !enough() {
 		var err error
-		if listed {
+		if f.listed {
 			err = f.watch(ctx)
 		} else {
 			err = f.list(ctx)
-			listed = err == nil
+			f.listed = err == nil
 		}
 		if errors.Is(err, store.ErrCompacted) {
-			listed = false
+			f.listed = false
 			continue
 		}
 		f.tell(err)
@@ -65,7 +77,7 @@
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
-	return nil
+	return ctx.Err()
 }
 
 func (f *Follower) tell(err error) {
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -286,8 +286,8 @@
 	ticker := time.NewTicker(stepEvery)
 	defer ticker.Stop()
 	for {
-		for _, name := range t.due() {
-			t.take(ctx, name)
+		for name, revision := range t.due() {
+			t.take(ctx, name, revision)
 		}
 		select {
 		case <-ctx.Done():
@@ -297,15 +297,15 @@
 	}
 }
 
-// due returns the wanted duties that this node should take now.
-func (t *Tenure) due() []string {
+// due returns the wanted duties that this node should take now, with the revision that their keys must have.
+func (t *Tenure) due() map[string]store.Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock()
 	if !t.listed || t.leaving || t.lease == 0 || !now.Before(t.until) {
 		return nil
 	}
-	var names []string
+	duties := map[string]store.Revision{}
 	for _, name := range t.wanted {
 		if t.held[name] != nil {
 			continue
@@ -314,7 +314,7 @@
 		if taken {
 			if d.Node == t.Self.Node {
 				// The holder was an earlier life of this node, or this one before its lease ended.
-				names = append(names, name)
+				duties[name] = store.Revision(d.Fence)
 			}
 			continue
 		}
@@ -324,10 +324,10 @@
 			since = now
 		}
 		if now.Sub(since) >= t.delay(name) {
-			names = append(names, name)
+			duties[name] = 0
 		}
 	}
-	return names
+	return duties
 }
 
 func (t *Tenure) delay(name string) time.Duration {
@@ -336,9 +336,9 @@
 }
 
 // take writes the duty's key under the lease of this node.
-func (t *Tenure) take(ctx context.Context, name string) {
+func (t *Tenure) take(ctx context.Context, name string, expect store.Revision) {
 	t.mu.Lock()
-	lease, before := t.lease, t.seen[name]
+	lease := t.lease
 	t.mu.Unlock()
 	value, err := json.Marshal(t.Self)
 	if err != nil {
@@ -349,7 +349,7 @@
 	defer cancel()
 	key := Prefix + name
 	revision, current, err := t.Store.Apply(callCtx, store.Transaction{
-		If:  []store.Condition{{Key: key, Revision: store.Revision(before.Fence)}},
+		If:  []store.Condition{{Key: key, Revision: expect}},
 		Put: []store.Write{{Key: key, Value: value, Lease: lease}},
 	})
 	if errors.Is(err, store.ErrConflict) {
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -17,6 +17,8 @@
 	holdWait = time.Second
 	// holdReserve is how much longer than that the answer may take.
 	holdReserve = 500 * time.Millisecond
+	// lookPause lies between two looks at a worker whose ends are being recorded.
+	lookPause = 25 * time.Millisecond
 	// holdPause lies between two attempts at a worker that does not answer.
 	holdPause = 150 * time.Millisecond
 )
@@ -161,6 +163,14 @@
 		known = p.holdOnce(ctx, next, wait)
 		if !known {
 			pause(ctx, holdPause)
+			continue
+		}
+		p.mu.Lock()
+		open := p.core.OpenEnds(id)
+		p.mu.Unlock()
+		if open {
+			// A worker answers at once while it lists ends that are not acknowledged.
+			pause(ctx, lookPause)
 		}
 	}
 	return nil
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -114,8 +114,13 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	p.group = group
 	jobs := &jobFollower{pool: p, records: records}
+	jobFollower := follow.Follower{Store: n.Store, Prefix: "job/" + name + "/", Apply: jobs.apply}
+	// Workers are asked only once all jobs are known: a report on an unknown job would be taken for a stray run.
+	if err := jobFollower.Begin(ctx); err != nil {
+		return err
+	}
+	group.Go(func() error { return jobFollower.Run(groupCtx) })
 	followers := []follow.Follower{
-		{Store: n.Store, Prefix: "job/" + name + "/", Apply: jobs.apply},
 		{Store: n.Store, Prefix: platform.WorkerPrefix, Apply: func(events []store.Event, _ bool) { p.applyWorkers(groupCtx, events) }},
 		{Store: n.Store, Prefix: wavePrefix, Apply: p.upkeeps.apply},
 	}
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -14,7 +14,7 @@
 
 const (
 	// writeEvery is how long changes that end no job wait for others; ends are acknowledged after that.
-	writeEvery = 250 * time.Millisecond
+	writeEvery = 80 * time.Millisecond
 	// writeTimeout bounds one write of records.
 	writeTimeout = 800 * time.Millisecond
 	// recordsPerWrite leaves room in a transaction for a condition for each record and one for the duty.
