fix(dispatch): count a failed end once, and maintain machines that are switched off

Eight of 25 machines of the wave are switched off and were never maintained. Registrations are written with every heartbeat, and five holders read each one by itself: 8,000 of 11,000 calls to the platform. Change: a record holds the last run that was counted as failed; a machine without worker may have its upkeep; the follower of registrations pauses 150 ms between reads.

--- /dev/null
+++ b/fleet/dispatch/dispatch_test.go
@@ -0,0 +1,324 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+var epoch = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+// bench drives a pool with workers that do what they are told.
+type bench struct {
+	t    *testing.T
+	pool *dispatch.Pool
+	now  time.Time
+	// clock is the workers' clock.
+	clock time.Duration
+	// present holds the runs of each worker.
+	present map[string]map[workload.TaskID]int
+	ended   map[string][]workload.EndedRun
+	numbers map[string]int64
+	starts  []dispatch.Start
+	stops   []dispatch.Stop
+	paces   []dispatch.Pace
+	silent  map[string]bool
+	percent int
+	figure  float64
+}
+
+var queue = workload.Queue{Name: "recut", Pool: "cutting", MaxAttempts: 2, Stretch: 1.6, TargetDuration: 600 * time.Millisecond}
+
+func newBench(t *testing.T, workers int) *bench {
+	t.Helper()
+	b := &bench{
+		t: t, now: epoch, clock: time.Minute, present: map[string]map[workload.TaskID]int{}, ended: map[string][]workload.EndedRun{},
+		numbers: map[string]int64{}, silent: map[string]bool{}, percent: 50,
+	}
+	b.takeOver()
+	for i := range workers {
+		b.addWorker(fmt.Sprintf("w%d", i))
+	}
+	b.report()
+	return b
+}
+
+// takeOver begins a new holder that knows nothing of before.
+func (b *bench) takeOver() {
+	b.pool = &dispatch.Pool{Name: "cutting"}
+	b.pool.Begin(b.now)
+	b.pool.SetQueues([]workload.Queue{queue})
+}
+
+func (b *bench) addWorker(id string) {
+	if b.present[id] == nil {
+		b.present[id] = map[workload.TaskID]int{}
+	}
+	b.pool.SetWorker(workload.Worker{
+		ID: id, Machine: "m-" + id, Pool: "cutting", Rack: "r1", Labels: []string{"a", "r1"},
+		Room: workload.Room{CPU: 16000, MemoryMB: 64000}, Born: 1,
+	}, b.now)
+}
+
+func (b *bench) addJob(id string, steps ...workload.Step) {
+	b.pool.AddJob(workload.Job{ID: id, Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: steps, Accepted: b.now}, nil, false, b.now)
+}
+
+// pass lets time pass in small parts, with a plan and reports in each.
+func (b *bench) pass(d time.Duration) {
+	const part = 50 * time.Millisecond
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now, b.clock = b.now.Add(part), b.clock+part
+		b.plan()
+		b.report()
+	}
+}
+
+func (b *bench) plan() {
+	b.clock++
+	for _, a := range b.pool.Plan(b.now) {
+		switch a := a.(type) {
+		case dispatch.Start:
+			b.starts = append(b.starts, a)
+			if !b.silent[a.Worker.ID] {
+				b.present[a.Worker.ID][a.Task] = a.Run
+				b.pool.StartAnswered(a, dispatch.Present, b.clock, b.now)
+			} else {
+				b.pool.StartAnswered(a, dispatch.Unknown, 0, b.now)
+			}
+		case dispatch.Stop:
+			b.stops = append(b.stops, a)
+			if run, ok := b.present[a.Worker.ID][a.Task]; ok && run == a.Run && !b.silent[a.Worker.ID] {
+				b.end(a.Worker.ID, a.Task, workload.EndStopped)
+			}
+		case dispatch.Pace:
+			b.paces = append(b.paces, a)
+		case dispatch.Ask:
+		}
+	}
+}
+
+// end has a worker list the end of its run of a task.
+func (b *bench) end(worker string, task workload.TaskID, how workload.RunEnd) {
+	b.t.Helper()
+	run, ok := b.present[worker][task]
+	if !ok {
+		b.t.Fatalf("end of %v on %s: got no run there, want one", task, worker)
+	}
+	delete(b.present[worker], task)
+	b.numbers[worker]++
+	b.ended[worker] = append(b.ended[worker], workload.EndedRun{Number: b.numbers[worker], Task: task, Run: run, How: how})
+}
+
+func (b *bench) report() {
+	b.clock++
+	for _, id := range b.pool.WorkerIDs() {
+		h := b.pool.NextHold(id, b.now)
+		if b.silent[id] {
+			continue
+		}
+		left := b.ended[id][:0]
+		for _, e := range b.ended[id] {
+			if e.Number > h.AckedUntil {
+				left = append(left, e)
+			}
+		}
+		b.ended[id] = left
+		r := workload.Report{Born: 1, Clock: b.clock, Ended: left}
+		for task, run := range b.present[id] {
+			r.Active = append(r.Active, workload.ActiveRun{Task: task, Run: run, Percent: b.percent, Figure: b.figure})
+		}
+		b.pool.Report(id, r, b.now)
+	}
+}
+
+// record writes what is due and returns the records by job.
+func (b *bench) record() map[string]dispatch.Record {
+	batch := b.pool.Batch()
+	records := map[string]dispatch.Record{}
+	for _, c := range batch.Changes {
+		records[c.Job] = c.Record
+	}
+	b.pool.Recorded(batch)
+	return records
+}
+
+func (b *bench) where(task workload.TaskID) string {
+	for id, runs := range b.present {
+		if _, ok := runs[task]; ok {
+			return id
+		}
+	}
+	return ""
+}
+
+func (b *bench) wantState(id string, want workload.State) {
+	b.t.Helper()
+	got, _ := b.pool.JobState(id)
+	if got != want {
+		b.t.Errorf("state of %s: got %q, want %q", id, got, want)
+	}
+}
+
+func wantCount(t *testing.T, what string, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %d, want %d", what, got, want)
+	}
+}
+
+func oneTask(cpu int64) workload.Step {
+	return workload.Step{Tasks: 1, Need: workload.Room{CPU: cpu, MemoryMB: 100}, Estimate: time.Second}
+}
+
+func task(job string, step, index int) workload.TaskID {
+	return workload.TaskID{Job: job, Step: step, Index: index}
+}
+
+// Guards against counting one failed run twice: its end is listed again to a new holder when the record was written but
+// the acknowledgement did not arrive, and the job would fail before its attempts are used up.
+func TestFailedEndListedAgainCountsOnce(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	spec := workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(1000)}, Accepted: b.now}
+	b.end(b.where(task("j", 0, 0)), task("j", 0, 0), workload.EndFailed)
+	b.report()
+	record := b.record()["j"]
+
+	b.takeOver()
+	b.pool.AddJob(spec, &record, true, b.now)
+	for id := range b.present {
+		b.addWorker(id)
+	}
+	b.report()
+	b.wantState("j", workload.Running)
+	b.pass(time.Second)
+	wantCount(t, "runs present", len(b.present["w0"])+len(b.present["w1"]), 1)
+}
+
+// Guards against a second run of a task while the first may still be running on a worker that is not heard.
+func TestSilentWorkerKeepsItsTasksUntilItsLeaseEnds(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	first := b.where(task("j", 0, 0))
+	b.report()
+	b.silent[first] = true
+	b.pass(3 * time.Second)
+	wantCount(t, "starts while the lease lasts", len(b.starts), 1)
+	b.pass(4 * time.Second)
+	wantCount(t, "starts after the lease", len(b.starts), 2)
+	if got := b.starts[1].Run; got <= b.starts[0].Run {
+		t.Errorf("second run: got number %d, want more than %d", got, b.starts[0].Run)
+	}
+}
+
+// Guards against acknowledging an end before its record is in the store: the end would be lost with its holder.
+func TestEndsAreAcknowledgedAfterTheirRecord(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	b.end("w0", task("j", 0, 0), workload.EndDone)
+	b.report()
+	b.wantState("j", workload.Completed)
+	if got := b.pool.NextHold("w0", b.now).AckedUntil; got != 0 {
+		t.Errorf("acknowledged before the record: got %d, want 0", got)
+	}
+	b.record()
+	if got := b.pool.NextHold("w0", b.now).AckedUntil; got != 1 {
+		t.Errorf("acknowledged after the record: got %d, want 1", got)
+	}
+}
+
+// Guards against a start before the steps that it waits for are done, and before all of their tasks are.
+func TestStepsFollowEachOther(t *testing.T) {
+	b := newBench(t, 2)
+	first := oneTask(1000)
+	first.Tasks = 2
+	second := oneTask(1000)
+	second.After = []int{0}
+	b.addJob("j", first, second)
+	b.plan()
+	wantCount(t, "starts of the first step", len(b.starts), 2)
+	b.end(b.where(task("j", 0, 0)), task("j", 0, 0), workload.EndDone)
+	b.pass(time.Second)
+	wantCount(t, "starts with one task left", len(b.starts), 2)
+	b.end(b.where(task("j", 0, 1)), task("j", 0, 1), workload.EndDone)
+	b.pass(time.Second)
+	wantCount(t, "starts of both steps", len(b.starts), 3)
+}
+
+// Guards against starts beyond a worker's room: what is being stopped still counts until its end is listed.
+func TestStartsKeepToTheRoom(t *testing.T) {
+	b := newBench(t, 1)
+	step := oneTask(6000)
+	step.Tasks = 4
+	b.addJob("j", step)
+	b.plan()
+	wantCount(t, "starts", len(b.starts), 2)
+	b.end("w0", b.starts[0].Task, workload.EndDone)
+	b.pass(100 * time.Millisecond)
+	wantCount(t, "starts after an end", len(b.starts), 3)
+}
+
+// Guards against a new holder that starts the tasks of an older job elsewhere while a worker that may run them was not heard.
+func TestTakeoverWaitsForUnheardWorkers(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	spec := workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(1000)}, Accepted: b.now}
+	b.silent[b.where(task("j", 0, 0))] = true
+	b.takeOver()
+	b.pool.AddJob(spec, nil, true, b.now)
+	for id := range b.present {
+		b.addWorker(id)
+	}
+	b.starts = nil
+	b.pass(3 * time.Second)
+	wantCount(t, "starts while a worker may run the task", len(b.starts), 0)
+	b.pass(5 * time.Second)
+	wantCount(t, "starts after its lease", len(b.starts), 1)
+}
+
+// Guards against work that goes on after its caller cancelled it.
+func TestCancelledJobIsStopped(t *testing.T) {
+	b := newBench(t, 1)
+	step := oneTask(1000)
+	step.Tasks = 3
+	b.addJob("j", step)
+	b.plan()
+	b.pool.Cancel("j", b.now)
+	b.pass(time.Second)
+	wantCount(t, "stops", len(b.stops), 3)
+	wantCount(t, "runs left", len(b.present["w0"]), 0)
+	b.wantState("j", workload.Cancelled)
+}
+
+// Guards against more tasks of a step on a worker than its caller allows.
+func TestMaxPerWorkerHolds(t *testing.T) {
+	b := newBench(t, 2)
+	step := oneTask(1000)
+	step.Tasks, step.MaxPerWorker = 5, 1
+	b.addJob("j", step)
+	b.pass(time.Second)
+	wantCount(t, "starts", len(b.starts), 2)
+}
+
+// Guards against fillers that keep a serving task over its target.
+func TestFillersAreSlowedBesideAServingTask(t *testing.T) {
+	b := newBench(t, 1)
+	serving := oneTask(4000)
+	serving.LongRunning, serving.TargetTail, serving.Image = true, 100*time.Millisecond, "serve"
+	filler := oneTask(4000)
+	filler.LongRunning, filler.Fills, filler.Image = true, true, "fill"
+	b.addJob("j", serving, filler)
+	b.percent, b.figure = 100, 95
+	b.pass(2 * time.Second)
+	if len(b.paces) == 0 || b.paces[len(b.paces)-1].Percent > 20 {
+		t.Errorf("paces beside a serving task near its target: got %v, want the last at most 20", b.paces)
+	}
+}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -14,7 +14,9 @@
 	step *workload.Step
 	done bool
 	// failures counts the runs that ended as failed.
-	failures   int
+	failures int
+	// failedRun is the number of the last run that was counted as failed.
+	failedRun  int
 	lastRun    int
 	checkpoint string
 	runs       []*run
@@ -118,7 +120,7 @@
 		for _, f := range s.Tasks {
 			if f.Index < len(state.tasks) {
 				t := state.tasks[f.Index]
-				t.failures, t.lastRun, t.checkpoint = f.Failures, f.LastRun, f.Checkpoint
+				t.failures, t.failedRun, t.lastRun, t.checkpoint = f.Failures, f.FailedRun, f.LastRun, f.Checkpoint
 			}
 		}
 	}
--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -28,6 +28,7 @@
 type TaskRecord struct {
 	Index      int    `json:"index"`
 	Failures   int    `json:"failures,omitempty"`
+	FailedRun  int    `json:"failedRun,omitempty"`
 	LastRun    int    `json:"lastRun,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
@@ -132,7 +133,7 @@
 				case t.done:
 					step.Done = append(step.Done, i)
 				case t.failures > 0 || t.checkpoint != "":
-					step.Tasks = append(step.Tasks, TaskRecord{i, t.failures, t.lastRun, t.checkpoint})
+					step.Tasks = append(step.Tasks, TaskRecord{i, t.failures, t.failedRun, t.lastRun, t.checkpoint})
 				}
 			}
 			if len(step.Done)+len(step.Tasks) > 0 {
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -137,7 +137,7 @@
 	case e.How == workload.EndDone:
 		p.done(w, x, t, now)
 	case e.How == workload.EndFailed:
-		p.failed(w, t, now)
+		p.failed(w, t, e.Run, now)
 	}
 }
 
@@ -165,7 +165,12 @@
 // firstSuspicion is how long a worker gets no starts after its second failure in a row; it doubles with each further one.
 const firstSuspicion = 2 * time.Second
 
-func (p *Pool) failed(w *worker, t *task, now time.Time) {
+func (p *Pool) failed(w *worker, t *task, number int, now time.Time) {
+	if number <= t.failedRun {
+		// The end was counted by an earlier holder that could not acknowledge it any more.
+		return
+	}
+	t.failedRun = number
 	t.failures++
 	p.touch(t.job)
 	if !slices.Contains(t.avoid, w.ID) {
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -22,7 +22,11 @@
 func (p *Pool) LoadOf(id string, now time.Time) Load {
 	w := p.workers[id]
 	if w == nil {
-		return Load{}
+		// A machine that is switched off, or whose worker is gone, runs nothing.
+		return Load{Idle: true, Allowed: true}
+	}
+	if !w.synced {
+		return Load{Known: true}
 	}
 	l := Load{Known: true, Idle: len(w.runs) == 0, Allowed: true, FreeCPU: w.free().CPU}
 	for _, x := range w.runs {
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -26,6 +26,8 @@
 	Prefix string
 	// Wait is the longest time that a watch waits at the store; a connection that went silent costs as much.
 	Wait time.Duration
+	// Pause lies between two watches that brought changes, so that frequent changes are read together.
+	Pause time.Duration
 	// Apply takes changes over, in order; listed is true for the first batch and after the history was forgotten, when keys
 	// that are gone come as deleted.
 	Apply func(events []store.Event, listed bool)
@@ -145,8 +147,13 @@
 		events = append(events, e)
 	}
 	f.after = max(f.after, batch.Revision)
-	if len(events) > 0 {
-		f.Apply(events, false)
+	if len(events) == 0 {
+		return nil
+	}
+	f.Apply(events, false)
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.Pause):
 	}
 	return nil
 }
--- a/verbenaentry/node/metrics.go
+++ b/verbenaentry/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -20,6 +21,29 @@
 	h.(metrics.Histogram).Update(took.Microseconds())
 }
 
+// countsEvery is how often the counts are written to the log.
+const countsEvery = 10 * time.Second
+
+// reportCounts writes the counts of calls and requests to the log, for a look back without a scraper.
+func (n *Node) reportCounts(ctx context.Context) error {
+	ticker := time.NewTicker(countsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		line := n.Log.Info()
+		n.Registry.Each(func(name string, m any) {
+			if h, ok := m.(metrics.Histogram); ok {
+				line = line.Int64(name, h.Count())
+			}
+		})
+		line.Msg("counts")
+	}
+}
+
 // metrics writes counters and histograms in the text format that Prometheus reads; durations are in seconds.
 func (n *Node) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -178,6 +178,7 @@
 	group.Go(func() error { return n.Peers.Serve(groupCtx, listeners.peer) })
 	servers := n.serve(group, listeners)
 	group.Go(func() error { return n.watchSettings(groupCtx) })
+	group.Go(func() error { return n.reportCounts(groupCtx) })
 	group.Go(func() error {
 		defer stop()
 		return n.awaitSignal(groupCtx, signals, servers)
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -29,6 +29,8 @@
 	planEvery = 50 * time.Millisecond
 	// planPause lies between two plans, so that events that arrive together are decided together.
 	planPause = 4 * time.Millisecond
+	// workerPause gathers the registrations of workers, each of which is written again with every heartbeat.
+	workerPause = 150 * time.Millisecond
 	// orderLimit is how many orders of a pool may be on their way at once.
 	orderLimit = 96
 	// decisionLines is the budget of log lines a second for decisions of a pool.
@@ -121,7 +123,7 @@
 	}
 	group.Go(func() error { return jobFollower.Run(groupCtx) })
 	followers := []follow.Follower{
-		{Store: n.Store, Prefix: platform.WorkerPrefix, Apply: func(events []store.Event, _ bool) { p.applyWorkers(groupCtx, events) }},
+		{Store: n.Store, Prefix: platform.WorkerPrefix, Pause: workerPause, Apply: func(events []store.Event, _ bool) { p.applyWorkers(groupCtx, events) }},
 		{Store: n.Store, Prefix: wavePrefix, Apply: p.upkeeps.apply},
 	}
 	for i := range followers {
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/upkeep"
 	"verbenalanding.example/fleet/workload"
@@ -164,6 +166,15 @@
 		u.pool.log.Warn().Err(err).Msg("machines not listed")
 		return
 	}
+	states := zerolog.Dict()
+	counts := map[string]int{}
+	for _, m := range list {
+		counts[m.Pool+" "+string(m.State)]++
+	}
+	for k, n := range counts {
+		states = states.Int(k, n)
+	}
+	u.pool.log.Debug().Dict("machines", states).Msg("machines listed")
 	clear(u.machines)
 	for _, m := range list {
 		u.machines[m.ID] = m
