fix(dispatch): count failed runs in any order, write ended jobs at once

A job's record was written up to ten times in 0.3 s beside ended jobs. Change: a record holds the numbers of the failed runs; numbers after a take-over begin above the holder's epoch; ended jobs are written at once, all other changes each 100 ms.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -100,6 +100,8 @@
 type Pool struct {
 	Name     string
 	Settings Settings
+	// Epoch rises with each holder of the pool.
+	Epoch uint64
 	// Note is told each decision that touches a job or changes what is believed; unset drops them.
 	Note func(Event)
 
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -322,3 +322,17 @@
 		t.Errorf("paces beside a serving task near its target: got %v, want the last at most 20", b.paces)
 	}
 }
+
+// Guards against a start beyond the attempts: ends of different workers reach a new holder in any order, and each failed run
+// counts.
+func TestFailedEndsCountInAnyOrder(t *testing.T) {
+	b := newBench(t, 2)
+	step := oneTask(1000)
+	spec := workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{step}, Accepted: b.now}
+	b.pool.AddJob(spec, nil, true, b.now)
+	b.present["w0"][task("j", 0, 0)], b.present["w1"][task("j", 0, 0)] = 2, 1
+	b.end("w0", task("j", 0, 0), workload.EndFailed)
+	b.end("w1", task("j", 0, 0), workload.EndFailed)
+	b.report()
+	b.wantState("j", workload.Failed)
+}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -13,10 +13,8 @@
 	job  *job
 	step *workload.Step
 	done bool
-	// failures counts the runs that ended as failed.
-	failures int
-	// failedRun is the number of the last run that was counted as failed.
-	failedRun  int
+	// failedRuns holds the numbers of the runs that ended as failed; workers list them in any order.
+	failedRuns []int
 	lastRun    int
 	checkpoint string
 	runs       []*run
@@ -54,9 +52,6 @@
 	recordedVersion int
 }
 
-// runGap is left between the runs that are known of a restored task and the next one, for starts that were not heard of.
-const runGap = 16
-
 // AddJob adds an accepted job; record is the one that an earlier holder left, if any.
 func (p *Pool) AddJob(spec workload.Job, record *Record, restored bool, now time.Time) {
 	if p.jobs[spec.ID] != nil {
@@ -120,7 +115,7 @@
 		for _, f := range s.Tasks {
 			if f.Index < len(state.tasks) {
 				t := state.tasks[f.Index]
-				t.failures, t.failedRun, t.lastRun, t.checkpoint = f.Failures, f.FailedRun, f.LastRun, f.Checkpoint
+				t.failedRuns, t.lastRun, t.checkpoint = f.FailedRuns, f.LastRun, f.Checkpoint
 			}
 		}
 	}
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -192,8 +192,9 @@
 }
 
 func (p *Pool) nextRun(t *task) int {
-	if t.job.restored && t.lastRun < runGap {
-		return runGap
+	if t.job.restored {
+		// A lost holder may have used numbers that were not heard of; the epochs rise faster than the runs.
+		return max(t.lastRun, int(p.Epoch)) + 1
 	}
 	return t.lastRun + 1
 }
--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -27,8 +27,7 @@
 // TaskRecord is the progress of a task that is not done.
 type TaskRecord struct {
 	Index      int    `json:"index"`
-	Failures   int    `json:"failures,omitempty"`
-	FailedRun  int    `json:"failedRun,omitempty"`
+	FailedRuns []int  `json:"failedRuns,omitempty"`
 	LastRun    int    `json:"lastRun,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
@@ -43,23 +42,33 @@
 // Batch is a set of changes together with the ends that may be acknowledged once they are written.
 type Batch struct {
 	Changes []Change
-	// Terminal is true when a job of the batch has ended.
-	Terminal bool
-	ends     map[string]int64
-	births   map[string]int64
+	ends    map[string]int64
+	births  map[string]int64
+}
+
+// Ended returns the changes that end a job and are not written yet; they acknowledge nothing.
+func (p *Pool) Ended() Batch {
+	return p.batch(func(j *job) bool { return j.state.Terminal() })
 }
 
 // Batch returns all changes that are not written yet.
 func (p *Pool) Batch() Batch {
-	b := Batch{ends: map[string]int64{}, births: map[string]int64{}}
+	b := p.batch(func(*job) bool { return true })
+	b.ends, b.births = map[string]int64{}, map[string]int64{}
 	for id, w := range p.workers {
 		if w.processed > w.recorded {
 			b.ends[id], b.births[id] = w.processed, w.Born
 		}
 	}
+	return b
+}
+
+func (p *Pool) batch(include func(*job) bool) Batch {
+	var b Batch
 	for _, j := range p.dirty {
-		b.Changes = append(b.Changes, Change{Job: j.ID, Record: j.record(), version: j.version})
-		b.Terminal = b.Terminal || j.state.Terminal()
+		if include(j) {
+			b.Changes = append(b.Changes, Change{Job: j.ID, Record: j.record(), version: j.version})
+		}
 	}
 	slices.SortFunc(b.Changes, func(a, c Change) int {
 		return compareTasks(workload.TaskID{Job: a.Job}, workload.TaskID{Job: c.Job}, 0, 0)
@@ -67,14 +76,14 @@
 	return b
 }
 
-// Unrecorded reports whether there are changes to write, and whether one of them ends a job.
-func (p *Pool) Unrecorded() (changes, terminal bool) {
+// HasEnded reports whether a job has ended whose record is not written yet.
+func (p *Pool) HasEnded() bool {
 	for _, j := range p.dirty {
 		if j.state.Terminal() {
-			return true, true
+			return true
 		}
 	}
-	return len(p.dirty) > 0, false
+	return false
 }
 
 // OpenEnds reports whether ends of a worker wait to be recorded.
@@ -132,8 +141,8 @@
 				switch {
 				case t.done:
 					step.Done = append(step.Done, i)
-				case t.failures > 0 || t.checkpoint != "":
-					step.Tasks = append(step.Tasks, TaskRecord{i, t.failures, t.failedRun, t.lastRun, t.checkpoint})
+				case len(t.failedRuns) > 0 || t.checkpoint != "":
+					step.Tasks = append(step.Tasks, TaskRecord{i, t.failedRuns, t.lastRun, t.checkpoint})
 				}
 			}
 			if len(step.Done)+len(step.Tasks) > 0 {
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -166,18 +166,17 @@
 const firstSuspicion = 2 * time.Second
 
 func (p *Pool) failed(w *worker, t *task, number int, now time.Time) {
-	if number <= t.failedRun {
+	if slices.Contains(t.failedRuns, number) {
 		// The end was counted by an earlier holder that could not acknowledge it any more.
 		return
 	}
-	t.failedRun = number
-	t.failures++
+	t.failedRuns = append(t.failedRuns, number)
 	p.touch(t.job)
 	if !slices.Contains(t.avoid, w.ID) {
 		t.avoid = append(t.avoid, w.ID)
 	}
 	// A task that failed elsewhere too is at fault itself.
-	if t.failures == 1 && w.failedJob != t.id.Job {
+	if len(t.failedRuns) == 1 && w.failedJob != t.id.Job {
 		w.failures++
 		w.failedJob = t.id.Job
 		if w.failures >= 2 {
@@ -185,7 +184,7 @@
 			p.note(Event{What: "worker suspected", Worker: w.ID, Reason: "runs of several jobs failed in a row"})
 		}
 	}
-	if t.failures >= t.job.queue.MaxAttempts {
+	if len(t.failedRuns) >= t.job.queue.MaxAttempts {
 		p.finish(t.job, workload.Failed, now)
 	}
 }
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -105,7 +105,7 @@
 		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(orderLimit)
-	p.core = &dispatch.Pool{Name: name, Settings: n.dispatchSettings(), Note: p.note}
+	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note}
 	p.core.Begin(p.began)
 	p.upkeeps = newUpkeeps(p)
 	p.configure(n.View.Configuration())
@@ -258,6 +258,7 @@
 		if r, ok := f.records[id]; ok {
 			record = &r
 		}
+		p.log.Debug().Str("job", id).Interface("record", record).Msg("job read")
 		p.core.AddJob(j, record, uint64(e.Entry.Revision) < p.fence, now)
 	}
 	for _, id := range cancelled {
@@ -321,9 +322,9 @@
 		if p.node.pools.get(p.name) == p {
 			actions = p.core.Plan(now)
 		}
-		dirty, terminal := p.core.Unrecorded()
+		ended := p.core.HasEnded()
 		p.mu.Unlock()
-		if dirty && terminal {
+		if ended {
 			_ = p.writes.Offer(struct{}{})
 		}
 		for _, a := range actions {
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -14,7 +14,7 @@
 
 const (
 	// writeEvery is how long changes that end no job wait for others; ends are acknowledged after that.
-	writeEvery = 80 * time.Millisecond
+	writeEvery = 100 * time.Millisecond
 	// writeTimeout bounds one write of records.
 	writeTimeout = 800 * time.Millisecond
 	// recordsPerWrite leaves room in a transaction for a condition for each record and one for the duty.
@@ -34,16 +34,18 @@
 	defer ticker.Stop()
 	expired := p.began
 	for {
+		changes := p.core.Batch
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		case <-p.writes.Items():
+			changes = p.core.Ended
 		}
 		if !p.node.Tenure.Valid(p.name, p.fence) {
 			continue
 		}
-		if err := p.writeOnce(ctx); err != nil {
+		if err := p.writeOnce(ctx, changes); err != nil {
 			p.log.Warn().Err(err).Msg("records not written yet")
 			if errors.Is(err, errLost) {
 				pause(ctx, writeEvery)
@@ -61,14 +63,14 @@
 func (p *pool) writeLast(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 	defer cancel()
-	if err := p.writeOnce(ctx); err != nil {
+	if err := p.writeOnce(ctx, p.core.Batch); err != nil {
 		p.log.Warn().Err(err).Msg("last records not written")
 	}
 }
 
-func (p *pool) writeOnce(ctx context.Context) error {
+func (p *pool) writeOnce(ctx context.Context, changes func() dispatch.Batch) error {
 	p.mu.Lock()
-	batch := p.core.Batch()
+	batch := changes()
 	p.mu.Unlock()
 	for from := 0; from < len(batch.Changes); from += recordsPerWrite {
 		if err := p.writeRecords(ctx, batch.Changes[from:min(from+recordsPerWrite, len(batch.Changes))]); err != nil {
@@ -109,6 +111,7 @@
 	}
 	for _, c := range changes {
 		p.revisions[c.Job] = revision
+		p.log.Debug().Str("job", c.Job).Str("state", string(c.Record.State)).Uint64("revision", uint64(revision)).Msg("record written")
 	}
 	return nil
 }
