feat(sizing): pools take machines of the standby pool while work waits

Cause: each queue in its turn asks for more than its pool holds, while eight machines of the standby pool are off.

--- /dev/null
+++ b/fleet/dispatch/demand.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Demand is what a pool's work needs of machines.
+type Demand struct {
+	// Workers counts the workers that are registered and do not leave.
+	Workers int
+	// MachineCPU is the room of the largest worker, in thousandths of a core, as are the following.
+	MachineCPU int64
+	Used       int64
+	// Waiting is what waits that can still be in time.
+	Waiting int64
+	// Spread is the largest number of workers over which a long-running step must be spread.
+	Spread int
+	// Idle are the workers that run nothing and may leave, the newest first.
+	Idle []string
+}
+
+// Demand returns what the pool's work needs.
+func (p *Pool) Demand(now time.Time) Demand {
+	var d Demand
+	var idle []*worker
+	for _, id := range p.WorkerIDs() {
+		w := p.workers[id]
+		d.Used += w.used.CPU
+		if w.Draining || !w.missing.IsZero() {
+			continue
+		}
+		d.Workers++
+		d.MachineCPU = max(d.MachineCPU, w.Room.CPU)
+		if len(w.runs) == 0 && w.synced && !w.cordoned {
+			idle = append(idle, w)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b *worker) int { return b.added.Compare(a.added) })
+	for _, w := range idle {
+		d.Idle = append(d.Idle, w.ID)
+	}
+	d.Waiting = p.waitingCPU(now)
+	for _, j := range p.active {
+		for s := range j.Steps {
+			if step := &j.Steps[s]; step.LongRunning && step.MaxPerWorker > 0 {
+				d.Spread = max(d.Spread, (step.Tasks+step.MaxPerWorker-1)/step.MaxPerWorker)
+			}
+		}
+	}
+	return d
+}
+
+// waitingCPU sums the processors of the tasks that wait and can be in time.
+func (p *Pool) waitingCPU(now time.Time) int64 {
+	sum := int64(0)
+	for _, c := range p.candidates(now) {
+		if !c.lasting && !c.inTime {
+			continue
+		}
+		oc := &c.job.occurrences[c.occurrence]
+		for s := range oc.steps {
+			st := &oc.steps[s]
+			if !st.ready || st.done == len(st.tasks) {
+				continue
+			}
+			for _, t := range st.tasks {
+				if p.waiting(t) {
+					sum += t.step.Reserved().CPU
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// MachineOf returns the machine of a worker.
+func (p *Pool) MachineOf(id string) string {
+	if w := p.workers[id]; w != nil {
+		return w.Worker.Machine
+	}
+	return ""
+}
--- /dev/null
+++ b/verbenaentry/node/machines.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
+)
+
+// machinePrefix is the prefix of the keys that hold the last order for each machine. The revision of such a key is the fencing
+// token of the order, so that tokens rise over all holders.
+const machinePrefix = "machine/"
+
+// gapMargin is added to the pause that must lie between the orders of two holders to one machine.
+const gapMargin = 300 * time.Millisecond
+
+// machineOrder is the value of a machine's key.
+type machineOrder struct {
+	Node string `json:"node"`
+	// Pool is where the machine is after the order.
+	Pool string `json:"pool"`
+	What string `json:"what"`
+}
+
+type seenOrder struct {
+	machineOrder
+	revision store.Revision
+	seen     time.Time
+}
+
+// machineBook knows the platform's machines and the last order for each.
+type machineBook struct {
+	pool *pool
+
+	mu     sync.Mutex
+	orders map[string]seenOrder
+	list   map[string]workload.Machine
+	listed time.Time
+	// lives holds the newest worker of each machine that registered in the pool.
+	lives map[string]string
+	// avoid holds until when a machine that refused an order is left alone.
+	avoid map[string]time.Time
+}
+
+var (
+	errTooSoon = errors.New("another holder gave an order for the machine a moment ago")
+	errTaken   = errors.New("another holder gives an order for the machine")
+)
+
+func newMachineBook(p *pool) *machineBook {
+	return &machineBook{
+		pool: p, orders: map[string]seenOrder{}, list: map[string]workload.Machine{}, lives: map[string]string{}, avoid: map[string]time.Time{},
+	}
+}
+
+func (b *machineBook) apply(events []store.Event, _ bool) {
+	now := b.pool.node.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range events {
+		id := strings.TrimPrefix(e.Entry.Key, machinePrefix)
+		if e.Deleted {
+			delete(b.orders, id)
+			continue
+		}
+		if b.orders[id].revision >= e.Entry.Revision {
+			continue
+		}
+		o := seenOrder{revision: e.Entry.Revision, seen: now}
+		if err := json.Unmarshal(e.Entry.Value, &o.machineOrder); err != nil {
+			b.pool.log.Error().Err(err).Str("machine", id).Msg("order for a machine cannot be read")
+		}
+		b.orders[id] = o
+	}
+}
+
+// registered takes note of the newest worker of a machine.
+func (b *machineBook) registered(w workload.Worker) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w.Machine != "" {
+		b.lives[w.Machine] = w.ID
+	}
+}
+
+// refresh lists the platform's machines when the list is older than age.
+func (b *machineBook) refresh(ctx context.Context, age time.Duration) {
+	now := b.pool.node.Clock.Now()
+	b.mu.Lock()
+	fresh := now.Sub(b.listed) < age
+	b.mu.Unlock()
+	if fresh {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	list, err := b.pool.node.Machines.List(ctx)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listed = now
+	if err != nil {
+		b.pool.log.Warn().Err(err).Msg("machines not listed")
+		return
+	}
+	clear(b.list)
+	for _, m := range list {
+		b.list[m.ID] = m
+	}
+}
+
+// listSettles is the age of an order after which the list of machines shows its effect.
+const listSettles = time.Second
+
+// get returns a machine with the pool in which the last order or the list shows it; the lock must be held.
+func (b *machineBook) get(id string) (workload.Machine, bool) {
+	m, ok := b.list[id]
+	if !ok {
+		return m, false
+	}
+	if o, ordered := b.orders[id]; ordered && b.listed.Sub(o.seen) < listSettles {
+		if m.Pool != o.Pool {
+			m.State = workload.MachineMoving
+		}
+		m.Pool = o.Pool
+	}
+	if life := b.lives[id]; life != "" && m.Pool == b.pool.name {
+		m.Worker = life
+	}
+	return m, true
+}
+
+// free reports whether this holder may give an order for a machine now; the lock must be held.
+func (b *machineBook) free(id string, now time.Time) bool {
+	if now.Before(b.avoid[id]) {
+		return false
+	}
+	o, ordered := b.orders[id]
+	return !ordered || o.Node == b.pool.node.Settings.Node || now.Sub(o.seen) >= b.pool.node.Settings.Bounds.OrderGap+gapMargin
+}
+
+// claim records an order for a machine, together with other changes, and returns its fencing token.
+func (b *machineBook) claim(ctx context.Context, id string, o machineOrder, t store.Transaction) (uint64, error) {
+	now := b.pool.node.Clock.Now()
+	b.mu.Lock()
+	free, last := b.free(id, now), b.orders[id]
+	b.mu.Unlock()
+	if !free {
+		return 0, errTooSoon
+	}
+	value, err := json.Marshal(o)
+	if err != nil {
+		return 0, err
+	}
+	t.If = append(t.If, b.pool.dutyCondition(), store.Condition{Key: machinePrefix + id, Revision: last.revision})
+	t.Put = append(t.Put, store.Write{Key: machinePrefix + id, Value: value})
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	revision, _, err := b.pool.node.Store.Apply(ctx, t)
+	if errors.Is(err, store.ErrConflict) {
+		return 0, errTaken
+	}
+	if err != nil {
+		return 0, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.orders[id].revision < revision {
+		b.orders[id] = seenOrder{machineOrder: o, revision: revision, seen: b.pool.node.Clock.Now()}
+	}
+	return uint64(revision), nil
+}
+
+// refused leaves a machine alone for a while.
+func (b *machineBook) refused(id string, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.avoid[id] = b.pool.node.Clock.Now().Add(d)
+}
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -94,6 +94,7 @@
 	group   *errgroup.Group
 	orders  errgroup.Group
 	ended   atomic.Bool
+	book    *machineBook
 	upkeeps *upkeeps
 }
 
@@ -107,6 +108,7 @@
 	p.orders.SetLimit(orderLimit)
 	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note}
 	p.core.Begin(p.began)
+	p.book = newMachineBook(p)
 	p.upkeeps = newUpkeeps(p)
 	p.configure(n.View.Configuration())
 	records, err := p.loadRecords(ctx)
@@ -122,6 +124,13 @@
 		return err
 	}
 	group.Go(func() error { return jobFollower.Run(groupCtx) })
+	orders := follow.Follower{Store: n.Store, Prefix: machinePrefix, Apply: p.book.apply}
+	if err := orders.Begin(ctx); err != nil {
+		return err
+	}
+	group.Go(func() error { return orders.Run(groupCtx) })
+	size := sizer{pool: p}
+	group.Go(func() error { return size.run(groupCtx) })
 	followers := []follow.Follower{
 		{Store: n.Store, Prefix: platform.WorkerPrefix, Pause: workerPause, Apply: func(events []store.Event, _ bool) { p.applyWorkers(groupCtx, events) }},
 		{Store: n.Store, Prefix: wavePrefix, Apply: p.upkeeps.apply},
@@ -293,7 +302,7 @@
 			continue
 		}
 		p.core.SetWorker(w, now)
-		p.upkeeps.registered(w)
+		p.book.registered(w)
 		if !p.holding[w.ID] {
 			p.holding[w.ID] = true
 			p.group.Go(func() error { return p.hold(ctx, w.ID) })
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/upkeep"
 	"verbenalanding.example/fleet/workload"
@@ -51,14 +49,10 @@
 type upkeeps struct {
 	pool *pool
 
-	mu    sync.Mutex
-	slots map[string]heldSlot
-	done  map[string]map[string]bool
-	seen  map[string]time.Time
-	// lives holds the newest worker of each machine.
-	lives    map[string]string
-	machines map[string]workload.Machine
-	listed   time.Time
+	mu       sync.Mutex
+	slots    map[string]heldSlot
+	done     map[string]map[string]bool
+	seen     map[string]time.Time
 	told     map[string]bool
 	cordoned map[string]bool
 }
@@ -74,7 +68,7 @@
 func newUpkeeps(p *pool) *upkeeps {
 	return &upkeeps{
 		pool: p, slots: map[string]heldSlot{}, done: map[string]map[string]bool{}, seen: map[string]time.Time{},
-		lives: map[string]string{}, machines: map[string]workload.Machine{}, told: map[string]bool{}, cordoned: map[string]bool{},
+		told: map[string]bool{}, cordoned: map[string]bool{},
 	}
 }
 
@@ -109,15 +103,6 @@
 	}
 }
 
-// registered takes note of the newest worker of a machine.
-func (u *upkeeps) registered(w workload.Worker) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if w.Machine != "" {
-		u.lives[w.Machine] = w.ID
-	}
-}
-
 func (u *upkeeps) run(ctx context.Context) error {
 	ticker := time.NewTicker(waveEvery)
 	defer ticker.Stop()
@@ -142,45 +127,16 @@
 		u.seen[w.ID] = now
 	}
 	completed := u.told[w.ID]
-	stale := now.Sub(u.listed) >= listEvery
 	u.mu.Unlock()
 	if completed {
 		return
 	}
-	if stale {
-		u.list(ctx, now)
-	}
+	u.pool.book.refresh(ctx, listEvery)
 	u.finish(ctx, w, now)
 	u.begin(ctx, w, now)
 	u.report(ctx, w)
 }
 
-func (u *upkeeps) list(ctx context.Context, now time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
-	defer cancel()
-	list, err := u.pool.node.Machines.List(ctx)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.listed = now
-	if err != nil {
-		u.pool.log.Warn().Err(err).Msg("machines not listed")
-		return
-	}
-	states := zerolog.Dict()
-	counts := map[string]int{}
-	for _, m := range list {
-		counts[m.Pool+" "+string(m.State)]++
-	}
-	for k, n := range counts {
-		states = states.Int(k, n)
-	}
-	u.pool.log.Debug().Dict("machines", states).Msg("machines listed")
-	clear(u.machines)
-	for _, m := range list {
-		u.machines[m.ID] = m
-	}
-}
-
 // finish frees the slots of the pool's machines that are back.
 func (u *upkeeps) finish(ctx context.Context, w workload.Wave, now time.Time) {
 	for key, s := range u.mine(w) {
@@ -228,17 +184,18 @@
 
 // back reports whether a machine has come back from its upkeep.
 func (u *upkeeps) back(s heldSlot, now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	b := u.pool.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if s.ordered.IsZero() {
 		// The order of an earlier holder may not have been given; begin gives it again.
 		return false
 	}
-	if life := u.lives[s.Machine]; s.Worker != "" && life != "" && life != s.Worker {
+	if life := b.lives[s.Machine]; s.Worker != "" && life != "" && life != s.Worker {
 		return true
 	}
-	m, listed := u.machines[s.Machine]
-	if u.listed.Sub(s.ordered) < u.pool.node.Settings.Bounds.Upkeep {
+	m, listed := b.list[s.Machine]
+	if b.listed.Sub(s.ordered) < u.pool.node.Settings.Bounds.Upkeep {
 		return false
 	}
 	return (listed && m.State == workload.MachineUp && m.Worker != s.Worker) || (!listed && now.Sub(s.ordered) > u.pool.node.Settings.Bounds.Upkeep+backMargin)
@@ -247,13 +204,14 @@
 // begin takes the next machines of the pool into upkeep.
 func (u *upkeeps) begin(ctx context.Context, w workload.Wave, now time.Time) {
 	for key, s := range u.mine(w) {
-		if s.ordered.IsZero() {
-			u.order(ctx, w, key, s)
+		if !s.ordered.IsZero() || now.Sub(s.since) < machineTimeout {
+			continue
+		}
+		// An earlier holder reserved the slot; whether it gave the order is not known.
+		fence, err := u.pool.book.claim(ctx, s.Machine, u.claimed(), store.Transaction{If: []store.Condition{{Key: key, Revision: s.revision}}})
+		if err == nil {
+			u.order(ctx, w, key, s, fence)
 		}
-	}
-	// The platform wants a pause between the orders of two holders to one machine.
-	if now.Sub(u.pool.began) < u.pool.node.Settings.Bounds.OrderGap {
-		return
 	}
 	input, machines := u.input(w, now)
 	for _, choice := range upkeep.Plan(input) {
@@ -288,19 +246,19 @@
 		}
 	}
 	machines := map[string]workload.Machine{}
+	b := u.pool.book
+	b.mu.Lock()
 	for _, id := range w.Machines {
-		m, ok := u.machines[id]
+		m, ok := b.get(id)
 		if !ok || busy[id] || u.done[w.ID][id] {
 			continue
 		}
 		in.Left++
-		if m.Pool == u.pool.name && m.State == workload.MachineUp {
-			if life := u.lives[id]; life != "" {
-				m.Worker = life
-			}
+		if m.Pool == u.pool.name && m.State == workload.MachineUp && b.free(id, now) {
 			machines[id] = m
 		}
 	}
+	b.mu.Unlock()
 	cordoned := make(map[string]bool, len(u.cordoned))
 	for id := range u.cordoned {
 		cordoned[id] = true
@@ -332,33 +290,33 @@
 		if used {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		revision, _, err := u.pool.node.Store.Apply(callCtx, store.Transaction{
-			If: []store.Condition{u.pool.dutyCondition(), {Key: key}}, Put: []store.Write{{Key: key, Value: value}},
+		fence, err := u.pool.book.claim(ctx, m.ID, u.claimed(), store.Transaction{
+			If: []store.Condition{{Key: key}}, Put: []store.Write{{Key: key, Value: value}},
 		})
-		cancel()
-		if errors.Is(err, store.ErrConflict) {
+		if errors.Is(err, errTaken) {
 			continue
 		}
 		if err != nil {
 			return err
 		}
-		held := heldSlot{slot: s, revision: revision, since: u.pool.node.Clock.Now()}
+		held := heldSlot{slot: s, revision: store.Revision(fence), since: u.pool.node.Clock.Now()}
 		u.mu.Lock()
 		u.slots[key] = held
 		u.mu.Unlock()
-		u.order(ctx, w, key, held)
+		u.order(ctx, w, key, held, fence)
 		return nil
 	}
 	return errNoSlot
 }
 
+// claimed is what the key of a machine holds after an order of this holder that leaves it in the pool.
+func (u *upkeeps) claimed() machineOrder {
+	return machineOrder{Node: u.pool.node.Settings.Node, Pool: u.pool.name, What: "upkeep"}
+}
+
 // order has the platform begin the upkeep of a machine that has a slot; an order that was carried out before is accepted again.
-func (u *upkeeps) order(ctx context.Context, w workload.Wave, key string, s heldSlot) {
+func (u *upkeeps) order(ctx context.Context, w workload.Wave, key string, s heldSlot, fence uint64) {
 	now := u.pool.node.Clock.Now()
-	if now.Sub(u.pool.began) < u.pool.node.Settings.Bounds.OrderGap {
-		return
-	}
 	u.pool.mu.Lock()
 	load := u.pool.core.LoadOf(s.Worker, now)
 	u.pool.mu.Unlock()
@@ -367,7 +325,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
 	defer cancel()
-	outcome, err := u.pool.node.Machines.Upkeep(callCtx, platform.Holder{Node: u.pool.node.Settings.Node, Fence: u.pool.fence}, s.Machine, w.ID)
+	outcome, err := u.pool.node.Machines.Upkeep(callCtx, platform.Holder{Node: u.pool.node.Settings.Node, Fence: fence}, s.Machine, w.ID)
 	u.pool.log.Info().Err(err).Str("wave", w.ID).Str("machine", s.Machine).Str("worker", s.Worker).Str("outcome", string(outcome)).
 		Bool("idle", load.Idle).Dur("lost", load.Lost).Int("lasting", load.Lasting).Msg("upkeep ordered")
 	if outcome != platform.MachineAccepted {
@@ -393,10 +351,16 @@
 	if c == nil || len(c.Pools) == 0 || c.Pools[0].Name != u.pool.name {
 		return
 	}
+	u.pool.book.mu.Lock()
+	completed := len(u.pool.book.list) > 0
+	stays := make(map[string]bool, len(w.Machines))
+	for _, id := range w.Machines {
+		_, stays[id] = u.pool.book.list[id]
+	}
+	u.pool.book.mu.Unlock()
 	u.mu.Lock()
-	completed := len(u.machines) > 0
 	for _, id := range w.Machines {
-		if _, stays := u.machines[id]; stays && !u.done[w.ID][id] {
+		if stays[id] && !u.done[w.ID][id] {
 			completed = false
 		}
 	}
