--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -42,20 +42,54 @@
 	Spread int
 	// Idle are the workers that run nothing.
 	Idle []string
+	// Others are the other pools as they told their shortage.
+	Others []Shortage
+}
+
+// Shortage is what a pool tells the others.
+type Shortage struct {
+	Pool string
+	// Missing is how many machines the pool needs and cannot take from the standby pool.
+	Missing int
+	// Since is when the shortage was first heard of, Last when the pool was last short.
+	Since time.Time
+	Last  time.Time
 }
 
 // Decision is what to do with a pool's machines.
 type Decision struct {
-	Take    int
+	// Take is how many machines the pool needs now.
+	Take int
+	// Refill is how many it would take up to its home size while no pool is short.
+	Refill  int
 	Release []string
+	// Lend holds idle workers for other pools that are short.
+	Lend []Loan
+}
+
+// Loan is a worker whose machine goes to a pool that is short.
+type Loan struct {
+	Worker string
+	Pool   string
 }
 
+const (
+	// lendReserve is how many machines a lender keeps beyond its need.
+	lendReserve = 1
+	// lendStagger is how long a pool waits for each other one that is more likely to be without need for long.
+	lendStagger = 250 * time.Millisecond
+	// shortageHolds is how long a pool that was short lends nothing.
+	shortageHolds = 2 * time.Second
+)
+
 // Tracker remembers the need of the last seconds; use one for each pool.
 type Tracker struct {
 	Settings Settings
 
 	// needed holds when each size was last needed; index 0 is one machine.
 	needed []time.Time
+	// short is when the pool last needed more than it had.
+	short time.Time
 }
 
 // Decide returns what to do now.
@@ -73,10 +107,59 @@
 	for i := range need {
 		t.needed[i] = in.Now
 	}
-	if have := in.Machines + in.Incoming; need > have {
+	have := in.Machines + in.Incoming
+	if need > have {
+		t.short = in.Now
 		return Decision{Take: min(need-have, s.MaxTake)}
 	}
-	return Decision{Release: t.release(in, s)}
+	d := Decision{Lend: t.lend(in, need)}
+	if len(d.Lend) > 0 {
+		return d
+	}
+	d.Release = t.release(in, s)
+	if have < in.Home && !anyShort(in.Others) {
+		d.Refill = in.Home - have
+	}
+	return d
+}
+
+// Short returns when the pool last needed more machines than it had.
+func (t *Tracker) Short() time.Time { return t.short }
+
+func anyShort(others []Shortage) bool {
+	for _, o := range others {
+		if o.Missing > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lend gives idle machines to pools that are short. Demand goes round, so the pool that was short most lately lends first.
+func (t *Tracker) lend(in Input, need int) []Loan {
+	if in.Now.Sub(t.short) < shortageHolds {
+		return nil
+	}
+	rank := 0
+	for _, o := range in.Others {
+		if o.Missing == 0 && o.Last.After(t.short) {
+			rank++
+		}
+	}
+	spare := min(len(in.Idle), in.Machines-need-lendReserve)
+	var loans []Loan
+	for _, o := range in.Others {
+		if o.Missing == 0 || in.Now.Sub(o.Since) < time.Duration(rank)*lendStagger {
+			continue
+		}
+		for range o.Missing {
+			if len(loans) >= spare {
+				return loans
+			}
+			loans = append(loans, Loan{Worker: in.Idle[len(loans)], Pool: o.Pool})
+		}
+	}
+	return loans
 }
 
 // release returns idle workers beyond the sizes that were needed lately.
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -29,8 +29,10 @@
 	defaultDeadline = 3 * time.Second
 	// answerReserve is the part of a caller's deadline that the way back takes.
 	answerReserve = 150 * time.Millisecond
-	// storeTry bounds one attempt at the store; a write is repeated under the same condition.
-	storeTry = 700 * time.Millisecond
+	// firstTry bounds the first attempt at the store, whose answers take milliseconds, and maxTry each further one; the
+	// bound doubles from attempt to attempt, so that a lost answer costs little and a slow store is still heard.
+	firstTry = 100 * time.Millisecond
+	maxTry   = 800 * time.Millisecond
 	// storePause lies between two attempts.
 	storePause = 40 * time.Millisecond
 	// retryAfter is when a refused caller may come back.
@@ -229,11 +231,16 @@
 	perhapsStored storeOutcome = "perhapsStored"
 )
 
+// tryTime bounds an attempt at the store; attempts count from 1.
+func tryTime(attempt int) time.Duration {
+	return min(firstTry<<min(attempt-1, 8), maxTry)
+}
+
 // storeJob creates the job's key; repeated attempts have the same condition, so that at most one takes effect.
 func (n *Node) storeJob(ctx context.Context, key string, value []byte) (storeOutcome, int) {
 	unanswered := false
 	for tries := 1; ; tries++ {
-		tryCtx, cancel := context.WithTimeout(ctx, storeTry)
+		tryCtx, cancel := context.WithTimeout(ctx, tryTime(tries))
 		_, _, err := n.Store.Apply(tryCtx, store.Transaction{
 			If: []store.Condition{{Key: key}}, Put: []store.Write{{Key: key, Value: value}},
 		})
@@ -244,7 +251,7 @@
 		unanswered = unanswered || errors.Is(err, store.ErrUnavailable)
 		select {
 		case <-ctx.Done():
-		case <-time.After(storePause * time.Duration(tries)):
+		case <-time.After(storePause):
 		}
 		if ctx.Err() != nil {
 			if unanswered {
@@ -289,8 +296,8 @@
 	if answer.Known {
 		return answer.State, "holder", nil
 	}
-	for {
-		state, err := n.storedState(ctx, pool, id)
+	for try := 1; ; try++ {
+		state, err := n.storedState(ctx, pool, id, try)
 		if err == nil || errors.Is(err, store.ErrNotFound) {
 			return state, "store", err
 		}
@@ -302,8 +309,9 @@
 	}
 }
 
-func (n *Node) storedState(ctx context.Context, pool, id string) (workload.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTry)
+func (n *Node) storedState(ctx context.Context, pool, id string, try int) (workload.State, error) {
+	// Two reads may be needed.
+	ctx, cancel := context.WithTimeout(ctx, 2*tryTime(try))
 	defer cancel()
 	entry, err := n.Store.Get(ctx, stateKey(pool, id))
 	if err == nil {
@@ -327,8 +335,8 @@
 
 // cancel records the caller's wish; the pool's holder carries it out.
 func (n *Node) cancel(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string) int {
-	for {
-		status := n.tryCancel(ctx, q.Pool, id)
+	for try := 1; ; try++ {
+		status := n.tryCancel(ctx, q.Pool, id, try)
 		if status != 0 {
 			n.Log.Info().Str("job", id).Int("status", status).Msg("cancelling asked for")
 			if status == http.StatusOK {
@@ -348,8 +356,9 @@
 	}
 }
 
-func (n *Node) tryCancel(ctx context.Context, pool, id string) int {
-	ctx, cancel := context.WithTimeout(ctx, storeTry)
+func (n *Node) tryCancel(ctx context.Context, pool, id string, try int) int {
+	// A read and a write are needed.
+	ctx, cancel := context.WithTimeout(ctx, 2*tryTime(try))
 	defer cancel()
 	entry, err := n.Store.Get(ctx, jobKey(pool, id))
 	if errors.Is(err, store.ErrNotFound) {
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/sizing"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
 )
@@ -45,6 +48,7 @@
 	lives map[string]string
 	// avoid holds until when a machine that refused an order is left alone.
 	avoid map[string]time.Time
+	short map[string]sizing.Shortage
 }
 
 var (
@@ -55,6 +59,7 @@
 func newMachineBook(p *pool) *machineBook {
 	return &machineBook{
 		pool: p, orders: map[string]seenOrder{}, list: map[string]workload.Machine{}, lives: map[string]string{}, avoid: map[string]time.Time{},
+		short: map[string]sizing.Shortage{},
 	}
 }
 
@@ -175,6 +180,79 @@
 	return uint64(revision), nil
 }
 
+// incoming returns the machines that were ordered into the pool and may not have arrived.
+func (b *machineBook) incoming(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id, o := range b.orders {
+		if o.Pool == b.pool.name && o.What == orderMove && now.Sub(o.seen) < b.pool.node.Settings.Bounds.Move+arriveMargin && now.After(b.avoid[id]) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// mayOrder reports whether this holder may give an order for a machine now.
+func (b *machineBook) mayOrder(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.free(id, now)
+}
+
+// applyShort takes over what other pools tell of their shortage.
+func (b *machineBook) applyShort(events []store.Event, _ bool) {
+	now := b.pool.node.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range events {
+		name := strings.TrimPrefix(e.Entry.Key, shortPrefix)
+		if e.Deleted || name == b.pool.name {
+			continue
+		}
+		missing, err := strconv.Atoi(string(e.Entry.Value))
+		if err != nil {
+			b.pool.log.Error().Err(err).Str("key", e.Entry.Key).Msg("shortage cannot be read")
+			continue
+		}
+		s := b.short[name]
+		if missing > 0 && s.Missing == 0 {
+			s.Since = now
+		}
+		s.Pool, s.Missing, s.Last = name, missing, now
+		b.short[name] = s
+	}
+}
+
+// shortageForgotten is how long a shortage holds that is not told again: its pool may be without a holder.
+const shortageForgotten = 6 * time.Second
+
+// shortages returns what other pools told, without what the orders that were seen since then bring them.
+func (b *machineBook) shortages(now time.Time) []sizing.Shortage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]sizing.Shortage, 0, len(b.short))
+	for _, s := range b.short {
+		for _, o := range b.orders {
+			if o.Pool == s.Pool && o.What == orderMove && o.seen.After(s.Last) {
+				s.Missing--
+			}
+		}
+		if s.Missing < 0 || now.Sub(s.Last) > shortageForgotten {
+			s.Missing = 0
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, c sizing.Shortage) int { return strings.Compare(a.Pool, c.Pool) })
+	return list
+}
+
+// What an order for a machine was.
+const (
+	orderMove   = "move"
+	orderUpkeep = "upkeep"
+)
+
 // refused leaves a machine alone for a while.
 func (b *machineBook) refused(id string, d time.Duration) {
 	b.mu.Lock()
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -87,7 +87,9 @@
 	budget logs.Budget
 	// revisions are those of the records of jobs in the store.
 	revisions map[string]store.Revision
-	holding   map[string]bool
+	// tries counts the attempts at writing records since the last one that succeeded, and the present one.
+	tries   int
+	holding map[string]bool
 
 	wake    *ring.Ring[struct{}]
 	writes  *ring.Ring[struct{}]
@@ -134,6 +136,7 @@
 	followers := []follow.Follower{
 		{Store: n.Store, Prefix: platform.WorkerPrefix, Pause: workerPause, Apply: func(events []store.Event, _ bool) { p.applyWorkers(groupCtx, events) }},
 		{Store: n.Store, Prefix: wavePrefix, Apply: p.upkeeps.apply},
+		{Store: n.Store, Prefix: shortPrefix, Apply: p.book.applyShort},
 	}
 	for i := range followers {
 		group.Go(func() error { return followers[i].Run(groupCtx) })
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -19,6 +19,9 @@
 // homePrefix is the prefix of the keys that hold the size in which the operator gave each pool.
 const homePrefix = "home/"
 
+// shortPrefix is the prefix of the keys that hold how many machines each pool is missing.
+const shortPrefix = "short/"
+
 const (
 	sizeEvery = 100 * time.Millisecond
 	// sizeListAge is how old the list of machines may be for moves; orders since then are known by their keys.
@@ -27,6 +30,9 @@
 	moveTimeout = time.Second
 	// refusedWait leaves a machine alone that could not be moved.
 	refusedWait = 2 * time.Second
+	// tellEvery and tellAgain bound how often a shortage is told, and told again when its size changes.
+	tellEvery = 200 * time.Millisecond
+	tellAgain = time.Second
 	// arriveMargin is how much longer than its move a machine may take to register.
 	arriveMargin = 1500 * time.Millisecond
 )
@@ -36,12 +42,12 @@
 	pool    *pool
 	tracker sizing.Tracker
 	home    int
-	// incoming holds until when a machine that was ordered into the pool is expected.
-	incoming map[string]time.Time
+	// told is the shortage that the other pools know of.
+	told   int
+	toldAt time.Time
 }
 
 func (s *sizer) run(ctx context.Context) error {
-	s.incoming = map[string]time.Time{}
 	ticker := time.NewTicker(sizeEvery)
 	defer ticker.Stop()
 	for {
@@ -116,42 +122,75 @@
 	now := p.node.Clock.Now()
 	p.mu.Lock()
 	d := p.core.Demand(now)
-	for machine, until := range s.incoming {
-		if _, here := p.core.Machine(machine); here || now.After(until) {
-			delete(s.incoming, machine)
+	incoming := 0
+	for _, machine := range p.book.incoming(now) {
+		if _, here := p.core.Machine(machine); !here {
+			incoming++
 		}
 	}
 	p.mu.Unlock()
 	decision := s.tracker.Decide(sizing.Input{
-		Now: now, Machines: d.Workers, Incoming: len(s.incoming), Home: s.home, MachineCPU: d.MachineCPU,
-		Demand: d.Used + d.Waiting, Spread: d.Spread, Idle: d.Idle,
+		Now: now, Machines: d.Workers, Incoming: incoming, Home: s.home, MachineCPU: d.MachineCPU,
+		Demand: d.Used + d.Waiting, Spread: d.Spread, Idle: d.Idle, Others: p.book.shortages(now),
 	})
-	if decision.Take > 0 {
+	want := decision.Take + decision.Refill
+	var chosen []string
+	if want > 0 {
 		p.book.refresh(ctx, sizeListAge)
-		for _, id := range s.spare(standby, now, decision.Take) {
-			p.orders.Go(func() error {
-				s.pool.move(ctx, id, "", p.name)
-				return nil
-			})
-			s.incoming[id] = now.Add(p.node.Settings.Bounds.Move + arriveMargin)
-		}
+		chosen = s.spare(standby, now, want)
 	}
-	for _, worker := range decision.Release {
-		p.mu.Lock()
-		machine := p.core.MachineOf(worker)
-		idle := p.core.LoadOf(worker, now).Idle
-		if idle && machine != "" {
-			p.core.Cordon(worker, true)
-		}
-		p.mu.Unlock()
-		if !idle || machine == "" {
-			continue
-		}
+	for _, id := range chosen {
 		p.orders.Go(func() error {
-			s.pool.move(ctx, machine, worker, standby)
+			p.move(ctx, id, "", p.name)
 			return nil
 		})
 	}
+	s.tell(ctx, max(0, decision.Take-len(chosen)), now)
+	for _, worker := range decision.Release {
+		s.give(ctx, worker, standby, now)
+	}
+	for _, loan := range decision.Lend {
+		s.give(ctx, loan.Worker, loan.Pool, now)
+	}
+}
+
+// give moves the machine of an idle worker to another pool.
+func (s *sizer) give(ctx context.Context, worker, target string, now time.Time) {
+	p := s.pool
+	p.mu.Lock()
+	machine := p.core.MachineOf(worker)
+	idle := p.core.LoadOf(worker, now).Idle
+	if p.book.mayOrder(machine, now) && idle && machine != "" {
+		p.core.Cordon(worker, true)
+	} else {
+		machine = ""
+	}
+	p.mu.Unlock()
+	if machine == "" {
+		return
+	}
+	p.orders.Go(func() error {
+		p.move(ctx, machine, worker, target)
+		return nil
+	})
+}
+
+// tell lets the other pools know how many machines are missing.
+func (s *sizer) tell(ctx context.Context, missing int, now time.Time) {
+	if missing == s.told || now.Sub(s.toldAt) < tellEvery || (missing > 0 && s.told > 0 && now.Sub(s.toldAt) < tellAgain) {
+		return
+	}
+	s.told, s.toldAt = missing, now
+	p := s.pool
+	p.orders.Go(func() error {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		_, _, err := p.node.Store.Apply(callCtx, store.Transaction{
+			If: []store.Condition{p.dutyCondition()}, Put: []store.Write{{Key: shortPrefix + p.name, Value: []byte(strconv.Itoa(missing))}},
+		})
+		p.log.Info().Err(err).Int("missing", missing).Msg("shortage of machines told")
+		return nil
+	})
 }
 
 // spare returns machines of the standby pool that may be moved now, in an order that differs by pool.
@@ -162,7 +201,7 @@
 	var ids []string
 	for id := range b.list {
 		m, _ := b.get(id)
-		if m.Pool == standby && m.State == workload.MachineUp && b.free(id, now) && s.incoming[id].IsZero() {
+		if m.Pool == standby && m.State == workload.MachineUp && b.free(id, now) {
 			ids = append(ids, id)
 		}
 	}
@@ -175,7 +214,7 @@
 // move orders a machine into another pool; worker is its present life, if it runs one here.
 func (p *pool) move(ctx context.Context, machine, worker, target string) {
 	outcome := platform.MachineUnanswered
-	fence, err := p.book.claim(ctx, machine, machineOrder{Node: p.node.Settings.Node, Pool: target, What: "move"}, store.Transaction{})
+	fence, err := p.book.claim(ctx, machine, machineOrder{Node: p.node.Settings.Node, Pool: target, What: orderMove}, store.Transaction{})
 	if err == nil && p.node.Tenure.Valid(p.name, p.fence) {
 		callCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -311,7 +311,7 @@
 
 // claimed is what the key of a machine holds after an order of this holder that leaves it in the pool.
 func (u *upkeeps) claimed() machineOrder {
-	return machineOrder{Node: u.pool.node.Settings.Node, Pool: u.pool.name, What: "upkeep"}
+	return machineOrder{Node: u.pool.node.Settings.Node, Pool: u.pool.name, What: orderUpkeep}
 }
 
 // order has the platform begin the upkeep of a machine that has a slot; an order that was carried out before is accepted again.
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -15,7 +15,7 @@
 const (
 	// writeEvery is how long changes that end no job wait for others; ends are acknowledged after that.
 	writeEvery = 100 * time.Millisecond
-	// writeTimeout bounds one write of records.
+	// writeTimeout bounds a write that is not repeated at once.
 	writeTimeout = 800 * time.Millisecond
 	// recordsPerWrite leaves room in a transaction for a condition for each record and one for the duty.
 	recordsPerWrite = (store.MaxTransaction - 2) / 2
@@ -33,6 +33,7 @@
 	ticker := time.NewTicker(writeEvery)
 	defer ticker.Stop()
 	expired := p.began
+	p.tries = 1
 	for {
 		changes := p.core.Batch
 		select {
@@ -46,11 +47,15 @@
 			continue
 		}
 		if err := p.writeOnce(ctx, changes); err != nil {
-			p.log.Warn().Err(err).Msg("records not written yet")
+			p.log.Warn().Err(err).Int("tries", p.tries).Msg("records not written yet")
+			p.tries++
 			if errors.Is(err, errLost) {
 				pause(ctx, writeEvery)
 			}
 			pause(ctx, storePause)
+			_ = p.writes.Offer(struct{}{})
+		} else {
+			p.tries = 1
 		}
 		if now := p.node.Clock.Now(); now.Sub(expired) > expireEvery {
 			expired = now
@@ -100,7 +105,7 @@
 		t.If = append(t.If, store.Condition{Key: key, Revision: p.revisions[c.Job]})
 		t.Put = append(t.Put, store.Write{Key: key, Value: value})
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, tryTime(p.tries))
 	defer cancel()
 	revision, current, err := p.node.Store.Apply(ctx, t)
 	if errors.Is(err, store.ErrConflict) {
