--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -13,6 +13,8 @@
 	Linger time.Duration
 	// HomeLinger is how long a machine of the home size stays.
 	HomeLinger time.Duration
+	// RefillAfter is how long a pool must have been below its home size: machines in upkeep come back by themselves.
+	RefillAfter time.Duration
 	// MaxTake is how many machines are taken in one decision.
 	MaxTake int
 }
@@ -22,6 +24,7 @@
 	s.Utilization = cmp.Or(s.Utilization, 90)
 	s.Linger = cmp.Or(s.Linger, time.Second)
 	s.HomeLinger = cmp.Or(s.HomeLinger, time.Minute)
+	s.RefillAfter = cmp.Or(s.RefillAfter, 3*time.Second)
 	s.MaxTake = cmp.Or(s.MaxTake, 64)
 	return s
 }
@@ -90,6 +93,8 @@
 	needed []time.Time
 	// short is when the pool last needed more than it had.
 	short time.Time
+	// below is since when the pool has been smaller than its home size; zero while it is not.
+	below time.Time
 }
 
 // Decide returns what to do now.
@@ -108,6 +113,11 @@
 		t.needed[i] = in.Now
 	}
 	have := in.Machines + in.Incoming
+	if have >= in.Home {
+		t.below = time.Time{}
+	} else if t.below.IsZero() {
+		t.below = in.Now
+	}
 	if need > have {
 		t.short = in.Now
 		return Decision{Take: min(need-have, s.MaxTake)}
@@ -117,7 +127,7 @@
 		return d
 	}
 	d.Release = t.release(in, s)
-	if have < in.Home && !anyShort(in.Others) {
+	if have < in.Home && !anyShort(in.Others) && in.Now.Sub(t.below) >= s.RefillAfter {
 		d.Refill = in.Home - have
 	}
 	return d
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -160,7 +160,7 @@
 	p.mu.Lock()
 	machine := p.core.MachineOf(worker)
 	idle := p.core.LoadOf(worker, now).Idle
-	if p.book.mayOrder(machine, now) && idle && machine != "" {
+	if p.book.mayOrder(machine, now) && !p.upkeeps.due(machine) && idle && machine != "" {
 		p.core.Cordon(worker, true)
 	} else {
 		machine = ""
@@ -205,7 +205,21 @@
 			ids = append(ids, id)
 		}
 	}
+	due := map[string]bool{}
+	for _, id := range ids {
+		due[id] = s.pool.upkeeps.due(id)
+	}
+	if s.pool.upkeeps.pressed(now) {
+		ids = slices.DeleteFunc(ids, func(id string) bool { return due[id] })
+	}
 	slices.SortFunc(ids, func(a, c string) int {
+		if due[a] != due[c] {
+			// Machines whose upkeep is due are moved last: they are maintained where they are.
+			if due[a] {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Compare(xxhash.Sum64String(s.pool.name+a), xxhash.Sum64String(s.pool.name+c))
 	})
 	return ids[:min(n, len(ids))]
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -21,7 +21,9 @@
 const wavePrefix = "wave/"
 
 const (
-	waveEvery = 100 * time.Millisecond
+	// pressedShare is the part of a wave's time after which its machines are not moved to other pools.
+	pressedShare = 0.3
+	waveEvery    = 100 * time.Millisecond
 	// listEvery is how often the platform's machines are listed during a wave.
 	listEvery      = time.Second
 	machineTimeout = 1500 * time.Millisecond
@@ -120,6 +122,32 @@
 	}
 }
 
+// due reports whether the upkeep of a machine is still to be done.
+func (u *upkeeps) due(machine string) bool {
+	waves := u.pool.node.View.Waves()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, w := range waves {
+		if !u.told[w.ID] && !u.done[w.ID][machine] && slices.Contains(w.Machines, machine) {
+			return true
+		}
+	}
+	return false
+}
+
+// pressed reports whether a wave has used so much of its time that the machines that are due must stay where they are.
+func (u *upkeeps) pressed(now time.Time) bool {
+	waves := u.pool.node.View.Waves()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, w := range waves {
+		if seen := u.seen[w.ID]; !u.told[w.ID] && !seen.IsZero() && now.Sub(seen) > time.Duration(pressedShare*float64(w.Within)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (u *upkeeps) step(ctx context.Context, w workload.Wave) {
 	now := u.pool.node.Clock.Now()
 	u.mu.Lock()
