fix(upkeep): protect only steps with a bound on unavailable tasks

Cause: waves left up to 5 of 25 machines: a machine with two tasks of one filler step never might be ended, since the second task counted as away. Machines that are switched off held their slots of the wave for 6 s. Change: steps without a bound are not protected; a machine without worker is back when the platform lists it as up; a line a second says why machines of a wave wait.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -336,3 +336,35 @@
 	b.report()
 	b.wantState("j", workload.Failed)
 }
+
+// Guards against an order that makes more tasks of a long-running step unavailable than its caller allows, and against a
+// wave that never ends because tasks without such a bound are protected too.
+func TestLoadTellsWhetherAWorkerMayBeEnded(t *testing.T) {
+	b := newBench(t, 2)
+	serving := oneTask(1000)
+	serving.Tasks, serving.LongRunning, serving.MaxPerWorker, serving.MaxUnavailable = 2, true, 1, 1
+	filler := oneTask(1000)
+	filler.Tasks, filler.LongRunning, filler.Fills = 4, true, true
+	b.addJob("j", serving, filler)
+	b.percent = 100
+	b.pass(time.Second)
+	if !b.pool.LoadOf("w0", b.now).Allowed {
+		t.Errorf("with all tasks at work: got forbidden, want allowed")
+	}
+	b.end("w1", task("j", 0, 1-indexOn(b, "w0")), workload.EndFailed)
+	b.report()
+	if b.pool.LoadOf("w0", b.now).Allowed {
+		t.Errorf("with the other task away: got allowed, want forbidden")
+	}
+}
+
+// indexOn returns the index of the first step's task on a worker.
+func indexOn(b *bench, worker string) int {
+	for id := range b.present[worker] {
+		if id.Step == 0 {
+			return id.Index
+		}
+	}
+	b.t.Fatalf("tasks of the first step on %s: got none, want one", worker)
+	return 0
+}
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -44,6 +44,10 @@
 
 // mayStop reports whether an order may make a run of a long-running step unavailable; runs on the same worker would end with it.
 func (p *Pool) mayStop(x *run, w *worker) bool {
+	if x.task.step.MaxUnavailable == 0 {
+		// Steps without the bound, such as fillers, are not protected.
+		return true
+	}
 	away := 0
 	for _, t := range x.task.job.occurrences[x.task.id.Occurrence].steps[x.task.id.Step].tasks {
 		if t == x.task {
@@ -53,7 +57,7 @@
 			away++
 		}
 	}
-	return away < max(1, x.task.step.MaxUnavailable)
+	return away < x.task.step.MaxUnavailable
 }
 
 // atWork reports whether a long-running task serves.
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -57,6 +57,8 @@
 	seen     map[string]time.Time
 	told     map[string]bool
 	cordoned map[string]bool
+	// explained is when it was last written why machines wait.
+	explained time.Time
 }
 
 type heldSlot struct {
@@ -226,7 +228,7 @@
 	if b.listed.Sub(s.ordered) < u.pool.node.Settings.Bounds.Upkeep {
 		return false
 	}
-	return (listed && m.State == workload.MachineUp && m.Worker != s.Worker) || (!listed && now.Sub(s.ordered) > u.pool.node.Settings.Bounds.Upkeep+backMargin)
+	return (listed && m.State == workload.MachineUp && (m.Worker == "" || m.Worker != s.Worker)) || (!listed && now.Sub(s.ordered) > u.pool.node.Settings.Bounds.Upkeep+backMargin)
 }
 
 // begin takes the next machines of the pool into upkeep.
@@ -241,7 +243,8 @@
 			u.order(ctx, w, key, s, fence)
 		}
 	}
-	input, machines := u.input(w, now)
+	input, machines, held := u.input(w, now)
+	u.explain(w, input, held, now)
 	for _, choice := range upkeep.Plan(input) {
 		m := machines[choice.Machine]
 		u.pool.mu.Lock()
@@ -261,9 +264,9 @@
 }
 
 // input gathers what the planner needs to know of a wave.
-func (u *upkeeps) input(w workload.Wave, now time.Time) (upkeep.Input, map[string]workload.Machine) {
+func (u *upkeeps) input(w workload.Wave, now time.Time) (in upkeep.Input, machines map[string]workload.Machine, held int) {
 	u.mu.Lock()
-	in := upkeep.Input{
+	in = upkeep.Input{
 		Now: now, Deadline: u.seen[w.ID].Add(w.Within), MaxDown: w.MaxDown, Cycle: u.pool.node.Settings.Bounds.Upkeep + backMargin,
 	}
 	busy := map[string]bool{}
@@ -273,7 +276,7 @@
 			busy[s.Machine] = true
 		}
 	}
-	machines := map[string]workload.Machine{}
+	machines = map[string]workload.Machine{}
 	b := u.pool.book
 	b.mu.Lock()
 	for _, id := range w.Machines {
@@ -282,8 +285,13 @@
 			continue
 		}
 		in.Left++
-		if m.Pool == u.pool.name && m.State == workload.MachineUp && b.free(id, now) {
+		if m.Pool != u.pool.name {
+			continue
+		}
+		if m.State == workload.MachineUp && b.free(id, now) {
 			machines[id] = m
+		} else {
+			held++
 		}
 	}
 	b.mu.Unlock()
@@ -298,7 +306,28 @@
 		in.Candidates = append(in.Candidates, upkeep.Candidate{Machine: id, Load: u.pool.core.LoadOf(m.Worker, now), Cordoned: cordoned[id]})
 	}
 	slices.SortFunc(in.Candidates, func(a, b upkeep.Candidate) int { return strings.Compare(a.Machine, b.Machine) })
-	return in, machines
+	return in, machines, held
+}
+
+// explainEvery is how often a waiting wave is explained in the log.
+const explainEvery = time.Second
+
+// explain writes why machines of a wave wait.
+func (u *upkeeps) explain(w workload.Wave, in upkeep.Input, held int, now time.Time) {
+	if now.Sub(u.explained) < explainEvery || len(in.Candidates)+held == 0 {
+		return
+	}
+	u.explained = now
+	busy, forbidden := 0, 0
+	for _, c := range in.Candidates {
+		if !c.Load.Allowed {
+			forbidden++
+		} else if c.Load.Lost > 0 {
+			busy++
+		}
+	}
+	u.pool.log.Info().Str("wave", w.ID).Int("down", in.Down).Int("left", in.Left).Int("here", len(in.Candidates)+held).Int("busy", busy).
+		Int("forbidden", forbidden).Int("moving", held).Dur("timeLeft", in.Deadline.Sub(now)).Msg("machines of the wave wait")
 }
 
 var errNoSlot = errors.New("all slots of the wave are taken")
