fix(dispatch): tell the end of a job once it is recorded

Change: the end of a job is told once its record is written; a worker with open ends counts neither as idle nor as one that may be ended.

--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -32,7 +32,7 @@
 		}
 		d.Workers++
 		d.MachineCPU = max(d.MachineCPU, w.Room.CPU)
-		if len(w.runs) == 0 && w.synced && !w.cordoned {
+		if len(w.runs) == 0 && w.synced && !w.cordoned && w.processed == w.recorded {
 			idle = append(idle, w)
 		}
 	}
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -166,12 +166,15 @@
 	}
 }
 
-// JobState returns what is known of a job.
+// JobState returns what is known of a job; its end is told once it is recorded, since a lost holder would leave it open.
 func (p *Pool) JobState(id string) (workload.State, bool) {
 	j := p.jobs[id]
 	if j == nil {
 		return "", false
 	}
+	if j.state.Terminal() && j.recordedVersion < j.version {
+		return workload.Running, true
+	}
 	if j.state == workload.Queued && j.started {
 		return workload.Running, true
 	}
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -224,7 +224,6 @@
 	b.plan()
 	b.end("w0", task("j", 0, 0), workload.EndDone)
 	b.report()
-	b.wantState("j", workload.Completed)
 	if got := b.pool.NextHold("w0", b.now).AckedUntil; got != 0 {
 		t.Errorf("acknowledged before the record: got %d, want 0", got)
 	}
@@ -295,6 +294,7 @@
 	b.pass(time.Second)
 	wantCount(t, "stops", len(b.stops), 3)
 	wantCount(t, "runs left", len(b.present["w0"]), 0)
+	b.record()
 	b.wantState("j", workload.Cancelled)
 }
 
@@ -334,6 +334,7 @@
 	b.end("w0", task("j", 0, 0), workload.EndFailed)
 	b.end("w1", task("j", 0, 0), workload.EndFailed)
 	b.report()
+	b.record()
 	b.wantState("j", workload.Failed)
 }
 
@@ -368,3 +369,25 @@
 	b.t.Fatalf("tasks of the first step on %s: got none, want one", worker)
 	return 0
 }
+
+// Guards against a job that is shown as completed and runs again: its ends are lost when its worker goes before they are
+// recorded and the holder is lost too.
+func TestCompletedIsToldOnceItIsRecorded(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	b.end("w0", task("j", 0, 0), workload.EndDone)
+	b.report()
+	b.wantState("j", workload.Running)
+	if b.pool.LoadOf("w0", b.now).Idle {
+		t.Errorf("worker with an end that is not recorded: got idle, want not")
+	}
+	if got := b.pool.Demand(b.now).Idle; len(got) != 0 {
+		t.Errorf("workers to give away: got %v, want none", got)
+	}
+	b.record()
+	b.wantState("j", workload.Completed)
+	if !b.pool.LoadOf("w0", b.now).Idle {
+		t.Errorf("worker whose ends are recorded: got not idle, want idle")
+	}
+}
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -6,7 +6,7 @@
 type Load struct {
 	// Known is false for a worker that is not in the pool.
 	Known bool
-	// Idle workers run nothing.
+	// Idle workers run nothing and have no ends that are not recorded.
 	Idle bool
 	// Lost is the time that finite tasks have run on the worker.
 	Lost time.Duration
@@ -28,6 +28,10 @@
 	if !w.synced {
 		return Load{Known: true}
 	}
+	if w.processed > w.recorded {
+		// The ends are lost with the worker.
+		return Load{Known: true}
+	}
 	l := Load{Known: true, Idle: len(w.runs) == 0, Allowed: true, FreeCPU: w.free().CPU}
 	for _, x := range w.runs {
 		if !x.task.step.LongRunning {
