--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -42,6 +42,7 @@
 
 type shutdowner interface {
 	Shutdown(ctx context.Context) error
+	Close() error
 }
 
 // serve starts the listeners for callers and for the balancer.
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -75,6 +75,14 @@
 
 // Run runs an entry instance until SIGTERM.
 func Run(ctx context.Context, settings platform.Settings, settingsPath string, flags Flags, out io.Writer) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	return RunWith(ctx, settings, settingsPath, flags, out, signals)
+}
+
+// RunWith runs an entry instance until a signal to stop arrives on signals; the end of the context ends it at once, as a kill does.
+func RunWith(ctx context.Context, settings platform.Settings, settingsPath string, flags Flags, out io.Writer, signals <-chan os.Signal) error {
 	lines := logs.NewWriter(out)
 	logCtx, endLogs := context.WithCancel(context.WithoutCancel(ctx))
 	var logGroup errgroup.Group
@@ -98,7 +106,7 @@
 	var failed error
 	err := container.Invoke(func(n *Node) {
 		n.SettingsPath = settingsPath
-		failed = n.run(ctx)
+		failed = n.run(ctx, signals)
 	})
 	return cmp.Or(failed, err)
 }
@@ -157,10 +165,7 @@
 	killMargin = 700 * time.Millisecond
 )
 
-func (n *Node) run(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (n *Node) run(ctx context.Context, signals <-chan os.Signal) error {
 	runCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	listeners, err := n.listen()
@@ -213,6 +218,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			for _, s := range servers {
+				_ = s.Close()
+			}
 			return nil
 		case s := <-signals:
 			if s == syscall.SIGHUP {
--- /dev/null
+++ b/verbenaentry/trial/trial.go
@@ -0,0 +1,294 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/platform"
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
+	"verbenalanding.example/verbenaentry/node"
+)
+
+// Fleet is a set of entry instances on a stand-in. Set the exported fields before Start.
+type Fleet struct {
+	Platform *standin.Platform
+	Nodes    int
+	Flags    node.Flags
+	// Log takes the instances' log lines; unset drops them.
+	Log io.Writer
+
+	mu      sync.Mutex
+	nodes   []*instance
+	ctx     context.Context
+	group   *errgroup.Group
+	cancel  context.CancelFunc
+	client  *http.Client
+	version int64
+}
+
+type instance struct {
+	settings platform.Settings
+	cancel   context.CancelFunc
+	signals  chan os.Signal
+	done     chan struct{}
+	err      error
+}
+
+// Host is the host name of every queue.
+const Host = "fleet.example"
+
+// Prefix returns the path prefix of a pool's queue.
+func Prefix(pool string) string { return "/" + pool + "/" }
+
+// Start starts the stand-in and the instances, and waits until they are ready.
+func (f *Fleet) Start(ctx context.Context) error {
+	ctx, f.cancel = context.WithCancel(ctx)
+	f.group, f.ctx = errgroup.WithContext(ctx)
+	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	if f.Log == nil {
+		f.Log = io.Discard
+	}
+	if err := f.Platform.Start(f.ctx, f.group); err != nil {
+		return fmt.Errorf("start stand-in: %w", err)
+	}
+	f.Configure()
+	for i := range f.Nodes {
+		if err := f.AddNode(fmt.Sprintf("n%d", i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Configure has the operator write the next version of the configuration.
+func (f *Fleet) Configure() {
+	f.version++
+	var routes []wire.Route
+	for name := range f.Platform.Pools {
+		if name != f.Platform.Standby {
+			routes = append(routes, wire.Route{
+				Name: "q-" + name, Hostname: Host, Prefix: Prefix(name), Backend: name, MaxAttempts: Attempts, Stretch: 1.6, TargetDurationMs: 600,
+			})
+		}
+	}
+	f.Platform.Configure(f.version, routes)
+}
+
+// Attempts is how many runs of a task may fail.
+const Attempts = 3
+
+// Bounds are the figures of the operator's contract in a trial.
+func Bounds() platform.Bounds {
+	return platform.Bounds{
+		Configuration: 2 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second, MaxLease: 6 * time.Second,
+		Stop: 200 * time.Millisecond, Cancel: 3 * time.Second, OrderGap: time.Second, Move: 300 * time.Millisecond,
+		Upkeep: 300 * time.Millisecond, StatusKept: 2 * time.Minute, FarFactor: 3, TailHarm: 4 * time.Second,
+	}
+}
+
+// AddNode starts an instance and waits until it is ready.
+func (f *Fleet) AddNode(name string) error {
+	var ports [3]netip.AddrPort
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		if ports[i], err = netip.ParseAddrPort(l.Addr().String()); err != nil {
+			return err
+		}
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	s := platform.Settings{
+		Node: name, DataCentre: "z1", IP: ports[0].Addr(), Entry: ports[0], Readiness: ports[1],
+		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: f.Platform.StoreAddr, Machines: f.Platform.CloudAddr,
+		Bounds: Bounds(), MinLeaseTTL: 500 * time.Millisecond,
+	}
+	nodeCtx, cancel := context.WithCancel(f.ctx)
+	n := &instance{settings: s, cancel: cancel, signals: make(chan os.Signal, 4), done: make(chan struct{})}
+	f.group.Go(func() error {
+		defer close(n.done)
+		n.err = node.RunWith(nodeCtx, s, os.DevNull, f.Flags, f.Log, n.signals)
+		return nil
+	})
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	return f.awaitReady(n)
+}
+
+func (f *Fleet) awaitReady(n *instance) error {
+	const bound = 10 * time.Second
+	for end := time.Now().Add(bound); time.Now().Before(end); {
+		answer, err := f.client.Get("http://" + n.settings.Readiness.String() + wire.PathReady)
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("node %s not ready within %v", n.settings.Node, bound)
+}
+
+// Holder returns the index of the instance that holds a pool, or -1.
+func (f *Fleet) Holder(pool string) int {
+	content, ok := f.Platform.Store.Get("duty/" + pool)
+	var h struct{ Node string }
+	if !ok || json.Unmarshal(content, &h) != nil {
+		return -1
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, n := range f.nodes {
+		if n.settings.Node == h.Node && n.running() {
+			return i
+		}
+	}
+	return -1
+}
+
+func (n *instance) running() bool {
+	select {
+	case <-n.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends an instance at once.
+func (f *Fleet) Kill(i int) {
+	f.mu.Lock()
+	n := f.nodes[i]
+	f.mu.Unlock()
+	n.cancel()
+	<-n.done
+}
+
+// Terminate ends an instance gracefully and returns its error.
+func (f *Fleet) Terminate(i int) error {
+	f.mu.Lock()
+	n := f.nodes[i]
+	f.mu.Unlock()
+	n.signals <- syscall.SIGTERM
+	<-n.done
+	return n.err
+}
+
+// Close ends everything.
+func (f *Fleet) Close() error {
+	f.cancel()
+	return f.group.Wait()
+}
+
+// Do sends a request to some running instance, the next one after a failure, and returns status and body.
+func (f *Fleet) Do(ctx context.Context, i int, method, path string, body any) (int, []byte, error) {
+	f.mu.Lock()
+	var running []*instance
+	for _, n := range f.nodes {
+		if n.running() {
+			running = append(running, n)
+		}
+	}
+	f.mu.Unlock()
+	if len(running) == 0 {
+		return 0, nil, fmt.Errorf("%s %s: no instance runs", method, path)
+	}
+	var content []byte
+	if raw, ok := body.([]byte); ok {
+		content = raw
+	} else if body != nil {
+		var err error
+		if content, err = json.Marshal(body); err != nil {
+			return 0, nil, err
+		}
+	}
+	n := running[i%len(running)]
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.Entry.String()+path, bytes.NewReader(content))
+	if err != nil {
+		return 0, nil, err
+	}
+	r.Host = Host
+	r.Header.Set(wire.HeaderDeadline, "3000")
+	answer, err := f.client.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer answer.Body.Close()
+	content, err = io.ReadAll(answer.Body)
+	return answer.StatusCode, content, err
+}
+
+// retryPause lies between two attempts of a caller.
+const retryPause = 100 * time.Millisecond
+
+// Submit hands a job in until it is accepted or refused for good; it reports whether it was accepted.
+func (f *Fleet) Submit(ctx context.Context, pool string, j *standin.Job) (bool, error) {
+	f.Platform.Submit(j, Attempts)
+	for i := 0; ; i++ {
+		status, _, err := f.Do(ctx, i, http.MethodPost, Prefix(pool)+j.ID, j.Job)
+		if err == nil && status == http.StatusOK {
+			return true, nil
+		}
+		if err == nil && status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout && status != http.StatusTooManyRequests {
+			return false, nil
+		}
+		select {
+		case <-ctx.Done():
+			return false, fmt.Errorf("submit %s: %w", j.ID, ctx.Err())
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// State asks for a job's state; it returns an empty one for an unknown job.
+func (f *Fleet) State(ctx context.Context, pool, id string) (string, error) {
+	status, body, err := f.Do(ctx, int(id[0]), http.MethodGet, Prefix(pool)+id, nil)
+	if err != nil || status == http.StatusGone {
+		return "", err
+	}
+	if status != http.StatusOK {
+		return "", fmt.Errorf("state of %s: status %d", id, status)
+	}
+	var s wire.State
+	if err := json.Unmarshal(body, &s); err != nil {
+		return "", err
+	}
+	return s.State, nil
+}
+
+// Await asks for a job's state until it is the wanted one.
+func (f *Fleet) Await(ctx context.Context, pool, id, want string) error {
+	last := ""
+	for {
+		state, err := f.State(ctx, pool, id)
+		if err == nil && state == want {
+			return nil
+		}
+		if err == nil {
+			last = state
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("job %s: state %q, want %q: %w", id, last, want, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/verbenaentry/trial/trial_test.go
@@ -0,0 +1,279 @@
+package trial_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
+	"verbenalanding.example/verbenaentry/node"
+	"verbenalanding.example/verbenaentry/trial"
+)
+
+// jobs counts the jobs of all tests, so that no two have the same id.
+var jobs atomic.Int64
+
+// bound is the longest time that a test waits for what must happen.
+const bound = 30 * time.Second
+
+func startFleet(t *testing.T, nodes int) (*trial.Fleet, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	t.Cleanup(cancel)
+	f := &trial.Fleet{
+		Nodes: nodes, Flags: node.Flags{DutyTTL: 800 * time.Millisecond, WorkerLease: 1500 * time.Millisecond, LogLevel: "info"},
+		Platform: &standin.Platform{
+			Seed: 1, Pools: map[string]int{"cutting": 4, "fitting": 4, "spare": 2}, Standby: "spare",
+			Room: wire.Room{CPU: 16000, MemMb: 64000}, Tick: 5 * time.Millisecond,
+			UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond,
+		},
+	}
+	if err := f.Start(ctx); err != nil {
+		t.Fatalf("start fleet: got %v, want none", err)
+	}
+	t.Cleanup(func() {
+		if err := f.Close(); err != nil {
+			t.Errorf("close fleet: got %v, want none", err)
+		}
+	})
+	return f, ctx
+}
+
+func job(n int) *standin.Job {
+	return &standin.Job{
+		ID: fmt.Sprintf("%016x", n+1), Took: 80 * time.Millisecond,
+		Job: wire.Job{Spec: "spec", Steps: []wire.Step{
+			{Count: 3, CPU: 2000, MemMb: 512, EstimateMs: 80, MaxPerServer: 2},
+			{Count: 2, CPU: 4000, MemMb: 512, EstimateMs: 80, After: []int{0}},
+		}},
+	}
+}
+
+// serveJobs submits jobs to both pools and waits until all are shown as completed.
+func serveJobs(t *testing.T, ctx context.Context, f *trial.Fleet, n int) { //nolint:revive // t comes first in helpers of tests
+	t.Helper()
+	first := int(jobs.Add(int64(n))) - n
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(16)
+	for i := range n {
+		group.Go(func() error {
+			pool := []string{"cutting", "fitting"}[i%2]
+			j := job(first + i)
+			accepted, err := f.Submit(ctx, pool, j)
+			if err != nil || !accepted {
+				return fmt.Errorf("submit %s: accepted %v: %w", j.ID, accepted, err)
+			}
+			return f.Await(ctx, pool, j.ID, "completed")
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Errorf("serve jobs: got %v, want none", err)
+	}
+	for i := range n {
+		if got := f.Platform.Done(job(first + i).ID); got != 5 {
+			t.Errorf("tasks of %s done: got %d, want 5", job(first+i).ID, got)
+		}
+	}
+}
+
+func wantKept(t *testing.T, f *trial.Fleet) {
+	t.Helper()
+	for _, v := range f.Platform.Violations() {
+		t.Errorf("broken promise: %s", v)
+	}
+}
+
+func wantStatus(t *testing.T, what string, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got status %d, want %d", what, got, want)
+	}
+}
+
+// Guards the whole path: jobs are accepted, placed, run in order, recorded and shown as completed by any node.
+func TestJobsAreServed(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	serveJobs(t, ctx, f, 30)
+	wantKept(t, f)
+}
+
+// Guards against a lost job and against a task that runs twice when the holder of a pool is killed.
+func TestHolderIsKilled(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(300 * time.Millisecond)
+		if i := f.Holder("cutting"); i >= 0 {
+			f.Kill(i)
+		}
+		return nil
+	})
+	serveJobs(t, ctx, f, 60)
+	_ = group.Wait()
+	wantKept(t, f)
+}
+
+// Guards against requests and runs that a planned stop cuts: the duty goes to another node and the runs go on.
+func TestHolderIsTerminated(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(300 * time.Millisecond)
+		if i := f.Holder("cutting"); i >= 0 {
+			return f.Terminate(i)
+		}
+		return nil
+	})
+	serveJobs(t, ctx, f, 60)
+	if err := group.Wait(); err != nil {
+		t.Errorf("terminated node: got %v, want none", err)
+	}
+	wantKept(t, f)
+}
+
+// Guards the answers to callers while writes take effect without an answer.
+func TestAnswersOfTheStoreAreLost(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	f.Platform.Store.SetFaults(standin.Faults{LoseAnswers: 0.3})
+	serveJobs(t, ctx, f, 20)
+	wantKept(t, f)
+}
+
+// Guards against a view that stops when the store forgets its history.
+func TestStoreForgetsItsHistory(t *testing.T) {
+	f, ctx := startFleet(t, 2)
+	serveJobs(t, ctx, f, 4)
+	f.Platform.Store.Forget()
+	f.Configure()
+	serveJobs(t, ctx, f, 10)
+	wantKept(t, f)
+}
+
+// Guards a wave: each machine is maintained, no more at once than allowed, and the operator is told when it is done.
+func TestWaveIsDone(t *testing.T) {
+	f, ctx := startFleet(t, 2)
+	serveJobs(t, ctx, f, 4)
+	machines := f.Platform.Machines()
+	f.Platform.AskWave(7, machines, 20*time.Second, 3)
+	serveJobs(t, ctx, f, 20)
+	for {
+		state, done := f.Platform.WaveState(7)
+		if state == "completed" {
+			if done != len(machines) {
+				t.Errorf("machines maintained: got %d, want %d", done, len(machines))
+			}
+			break
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("wave: got state %q with %d machines done, want completed", state, done)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	wantKept(t, f)
+}
+
+// Guards against work that goes on after its cancelling.
+func TestCancelledJobEnds(t *testing.T) {
+	f, ctx := startFleet(t, 2)
+	j := job(1 << 20)
+	j.Took = time.Minute
+	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
+		t.Fatalf("submit: got %v and %v, want accepted", accepted, err)
+	}
+	for f.Platform.Runs() == 0 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	status, _, err := f.Do(ctx, 0, http.MethodDelete, trial.Prefix("cutting")+j.ID, nil)
+	if err != nil {
+		t.Fatalf("cancel: got %v, want none", err)
+	}
+	wantStatus(t, "cancel", status, http.StatusOK)
+	if err := f.Await(ctx, "cutting", j.ID, "cancelled"); err != nil {
+		t.Errorf("state: got %v, want cancelled", err)
+	}
+	for f.Platform.Runs() > 0 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := f.Platform.Runs(); got != 0 {
+		t.Errorf("runs left: got %d, want 0", got)
+	}
+}
+
+// Guards against bad input that ends a process, is accepted, or is refused with a status that misleads.
+func TestBadInputIsRefused(t *testing.T) {
+	f, ctx := startFleet(t, 1)
+	valid := "/cutting/00000000000000aa"
+	for _, c := range []struct {
+		name, method, path string
+		body               any
+		want               int
+	}{
+		{"no such queue", http.MethodPost, "/nowhere/00000000000000aa", job(0).Job, http.StatusNotFound},
+		{"id too short", http.MethodPost, "/cutting/aa", job(0).Job, http.StatusBadRequest},
+		{"no id", http.MethodPost, "/cutting/", job(0).Job, http.StatusMethodNotAllowed},
+		{"not JSON", http.MethodPost, valid, []byte("{"), http.StatusBadRequest},
+		{"wrong type", http.MethodPost, valid, []byte(`{"Steps":"many"}`), http.StatusBadRequest},
+		{"no steps", http.MethodPost, valid, wire.Job{}, http.StatusBadRequest},
+		{"no tasks", http.MethodPost, valid, wire.Job{Steps: []wire.Step{{Count: 0}}}, http.StatusBadRequest},
+		{"too many tasks", http.MethodPost, valid, wire.Job{Steps: []wire.Step{{Count: 1 << 30}}}, http.StatusBadRequest},
+		{"negative size", http.MethodPost, valid, wire.Job{Steps: []wire.Step{{Count: 1, CPU: -1}}}, http.StatusBadRequest},
+		{"waits for itself", http.MethodPost, valid, wire.Job{Steps: []wire.Step{{Count: 1, After: []int{0}}}}, http.StatusBadRequest},
+		{"too large", http.MethodPost, valid, make([]byte, 1<<19), http.StatusRequestEntityTooLarge},
+		{"unknown method", http.MethodPut, valid, job(0).Job, http.StatusMethodNotAllowed},
+		{"unknown job", http.MethodGet, valid, nil, http.StatusGone},
+		{"cancel of an unknown job", http.MethodDelete, valid, nil, http.StatusGone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			status, _, err := f.Do(ctx, 0, c.method, c.path, c.body)
+			if err != nil {
+				t.Fatalf("request: got %v, want an answer", err)
+			}
+			wantStatus(t, c.method+" "+c.path, status, c.want)
+		})
+	}
+	f.Platform.Store.Put("servers/broken", "no registration")
+	serveJobs(t, ctx, f, 4)
+}
+
+// Guards against a refusal that is not true: a job that was refused as not run must never run.
+func TestRefusalIsTrueWhileTheStoreRefuses(t *testing.T) {
+	f, ctx := startFleet(t, 1)
+	serveJobs(t, ctx, f, 2)
+	f.Platform.Store.SetFaults(standin.Faults{Refuse: true})
+	j := job(1 << 21)
+	f.Platform.Submit(j, trial.Attempts)
+	status, _, err := f.Do(ctx, 0, http.MethodPost, trial.Prefix("cutting")+j.ID, j.Job)
+	if err != nil {
+		t.Fatalf("submit: got %v, want an answer", err)
+	}
+	wantStatus(t, "submit while the store refuses", status, http.StatusServiceUnavailable)
+	f.Platform.Store.SetFaults(standin.Faults{})
+	time.Sleep(500 * time.Millisecond)
+	if got := f.Platform.Done(j.ID); got != 0 {
+		t.Errorf("tasks of a refused job done: got %d, want 0", got)
+	}
+}
+
+// Guards against two runs of a task when a worker falls silent and answers again.
+func TestSilentWorker(t *testing.T) {
+	f, ctx := startFleet(t, 2)
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(200 * time.Millisecond)
+		f.Platform.Silence("m-cutting-0", true)
+		time.Sleep(2500 * time.Millisecond)
+		f.Platform.Silence("m-cutting-0", false)
+		return f.Platform.Crash("m-fitting-1")
+	})
+	serveJobs(t, ctx, f, 40)
+	if err := group.Wait(); err != nil {
+		t.Errorf("crash: got %v, want none", err)
+	}
+	wantKept(t, f)
+}
