fix(upkeep): the list of machines decides whether an upkeep ended a worker

Change: after an accepted order the machines are listed; only a worker that is not the machine's life any more has ended.

--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -44,6 +44,8 @@
 	orders map[string]seenOrder
 	list   map[string]workload.Machine
 	listed time.Time
+	// failed is true when the last attempt to list the machines failed.
+	failed bool
 	// lives holds the newest worker of each machine that registered in the pool.
 	lives map[string]string
 	// avoid holds until when a machine that refused an order is left alone.
@@ -107,7 +109,7 @@
 	list, err := b.pool.node.Machines.List(ctx)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.listed = now
+	b.listed, b.failed = now, err != nil
 	if err != nil {
 		b.pool.log.Warn().Err(err).Msg("machines not listed")
 		return
@@ -118,6 +120,20 @@
 	}
 }
 
+// ended reports whether the platform's list shows that a worker is not the present life of its machine any more; known is false
+// when the list could not be read.
+func (b *machineBook) ended(ctx context.Context, machine, worker string) (ended, known bool) {
+	asked := b.pool.node.Clock.Now()
+	b.refresh(ctx, 0)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failed || b.listed.Before(asked) {
+		return false, false
+	}
+	m, ok := b.list[machine]
+	return !ok || m.State != workload.MachineUp || m.Worker != worker, true
+}
+
 // listSettles is the age of an order after which the list of machines shows its effect.
 const listSettles = time.Second
 
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -228,7 +228,7 @@
 	if b.listed.Sub(s.ordered) < u.pool.node.Settings.Bounds.Upkeep {
 		return false
 	}
-	return (listed && m.State == workload.MachineUp && (m.Worker == "" || m.Worker != s.Worker)) || (!listed && now.Sub(s.ordered) > u.pool.node.Settings.Bounds.Upkeep+backMargin)
+	return (listed && m.State == workload.MachineUp) || (!listed && now.Sub(s.ordered) > u.pool.node.Settings.Bounds.Upkeep+backMargin)
 }
 
 // begin takes the next machines of the pool into upkeep.
@@ -394,9 +394,16 @@
 		u.slots[key] = held
 	}
 	u.mu.Unlock()
+	if s.Worker == "" {
+		return
+	}
+	// The order is also accepted when it was carried out before; then the worker goes on.
+	ended, known := u.pool.book.ended(ctx, s.Machine, s.Worker)
 	u.pool.mu.Lock()
-	if s.Worker != "" {
+	if ended {
 		u.pool.core.Terminated(s.Worker, "upkeep")
+	} else if known {
+		u.pool.core.Cordon(s.Worker, false)
 	}
 	u.pool.mu.Unlock()
 	u.pool.kick()
--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -277,3 +277,28 @@
 	}
 	wantKept(t, f)
 }
+
+// Guards against taking runs for ended when the platform accepts an upkeep that it carried out before: their worker goes on.
+func TestUpkeepThatWasDoneBeforeEndsNothing(t *testing.T) {
+	f, ctx := startFleet(t, 2)
+	machines := f.Platform.Machines()
+	f.Platform.MarkMaintained(7, machines)
+	var group errgroup.Group
+	for i := range 8 {
+		group.Go(func() error {
+			j := job(1<<22 + i)
+			j.Took = 1200 * time.Millisecond
+			if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
+				return fmt.Errorf("submit: accepted %v: %w", accepted, err)
+			}
+			return f.Await(ctx, "cutting", j.ID, "completed")
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	// The wave is nearly over, so that busy machines are taken too.
+	f.Platform.AskWave(7, machines, time.Second, 3)
+	if err := group.Wait(); err != nil {
+		t.Errorf("jobs: got %v, want none", err)
+	}
+	wantKept(t, f)
+}
