fix(upkeep): cordon a machine only while its upkeep is ordered

Cause: machines stayed cordoned when no slot of the wave was free; their long-running tasks counted as away, so that no other machine of the step might be ended and waves left 1 to 5 machines. Change: a machine is cordoned with the order, and freed when the order is refused; the log names the task that forbids an upkeep.

--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Load is what the end of a worker would cost now.
 type Load struct {
@@ -14,6 +17,8 @@
 	Lasting int
 	// Allowed is false while the end of the worker would make too many tasks of a long-running step unavailable.
 	Allowed bool
+	// Reason says which task keeps the worker from being ended.
+	Reason string
 	// FreeCPU is the room that is left, in thousandths of a core.
 	FreeCPU int64
 }
@@ -39,20 +44,20 @@
 			continue
 		}
 		l.Lasting++
-		if !p.mayStop(x, w) {
+		if away, ok := p.mayStop(x, w); !ok {
 			l.Allowed = false
+			l.Reason = fmt.Sprintf("job %s step %d: %d tasks away, at most %d", x.task.id.Job, x.task.id.Step, away, x.task.step.MaxUnavailable)
 		}
 	}
 	return l
 }
 
 // mayStop reports whether an order may make a run of a long-running step unavailable; runs on the same worker would end with it.
-func (p *Pool) mayStop(x *run, w *worker) bool {
+func (p *Pool) mayStop(x *run, w *worker) (away int, ok bool) {
 	if x.task.step.MaxUnavailable == 0 {
 		// Steps without the bound, such as fillers, are not protected.
-		return true
+		return 0, true
 	}
-	away := 0
 	for _, t := range x.task.job.occurrences[x.task.id.Occurrence].steps[x.task.id.Step].tasks {
 		if t == x.task {
 			continue
@@ -61,7 +66,7 @@
 			away++
 		}
 	}
-	return away < x.task.step.MaxUnavailable
+	return away, away < x.task.step.MaxUnavailable
 }
 
 // atWork reports whether a long-running task serves.
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -12,8 +12,6 @@
 type Candidate struct {
 	Machine string
 	Load    dispatch.Load
-	// Cordoned machines get no new tasks and are waited for.
-	Cordoned bool
 }
 
 // Input is what is known of a wave.
@@ -30,18 +28,12 @@
 	Candidates []Candidate
 }
 
-// Choice is a machine to empty, or to take into upkeep now.
-type Choice struct {
-	Machine string
-	Begin   bool
-}
-
 // spare is the part of the time to the deadline that is kept for machines that fail or wait.
 const spare = 0.3
 
 // Plan returns the machines to begin with now: idle ones at once, busy ones when the time that is left demands it, with the
 // least to lose first.
-func Plan(in Input) []Choice {
+func Plan(in Input) []string {
 	free := in.MaxDown - in.Down
 	if free <= 0 || len(in.Candidates) == 0 {
 		return nil
@@ -51,7 +43,7 @@
 		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(a.Machine, b.Machine))
 	})
 	pressed := pressed(in)
-	var choices []Choice
+	var choices []string
 	lasting := false
 	for _, c := range list {
 		if len(choices) >= free {
@@ -68,7 +60,7 @@
 			lasting = true
 		}
 		if c.Load.Lost == 0 || pressed {
-			choices = append(choices, Choice{c.Machine, true})
+			choices = append(choices, c.Machine)
 		}
 	}
 	return choices
--- /dev/null
+++ b/fleet/upkeep/upkeep_test.go
@@ -0,0 +1,51 @@
+package upkeep_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/upkeep"
+)
+
+var now = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+func input(left time.Duration, candidates ...upkeep.Candidate) upkeep.Input {
+	return upkeep.Input{Now: now, Deadline: now.Add(left), MaxDown: 2, Left: len(candidates), Cycle: 3 * time.Second, Candidates: candidates}
+}
+
+func candidate(machine string, load dispatch.Load) upkeep.Candidate {
+	return upkeep.Candidate{Machine: machine, Load: load}
+}
+
+var (
+	idle      = dispatch.Load{Known: true, Idle: true, Allowed: true}
+	busy      = dispatch.Load{Known: true, Allowed: true, Lost: time.Second}
+	lasting   = dispatch.Load{Known: true, Allowed: true, Lasting: 1}
+	forbidden = dispatch.Load{Known: true, Lasting: 1}
+)
+
+func TestPlan(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		in   upkeep.Input
+		want []string
+	}{
+		// Guards against work that is ended while there is time to wait for its end.
+		{"idle machines go at once, busy ones wait", input(time.Minute, candidate("a", busy), candidate("b", idle)), []string{"b"}},
+		// Guards against a wave that is late because a pool is never idle.
+		{"busy machines go when time is short", input(4*time.Second, candidate("a", busy)), []string{"a"}},
+		// Guards against more machines down than the operator allows.
+		{"at most as many as may be down", input(time.Minute, candidate("a", idle), candidate("b", idle), candidate("c", idle)), []string{"a", "b"}},
+		// Guards against too many tasks of a long-running step away at once.
+		{"one with long-running tasks at a time", input(time.Second, candidate("a", lasting), candidate("b", lasting)), []string{"a"}},
+		{"none that is forbidden", input(time.Second, candidate("a", forbidden)), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := upkeep.Plan(c.in); !slices.Equal(got, c.want) {
+				t.Errorf("machines: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -51,12 +51,11 @@
 type upkeeps struct {
 	pool *pool
 
-	mu       sync.Mutex
-	slots    map[string]heldSlot
-	done     map[string]map[string]bool
-	seen     map[string]time.Time
-	told     map[string]bool
-	cordoned map[string]bool
+	mu    sync.Mutex
+	slots map[string]heldSlot
+	done  map[string]map[string]bool
+	seen  map[string]time.Time
+	told  map[string]bool
 	// explained is when it was last written why machines wait.
 	explained time.Time
 }
@@ -72,7 +71,7 @@
 func newUpkeeps(p *pool) *upkeeps {
 	return &upkeeps{
 		pool: p, slots: map[string]heldSlot{}, done: map[string]map[string]bool{}, seen: map[string]time.Time{},
-		told: map[string]bool{}, cordoned: map[string]bool{},
+		told: map[string]bool{},
 	}
 }
 
@@ -182,7 +181,6 @@
 		if err == nil {
 			u.mu.Lock()
 			delete(u.slots, key)
-			delete(u.cordoned, s.Machine)
 			if u.done[w.ID] == nil {
 				u.done[w.ID] = map[string]bool{}
 			}
@@ -245,19 +243,9 @@
 	}
 	input, machines, held := u.input(w, now)
 	u.explain(w, input, held, now)
-	for _, choice := range upkeep.Plan(input) {
-		m := machines[choice.Machine]
-		u.pool.mu.Lock()
-		u.pool.core.Cordon(m.Worker, true)
-		u.pool.mu.Unlock()
-		u.mu.Lock()
-		u.cordoned[m.ID] = true
-		u.mu.Unlock()
-		if !choice.Begin {
-			continue
-		}
-		if err := u.take(ctx, w, m); err != nil {
-			u.pool.log.Debug().Err(err).Str("machine", m.ID).Msg("no slot of the wave")
+	for _, id := range upkeep.Plan(input) {
+		if err := u.take(ctx, w, machines[id]); err != nil {
+			u.pool.log.Debug().Err(err).Str("machine", id).Msg("no slot of the wave")
 			return
 		}
 	}
@@ -295,15 +283,11 @@
 		}
 	}
 	b.mu.Unlock()
-	cordoned := make(map[string]bool, len(u.cordoned))
-	for id := range u.cordoned {
-		cordoned[id] = true
-	}
 	u.mu.Unlock()
 	u.pool.mu.Lock()
 	defer u.pool.mu.Unlock()
 	for id, m := range machines {
-		in.Candidates = append(in.Candidates, upkeep.Candidate{Machine: id, Load: u.pool.core.LoadOf(m.Worker, now), Cordoned: cordoned[id]})
+		in.Candidates = append(in.Candidates, upkeep.Candidate{Machine: id, Load: u.pool.core.LoadOf(m.Worker, now)})
 	}
 	slices.SortFunc(in.Candidates, func(a, b upkeep.Candidate) int { return strings.Compare(a.Machine, b.Machine) })
 	return in, machines, held
@@ -318,16 +302,17 @@
 		return
 	}
 	u.explained = now
-	busy, forbidden := 0, 0
+	busy, forbidden, reason := 0, 0, ""
 	for _, c := range in.Candidates {
 		if !c.Load.Allowed {
 			forbidden++
+			reason = c.Load.Reason
 		} else if c.Load.Lost > 0 {
 			busy++
 		}
 	}
 	u.pool.log.Info().Str("wave", w.ID).Int("down", in.Down).Int("left", in.Left).Int("here", len(in.Candidates)+held).Int("busy", busy).
-		Int("forbidden", forbidden).Int("moving", held).Dur("timeLeft", in.Deadline.Sub(now)).Msg("machines of the wave wait")
+		Int("forbidden", forbidden).Str("reason", reason).Int("moving", held).Dur("timeLeft", in.Deadline.Sub(now)).Msg("machines of the wave wait")
 }
 
 var errNoSlot = errors.New("all slots of the wave are taken")
@@ -376,8 +361,11 @@
 	now := u.pool.node.Clock.Now()
 	u.pool.mu.Lock()
 	load := u.pool.core.LoadOf(s.Worker, now)
+	if load.Allowed {
+		u.pool.core.Cordon(s.Worker, true)
+	}
 	u.pool.mu.Unlock()
-	if load.Known && !load.Allowed {
+	if !load.Allowed {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
@@ -386,6 +374,9 @@
 	u.pool.log.Info().Err(err).Str("wave", w.ID).Str("machine", s.Machine).Str("worker", s.Worker).Str("outcome", string(outcome)).
 		Bool("idle", load.Idle).Dur("lost", load.Lost).Int("lasting", load.Lasting).Msg("upkeep ordered")
 	if outcome != platform.MachineAccepted {
+		u.pool.mu.Lock()
+		u.pool.core.Cordon(s.Worker, false)
+		u.pool.mu.Unlock()
 		return
 	}
 	u.mu.Lock()
