fix(upkeep): spread tasks of one step over workers, also when a wave has to wait for it

Cause: waves left machines on which two tasks of one long-running step ran: with at most one away, the worker might never be ended. Change: placement keeps tasks of a step apart; when a wave is pressed, one of the two is stopped and goes on elsewhere.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -391,3 +391,26 @@
 		t.Errorf("worker whose ends are recorded: got not idle, want idle")
 	}
 }
+
+// Guards against a worker that may never be maintained because two tasks of one step run on it.
+func TestSpreadSeparatesTasksOfAStep(t *testing.T) {
+	b := newBench(t, 1)
+	serving := oneTask(1000)
+	serving.Tasks, serving.LongRunning, serving.MaxUnavailable = 2, true, 1
+	b.addJob("j", serving)
+	b.percent = 100
+	b.pass(time.Second)
+	b.addWorker("w1")
+	b.pass(time.Second)
+	if b.pool.LoadOf("w0", b.now).Allowed {
+		t.Fatalf("with both tasks on the worker: got allowed, want forbidden")
+	}
+	if !b.pool.Spread("w0", b.now) {
+		t.Fatalf("spread: got false, want true")
+	}
+	b.pass(time.Second)
+	wantCount(t, "tasks on the other worker", len(b.present["w1"]), 1)
+	if !b.pool.LoadOf("w0", b.now).Allowed {
+		t.Errorf("with one task on each worker: got forbidden, want allowed")
+	}
+}
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -277,6 +277,7 @@
 	scoreSuspect    = 50
 	scoreFailures   = 5
 	scoreFar        = 20
+	scoreSibling    = 10
 	scoreSlow       = 8
 )
 
@@ -286,6 +287,8 @@
 	if t.step.LongRunning {
 		// Long-running tasks disturb each other, and a failure of a worker ends fewer of them when they are spread.
 		score = -score
+		// Tasks of one step on one worker would be unavailable together.
+		score += scoreSibling * float64(p.onWorker(t, w))
 	}
 	if slices.Contains(t.avoid, w.ID) {
 		score += scoreFailedHere
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -8,7 +8,8 @@
 // Load is what the end of a worker would cost now.
 type Load struct {
 	// Known is false for a worker that is not in the pool.
-	Known bool
+	Known  bool
+	Worker string
 	// Idle workers run nothing and have no ends that are not recorded.
 	Idle bool
 	// Lost is the time that finite tasks have run on the worker.
@@ -37,42 +38,71 @@
 		// The ends are lost with the worker.
 		return Load{Known: true}
 	}
-	l := Load{Known: true, Idle: len(w.runs) == 0, Allowed: true, FreeCPU: w.free().CPU}
+	l := Load{Known: true, Worker: id, Idle: len(w.runs) == 0, Allowed: true, FreeCPU: w.free().CPU}
 	for _, x := range w.runs {
 		if !x.task.step.LongRunning {
 			l.Lost += now.Sub(x.orderedAt)
 			continue
 		}
 		l.Lasting++
-		if away, ok := p.mayStop(x, w); !ok {
+		if away := p.away(x, w); x.task.step.MaxUnavailable > 0 && len(away) >= x.task.step.MaxUnavailable {
 			l.Allowed = false
-			l.Reason = fmt.Sprintf("job %s step %d: %d tasks away, at most %d", x.task.id.Job, x.task.id.Step, away, x.task.step.MaxUnavailable)
+			l.Reason = fmt.Sprintf("job %s step %d: at most %d away, task %s", x.task.id.Job, x.task.id.Step, x.task.step.MaxUnavailable, away[0])
 		}
 	}
 	return l
 }
 
-// mayStop reports whether an order may make a run of a long-running step unavailable; runs on the same worker would end with it.
-func (p *Pool) mayStop(x *run, w *worker) (away int, ok bool) {
-	if x.task.step.MaxUnavailable == 0 {
-		// Steps without the bound, such as fillers, are not protected.
-		return 0, true
-	}
+// away tells which other tasks of a long-running run's step are not at work, or would end with the run's worker. Steps without
+// a bound, such as fillers, are not protected.
+func (p *Pool) away(x *run, w *worker) []string {
+	var away []string
 	for _, t := range x.task.job.occurrences[x.task.id.Occurrence].steps[x.task.id.Step].tasks {
 		if t == x.task {
 			continue
 		}
-		if !t.atWork() || (len(t.runs) > 0 && t.runs[0].worker == w) {
-			away++
+		if why := t.notAtWork(w); why != "" {
+			away = append(away, fmt.Sprintf("%d %s", t.id.Index, why))
 		}
 	}
-	return away, away < x.task.step.MaxUnavailable
+	return away
 }
 
-// atWork reports whether a long-running task serves.
-func (t *task) atWork() bool {
+// notAtWork says why a long-running task would not serve without a worker; it is empty for one that would.
+func (t *task) notAtWork(without *worker) string {
+	if len(t.runs) == 0 {
+		return "waits"
+	}
+	why := ""
 	for _, x := range t.runs {
-		if x.phase == present && x.percent >= 100 && !x.worker.cordoned {
+		switch {
+		case x.worker == without:
+			why = "is on the same worker"
+		case x.worker.cordoned:
+			why = "is on " + x.worker.ID + ", which is ended too"
+		case x.phase != present || x.percent < 100:
+			why = fmt.Sprintf("is at %d percent on %s", x.percent, x.worker.ID)
+		default:
+			return ""
+		}
+	}
+	return why
+}
+
+// Spread stops a long-running task on a worker that runs another one of the same step, so that it goes on elsewhere and the
+// worker may be ended later; it reports whether it stopped one.
+func (p *Pool) Spread(id string, now time.Time) bool {
+	w := p.workers[id]
+	if w == nil {
+		return false
+	}
+	for _, x := range w.sorted() {
+		limit := x.task.step.MaxUnavailable
+		if !x.task.step.LongRunning || limit == 0 || x.phase != present || p.onWorker(x.task, w) < 2 || len(p.away(x, nil)) >= limit {
+			continue
+		}
+		if other := p.choose(x.task, x.task.step.Reserved(), now, nil); other != nil && other != w {
+			p.stop(x, "another task of its step is on the worker")
 			return true
 		}
 	}
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -42,7 +42,7 @@
 	slices.SortStableFunc(list, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(a.Machine, b.Machine))
 	})
-	pressed := pressed(in)
+	pressed := Pressed(in)
 	var choices []string
 	lasting := false
 	for _, c := range list {
@@ -66,8 +66,8 @@
 	return choices
 }
 
-// pressed reports whether the machines that are left need all the time that is left.
-func pressed(in Input) bool {
+// Pressed reports whether the machines that are left need all the time that is left.
+func Pressed(in Input) bool {
 	rounds := (in.Left + in.MaxDown - 1) / in.MaxDown
 	// Machines of one pool follow each other where their tasks must not be away together.
 	rounds = max(rounds, len(in.Candidates))
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -293,7 +293,19 @@
 	return in, machines, held
 }
 
-// explainEvery is how often a waiting wave is explained in the log.
+// spread separates tasks of one step that forbid the upkeep of their worker.
+func (u *upkeeps) spread(in upkeep.Input, now time.Time) {
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	for _, c := range in.Candidates {
+		if !c.Load.Allowed && u.pool.core.Spread(c.Load.Worker, now) {
+			u.pool.kick()
+			return
+		}
+	}
+}
+
+// explainEvery is how often a waiting wave is explained in the log and helped.
 const explainEvery = time.Second
 
 // explain writes why machines of a wave wait.
@@ -302,6 +314,9 @@
 		return
 	}
 	u.explained = now
+	if upkeep.Pressed(in) {
+		u.spread(in, now)
+	}
 	busy, forbidden, reason := 0, 0, ""
 	for _, c := range in.Candidates {
 		if !c.Load.Allowed {
