--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -409,8 +409,25 @@
 		t.Fatalf("spread: got false, want true")
 	}
 	b.pass(time.Second)
+	b.record()
 	wantCount(t, "tasks on the other worker", len(b.present["w1"]), 1)
 	if !b.pool.LoadOf("w0", b.now).Allowed {
 		t.Errorf("with one task on each worker: got forbidden, want allowed")
 	}
 }
+
+// Guards against an order that ends a task while another one of its step is on a worker that has gone silent: its lease still
+// holds, but it is not known to serve.
+func TestTasksOnSilentWorkersAreAway(t *testing.T) {
+	b := newBench(t, 2)
+	serving := oneTask(1000)
+	serving.Tasks, serving.LongRunning, serving.MaxPerWorker, serving.MaxUnavailable = 2, true, 1, 1
+	b.addJob("j", serving)
+	b.percent = 100
+	b.pass(time.Second)
+	b.silent["w1"] = true
+	b.pass(2 * time.Second)
+	if b.pool.LoadOf("w0", b.now).Allowed {
+		t.Errorf("with the other worker silent: got allowed, want forbidden")
+	}
+}
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		l.Lasting++
-		if away := p.away(x, w); x.task.step.MaxUnavailable > 0 && len(away) >= x.task.step.MaxUnavailable {
+		if away := p.away(x, w, now); x.task.step.MaxUnavailable > 0 && len(away) >= x.task.step.MaxUnavailable {
 			l.Allowed = false
 			l.Reason = fmt.Sprintf("job %s step %d: at most %d away, task %s", x.task.id.Job, x.task.id.Step, x.task.step.MaxUnavailable, away[0])
 		}
@@ -55,13 +55,13 @@
 
 // away tells which other tasks of a long-running run's step are not at work, or would end with the run's worker. Steps without
 // a bound, such as fillers, are not protected.
-func (p *Pool) away(x *run, w *worker) []string {
+func (p *Pool) away(x *run, w *worker, now time.Time) []string {
 	var away []string
 	for _, t := range x.task.job.occurrences[x.task.id.Occurrence].steps[x.task.id.Step].tasks {
 		if t == x.task {
 			continue
 		}
-		if why := t.notAtWork(w); why != "" {
+		if why := t.notAtWork(w, now, p.Settings.Silence); why != "" {
 			away = append(away, fmt.Sprintf("%d %s", t.id.Index, why))
 		}
 	}
@@ -69,7 +69,7 @@
 }
 
 // notAtWork says why a long-running task would not serve without a worker; it is empty for one that would.
-func (t *task) notAtWork(without *worker) string {
+func (t *task) notAtWork(without *worker, now time.Time, silence time.Duration) string {
 	if len(t.runs) == 0 {
 		return "waits"
 	}
@@ -80,6 +80,8 @@
 			why = "is on the same worker"
 		case x.worker.cordoned:
 			why = "is on " + x.worker.ID + ", which is ended too"
+		case now.Sub(x.worker.heard) > silence:
+			why = "is on " + x.worker.ID + ", which is silent"
 		case x.phase != present || x.percent < 100:
 			why = fmt.Sprintf("is at %d percent on %s", x.percent, x.worker.ID)
 		default:
@@ -98,7 +100,7 @@
 	}
 	for _, x := range w.sorted() {
 		limit := x.task.step.MaxUnavailable
-		if !x.task.step.LongRunning || limit == 0 || x.phase != present || p.onWorker(x.task, w) < 2 || len(p.away(x, nil)) >= limit {
+		if !x.task.step.LongRunning || limit == 0 || x.phase != present || p.onWorker(x.task, w) < 2 || len(p.away(x, nil, now)) >= limit {
 			continue
 		}
 		if other := p.choose(x.task, x.task.step.Reserved(), now, nil); other != nil && other != w {
