--- /dev/null
+++ b/fleet/sizing/sizing_test.go
@@ -0,0 +1,63 @@
+package sizing_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/sizing"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+const machineCPU = 10000
+
+func at(offset time.Duration, machines int, demand int64, idle ...string) sizing.Input {
+	return sizing.Input{Now: start.Add(offset), Machines: machines, Home: 3, MachineCPU: machineCPU, Demand: demand, Idle: idle}
+}
+
+func wantInt(t *testing.T, what string, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %d, want %d", what, got, want)
+	}
+}
+
+// Guards against work that waits while machines are off.
+func TestTakesWhatIsMissing(t *testing.T) {
+	var tracker sizing.Tracker
+	wantInt(t, "take", tracker.Decide(at(0, 3, 5*machineCPU)).Take, 3)
+	in := at(time.Second, 3, 5*machineCPU)
+	in.Incoming = 3
+	wantInt(t, "take with machines on their way", tracker.Decide(in).Take, 0)
+}
+
+// Guards against machines that go back and forth with each short pause of demand.
+func TestGivesBackAfterALinger(t *testing.T) {
+	var tracker sizing.Tracker
+	tracker.Decide(at(0, 5, 4*machineCPU))
+	wantInt(t, "release at once", len(tracker.Decide(at(500*time.Millisecond, 5, 0, "a", "b", "c")).Release), 0)
+	wantInt(t, "release after the linger", len(tracker.Decide(at(1500*time.Millisecond, 5, 0, "a", "b", "c")).Release), 2)
+	wantInt(t, "release of home machines", len(tracker.Decide(at(2*time.Second, 3, 0, "a", "b", "c")).Release), 0)
+}
+
+// Guards against a pool that gives away what it needs itself.
+func TestLendsOnlyWhatIsIdleBeyondItsNeed(t *testing.T) {
+	var tracker sizing.Tracker
+	in := at(time.Minute, 4, machineCPU/2, "a", "b", "c")
+	in.Others = []sizing.Shortage{{Pool: "other", Missing: 5, Since: start, Last: start}}
+	loans := tracker.Decide(in).Lend
+	wantInt(t, "loans", len(loans), 2)
+	tracker.Decide(at(time.Minute, 4, 8*machineCPU))
+	in.Now = start.Add(time.Minute + time.Second)
+	wantInt(t, "loans after an own shortage", len(tracker.Decide(in).Lend), 0)
+}
+
+// Guards against a pool that fills up with machines while others are short, and while its own come back from upkeep.
+func TestRefillsWhenNobodyIsShort(t *testing.T) {
+	var tracker sizing.Tracker
+	wantInt(t, "refill at once", tracker.Decide(at(0, 2, 0)).Refill, 0)
+	wantInt(t, "refill after a while", tracker.Decide(at(4*time.Second, 2, 0)).Refill, 1)
+	in := at(5*time.Second, 2, 0)
+	in.Others = []sizing.Shortage{{Pool: "other", Missing: 1, Since: in.Now, Last: in.Now}}
+	wantInt(t, "refill while another pool is short", tracker.Decide(in).Refill, 0)
+}
--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -9,6 +9,7 @@
 	"verbenalanding.example/verbenabench/capacity"
 	"verbenalanding.example/verbenabench/entry"
 	"verbenalanding.example/verbenabench/flood"
+	"verbenalanding.example/verbenabench/jobload"
 	"verbenalanding.example/verbenabench/moves"
 	"verbenalanding.example/verbenabench/placement"
 	"verbenalanding.example/verbenabench/platform"
@@ -29,6 +30,7 @@
 		{"assignment", "Compare a balanced stream assignment with shared dispatch", &assignmentCommand{streams: s}},
 		{"placement", "Place jobs and compare the policy with first fit", &placementCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
+		{"jobs", "Put jobs on entry instances beside the stand-in of the users' platform", &jobsCommand{streams: s}},
 		{"platform", "Serve the stand-ins of the platform over TCP until interrupted", &platformCommand{streams: s}},
 	}
 }
@@ -45,6 +47,28 @@
 	Deployment string `long:"deployment" default:"cascade" description:"deployment to measure"`
 }
 
+type jobsCommand struct {
+	streams
+	common
+	Nodes     int           `long:"nodes" default:"3" description:"entry instances"`
+	Machines  int           `long:"machines" default:"8" description:"machines of the pool"`
+	PerSecond float64       `long:"per-second" default:"20" description:"jobs a second"`
+	Duration  time.Duration `long:"duration" default:"5s" description:"time for which jobs are submitted"`
+	Kill      bool          `long:"kill-holder" description:"measure a second run in which the pool's holder is killed halfway"`
+}
+
+// Execute runs the measurement.
+func (c *jobsCommand) Execute([]string) error {
+	l := jobload.Load{
+		Seed: uint64(c.Seed), Nodes: c.Nodes, Machines: c.Machines, PerSecond: c.PerSecond, Duration: c.Duration, KillHolders: c.Kill,
+	}
+	rows, err := l.Run(c.ctx)
+	if err != nil {
+		return err
+	}
+	return jobload.Write(c.out, rows, c.JSON)
+}
+
 type floodCommand struct {
 	streams
 	site
--- /dev/null
+++ b/verbenabench/jobload/jobload.go
@@ -0,0 +1,177 @@
+package jobload
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
+	"verbenalanding.example/verbenaentry/node"
+	"verbenalanding.example/verbenaentry/trial"
+)
+
+// Load is a measurement. Set the exported fields before Run.
+type Load struct {
+	Seed     uint64
+	Nodes    int
+	Machines int
+	// PerSecond is the rate of jobs, Duration how long they are submitted.
+	PerSecond float64
+	Duration  time.Duration
+	// KillHolders also measures a run in which the holder of a pool is killed halfway.
+	KillHolders bool
+}
+
+// Default returns l with unset fields filled.
+func (l Load) Default() Load {
+	l.Seed = cmp.Or(l.Seed, 1)
+	l.Nodes = cmp.Or(l.Nodes, 3)
+	l.Machines = cmp.Or(l.Machines, 8)
+	l.PerSecond = cmp.Or(l.PerSecond, 20)
+	l.Duration = cmp.Or(l.Duration, 5*time.Second)
+	return l
+}
+
+// Row is the outcome of one run; times are in milliseconds.
+type Row struct {
+	Run         string  `json:"run"`
+	Jobs        int     `json:"jobs"`
+	PerSecond   float64 `json:"jobsPerSecond"`
+	AcceptedP50 float64 `json:"acceptedP50Ms"`
+	AcceptedP99 float64 `json:"acceptedP99Ms"`
+	StartP50    float64 `json:"firstStartP50Ms"`
+	StartP99    float64 `json:"firstStartP99Ms"`
+	ShownP50    float64 `json:"shownCompletedP50Ms"`
+	ShownP99    float64 `json:"shownCompletedP99Ms"`
+	StoreCalls  float64 `json:"storeCallsPerJob"`
+	Broken      int     `json:"brokenPromises"`
+}
+
+// pool is the pool that takes the load.
+const pool = "cutting"
+
+// Run measures a calm run, and one with a lost holder when asked.
+func (l Load) Run(ctx context.Context) ([]Row, error) {
+	l = l.Default()
+	names := []string{"calm"}
+	if l.KillHolders {
+		names = append(names, "holder killed")
+	}
+	var rows []Row
+	for i, name := range names {
+		row, err := l.once(ctx, i == 1)
+		if err != nil {
+			return rows, fmt.Errorf("%s: %w", name, err)
+		}
+		row.Run = name
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// times collects durations in microseconds.
+type times struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newTimes() *times {
+	return &times{h: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+}
+
+func (t *times) add(d time.Duration) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.h.RecordValue(max(1, d.Microseconds()))
+}
+
+func (t *times) at(quantile float64) float64 {
+	return float64(t.h.ValueAtQuantile(quantile)) / 1000
+}
+
+func (l Load) once(ctx context.Context, kill bool) (Row, error) {
+	f := &trial.Fleet{
+		Nodes: l.Nodes, Flags: node.Flags{DutyTTL: 2500 * time.Millisecond, WorkerLease: 3500 * time.Millisecond, LogLevel: "error"},
+		Platform: &standin.Platform{
+			Seed: l.Seed, Pools: map[string]int{pool: l.Machines, "spare": 1}, Standby: "spare",
+			Room: wire.Room{CPU: 16000, MemMb: 64000}, Tick: 2 * time.Millisecond,
+		},
+	}
+	if err := f.Start(ctx); err != nil {
+		return Row{}, err
+	}
+	defer f.Close()
+	accepted, started, shown := newTimes(), newTimes(), newTimes()
+	random := rand.New(rand.NewPCG(l.Seed, 3))
+	var group errgroup.Group
+	began := time.Now()
+	jobs := 0
+	for at := time.Duration(0); at < l.Duration; at += time.Duration(random.ExpFloat64() / l.PerSecond * float64(time.Second)) {
+		time.Sleep(time.Until(began.Add(at)))
+		j := &standin.Job{ID: fmt.Sprintf("%016x", jobs+1), Took: time.Duration(50+random.IntN(200)) * time.Millisecond, Job: wire.Job{
+			Spec: "load", Steps: []wire.Step{{Count: 1 + random.IntN(6), CPU: 1000, MemMb: 512, EstimateMs: 150}, {Count: 1, CPU: 1000, MemMb: 512, EstimateMs: 150, After: []int{0}}},
+		}}
+		jobs++
+		group.Go(func() error { return serve(ctx, f, j, accepted, started, shown) })
+		if kill && at > l.Duration/2 {
+			kill = false
+			if i := f.Holder(pool); i >= 0 {
+				f.Kill(i)
+			}
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return Row{}, err
+	}
+	calls := 0
+	for _, n := range f.Platform.Store.Calls() {
+		calls += n
+	}
+	return Row{
+		Jobs: jobs, PerSecond: float64(jobs) / time.Since(began).Seconds(),
+		AcceptedP50: accepted.at(50), AcceptedP99: accepted.at(99), StartP50: started.at(50), StartP99: started.at(99),
+		ShownP50: shown.at(50), ShownP99: shown.at(99), StoreCalls: float64(calls) / float64(jobs), Broken: len(f.Platform.Violations()),
+	}, nil
+}
+
+func serve(ctx context.Context, f *trial.Fleet, j *standin.Job, accepted, started, shown *times) error {
+	began := time.Now()
+	ok, err := f.Submit(ctx, pool, j)
+	if err != nil || !ok {
+		return fmt.Errorf("job %s not accepted: %w", j.ID, err)
+	}
+	if err := accepted.add(time.Since(began)); err != nil {
+		return err
+	}
+	if err := f.Await(ctx, pool, j.ID, "completed"); err != nil {
+		return err
+	}
+	if err := shown.add(time.Since(began)); err != nil {
+		return err
+	}
+	return started.add(f.Platform.FirstStart(j.ID).Sub(began))
+}
+
+// Write prints rows as a table, or as JSON.
+func Write(out io.Writer, rows []Row, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(out).Encode(rows)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "run\tjobs\tjobs/s\taccepted p50 ms\tp99\tfirst start p50\tp99\tshown completed p50\tp99\tstore calls a job\tbroken promises")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\n", r.Run, r.Jobs, r.PerSecond, r.AcceptedP50, r.AcceptedP99,
+			r.StartP50, r.StartP99, r.ShownP50, r.ShownP99, r.StoreCalls, r.Broken)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/verbenaentry/logs/logs_test.go
@@ -0,0 +1,79 @@
+package logs_test
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/verbenaentry/logs"
+)
+
+// stalled is an output whose reader does not read until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.content.Write(p)
+}
+
+// Guards against decisions that wait for a reader of the log, and against lines that are left out without a count.
+func TestStalledOutputNeverBlocks(t *testing.T) {
+	out := &stalled{release: make(chan struct{})}
+	w := logs.NewWriter(out)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return w.Run(ctx) })
+	const lines = 10000
+	began := time.Now()
+	for range lines {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatalf("write: got %v, want none", err)
+		}
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("writing beside a stalled reader: took %v, want less than 1s", took)
+	}
+	if w.Dropped() == 0 {
+		t.Errorf("lines left out: got 0, want some")
+	}
+	close(out.release)
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Errorf("writer: got %v, want none", err)
+	}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	written := int64(bytes.Count(out.content.Bytes(), []byte("line\n")))
+	if got := written + w.Dropped(); got != lines {
+		t.Errorf("lines written and left out: got %d, want %d", got, lines)
+	}
+}
+
+// Guards against a flood of lines of one kind.
+func TestBudgetBoundsAFlood(t *testing.T) {
+	b := logs.Budget{PerSecond: 3}
+	now := time.Unix(100, 0)
+	allowed := 0
+	for range 10 {
+		if _, ok := b.Allow(now); ok {
+			allowed++
+		}
+	}
+	if allowed != 3 {
+		t.Errorf("lines in a second: got %d, want 3", allowed)
+	}
+	leftOut, ok := b.Allow(now.Add(time.Second))
+	if !ok || leftOut != 7 {
+		t.Errorf("first line of the next second: got %v with %d left out, want it with 7", ok, leftOut)
+	}
+}
