feat(dispatch): a holder that leaves tells its successor which runs may be present

Change: a holder that leaves records its ends and writes the runs that may be present; its successor deletes that record and holds back only those. It is written only when all ends are recorded and all runs are known. Nodes that were started lately take vacant duties first, since their turn in a rolling restart is over.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -113,9 +113,11 @@
 	tickets map[stepKey]*ticketSet
 	// unsureUntil is the end of the time in which a lost holder's runs may be present on workers that were not heard.
 	unsureUntil time.Time
-	began       time.Time
-	actions     []Action
-	dirty       map[string]*job
+	// mayRun holds the workers on which the holder before had runs; nil when it has not told.
+	mayRun  map[workload.TaskID]string
+	began   time.Time
+	actions []Action
+	dirty   map[string]*job
 }
 
 // Event tells a decision for the log.
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -431,3 +431,38 @@
 		t.Errorf("with the other worker silent: got allowed, want forbidden")
 	}
 }
+
+// Guards against a pool that stands still after a planned hand-over beside a silent worker: only the tasks that may run there wait.
+func TestHandoverTellsWhatMayRun(t *testing.T) {
+	b := newBench(t, 2)
+	step := oneTask(16000)
+	step.Tasks = 3
+	b.addJob("j", step)
+	b.plan()
+	handover, ok := b.pool.Handover(b.now)
+	if !ok {
+		t.Fatalf("handover: got none, want one")
+	}
+	b.silent["w0"] = true
+	b.takeOver()
+	b.pool.Follow(handover, b.now)
+	b.pool.AddJob(workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{step}, Accepted: b.now}, nil, true, b.now)
+	for id := range b.present {
+		b.addWorker(id)
+	}
+	b.report()
+	for id := range b.present["w1"] {
+		b.end("w1", id, workload.EndDone)
+	}
+	b.starts = nil
+	b.pass(time.Second)
+	wantCount(t, "starts beside a silent worker", len(b.starts), 1)
+	if got := len(b.present["w0"]); got != 1 {
+		t.Fatalf("runs on the silent worker: got %d, want 1", got)
+	}
+	for id := range b.present["w0"] {
+		if b.starts[0].Task == id {
+			t.Errorf("start: got %v, which may run on the silent worker", id)
+		}
+	}
+}
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -350,9 +350,21 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"job":     func(*rapid.T) { m.addJob() },
-			"record":  func(*rapid.T) { m.record() },
-			"holder":  func(*rapid.T) { m.takeOver() },
+			"job":    func(*rapid.T) { m.addJob() },
+			"record": func(*rapid.T) { m.record() },
+			"holder": func(*rapid.T) { m.takeOver() },
+			"leave": func(*rapid.T) {
+				if rapid.Bool().Draw(m.t, "recorded") {
+					batch := m.pool.Batch()
+					m.keep(batch)
+					m.pool.Recorded(batch)
+				}
+				h, ok := m.pool.Handover(m.now)
+				m.takeOver()
+				if ok {
+					m.pool.Follow(h, m.now)
+				}
+			},
 			"wait":    func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(10, 2500).Draw(t, "ms")) * time.Millisecond) },
 			"reports": func(*rapid.T) { m.tick(4) },
 			"end":     func(t *rapid.T) { m.endOne(t) },
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -64,7 +64,9 @@
 }
 
 // waiting reports whether a task can be started now.
-func (p *Pool) waiting(t *task) bool { return !t.done && len(t.runs) == 0 }
+func (p *Pool) waiting(t *task, heard bool, now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && !p.unsure(t, heard, now)
+}
 
 func (p *Pool) candidates(now time.Time) []candidate {
 	heard := p.allHeard(now)
@@ -91,10 +93,10 @@
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		begun = begun || st.done > 0 || !st.began.IsZero()
-		if !st.ready || st.done == len(st.tasks) || (j.restored && !heard) {
+		if !st.ready || st.done == len(st.tasks) {
 			continue
 		}
-		if anyWaiting(st) {
+		if slices.ContainsFunc(st.tasks, func(t *task) bool { return p.waiting(t, heard, now) }) {
 			found = true
 			lasting = lasting || j.Steps[s].LongRunning
 		}
@@ -164,6 +166,7 @@
 
 // place starts the tasks of a candidate for which there is room.
 func (p *Pool) place(c candidate, now time.Time) {
+	heard := p.allHeard(now)
 	oc := &c.job.occurrences[c.occurrence]
 	for s := range oc.steps {
 		st := &oc.steps[s]
@@ -175,7 +178,7 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if !p.waiting(t) {
+			if !p.waiting(t, heard, now) {
 				continue
 			}
 			w := p.choose(t, t.step.Reserved(), now, nil)
@@ -308,8 +311,9 @@
 
 // placeGang starts all tasks of a gang at once, or none.
 func (p *Pool) placeGang(st *stepState, now time.Time) {
+	heard := p.allHeard(now)
 	for _, t := range st.tasks {
-		if !p.waiting(t) {
+		if !p.waiting(t, heard, now) {
 			return
 		}
 	}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -103,7 +103,11 @@
 		return
 	}
 	w.missing = now
-	p.note(Event{What: "worker registration gone", Worker: id, Age: now.Sub(w.heard)})
+	gone := Event{What: "worker registration gone", Worker: id}
+	if !w.heard.IsZero() {
+		gone.Age = now.Sub(w.heard)
+	}
+	p.note(gone)
 }
 
 // Terminated takes note of a proof that a worker's life has ended with all its runs.
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -32,6 +32,8 @@
 	heldDelay = 150 * time.Millisecond
 	// drawnDelay is the longest part of the delay that is drawn from the names of node and duty, so that nodes do not collide.
 	drawnDelay = 100 * time.Millisecond
+	// youngFor is how long a node takes vacant duties before older ones: in a rolling restart its turn is over.
+	youngFor = 20 * time.Second
 	// renewals is how many renewals fit into a lease.
 	renewals = 5
 	// safety is taken off the lease for the way of a last order to its receiver.
@@ -75,6 +77,7 @@
 	until    time.Time
 	listed   bool
 	leaving  bool
+	began    time.Time
 	group    *errgroup.Group
 	lastTold map[string]string
 }
@@ -93,6 +96,7 @@
 
 // Run takes and keeps duties until the context ends.
 func (t *Tenure) Run(ctx context.Context) error {
+	t.began = t.Clock()
 	t.TTL = cmp.Or(t.TTL, 2500*time.Millisecond)
 	t.seen, t.vacant, t.held, t.lastTold = map[string]Duty{}, map[string]time.Time{}, map[string]*holding{}, map[string]string{}
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -332,7 +336,11 @@
 
 func (t *Tenure) delay(name string) time.Duration {
 	drawn := xxhash.Sum64String(t.Self.Node+"\x00"+name) % 1000
-	return time.Duration(len(t.held))*heldDelay + drawnDelay*time.Duration(drawn)/1000
+	delay := time.Duration(len(t.held))*heldDelay + drawnDelay*time.Duration(drawn)/1000
+	if t.Clock().Sub(t.began) > youngFor {
+		delay += drawnDelay
+	}
+	return delay
 }
 
 // take writes the duty's key under the lease of this node.
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -117,6 +117,7 @@
 	if err != nil {
 		return err
 	}
+	p.readHandover(ctx)
 	group, groupCtx := errgroup.WithContext(ctx)
 	p.group = group
 	jobs := &jobFollower{pool: p, records: records}
@@ -150,6 +151,7 @@
 	_ = p.orders.Wait()
 	if errors.Is(context.Cause(ctx), errLeaving) {
 		p.writeLast(ctx)
+		p.handOver(ctx)
 	}
 	p.log.Info().Err(context.Cause(ctx)).Dur("held", n.Clock.Now().Sub(p.began)).Msg("duty ended")
 	return err
