perf(dispatch): no sorting of workers for each task, and a pause in proportion to a plan

Change: the ordered list is kept until a worker comes or goes; tasks that fit on no worker are passed over; after a plan the holder rests twice as long as it took; nodes with more processors take vacant duties first.

--- a/fleet/dispatch/advice.go
+++ b/fleet/dispatch/advice.go
@@ -65,9 +65,8 @@
 // worthAsking returns the emptiest workers that could run the task and were not denied.
 func (p *Pool) worthAsking(t *task, s *ticketSet, now time.Time) []string {
 	var list []*worker
-	for _, id := range p.WorkerIDs() {
-		w := p.workers[id]
-		if p.usable(w, now) && !s.denied[id] && w.Room.Fits(t.step.Reserved()) && (t.step.RequiredLabel == "" || slices.Contains(w.Labels, t.step.RequiredLabel)) {
+	for _, w := range p.ordered() {
+		if p.usable(w, now) && !s.denied[w.ID] && w.Room.Fits(t.step.Reserved()) && (t.step.RequiredLabel == "" || slices.Contains(w.Labels, t.step.RequiredLabel)) {
 			list = append(list, w)
 		}
 	}
--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -24,8 +24,7 @@
 func (p *Pool) Demand(now time.Time) Demand {
 	var d Demand
 	var idle []*worker
-	for _, id := range p.WorkerIDs() {
-		w := p.workers[id]
+	for _, w := range p.ordered() {
 		d.Used += w.used.CPU
 		if w.Draining || !w.missing.IsZero() {
 			continue
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -107,6 +107,10 @@
 
 	queues  map[string]workload.Queue
 	workers map[string]*worker
+	// roomiest is the largest free CPU of a worker that takes starts; -1 when there is none.
+	roomiest int64
+	// order holds the workers by id; nil after a change.
+	order   []*worker
 	jobs    map[string]*job
 	active  []*job
 	learned map[string]*figures
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -26,9 +26,9 @@
 			}
 		}
 	}
-	for _, id := range p.WorkerIDs() {
-		for _, x := range p.workers[id].sorted() {
-			h.Runs[id] = append(h.Runs[id], x.task.id)
+	for _, w := range p.ordered() {
+		for _, x := range w.sorted() {
+			h.Runs[w.ID] = append(h.Runs[w.ID], x.task.id)
 		}
 	}
 	return h, true
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -24,6 +24,7 @@
 	p.checkLeases(now)
 	p.repeatStops(now)
 	p.replaceDraining(now)
+	p.measureRoom(now)
 	for _, c := range p.candidates(now) {
 		p.place(c, now)
 	}
@@ -33,8 +34,7 @@
 }
 
 func (p *Pool) repeatStops(now time.Time) {
-	for _, id := range p.WorkerIDs() {
-		w := p.workers[id]
+	for _, w := range p.ordered() {
 		for _, x := range w.runs {
 			if x.phase == stopping && now.Sub(x.stopSent) >= p.Settings.StopRepeat {
 				x.stopSent = now
@@ -46,8 +46,7 @@
 
 // replaceDraining ends the long-running tasks on workers that leave, one of a step after the other, so that they go on elsewhere.
 func (p *Pool) replaceDraining(now time.Time) {
-	for _, id := range p.WorkerIDs() {
-		w := p.workers[id]
+	for _, w := range p.ordered() {
 		if !w.Draining {
 			continue
 		}
@@ -181,7 +180,10 @@
 			if !p.waiting(t, heard, now) {
 				continue
 			}
-			w := p.choose(t, t.step.Reserved(), now, nil)
+			var w *worker
+			if t.step.Reserved().CPU <= p.roomiest {
+				w = p.choose(t, t.step.Reserved(), now, nil)
+			}
 			if w == nil && t.step.LongRunning && !t.step.Fills {
 				p.makeRoom(t, now)
 			}
@@ -190,6 +192,17 @@
 				break
 			}
 			p.start(t, w, p.nextRun(t), now)
+			p.measureRoom(now)
+		}
+	}
+}
+
+// measureRoom takes note of the largest free room, so that tasks that fit nowhere are passed over at once.
+func (p *Pool) measureRoom(now time.Time) {
+	p.roomiest = -1
+	for _, w := range p.ordered() {
+		if p.usable(w, now) {
+			p.roomiest = max(p.roomiest, w.free().CPU)
 		}
 	}
 }
@@ -229,8 +242,7 @@
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
 		return nil
 	}
-	for _, id := range p.WorkerIDs() {
-		w := p.workers[id]
+	for _, w := range p.ordered() {
 		if !p.usable(w, now) || !p.admits(w, t, now) {
 			continue
 		}
@@ -346,8 +358,7 @@
 	for i, t := range st.tasks {
 		chosen[i] = nil
 		need := t.step.Reserved()
-		for _, id := range p.WorkerIDs() {
-			w := p.workers[id]
+		for _, w := range p.ordered() {
 			if rack != "" && w.Rack != rack {
 				continue
 			}
@@ -386,8 +397,7 @@
 	need := t.step.Reserved()
 	var best *worker
 	var bestLoss time.Duration
-	for _, id := range p.WorkerIDs() {
-		w := p.workers[id]
+	for _, w := range p.ordered() {
 		if !p.usable(w, now) || !p.admits(w, t, now) {
 			continue
 		}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -83,7 +84,7 @@
 	w := p.workers[info.ID]
 	if w == nil {
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1}
-		p.workers[info.ID] = w
+		p.addWorker(w)
 		p.note(Event{What: "worker added", Worker: info.ID})
 		return
 	}
@@ -117,7 +118,7 @@
 		return
 	}
 	p.endAll(w, reason)
-	delete(p.workers, id)
+	p.removeWorker(id)
 	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
 }
 
@@ -191,23 +192,43 @@
 	}
 }
 
-// WorkerIDs returns the ids of the workers of the pool.
+// WorkerIDs returns the ids of the workers of the pool, in order.
 func (p *Pool) WorkerIDs() []string {
 	ids := make([]string, 0, len(p.workers))
-	for id := range p.workers {
-		ids = append(ids, id)
+	for _, w := range p.ordered() {
+		ids = append(ids, w.ID)
 	}
-	slices.Sort(ids)
 	return ids
 }
 
+// ordered returns the workers by id; the list is made anew when a worker was added or removed.
+func (p *Pool) ordered() []*worker {
+	if p.order == nil {
+		p.order = make([]*worker, 0, len(p.workers))
+		for _, w := range p.workers {
+			p.order = append(p.order, w)
+		}
+		slices.SortFunc(p.order, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return p.order
+}
+
+func (p *Pool) addWorker(w *worker) {
+	p.workers[w.ID] = w
+	p.order = nil
+}
+
+func (p *Pool) removeWorker(id string) {
+	delete(p.workers, id)
+	p.order = nil
+}
+
 // checkLeases declares the runs of workers lost whose lease has ended unheard, and forgets workers that left.
 func (p *Pool) checkLeases(now time.Time) {
-	for _, id := range p.WorkerIDs() {
-		w := p.workers[id]
+	for _, w := range p.ordered() {
 		silent := now.Sub(w.heard) > p.Settings.Silence
 		if len(w.runs) > 0 && now.After(w.leaseEnd) && (silent || p.abandoned(w, now)) {
-			p.note(Event{What: "worker lease ended", Worker: id, Age: now.Sub(w.heard)})
+			p.note(Event{What: "worker lease ended", Worker: w.ID, Age: now.Sub(w.heard)})
 			for _, r := range w.sorted() {
 				if !r.uncertain {
 					p.lose(r, "lease ended")
@@ -217,7 +238,7 @@
 			w.synced = false
 		}
 		if len(w.runs) == 0 && p.abandoned(w, now) && silent {
-			delete(p.workers, id)
+			p.removeWorker(w.ID)
 		}
 	}
 }
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -61,6 +61,8 @@
 	Self  Holder
 	// TTL is how long a duty stays with a holder that is not heard.
 	TTL time.Duration
+	// Cores is the node's share of processors; nodes with more of them take vacant duties first.
+	Cores float64
 	// Clock is a steady clock that also runs while the machine is suspended.
 	Clock func() time.Time
 	// Gained is called in a goroutine of the group when a duty was taken; its context ends when the duty is lost.
@@ -337,6 +339,7 @@
 func (t *Tenure) delay(name string) time.Duration {
 	drawn := xxhash.Sum64String(t.Self.Node+"\x00"+name) % 1000
 	delay := time.Duration(len(t.held))*heldDelay + drawnDelay*time.Duration(drawn)/1000
+	delay += time.Duration(max(0, 1-t.Cores) * float64(drawnDelay))
 	if t.Clock().Sub(t.began) > youngFor {
 		delay += drawnDelay
 	}
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -138,7 +138,7 @@
 
 func newTenure(s platform.Settings, f Flags, st *platform.Store, clock *steady.Clock, log zerolog.Logger) *tenure.Tenure {
 	return &tenure.Tenure{
-		Store: st, TTL: max(f.DutyTTL, s.MinLeaseTTL), Clock: clock.Now,
+		Store: st, Cores: s.Cores, TTL: max(f.DutyTTL, s.MinLeaseTTL), Clock: clock.Now,
 		Self: tenure.Holder{Node: s.Node, Session: rand.Text()[:8], Peer: netip.AddrPortFrom(s.IP, s.PeerPorts[0])},
 		Note: func(what, duty string, err error) {
 			level := zerolog.InfoLevel
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -31,6 +31,8 @@
 	planPause = 4 * time.Millisecond
 	// workerPause gathers the registrations of workers, each of which is written again with every heartbeat.
 	workerPause = 150 * time.Millisecond
+	// planRest is how many times longer than a plan took the pause after it is, so that orders and reports get the processor.
+	planRest = 2
 	// orderLimit is how many orders of a pool may be on their way at once.
 	orderLimit = 96
 	// decisionLines is the budget of log lines a second for decisions of a pool.
@@ -331,6 +333,7 @@
 			continue
 		}
 		now := p.node.Clock.Now()
+		began := time.Now()
 		p.mu.Lock()
 		var actions []dispatch.Action
 		if p.node.pools.get(p.name) == p {
@@ -347,7 +350,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(planPause):
+		case <-time.After(max(planPause, planRest*time.Since(began))):
 		}
 	}
 }
