--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -19,8 +19,6 @@
 	Silence time.Duration
 	// ClockRate is the slowest that a worker's clock may run.
 	ClockRate float64
-	// FarFactor is how many times longer a task takes away from its data.
-	FarFactor float64
 	// MissingEntry is how long a worker whose registration is gone is still held.
 	MissingEntry time.Duration
 	// StopRepeat is the time after which an unanswered stop is sent again.
@@ -39,7 +37,6 @@
 	s.Silence = cmp.Or(s.Silence, 1500*time.Millisecond)
 	// The platform states that a worker's clock may be 2% slow.
 	s.ClockRate = cmp.Or(s.ClockRate, 0.975)
-	s.FarFactor = cmp.Or(s.FarFactor, 3)
 	s.MissingEntry = cmp.Or(s.MissingEntry, 2500*time.Millisecond)
 	s.StopRepeat = cmp.Or(s.StopRepeat, 400*time.Millisecond)
 	s.MaxSuspect = cmp.Or(s.MaxSuspect, 16*time.Second)
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -466,3 +466,19 @@
 		}
 	}
 }
+
+// Guards against a start beyond the attempts: the failed run of a holder that did not know of its loss is listed while the next
+// holder's run is present, and it counts once its end is acknowledged.
+func TestFailedEndOfAnotherHoldersRunCounts(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("j", oneTask(16000))
+	b.plan()
+	other := map[string]string{"w0": "w1", "w1": "w0"}[b.where(task("j", 0, 0))]
+	b.present[other][task("j", 0, 0)] = 2
+	b.end(other, task("j", 0, 0), workload.EndFailed)
+	b.report()
+	b.end(b.where(task("j", 0, 0)), task("j", 0, 0), workload.EndFailed)
+	b.report()
+	b.record()
+	b.wantState("j", workload.Failed)
+}
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -124,20 +124,19 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	t.readySince = now
 	t.job.started = true
-	if x == nil && len(t.runs) > 0 && !t.step.Speculative {
-		// The run was given up when its worker's lease ended, and the task runs elsewhere.
-		return
-	}
-	if e.Checkpoint != "" {
+	// A stray run was given up when its worker's lease ended, or is another holder's; the task runs elsewhere.
+	stray := x == nil && len(t.runs) > 0 && !t.step.Speculative
+	if e.Checkpoint != "" && !stray {
 		t.checkpoint = e.Checkpoint
 		p.touch(t.job)
 	}
 	switch {
 	case t.step.LongRunning:
-	case e.How == workload.EndDone:
-		p.done(w, x, t, now)
 	case e.How == workload.EndFailed:
+		// The end of a stray run counts too: it is acknowledged like the others.
 		p.failed(w, t, e.Run, now)
+	case e.How == workload.EndDone && !stray:
+		p.done(w, x, t, now)
 	}
 }
 
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -20,8 +20,6 @@
 	Allowed bool
 	// Reason says which task keeps the worker from being ended.
 	Reason string
-	// FreeCPU is the room that is left, in thousandths of a core.
-	FreeCPU int64
 }
 
 // LoadOf returns what the end of a worker would cost.
@@ -38,7 +36,7 @@
 		// The ends are lost with the worker.
 		return Load{Known: true}
 	}
-	l := Load{Known: true, Worker: id, Idle: len(w.runs) == 0, Allowed: true, FreeCPU: w.free().CPU}
+	l := Load{Known: true, Worker: id, Idle: len(w.runs) == 0, Allowed: true}
 	for _, x := range w.runs {
 		if !x.task.step.LongRunning {
 			l.Lost += now.Sub(x.orderedAt)
--- a/fleet/workload/worker.go
+++ b/fleet/workload/worker.go
@@ -48,8 +48,6 @@
 // PoolTerms are the operator's terms for a pool of workers.
 type PoolTerms struct {
 	Name string
-	// Guards means that the pool's workers refuse what does not fit.
-	Guards bool
 	// Standby pools hold machines that are switched off and cost nothing.
 	Standby bool
 }
@@ -60,8 +58,6 @@
 	Queues       []Queue
 	Pools        []PoolTerms
 	MaxBodyBytes int64
-	HeaderWait   time.Duration
-	IdleWait     time.Duration
 }
 
 // RunEnd says how a run ended.
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -53,6 +54,10 @@
 	return nil
 }
 
+// memoryShare is the part of the machine's memory, in hundredths, from which on garbage is collected more often: above its limit
+// the process is killed.
+const memoryShare = 70
+
 // Node is a running entry instance.
 type Node struct {
 	Settings     platform.Settings
@@ -83,6 +88,9 @@
 
 // RunWith runs an entry instance until a signal to stop arrives on signals; the end of the context ends it at once, as a kill does.
 func RunWith(ctx context.Context, settings platform.Settings, settingsPath string, flags Flags, out io.Writer, signals <-chan os.Signal) error {
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(settings.MemoryMB << 20 * memoryShare / 100)
+	}
 	lines := logs.NewWriter(out)
 	logCtx, endLogs := context.WithCancel(context.WithoutCancel(ctx))
 	var logGroup errgroup.Group
@@ -294,7 +302,7 @@
 func (n *Node) dispatchSettings() dispatch.Settings {
 	b := n.Settings.Bounds
 	return dispatch.Settings{
-		Lease: min(n.Flags.WorkerLease, b.MaxLease), Takeover: n.Tenure.TTL, FarFactor: b.FarFactor, StatusKept: b.StatusKept,
+		Lease: min(n.Flags.WorkerLease, b.MaxLease), Takeover: n.Tenure.TTL, StatusKept: b.StatusKept,
 	}
 }
 
