--- /dev/null
+++ b/fleet/follow/follow_test.go
@@ -0,0 +1,82 @@
+package follow_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/follow"
+	"verbenalanding.example/fleet/store"
+)
+
+// scripted answers lists and watches in the order of its scripts.
+type scripted struct {
+	store.Store
+
+	lists   []store.Page
+	watches []func() (store.Batch, error)
+	cancel  context.CancelFunc
+}
+
+func (s *scripted) List(context.Context, string, string, int) (store.Page, error) {
+	page := s.lists[0]
+	s.lists = s.lists[1:]
+	return page, nil
+}
+
+func (s *scripted) Watch(context.Context, string, store.Revision, time.Duration) (store.Batch, error) {
+	if len(s.watches) == 0 {
+		s.cancel()
+		return store.Batch{}, store.ErrUnavailable
+	}
+	next := s.watches[0]
+	s.watches = s.watches[1:]
+	return next()
+}
+
+func entry(key string, revision store.Revision) store.Entry {
+	return store.Entry{Key: key, Revision: revision}
+}
+
+// Guards against a follower that misses a removal, or repeats what it knows, when the store has forgotten its history.
+func TestFollowerListsAgainAfterACompaction(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s := &scripted{
+		cancel: cancel,
+		lists: []store.Page{
+			{Entries: []store.Entry{entry("p/a", 1), entry("p/b", 2)}, Revision: 2},
+			{Entries: []store.Entry{entry("p/b", 2), entry("p/c", 5)}, Revision: 6},
+		},
+		watches: []func() (store.Batch, error){
+			func() (store.Batch, error) { return store.Batch{}, store.ErrCompacted },
+			func() (store.Batch, error) {
+				return store.Batch{Events: []store.Event{{Entry: entry("p/c", 5)}, {Entry: entry("p/d", 7)}}, Revision: 7}, nil
+			},
+		},
+	}
+	var got []string
+	f := follow.Follower{Store: s, Prefix: "p/", Apply: func(events []store.Event, listed bool) {
+		var keys []string
+		for _, e := range events {
+			key := e.Entry.Key
+			if e.Deleted {
+				key = "-" + key
+			}
+			keys = append(keys, key)
+		}
+		slices.Sort(keys)
+		if listed {
+			keys = append([]string{"listed"}, keys...)
+		}
+		got = append(got, keys...)
+	}}
+	if err := f.Run(ctx); err != nil {
+		t.Fatalf("run: got %v, want none", err)
+	}
+	want := []string{"listed", "p/a", "p/b", "listed", "-p/a", "p/c", "p/d"}
+	if !slices.Equal(got, want) {
+		t.Errorf("changes: got %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/fleet/tenure/tenure_test.go
@@ -0,0 +1,225 @@
+package tenure_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/steady"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/tenure"
+)
+
+// memory is a store with one lease for each node, in memory.
+type memory struct {
+	store.Transactor
+
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	events   []store.Event
+	revision store.Revision
+	leases   map[store.LeaseID]bool
+	next     store.LeaseID
+	// refuse holds the leases whose calls are refused.
+	refuse map[store.LeaseID]bool
+}
+
+func newMemory() *memory {
+	return &memory{entries: map[string]store.Entry{}, leases: map[store.LeaseID]bool{}, refuse: map[store.LeaseID]bool{}, revision: 1}
+}
+
+func (m *memory) List(_ context.Context, prefix, _ string, _ int) (store.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	page := store.Page{Revision: m.revision}
+	for key, e := range m.entries {
+		if strings.HasPrefix(key, prefix) {
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	return page, nil
+}
+
+func (m *memory) Watch(ctx context.Context, _ string, after store.Revision, _ time.Duration) (store.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return store.Batch{}, store.ErrUnavailable
+	case <-time.After(5 * time.Millisecond):
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	batch := store.Batch{Revision: m.revision}
+	for _, e := range m.events {
+		if e.Entry.Revision > after {
+			batch.Events = append(batch.Events, e)
+		}
+	}
+	return batch, nil
+}
+
+func (m *memory) Apply(_ context.Context, t store.Transaction) (store.Revision, []store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range t.If {
+		if m.entries[c.Key].Revision != c.Revision {
+			return 0, []store.Entry{m.entries[c.Key]}, store.ErrConflict
+		}
+	}
+	m.revision++
+	for _, w := range t.Put {
+		e := store.Entry{Key: w.Key, Value: w.Value, Revision: m.revision, Lease: w.Lease}
+		m.entries[w.Key] = e
+		m.events = append(m.events, store.Event{Entry: e})
+	}
+	return m.revision, nil, nil
+}
+
+func (m *memory) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.next++
+	m.leases[m.next] = true
+	return m.next, nil
+}
+
+func (m *memory) Renew(_ context.Context, id store.LeaseID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.refuse[id] {
+		return store.ErrRefused
+	}
+	if !m.leases[id] {
+		return store.ErrLeaseExpired
+	}
+	return nil
+}
+
+func (m *memory) Revoke(_ context.Context, id store.LeaseID) error {
+	m.end(id)
+	return nil
+}
+
+// end removes the keys of a lease.
+func (m *memory) end(id store.LeaseID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.leases, id)
+	for key, e := range m.entries {
+		if e.Lease == id {
+			m.revision++
+			delete(m.entries, key)
+			m.events = append(m.events, store.Event{Entry: store.Entry{Key: key, Revision: m.revision}, Deleted: true})
+		}
+	}
+}
+
+// spell is one holding of a duty as a node lived it.
+type spell struct {
+	node  string
+	fence uint64
+	cause error
+}
+
+// nodes runs tenures on one store and collects their spells.
+type nodes struct {
+	t      *testing.T
+	store  *memory
+	group  errgroup.Group
+	cancel context.CancelFunc
+	ctx    context.Context
+	began  chan spell
+	ended  chan spell
+}
+
+func newNodes(t *testing.T) *nodes {
+	t.Helper()
+	n := &nodes{t: t, store: newMemory(), began: make(chan spell, 16), ended: make(chan spell, 16)}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		n.cancel()
+		_ = n.group.Wait()
+	})
+	return n
+}
+
+func (n *nodes) start(name string) *tenure.Tenure {
+	x := &tenure.Tenure{Store: n.store, Self: tenure.Holder{Node: name, Session: name}, TTL: 600 * time.Millisecond, Clock: steady.New().Now}
+	x.Gained = func(ctx context.Context, _ string, fence uint64) error {
+		n.began <- spell{node: name, fence: fence}
+		<-ctx.Done()
+		n.ended <- spell{name, fence, context.Cause(ctx)}
+		return nil
+	}
+	x.Want([]string{"pool"})
+	n.group.Go(func() error {
+		_ = x.Run(n.ctx)
+		return nil
+	})
+	return x
+}
+
+func await(t *testing.T, what string, c <-chan spell) spell {
+	t.Helper()
+	select {
+	case s := <-c:
+		return s
+	case <-time.After(5 * time.Second):
+		t.Fatalf("%s: got nothing within 5 s", what)
+		return spell{}
+	}
+}
+
+// Guards against a duty with two holders, or with none after its holder gave it back.
+func TestDutyPassesOnWithAHigherFence(t *testing.T) {
+	n := newNodes(t)
+	a := n.start("a")
+	first := await(t, "first holder", n.began)
+	n.start("b")
+	if !a.Valid("pool", first.fence) {
+		t.Errorf("first holder: got not valid, want valid")
+	}
+	a.Leave(n.ctx)
+	end := await(t, "end of the first spell", n.ended)
+	if !errors.Is(end.cause, tenure.ErrLeaving) {
+		t.Errorf("cause: got %v, want %v", end.cause, tenure.ErrLeaving)
+	}
+	second := await(t, "second holder", n.began)
+	if second.node != "b" || second.fence <= first.fence {
+		t.Errorf("second holder: got %+v, want b with more than %d", second, first.fence)
+	}
+}
+
+// Guards against a holder that goes on after its lease may have ended because the store turns its renewals away.
+func TestHolderStopsWhenItsRenewalsAreRefused(t *testing.T) {
+	n := newNodes(t)
+	a := n.start("a")
+	first := await(t, "first holder", n.began)
+	n.store.mu.Lock()
+	n.store.refuse[1] = true
+	n.store.mu.Unlock()
+	end := await(t, "end of the spell", n.ended)
+	if !errors.Is(end.cause, tenure.ErrLost) {
+		t.Errorf("cause: got %v, want %v", end.cause, tenure.ErrLost)
+	}
+	if a.Valid("pool", first.fence) {
+		t.Errorf("after the end: got valid, want not")
+	}
+}
+
+// Guards against a holder that does not notice that its key was taken away.
+func TestHolderStopsWhenItsKeyIsGone(t *testing.T) {
+	n := newNodes(t)
+	n.start("a")
+	first := await(t, "first holder", n.began)
+	n.store.end(1)
+	await(t, "end of the spell", n.ended)
+	second := await(t, "second spell", n.began)
+	if second.fence <= first.fence {
+		t.Errorf("second spell: got fence %d, want more than %d", second.fence, first.fence)
+	}
+}
