--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -122,7 +122,7 @@
 		}
 		left := b.ended[id][:0]
 		for _, e := range b.ended[id] {
-			if e.Number > h.AckedUntil {
+			if e.Number > h.Acknowledged {
 				left = append(left, e)
 			}
 		}
@@ -224,11 +224,11 @@
 	b.plan()
 	b.end("w0", task("j", 0, 0), workload.EndDone)
 	b.report()
-	if got := b.pool.NextHold("w0", b.now).AckedUntil; got != 0 {
+	if got := b.pool.NextHold("w0", b.now).Acknowledged; got != 0 {
 		t.Errorf("acknowledged before the record: got %d, want 0", got)
 	}
 	b.record()
-	if got := b.pool.NextHold("w0", b.now).AckedUntil; got != 1 {
+	if got := b.pool.NextHold("w0", b.now).Acknowledged; got != 1 {
 		t.Errorf("acknowledged after the record: got %d, want 1", got)
 	}
 }
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -245,7 +245,7 @@
 	w.fence = m.fence
 	w.leaseEnd = max(w.leaseEnd, h.LeaseEnd)
 	if h.Worker.Born == w.born {
-		m.acknowledge(w, h.AckedUntil)
+		m.acknowledge(w, h.Acknowledged)
 	}
 	r := workload.Report{Born: w.born, Clock: m.clock(w)}
 	for _, e := range w.ended {
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -155,8 +155,8 @@
 // Hold is what to send to a worker next.
 type Hold struct {
 	// LeaseEnd is a time of the worker's clock; 0 leaves the lease as it is.
-	LeaseEnd   time.Duration
-	AckedUntil int64
+	LeaseEnd     time.Duration
+	Acknowledged int64
 	// Known is false for a worker that is not in the pool any more.
 	Known bool
 	// Busy is true while tasks run on the worker.
@@ -170,7 +170,7 @@
 	if w == nil {
 		return Hold{}
 	}
-	h := Hold{AckedUntil: w.recorded, Known: true, Worker: w.Worker, Busy: len(w.runs) > 0}
+	h := Hold{Acknowledged: w.recorded, Known: true, Worker: w.Worker, Busy: len(w.runs) > 0}
 	if !w.synced || now.Sub(w.heard) > p.Settings.Silence || p.abandoned(w, now) {
 		return h
 	}
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -188,7 +188,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReserve)
 	defer cancel()
 	outcome, report, err := p.node.Workers.Hold(ctx, platform.HoldOrder{
-		Worker: next.Worker, Fence: p.fence, LeaseEnd: next.LeaseEnd, AckedUntil: next.AckedUntil, Wait: wait,
+		Worker: next.Worker, Fence: p.fence, LeaseEnd: next.LeaseEnd, Acknowledged: next.Acknowledged, Wait: wait,
 	})
 	now := p.node.Clock.Now()
 	if err != nil && !errors.Is(err, context.Canceled) {
