refactor: one place for attaching runs, pauses and finished machines; dead fields removed

Cause: a read of the whole change found runs attached to worker and task in two places, waits written out beside pause, the same map made twice, fields and a constant that nothing reads, a wrapper without use, and a name of the platform in the trials. Change: run.attach, pause and upkeeps.markDone serve all; the stand-in makes its own queues; behaviour unchanged.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -116,7 +116,6 @@
 	unsureUntil time.Time
 	// mayRun holds the workers on which the holder before had runs; nil when it has not told.
 	mayRun  map[workload.TaskID]string
-	began   time.Time
 	actions []Action
 	dirty   map[string]*job
 }
@@ -141,7 +140,6 @@
 	p.learned = map[string]*figures{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
-	p.began = now
 	p.unsureUntil = now.Add(p.Settings.Takeover + p.stretch(p.Settings.Lease))
 }
 
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -16,7 +16,6 @@
 	inTime     bool
 	begun      bool
 	density    float64
-	lateness   time.Duration
 }
 
 // Plan returns the orders that are due; it reserves the room of its starts.
@@ -113,8 +112,7 @@
 		from = oc.due
 	}
 	target := from.Add(time.Duration(j.queue.Stretch*float64(out.whole)) + j.queue.TargetDuration)
-	c.lateness = now.Add(out.chain).Sub(target)
-	c.inTime = c.lateness <= 0
+	c.inTime = !now.Add(out.chain).After(target)
 	c.density = p.worth(j, out) / max(out.work, 0.001)
 	return c, true
 }
@@ -220,15 +218,11 @@
 	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100}
 	x.startEnd = w.clockAt(now) + p.Settings.StartLease
 	p.extend(w, now, p.Settings.StartLease)
-	w.runs[runKey{t.id, number}] = x
-	w.used = w.used.Plus(t.step.Reserved())
-	t.runs = append(t.runs, x)
-	t.lastRun = number
+	x.attach()
 	st := &j.occurrences[t.id.Occurrence].steps[t.id.Step]
 	if st.began.IsZero() {
 		st.began = now
 	}
-	j.started = true
 	p.actions = append(p.actions, Start{
 		Worker: w.Worker, Task: t.id, Run: number, Spec: j.Spec, Checkpoint: t.checkpoint, Ticket: p.ticket(t, w, now),
 		LeaseEnd: x.startEnd, Waited: now.Sub(t.readySince),
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -82,10 +82,7 @@
 	if x.startClock == 0 {
 		x.startClock = w.clock
 	}
-	if a.Percent != x.percent || x.percentAt.IsZero() {
-		x.percent, x.percentAt = a.Percent, now
-	}
-	x.figure = a.Figure
+	x.percent, x.figure = a.Percent, a.Figure
 	if a.Checkpoint != "" {
 		x.task.checkpoint = a.Checkpoint
 	}
@@ -100,11 +97,7 @@
 		return nil
 	}
 	x := &run{task: t, number: a.Run, worker: w, phase: present, orderedAt: now, presentAt: now, startClock: w.clock, pace: 100}
-	w.runs[runKey{a.Task, a.Run}] = x
-	w.used = w.used.Plus(t.step.Reserved())
-	t.runs = append(t.runs, x)
-	t.lastRun = max(t.lastRun, a.Run)
-	t.job.started = true
+	x.attach()
 	p.note(Event{What: "run taken over", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
 	return x
 }
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -37,7 +37,6 @@
 	stopSent   time.Time
 	stopReason string
 	percent    int
-	percentAt  time.Time
 	figure     float64
 	pace       int
 	pacedAt    time.Time
@@ -68,8 +67,6 @@
 	fullUntil    time.Time
 	// slowness is the learned factor of run times against the pool's.
 	slowness float64
-	overTail time.Time
-	calmTail time.Time
 }
 
 func (w *worker) free() workload.Room { return w.Room.Minus(w.used) }
@@ -117,15 +114,20 @@
 	if w == nil {
 		return
 	}
-	p.endAll(w, reason)
+	for _, r := range w.sorted() {
+		p.lose(r, reason)
+	}
 	p.removeWorker(id)
 	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
 }
 
-func (p *Pool) endAll(w *worker, reason string) {
-	for _, r := range w.sorted() {
-		p.lose(r, reason)
-	}
+// attach adds a run to its worker and its task.
+func (x *run) attach() {
+	x.worker.runs[runKey{x.task.id, x.number}] = x
+	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
+	x.task.runs = append(x.task.runs, x)
+	x.task.lastRun = max(x.task.lastRun, x.number)
+	x.task.job.started = true
 }
 
 // sorted returns the worker's runs in a fixed order, so that equal inputs give equal decisions.
@@ -158,9 +160,7 @@
 	LeaseEnd     time.Duration
 	Acknowledged int64
 	// Known is false for a worker that is not in the pool any more.
-	Known bool
-	// Busy is true while tasks run on the worker.
-	Busy   bool
+	Known  bool
 	Worker workload.Worker
 }
 
@@ -170,7 +170,7 @@
 	if w == nil {
 		return Hold{}
 	}
-	h := Hold{Acknowledged: w.recorded, Known: true, Worker: w.Worker, Busy: len(w.runs) > 0}
+	h := Hold{Acknowledged: w.recorded, Known: true, Worker: w.Worker}
 	if !w.synced || now.Sub(w.heard) > p.Settings.Silence || p.abandoned(w, now) {
 		return h
 	}
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// headerWait and idleWait hold until the operator's configuration is known.
+	// headerWait bounds the reading of a request's head, idleWait an open connection without requests.
 	headerWait = 3 * time.Second
 	idleWait   = 60 * time.Second
 	// maxHeaderBytes bounds the head of a request.
@@ -54,15 +54,12 @@
 	router.Get(platform.ReadinessPath, n.ready)
 	router.Get("/metrics", n.metrics)
 	readiness := &http.Server{Handler: router, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeaderBytes}
-	for _, s := range []struct {
-		server   *http.Server
-		listener func() error
-	}{
-		{entry, func() error { return entry.Serve(l.entry) }},
-		{readiness, func() error { return readiness.Serve(l.readiness) }},
+	for _, serve := range []func() error{
+		func() error { return entry.Serve(l.entry) },
+		func() error { return readiness.Serve(l.readiness) },
 	} {
 		group.Go(func() error {
-			if err := s.listener(); !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
@@ -250,10 +247,7 @@
 			return stored, tries
 		}
 		unanswered = unanswered || errors.Is(err, store.ErrUnavailable)
-		select {
-		case <-ctx.Done():
-		case <-time.After(storePause):
-		}
+		pause(ctx, storePause)
 		if ctx.Err() != nil {
 			if unanswered {
 				return perhapsStored, tries
@@ -302,10 +296,9 @@
 		if err == nil || errors.Is(err, store.ErrNotFound) {
 			return state, "store", err
 		}
-		select {
-		case <-ctx.Done():
+		pause(ctx, storePause)
+		if ctx.Err() != nil {
 			return "", "store", err
-		case <-time.After(storePause):
 		}
 	}
 }
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -23,7 +23,6 @@
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/steady"
-	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/tenure"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/verbenaentry/logs"
@@ -305,5 +304,3 @@
 		Lease: min(n.Flags.WorkerLease, b.MaxLease), Takeover: n.Tenure.TTL, StatusKept: b.StatusKept,
 	}
 }
-
-var _ store.Transactor = (*platform.Store)(nil)
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,8 +22,6 @@
 )
 
 const (
-	// eventRing is how many events may wait for the pool's decisions; reports that find no place come again.
-	eventRing = 4096
 	// planEvery is how often decisions are made without an event, for leases and repeated orders.
 	planEvery = 50 * time.Millisecond
 	// planPause lies between two plans, so that events that arrive together are decided together.
@@ -97,7 +94,6 @@
 	writes  *ring.Ring[struct{}]
 	group   *errgroup.Group
 	orders  errgroup.Group
-	ended   atomic.Bool
 	book    *machineBook
 	upkeeps *upkeeps
 }
@@ -148,7 +144,6 @@
 	group.Go(func() error { return p.write(groupCtx) })
 	group.Go(func() error { return p.upkeeps.run(groupCtx) })
 	err = group.Wait()
-	p.ended.Store(true)
 	n.pools.remove(name, p)
 	_ = p.orders.Wait()
 	if errors.Is(context.Cause(ctx), errLeaving) {
@@ -177,10 +172,9 @@
 			return records, nil
 		}
 		p.log.Warn().Err(err).Msg("records of jobs not read yet")
-		select {
-		case <-ctx.Done():
+		pause(ctx, storePause)
+		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
-		case <-time.After(storePause):
 		}
 	}
 }
@@ -347,10 +341,6 @@
 		for _, a := range actions {
 			p.send(ctx, a)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(max(planPause, planRest*time.Since(began))):
-		}
+		pause(ctx, max(planPause, planRest*time.Since(began)))
 	}
 }
--- a/verbenaentry/node/view.go
+++ b/verbenaentry/node/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,17 +30,11 @@
 
 	configuration atomic.Pointer[routes]
 	mu            sync.Mutex
-	waves         map[string]wave
-}
-
-// wave is an operator's wave and when it was first seen.
-type wave struct {
-	workload.Wave
-	key string
+	waves         map[string]workload.Wave
 }
 
 func newView(s *platform.Store, log zerolog.Logger, clock *steady.Clock) *View {
-	return &View{Store: s, Log: log, Clock: clock, waves: map[string]wave{}}
+	return &View{Store: s, Log: log, Clock: clock, waves: map[string]workload.Wave{}}
 }
 
 // Run follows the operator's keys until the context ends.
@@ -91,7 +87,7 @@
 		v.Log.Error().Err(err).Str("key", e.Entry.Key).Msg("wave refused")
 		return
 	}
-	v.waves[e.Entry.Key] = wave{w, e.Entry.Key}
+	v.waves[e.Entry.Key] = w
 	v.Log.Info().Str("wave", w.ID).Int("machines", len(w.Machines)).Int("maxDown", w.MaxDown).Dur("within", w.Within).Msg("wave asked for")
 }
 
@@ -99,11 +95,7 @@
 func (v *View) Waves() []workload.Wave {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	list := make([]workload.Wave, 0, len(v.waves))
-	for _, w := range v.waves {
-		list = append(list, w.Wave)
-	}
-	return list
+	return slices.Collect(maps.Values(v.waves))
 }
 
 // Configuration returns the configuration in force, or nil before the first one.
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -82,10 +82,7 @@
 	for _, e := range events {
 		wave, rest := waveOf(e.Entry.Key)
 		if machine, ok := strings.CutPrefix(rest, "done/"); ok && !e.Deleted {
-			if u.done[wave] == nil {
-				u.done[wave] = map[string]bool{}
-			}
-			u.done[wave][machine] = true
+			u.markDone(wave, machine)
 			continue
 		}
 		if e.Deleted {
@@ -106,6 +103,14 @@
 	}
 }
 
+// markDone takes note of a machine whose upkeep is over; the lock must be held.
+func (u *upkeeps) markDone(wave, machine string) {
+	if u.done[wave] == nil {
+		u.done[wave] = map[string]bool{}
+	}
+	u.done[wave][machine] = true
+}
+
 func (u *upkeeps) run(ctx context.Context) error {
 	ticker := time.NewTicker(waveEvery)
 	defer ticker.Stop()
@@ -172,7 +177,7 @@
 		if !u.back(s, now) {
 			continue
 		}
-		err := u.apply1(ctx, store.Transaction{
+		err := u.change(ctx, store.Transaction{
 			If:     []store.Condition{u.pool.dutyCondition(), {Key: key, Revision: s.revision}},
 			Put:    []store.Write{{Key: doneKey(w.ID, s.Machine), Value: []byte("{}")}},
 			Delete: []string{key},
@@ -181,16 +186,13 @@
 		if err == nil {
 			u.mu.Lock()
 			delete(u.slots, key)
-			if u.done[w.ID] == nil {
-				u.done[w.ID] = map[string]bool{}
-			}
-			u.done[w.ID][s.Machine] = true
+			u.markDone(w.ID, s.Machine)
 			u.mu.Unlock()
 		}
 	}
 }
 
-func (u *upkeeps) apply1(ctx context.Context, t store.Transaction) error {
+func (u *upkeeps) change(ctx context.Context, t store.Transaction) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	_, _, err := u.pool.node.Store.Apply(ctx, t)
@@ -449,7 +451,7 @@
 		u.pool.log.Error().Err(err).Str("wave", w.ID).Msg("state of a wave not encoded")
 		return
 	}
-	err = u.apply1(ctx, store.Transaction{
+	err = u.change(ctx, store.Transaction{
 		If: []store.Condition{u.pool.dutyCondition()}, Put: []store.Write{{Key: statusKey(w.ID), Value: value}},
 	})
 	u.pool.log.Info().Err(err).Str("wave", w.ID).Bool("completed", completed).Msg("state of a wave told")
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -51,7 +51,7 @@
 const Host = "fleet.example"
 
 // Prefix returns the path prefix of a pool's queue.
-func Prefix(pool string) string { return "/" + pool + "/" }
+func Prefix(pool string) string { return standin.Prefix(pool) }
 
 // Start starts the stand-in and the instances, and waits until they are ready.
 func (f *Fleet) Start(ctx context.Context) error {
@@ -76,15 +76,7 @@
 // Configure has the operator write the next version of the configuration.
 func (f *Fleet) Configure() {
 	f.version++
-	var routes []wire.Route
-	for name := range f.Platform.Pools {
-		if name != f.Platform.Standby {
-			routes = append(routes, wire.Route{
-				Name: "q-" + name, Hostname: Host, Prefix: Prefix(name), Backend: name, MaxAttempts: Attempts, Stretch: 1.6, TargetDurationMs: 600,
-			})
-		}
-	}
-	f.Platform.Configure(f.version, routes)
+	f.Platform.Configure(f.version, Host, Attempts)
 }
 
 // Attempts is how many runs of a task may fail.
