feat(tenure): nodes register, guards replace lost holders, duties go where there are processors

Calls to a lost process queued behind one connection attempt.

Change: each node has a key under its lease. The four likely successors of a holder ask it each 200 ms and take its duty when its process is gone, when it is silent and no other guard has heard it, or when only it is cut from the store. While the store answers nobody, a holder goes on as long as all other nodes say that they hold none of its duties. A duty goes to a node that is at least twice as lightly loaded for its processors. One connection attempt at a time, whose failure answers other calls for 100 ms.

--- /dev/null
+++ b/fleet/dispatch/plan_bench_test.go
@@ -0,0 +1,55 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+// overloaded returns a pool of many workers that are full, with many jobs that wait.
+func overloaded(workers, jobs int) (*dispatch.Pool, time.Time) {
+	p := &dispatch.Pool{Name: "cutting"}
+	p.Begin(epoch)
+	p.SetQueues([]workload.Queue{queue})
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		p.SetWorker(workload.Worker{ID: id, Machine: "m-" + id, Pool: "cutting", Rack: "r1", Labels: []string{"a", "r1"}, Room: workload.Room{CPU: 64000, MemoryMB: 128000}, Born: 1}, epoch)
+		p.Report(id, workload.Report{Born: 1, Clock: time.Minute}, epoch)
+	}
+	now := epoch.Add(10 * time.Millisecond)
+	for i := range jobs {
+		var steps []workload.Step
+		for s := range 1 + i%3 {
+			step := workload.Step{Tasks: 4 + i%12, Need: workload.Room{CPU: int64(3000 + 137*(i%40)), MemoryMB: 3000}, Estimate: 640 * time.Millisecond, Image: fmt.Sprint(i % 6)}
+			if s > 0 {
+				step.After = []int{s - 1}
+			}
+			steps = append(steps, step)
+		}
+		p.AddJob(workload.Job{ID: fmt.Sprintf("%016x", i), Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: steps, Accepted: now}, nil, false, now)
+	}
+	return p, now
+}
+
+func BenchmarkPlanOverloaded(b *testing.B) {
+	for _, size := range []struct{ workers, jobs int }{{9, 100}, {85, 400}, {85, 1600}} {
+		b.Run(fmt.Sprintf("%d workers, %d jobs", size.workers, size.jobs), func(b *testing.B) {
+			p, now := overloaded(size.workers, size.jobs)
+			p.Plan(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Plan(now)
+			}
+		})
+		b.Run(fmt.Sprintf("demand %d workers, %d jobs", size.workers, size.jobs), func(b *testing.B) {
+			p, now := overloaded(size.workers, size.jobs)
+			p.Plan(now)
+			for b.Loop() {
+				p.Demand(now)
+			}
+		})
+	}
+}
--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -14,6 +14,9 @@
 // dialTimeout bounds a connection attempt; data centres are milliseconds apart.
 const dialTimeout = time.Second
 
+// refusedFor is how long a failed connection attempt answers for later calls, so that calls to a lost process fail at once.
+const refusedFor = 100 * time.Millisecond
+
 // Client calls one other process and reconnects after a failure.
 type Client struct {
 	Addr      netip.AddrPort
@@ -21,6 +24,10 @@
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
+	// dialing is closed when the present connection attempt ends; nil when there is none.
+	dialing  chan struct{}
+	failed   error
+	failedAt time.Time
 }
 
 // Call sends a call and decodes its result; it returns ErrUnreachable when no answer arrived before the context ended.
@@ -47,19 +54,45 @@
 	return err
 }
 
+// connect returns the open connection, or makes one attempt at a time to open it.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil {
+	for {
+		c.mu.Lock()
+		if c.conn != nil {
+			select {
+			case <-c.conn.DisconnectNotify():
+				c.conn = nil
+			default:
+				defer c.mu.Unlock()
+				return c.conn, nil
+			}
+		}
+		if c.dialing == nil && c.failed != nil && time.Since(c.failedAt) < refusedFor {
+			defer c.mu.Unlock()
+			return nil, c.failed
+		}
+		if c.dialing == nil {
+			c.dialing = make(chan struct{})
+			c.mu.Unlock()
+			return c.dial(ctx)
+		}
+		dialing := c.dialing
+		c.mu.Unlock()
 		select {
-		case <-c.conn.DisconnectNotify():
-			c.conn = nil
-		default:
-			return c.conn, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-dialing:
 		}
 	}
+}
+
+func (c *Client) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", c.Addr.String())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.dialing)
+	c.dialing, c.failed, c.failedAt = nil, err, time.Now()
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/fleet/tenure/balance.go
@@ -0,0 +1,109 @@
+package tenure
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+)
+
+const (
+	// balanceEvery is how often the load of the node is compared with that of others.
+	balanceEvery = time.Second
+	// balanceAfter is how long another node must have been better placed, since nodes come and go in a rolling restart.
+	balanceAfter = 3 * time.Second
+	// balancePause lies between two duties that a node gives away: each costs its pool a moment without orders.
+	balancePause = 5 * time.Second
+	// balanceGain is how many times lighter another node must be, with the duty, than this one is now.
+	balanceGain = 2
+	// releaseTimeout bounds the end of a duty that is given away.
+	releaseTimeout = 1500 * time.Millisecond
+)
+
+// balance gives duties to nodes with more processors and fewer duties.
+func (t *Tenure) balance(ctx context.Context) error {
+	ticker := time.NewTicker(balanceEvery)
+	defer ticker.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := t.Clock()
+		name := t.surplus()
+		switch {
+		case name == "":
+			since = time.Time{}
+		case since.IsZero():
+			since = now
+		case now.Sub(since) >= balanceAfter:
+			t.release(ctx, name)
+			since = now.Add(balancePause - balanceAfter)
+		}
+	}
+}
+
+// surplus returns a duty that another node should hold; empty when there is none.
+func (t *Tenure) surplus() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving || len(t.held) == 0 || !t.fresh(t.Clock()) {
+		return ""
+	}
+	names := slices.Sorted(maps.Keys(t.held))
+	others := t.standings(names[0], t.Self.Node)
+	if len(others) == 0 {
+		return ""
+	}
+	own := float64(len(t.held)) / max(t.Self.Cores, leastCores)
+	lightest := slices.MinFunc(others, func(a, b standing) int { return cmp.Compare(a.load, b.load) })
+	if lightest.load*balanceGain > own {
+		return ""
+	}
+	return names[0]
+}
+
+// release ends the work of a duty in an orderly way and deletes its key, so that the node that comes first takes it.
+func (t *Tenure) release(ctx context.Context, name string) {
+	t.mu.Lock()
+	h := t.held[name]
+	t.releasing = name
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.releasing = ""
+	}()
+	if h == nil {
+		return
+	}
+	t.note("duty released", name, nil)
+	h.cancel(ErrLeaving)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	select {
+	case <-h.done:
+	case <-ctx.Done():
+		return
+	}
+	_, _, err := t.Store.Apply(ctx, store.Transaction{
+		If: []store.Condition{{Key: Prefix + name, Revision: store.Revision(h.fence)}}, Delete: []string{Prefix + name},
+	})
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		t.note("released duty keeps its key", name, err)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.seen[name].Fence == h.fence {
+		// The watch has not told the deletion yet.
+		delete(t.seen, name)
+		t.vacant[name], t.stale = t.Clock(), true
+	}
+}
--- a/fleet/tenure/tenure_test.go
+++ b/fleet/tenure/tenure_test.go
@@ -1,6 +1,7 @@
 package tenure_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strings"
@@ -27,6 +28,8 @@
 	next     store.LeaseID
 	// refuse holds the leases whose calls are refused.
 	refuse map[store.LeaseID]bool
+	// down refuses all calls.
+	down bool
 }
 
 func newMemory() *memory {
@@ -65,6 +68,14 @@
 func (m *memory) Apply(_ context.Context, t store.Transaction) (store.Revision, []store.Entry, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.down {
+		return 0, nil, store.ErrRefused
+	}
+	for _, w := range t.Put {
+		if m.refuse[w.Lease] {
+			return 0, nil, store.ErrRefused
+		}
+	}
 	for _, c := range t.If {
 		if m.entries[c.Key].Revision != c.Revision {
 			return 0, []store.Entry{m.entries[c.Key]}, store.ErrConflict
@@ -76,6 +87,10 @@
 		m.entries[w.Key] = e
 		m.events = append(m.events, store.Event{Entry: e})
 	}
+	for _, key := range t.Delete {
+		delete(m.entries, key)
+		m.events = append(m.events, store.Event{Entry: store.Entry{Key: key, Revision: m.revision}, Deleted: true})
+	}
 	return m.revision, nil, nil
 }
 
@@ -90,7 +105,7 @@
 func (m *memory) Renew(_ context.Context, id store.LeaseID) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.refuse[id] {
+	if m.down || m.refuse[id] {
 		return store.ErrRefused
 	}
 	if !m.leases[id] {
@@ -118,6 +133,20 @@
 	}
 }
 
+// refuseNode turns the calls of a node away that holds a duty.
+func (m *memory) refuseNode(node string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refuse[m.entries["control/node/"+node].Lease] = true
+}
+
+// refuseAll turns all calls away.
+func (m *memory) refuseAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = true
+}
+
 // spell is one holding of a duty as a node lived it.
 type spell struct {
 	node  string
@@ -134,6 +163,10 @@
 	ctx    context.Context
 	began  chan spell
 	ended  chan spell
+	// ttl is the lease of nodes that are built without one of their own.
+	ttl time.Duration
+	// first is the first spell of nodes that were started together.
+	first spell
 }
 
 func newNodes(t *testing.T) *nodes {
@@ -148,7 +181,15 @@
 }
 
 func (n *nodes) start(name string) *tenure.Tenure {
-	x := &tenure.Tenure{Store: n.store, Self: tenure.Holder{Node: name, Session: name}, TTL: 600 * time.Millisecond, Clock: steady.New().Now}
+	x := n.build(name, 600*time.Millisecond)
+	n.run(x)
+	return x
+}
+
+func (n *nodes) build(name string, ttl time.Duration) *tenure.Tenure {
+	x := &tenure.Tenure{
+		Store: n.store, Self: tenure.Member{Node: name, Session: name, Cores: 1}, TTL: cmp.Or(n.ttl, ttl), Clock: steady.New().Now,
+	}
 	x.Gained = func(ctx context.Context, _ string, fence uint64) error {
 		n.began <- spell{node: name, fence: fence}
 		<-ctx.Done()
@@ -156,20 +197,28 @@
 		return nil
 	}
 	x.Want([]string{"pool"})
+	return x
+}
+
+func (n *nodes) run(x *tenure.Tenure) {
 	n.group.Go(func() error {
 		_ = x.Run(n.ctx)
 		return nil
 	})
-	return x
 }
 
 func await(t *testing.T, what string, c <-chan spell) spell {
+	t.Helper()
+	return awaitWithin(t, what, c, 5*time.Second)
+}
+
+func awaitWithin(t *testing.T, what string, c <-chan spell, limit time.Duration) spell {
 	t.Helper()
 	select {
 	case s := <-c:
 		return s
-	case <-time.After(5 * time.Second):
-		t.Fatalf("%s: got nothing within 5 s", what)
+	case <-time.After(limit):
+		t.Fatalf("%s: got nothing within %v", what, limit)
 		return spell{}
 	}
 }
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -145,8 +145,8 @@
 
 func newTenure(s platform.Settings, f Flags, st *platform.Store, clock *steady.Clock, log zerolog.Logger) *tenure.Tenure {
 	return &tenure.Tenure{
-		Store: st, Cores: s.Cores, TTL: max(f.DutyTTL, s.MinLeaseTTL), Clock: clock.Now,
-		Self: tenure.Holder{Node: s.Node, Session: rand.Text()[:8], Peer: netip.AddrPortFrom(s.IP, s.PeerPorts[0])},
+		Store: st, TTL: max(f.DutyTTL, s.MinLeaseTTL), Clock: clock.Now,
+		Self: tenure.Member{Node: s.Node, Session: rand.Text()[:8], Peer: netip.AddrPortFrom(s.IP, s.PeerPorts[0]), Cores: s.Cores},
 		Note: func(what, duty string, err error) {
 			level := zerolog.InfoLevel
 			if err != nil {
@@ -183,6 +183,7 @@
 		Str("peer", n.Tenure.Self.Peer.String()).Msg("started")
 	group, groupCtx := errgroup.WithContext(runCtx)
 	n.Tenure.Gained = n.holdPool
+	n.Tenure.Ask = n.Peers.askMember
 	n.View.Changed = n.configured
 	n.Peers.Answer = n.answerPeer
 	group.Go(func() error { return n.View.Run(groupCtx) })
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"verbenalanding.example/fleet/rpc"
@@ -22,6 +23,7 @@
 const (
 	methodJobState = "job.state"
 	methodPending  = "queue.pending"
+	methodStatus   = "member.status"
 )
 
 // peerTimeout bounds a call to another node; the store answers when the holder does not.
@@ -83,6 +85,21 @@
 	return err
 }
 
+// askMember asks another node for its status.
+func (p *Peers) askMember(ctx context.Context, m tenure.Member, q tenure.Question) (tenure.Status, error) {
+	var status tenure.Status
+	client := p.client(m.Peer)
+	err := client.Call(ctx, methodStatus, q, &status)
+	if errors.Is(err, rpc.ErrUnreachable) {
+		// The connection may have gone silent; the next question opens a new one.
+		_ = client.Close()
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		err = fmt.Errorf("%w: %w", tenure.ErrNoProcess, err)
+	}
+	return status, err
+}
+
 func (p *Peers) client(addr netip.AddrPort) *rpc.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,6 +113,13 @@
 
 // answerPeer answers the calls of other nodes from the pools that this node holds.
 func (n *Node) answerPeer(_ context.Context, method string, params json.RawMessage) (any, error) {
+	if method == methodStatus {
+		q, err := rpc.Decode[tenure.Question](params)
+		if err != nil {
+			return nil, err
+		}
+		return n.Tenure.Answer(q), nil
+	}
 	asked, err := rpc.Decode[askedFor](params)
 	if err != nil {
 		return nil, err
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -19,6 +19,8 @@
 	writeTimeout = 800 * time.Millisecond
 	// recordsPerWrite leaves room in a transaction for a condition for each record and one for the duty.
 	recordsPerWrite = (store.MaxTransaction - 2) / 2
+	// maxShift bounds the doubling of the pause between attempts.
+	maxShift = 4
 	// expireEvery is how often records that need not be kept are looked for.
 	expireEvery = 20 * time.Second
 )
@@ -52,7 +54,7 @@
 			if errors.Is(err, errLost) {
 				pause(ctx, writeEvery)
 			}
-			pause(ctx, storePause)
+			pause(ctx, min(storePause<<min(p.tries, maxShift), writeEvery))
 			_ = p.writes.Offer(struct{}{})
 		} else {
 			p.tries = 1
