fix(upkeep): a slot of a wave is freed only by a life after the upkeep; machines due soon get no new work

The trace shows m-853b5 moved at 0.8 s, its upkeep ordered at 3.62 s, and its registration of after the move, first read at 3.9 s, taken for the one after the upkeep. Workers that were moved away came back by their old registration, and a new holder waited for their report.

Change: a new life counts when it was seen after the upkeep's time. Ended workers are remembered until their registration is gone. After a take-over the list of machines tells which unheard workers are gone. Machines whose upkeep must begin within half of the time that is left get no new work.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -104,6 +104,8 @@
 
 	queues  map[string]workload.Queue
 	workers map[string]*worker
+	// ended holds the workers whose life has surely ended while their registrations may still be there.
+	ended map[string]workload.Worker
 	// roomiest is the largest free CPU of a worker that takes starts; -1 when there is none.
 	roomiest int64
 	// order holds the workers by id; nil after a change.
@@ -136,6 +138,7 @@
 	p.Settings = p.Settings.Default()
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
+	p.ended = map[string]workload.Worker{}
 	p.jobs = map[string]*job{}
 	p.learned = map[string]*figures{}
 	p.tickets = map[stepKey]*ticketSet{}
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -482,3 +482,19 @@
 	b.record()
 	b.wantState("j", workload.Failed)
 }
+
+// Guards against a worker that comes back to life by its old registration after its machine was moved away: it counts as a
+// machine of the pool, and a new holder waits for its report.
+func TestEndedWorkerIsNotAddedByItsOldRegistration(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.Terminated("w1", "moved")
+	b.addWorker("w1")
+	wantCount(t, "workers after the old registration", len(b.pool.WorkerIDs()), 1)
+	again := workload.Worker{ID: "w1", Machine: "m-w1", Pool: "cutting", Room: workload.Room{CPU: 16000, MemoryMB: 64000}, Born: 2}
+	b.pool.SetWorker(again, b.now)
+	wantCount(t, "workers after a new life", len(b.pool.WorkerIDs()), 2)
+	b.pool.Terminated("w1", "moved")
+	b.pool.DropWorker("w1", b.now)
+	b.pool.SetWorker(again, b.now)
+	wantCount(t, "workers after the registration was gone", len(b.pool.WorkerIDs()), 2)
+}
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -12,6 +12,8 @@
 	Worker string
 	// Idle workers run nothing and have no ends that are not recorded.
 	Idle bool
+	// Open workers list ends that are not recorded and would be lost with them.
+	Open bool
 	// Lost is the time that finite tasks have run on the worker.
 	Lost time.Duration
 	// Lasting counts the long-running tasks on the worker.
@@ -32,11 +34,8 @@
 	if !w.synced {
 		return Load{Known: true}
 	}
-	if w.processed > w.recorded {
-		// The ends are lost with the worker.
-		return Load{Known: true}
-	}
-	l := Load{Known: true, Worker: id, Idle: len(w.runs) == 0, Allowed: true}
+	open := w.processed > w.recorded
+	l := Load{Known: true, Worker: id, Idle: len(w.runs) == 0 && !open, Open: open, Allowed: !open}
 	for _, x := range w.runs {
 		if !x.task.step.LongRunning {
 			l.Lost += now.Sub(x.orderedAt)
@@ -116,6 +115,13 @@
 	}
 }
 
+// Close keeps new starts away from a worker until a time, so that it becomes idle; its tasks go on.
+func (p *Pool) Close(id string, until time.Time) {
+	if w := p.workers[id]; w != nil {
+		w.closedUntil = until
+	}
+}
+
 // Machine returns the worker that is the present life of a machine.
 func (p *Pool) Machine(machine string) (worker string, ok bool) {
 	for id, w := range p.workers {
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -65,6 +65,7 @@
 	failedJob    string
 	suspectUntil time.Time
 	fullUntil    time.Time
+	closedUntil  time.Time
 	// slowness is the learned factor of run times against the pool's.
 	slowness float64
 }
@@ -78,6 +79,13 @@
 
 // SetWorker adds a worker or takes over a change of its registration.
 func (p *Pool) SetWorker(info workload.Worker, now time.Time) {
+	if e, ok := p.ended[info.ID]; ok {
+		if info.Born <= e.Born && info.Addr == e.Addr {
+			// A registration outlives its worker by some heartbeats, and may change until then.
+			return
+		}
+		delete(p.ended, info.ID)
+	}
 	w := p.workers[info.ID]
 	if w == nil {
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1}
@@ -96,6 +104,7 @@
 
 // DropWorker takes note that a worker's registration is gone; its runs end with its lease.
 func (p *Pool) DropWorker(id string, now time.Time) {
+	delete(p.ended, id)
 	w := p.workers[id]
 	if w == nil || !w.missing.IsZero() {
 		return
@@ -118,9 +127,24 @@
 		p.lose(r, reason)
 	}
 	p.removeWorker(id)
+	p.ended[id] = w.Worker
 	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
 }
 
+// Unheard returns the workers that may run what a holder before started and have not reported to this one.
+func (p *Pool) Unheard(now time.Time) []workload.Worker {
+	if now.After(p.unsureUntil) {
+		return nil
+	}
+	var list []workload.Worker
+	for _, w := range p.ordered() {
+		if !w.synced && w.heard.IsZero() {
+			list = append(list, w.Worker)
+		}
+	}
+	return list
+}
+
 // attach adds a run to its worker and its task.
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
@@ -257,5 +281,6 @@
 }
 
 func (p *Pool) usable(w *worker, now time.Time) bool {
-	return w.synced && !w.Draining && !w.cordoned && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence && !now.Before(w.fullUntil)
+	return w.synced && !w.Draining && !w.cordoned && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
+		!now.Before(w.fullUntil) && !now.Before(w.closedUntil)
 }
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -66,12 +66,36 @@
 	return choices
 }
 
+// Next returns the machines that should get no new work, since their upkeep must begin soon: those with the least to lose, as
+// many as may be down.
+func Next(in Input) []string {
+	if !Near(in) {
+		return nil
+	}
+	list := slices.Clone(in.Candidates)
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(a.Machine, b.Machine))
+	})
+	var next []string
+	for _, c := range list {
+		if len(next) < in.MaxDown-in.Down && c.Load.Worker != "" && c.Load.Reason == "" && !c.Load.Idle {
+			next = append(next, c.Machine)
+		}
+	}
+	return next
+}
+
+// Near reports whether the machines that are left need half of the time that is left.
+func Near(in Input) bool { return pressed(in, 2) }
+
 // Pressed reports whether the machines that are left need all the time that is left.
-func Pressed(in Input) bool {
+func Pressed(in Input) bool { return pressed(in, 1) }
+
+func pressed(in Input, times int) bool {
 	rounds := (in.Left + in.MaxDown - 1) / in.MaxDown
 	// Machines of one pool follow each other where their tasks must not be away together.
 	rounds = max(rounds, len(in.Candidates))
-	need := time.Duration(rounds) * in.Cycle
+	need := time.Duration(times*rounds) * in.Cycle
 	left := in.Deadline.Sub(in.Now)
 	return left-time.Duration(spare*float64(left)) <= need
 }
--- a/fleet/upkeep/upkeep_test.go
+++ b/fleet/upkeep/upkeep_test.go
@@ -49,3 +49,26 @@
 		})
 	}
 }
+
+// Guards against a wave that is late because its last machine always has work or ends that are not recorded.
+func TestNext(t *testing.T) {
+	open := dispatch.Load{Known: true, Worker: "w", Open: true}
+	working := dispatch.Load{Known: true, Worker: "w", Allowed: true, Lost: time.Second}
+	guarded := dispatch.Load{Known: true, Worker: "w", Lasting: 1, Reason: "at most 1 away"}
+	for _, c := range []struct {
+		name string
+		in   upkeep.Input
+		want []string
+	}{
+		{"none while there is time", input(time.Minute, candidate("a", working)), nil},
+		{"a machine with open ends and one with work", input(8*time.Second, candidate("a", working), candidate("b", open)), []string{"b", "a"}},
+		{"at most as many as may be down", input(8*time.Second, candidate("a", working), candidate("b", working), candidate("c", working)), []string{"a", "b"}},
+		{"none that tasks forbid", input(8*time.Second, candidate("a", guarded)), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := upkeep.Next(c.in); !slices.Equal(got, c.want) {
+				t.Errorf("machines: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/verbenaentry/node/evidence_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// Guards against a slot of a wave that is freed too early, so that more machines are down than the operator allows: a worker
+// that its machine had before the upkeep, after a move, was taken for the one that comes after it.
+func TestMachineIsBackOnlyAfterItsUpkeep(t *testing.T) {
+	const upkeep = 2 * time.Second
+	s := heldSlot{slot: slot{Machine: "m", Worker: "old"}, ordered: noon}
+	after := func(d time.Duration) time.Time { return noon.Add(d) }
+	for _, c := range []struct {
+		name   string
+		newest life
+		listed time.Time
+		state  workload.MachineState
+		want   bool
+	}{
+		{"registration of before the upkeep", life{"other", after(300 * time.Millisecond)}, after(0), workload.MachineUp, false},
+		{"registration after the upkeep", life{"new", after(upkeep)}, after(0), workload.MachineUp, true},
+		{"no new registration", life{"old", after(-time.Minute)}, after(0), workload.MachineUp, false},
+		{"listed as up after the upkeep", life{"old", after(-time.Minute)}, after(upkeep), workload.MachineUp, true},
+		{"listed as in upkeep", life{"old", after(-time.Minute)}, after(upkeep), workload.MachineState("upkeep"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := s.back(after(upkeep+time.Millisecond), upkeep, c.newest, c.listed, true, c.state); got != c.want {
+				t.Errorf("back: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against work that waits after a take-over for workers that are gone, and against tasks that are started again while
+// a worker that is only cut off still runs them.
+func TestAbsentWorkers(t *testing.T) {
+	w := workload.Worker{ID: "w", Machine: "m", Born: noon.Add(-time.Minute).UnixMilli()}
+	young := w
+	young.Born = noon.Add(-time.Second).UnixMilli()
+	up := workload.Machine{ID: "m", State: workload.MachineUp, Worker: "w"}
+	other := workload.Machine{ID: "m", State: workload.MachineUp, Worker: "x"}
+	for _, c := range []struct {
+		name   string
+		worker workload.Worker
+		m      workload.Machine
+		listed bool
+		want   bool
+	}{
+		{"its machine runs it", w, up, true, false},
+		{"its machine runs another one", w, other, true, true},
+		{"its machine is down", w, workload.Machine{ID: "m", State: workload.MachineState("down"), Worker: "w"}, true, true},
+		{"its machine is not listed", w, workload.Machine{}, false, true},
+		{"the list may be older than the worker", young, other, true, false},
+		{"its machine is not known", workload.Worker{ID: "w", Born: w.Born}, workload.Machine{}, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := absent(c.worker, c.m, c.listed, noon); got != c.want {
+				t.Errorf("absent: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -47,12 +47,18 @@
 	// failed is true when the last attempt to list the machines failed.
 	failed bool
 	// lives holds the newest worker of each machine that registered in the pool.
-	lives map[string]string
+	lives map[string]life
 	// avoid holds until when a machine that refused an order is left alone.
 	avoid map[string]time.Time
 	short map[string]sizing.Shortage
 }
 
+// life is a worker as it registered, and when that was first seen.
+type life struct {
+	worker string
+	seen   time.Time
+}
+
 var (
 	errTooSoon = errors.New("another holder gave an order for the machine a moment ago")
 	errTaken   = errors.New("another holder gives an order for the machine")
@@ -60,7 +66,7 @@
 
 func newMachineBook(p *pool) *machineBook {
 	return &machineBook{
-		pool: p, orders: map[string]seenOrder{}, list: map[string]workload.Machine{}, lives: map[string]string{}, avoid: map[string]time.Time{},
+		pool: p, orders: map[string]seenOrder{}, list: map[string]workload.Machine{}, lives: map[string]life{}, avoid: map[string]time.Time{},
 		short: map[string]sizing.Shortage{},
 	}
 }
@@ -90,8 +96,8 @@
 func (b *machineBook) registered(w workload.Worker) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if w.Machine != "" {
-		b.lives[w.Machine] = w.ID
+	if w.Machine != "" && b.lives[w.Machine].worker != w.ID {
+		b.lives[w.Machine] = life{w.ID, b.pool.node.Clock.Now()}
 	}
 }
 
@@ -149,8 +155,8 @@
 		}
 		m.Pool = o.Pool
 	}
-	if life := b.lives[id]; life != "" && m.Pool == b.pool.name {
-		m.Worker = life
+	if l := b.lives[id]; l.worker != "" && m.Pool == b.pool.name {
+		m.Worker = l.worker
 	}
 	return m, true
 }
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -140,6 +140,7 @@
 	for i := range followers {
 		group.Go(func() error { return followers[i].Run(groupCtx) })
 	}
+	group.Go(func() error { return p.dropAbsent(groupCtx) })
 	group.Go(func() error { return p.decide(groupCtx) })
 	group.Go(func() error { return p.write(groupCtx) })
 	group.Go(func() error { return p.upkeeps.run(groupCtx) })
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -27,6 +27,8 @@
 	// listEvery is how often the platform's machines are listed during a wave.
 	listEvery      = time.Second
 	machineTimeout = 1500 * time.Millisecond
+	// backEarly is how much sooner than its whole upkeep a machine may register again, by the clocks of both.
+	backEarly = 100 * time.Millisecond
 	// backMargin is how much longer than its upkeep a machine may take before the list of machines decides.
 	backMargin = time.Second
 )
@@ -217,18 +219,24 @@
 	b := u.pool.book
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	m, listed := b.list[s.Machine]
+	return s.back(now, u.pool.node.Settings.Bounds.Upkeep, b.lives[s.Machine], b.listed, listed, m.State)
+}
+
+// back decides from the newest life of the slot's machine, and from the list of machines and its time.
+func (s heldSlot) back(now time.Time, upkeep time.Duration, newest life, listedAt time.Time, listed bool, state workload.MachineState) bool {
 	if s.ordered.IsZero() {
 		// The order of an earlier holder may not have been given; begin gives it again.
 		return false
 	}
-	if life := b.lives[s.Machine]; s.Worker != "" && life != "" && life != s.Worker {
+	// A worker that was seen sooner registered before the upkeep, for instance after a move of its machine.
+	if s.Worker != "" && newest.worker != s.Worker && newest.seen.Sub(s.ordered) >= upkeep-backEarly {
 		return true
 	}
-	m, listed := b.list[s.Machine]
-	if b.listed.Sub(s.ordered) < u.pool.node.Settings.Bounds.Upkeep {
+	if listedAt.Sub(s.ordered) < upkeep {
 		return false
 	}
-	return (listed && m.State == workload.MachineUp) || (!listed && now.Sub(s.ordered) > u.pool.node.Settings.Bounds.Upkeep+backMargin)
+	return (listed && state == workload.MachineUp) || (!listed && now.Sub(s.ordered) > upkeep+backMargin)
 }
 
 // begin takes the next machines of the pool into upkeep.
@@ -244,6 +252,7 @@
 		}
 	}
 	input, machines, held := u.input(w, now)
+	u.close(input, now)
 	u.explain(w, input, held, now)
 	for _, id := range upkeep.Plan(input) {
 		if err := u.take(ctx, w, machines[id]); err != nil {
@@ -295,6 +304,24 @@
 	return in, machines, held
 }
 
+// closedFor is how long a worker gets no new work unless its upkeep stays due soon.
+const closedFor = 3 * waveEvery
+
+// close keeps new work away from the machines whose upkeep must begin soon.
+func (u *upkeeps) close(in upkeep.Input, now time.Time) {
+	next := upkeep.Next(in)
+	if len(next) == 0 {
+		return
+	}
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	for _, c := range in.Candidates {
+		if slices.Contains(next, c.Machine) {
+			u.pool.core.Close(c.Load.Worker, now.Add(closedFor))
+		}
+	}
+}
+
 // spread separates tasks of one step that forbid the upkeep of their worker.
 func (u *upkeeps) spread(in upkeep.Input, now time.Time) {
 	u.pool.mu.Lock()
@@ -316,7 +343,7 @@
 		return
 	}
 	u.explained = now
-	if upkeep.Pressed(in) {
+	if upkeep.Near(in) {
 		u.spread(in, now)
 	}
 	busy, forbidden, reason := 0, 0, ""
@@ -398,7 +425,7 @@
 	}
 	u.mu.Lock()
 	if held, ok := u.slots[key]; ok {
-		held.ordered = now
+		held.ordered = u.pool.node.Clock.Now()
 		u.slots[key] = held
 	}
 	u.mu.Unlock()
