feat(dispatch): a successor waits only for what silent workers may run

Change: a holder records the tasks that may run on a worker that became silent or lost its registration, and starts nothing there until a record without the worker is written. A successor waits for those tasks only. What holders left is read at once. The last records are repeated while there is time.

--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -53,8 +53,8 @@
 // waitingCPU sums the processors of the tasks that wait and can be in time.
 func (p *Pool) waitingCPU(now time.Time) int64 {
 	sum := int64(0)
-	heard := p.allHeard(now)
-	for _, c := range p.candidates(now) {
+	u := p.uncertain(now)
+	for _, c := range p.candidates(u, now) {
 		if !c.lasting && !c.inTime {
 			continue
 		}
@@ -65,7 +65,7 @@
 				continue
 			}
 			for _, t := range st.tasks {
-				if p.waiting(t, heard, now) {
+				if waiting(t, u) {
 					sum += t.step.Reserved().CPU
 				}
 			}
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -117,9 +117,12 @@
 	// unsureUntil is the end of the time in which a lost holder's runs may be present on workers that were not heard.
 	unsureUntil time.Time
 	// mayRun holds the workers on which the holder before had runs; nil when it has not told.
-	mayRun  map[workload.TaskID]string
-	actions []Action
-	dirty   map[string]*job
+	mayRun map[workload.TaskID]string
+	// inherited are the silent workers of which the holder before told, recordedSeals those that the store's record names.
+	inherited     Seals
+	recordedSeals Seals
+	actions       []Action
+	dirty         map[string]*job
 }
 
 // Event tells a decision for the log.
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -56,6 +56,8 @@
 	late    []lateStart
 	specs   map[string]workload.Job
 	records map[string]dispatch.Record
+	// seals is the store's record of silent workers.
+	seals dispatch.Seals
 	// cancelled holds when a job's cancelling was told to the holder.
 	cancelled map[string]time.Time
 	noted     map[workload.TaskID]bool
@@ -98,6 +100,9 @@
 	m.pool = &dispatch.Pool{Name: "cutting", Epoch: m.fence}
 	m.pool.Begin(m.now)
 	m.pool.SetQueues([]workload.Queue{queue})
+	if m.seals != nil {
+		m.pool.Inherit(m.seals)
+	}
 	ids := make([]string, 0, len(m.specs))
 	for id := range m.specs {
 		ids = append(ids, id)
@@ -332,6 +337,23 @@
 	}
 }
 
+// seal records silent workers, or loses the answer, or the write; only the present holder's writes take effect.
+func (m *model) seal() {
+	seals, changed := m.pool.Seals(m.now)
+	if !changed || m.fence != m.newest {
+		return
+	}
+	switch rapid.IntRange(0, 3).Draw(m.t, "seal") {
+	case 0:
+		return
+	case 1:
+		m.seals = seals
+	default:
+		m.seals = seals
+		m.pool.Sealed(seals)
+	}
+}
+
 func (m *model) keep(b dispatch.Batch) {
 	for _, c := range b.Changes {
 		m.records[c.Job] = c.Record
@@ -423,6 +445,7 @@
 			m.report(w)
 		}
 	}
+	m.seal()
 	m.plan()
 }
 
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -14,17 +15,21 @@
 // Handover returns the runs that may be present; ok is false for a holder that does not know them all itself, or that has
 // seen ends which are not recorded.
 func (p *Pool) Handover(now time.Time) (h Handover, ok bool) {
-	heard := p.allHeard(now)
-	if len(p.dirty) > 0 || (p.mayRun == nil && !heard) {
+	if len(p.dirty) > 0 || p.uncertain(now).everywhere {
 		return Handover{}, false
 	}
 	h = Handover{Runs: map[string][]workload.TaskID{}}
-	if !heard {
+	if now.Before(p.unsureUntil) {
 		for id, worker := range p.mayRun {
 			if w := p.workers[worker]; w == nil || w.heard.IsZero() {
 				h.Runs[worker] = append(h.Runs[worker], id)
 			}
 		}
+		for worker, tasks := range p.inherited {
+			if w := p.workers[worker]; p.mayRun == nil && (w == nil || w.heard.IsZero()) {
+				h.Runs[worker] = append(h.Runs[worker], tasks...)
+			}
+		}
 	}
 	for _, w := range p.ordered() {
 		for _, x := range w.sorted() {
@@ -47,18 +52,102 @@
 	p.unsureUntil = now.Add(p.stretch(p.Settings.Lease))
 }
 
-// unsure reports whether a run that a holder before started may be present on a worker that was not heard.
-func (p *Pool) unsure(t *task, heard bool, now time.Time) bool {
-	if !t.job.restored || heard {
-		return false
+// Seals names, for each worker that became silent, the tasks that may run on it; a sealed worker gets no more starts until a
+// record without it is written.
+type Seals map[string][]workload.TaskID
+
+// Seals returns the workers to record as silent; changed is false while the record says so already.
+func (p *Pool) Seals(now time.Time) (s Seals, changed bool) {
+	s = Seals{}
+	for id, tasks := range p.inherited {
+		// What a holder before said holds until the worker is heard or its last lease has ended.
+		if w := p.workers[id]; now.Before(p.unsureUntil) && (w == nil || w.heard.IsZero()) {
+			s[id] = tasks
+		}
 	}
-	if p.mayRun == nil {
-		return true
+	for _, w := range p.ordered() {
+		// A worker without registration is not known to a successor at all.
+		lost := now.Sub(w.heard) > p.Settings.Silence || !w.missing.IsZero()
+		if !w.synced || !lost || len(w.runs) == 0 || w.processed > w.recorded {
+			continue
+		}
+		w.sealed = true
+		for _, x := range w.sorted() {
+			s[w.ID] = append(s[w.ID], x.task.id)
+		}
 	}
-	worker, named := p.mayRun[t.id]
-	if !named {
+	return s, !p.recordedSeals.cover(s)
+}
+
+// cover reports whether s names the same workers as other, and all of its tasks.
+func (s Seals) cover(other Seals) bool {
+	if len(s) != len(other) {
 		return false
 	}
-	w := p.workers[worker]
-	return now.Before(p.unsureUntil) && (w == nil || w.heard.IsZero())
+	for id, tasks := range other {
+		known, named := s[id]
+		if !named || slices.ContainsFunc(tasks, func(t workload.TaskID) bool { return !slices.Contains(known, t) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Sealed takes note that a record of silent workers is in the store; workers that it does not name may get starts again.
+func (p *Pool) Sealed(s Seals) {
+	p.recordedSeals = s
+	for _, w := range p.workers {
+		if _, named := s[w.ID]; !named {
+			w.sealed = false
+		}
+	}
+}
+
+// Inherit takes over the record of silent workers that a holder before left.
+func (p *Pool) Inherit(s Seals) {
+	p.inherited, p.recordedSeals = s, s
+}
+
+// uncertainty is what a new holder does not know of the runs that a holder before started.
+type uncertainty struct {
+	// everywhere is true while any task of an older job may run on an unheard worker.
+	everywhere bool
+	// named holds the tasks that may run on unheard workers of which a holder before told.
+	named map[workload.TaskID]bool
+}
+
+// uncertain returns what is not known yet; after a complete handover only the tasks that it names can be unsure.
+func (p *Pool) uncertain(now time.Time) uncertainty {
+	u := uncertainty{named: map[workload.TaskID]bool{}}
+	if now.After(p.unsureUntil) {
+		return u
+	}
+	for task, id := range p.mayRun {
+		if w := p.workers[id]; w == nil || w.heard.IsZero() {
+			u.named[task] = true
+		}
+	}
+	if p.mayRun != nil {
+		return u
+	}
+	u.everywhere = len(p.workers) == 0
+	for id, tasks := range p.inherited {
+		if w := p.workers[id]; w != nil && !w.heard.IsZero() {
+			continue
+		}
+		for _, t := range tasks {
+			u.named[t] = true
+		}
+	}
+	for _, w := range p.workers {
+		if _, told := p.inherited[w.ID]; !told && !w.synced && w.heard.IsZero() {
+			u.everywhere = true
+		}
+	}
+	return u
+}
+
+// unsure reports whether a run that a holder before started may be present on a worker that was not heard.
+func (u uncertainty) unsure(t *task) bool {
+	return t.job.restored && (u.everywhere || u.named[t.id])
 }
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -24,8 +24,9 @@
 	p.repeatStops(now)
 	p.replaceDraining(now)
 	p.measureRoom(now)
-	for _, c := range p.candidates(now) {
-		p.place(c, now)
+	u := p.uncertain(now)
+	for _, c := range p.candidates(u, now) {
+		p.place(c, u, now)
 	}
 	actions := p.actions
 	p.actions = nil
@@ -62,16 +63,15 @@
 }
 
 // waiting reports whether a task can be started now.
-func (p *Pool) waiting(t *task, heard bool, now time.Time) bool {
-	return !t.done && len(t.runs) == 0 && !p.unsure(t, heard, now)
+func waiting(t *task, u uncertainty) bool {
+	return !t.done && len(t.runs) == 0 && !u.unsure(t)
 }
 
-func (p *Pool) candidates(now time.Time) []candidate {
-	heard := p.allHeard(now)
+func (p *Pool) candidates(u uncertainty, now time.Time) []candidate {
 	var list []candidate
 	for _, j := range p.active {
 		for o := range j.occurrences {
-			if c, ok := p.candidate(j, o, heard, now); ok {
+			if c, ok := p.candidate(j, o, u, now); ok {
 				list = append(list, c)
 			}
 		}
@@ -80,7 +80,7 @@
 	return list
 }
 
-func (p *Pool) candidate(j *job, o int, heard bool, now time.Time) (candidate, bool) {
+func (p *Pool) candidate(j *job, o int, u uncertainty, now time.Time) (candidate, bool) {
 	oc := &j.occurrences[o]
 	if oc.left == 0 || oc.due.After(now) {
 		return candidate{}, false
@@ -94,7 +94,7 @@
 		if !st.ready || st.done == len(st.tasks) {
 			continue
 		}
-		if slices.ContainsFunc(st.tasks, func(t *task) bool { return p.waiting(t, heard, now) }) {
+		if slices.ContainsFunc(st.tasks, func(t *task) bool { return waiting(t, u) }) {
 			found = true
 			lasting = lasting || j.Steps[s].LongRunning
 		}
@@ -162,8 +162,7 @@
 }
 
 // place starts the tasks of a candidate for which there is room.
-func (p *Pool) place(c candidate, now time.Time) {
-	heard := p.allHeard(now)
+func (p *Pool) place(c candidate, u uncertainty, now time.Time) {
 	oc := &c.job.occurrences[c.occurrence]
 	for s := range oc.steps {
 		st := &oc.steps[s]
@@ -171,11 +170,11 @@
 			continue
 		}
 		if c.job.Steps[s].Gang {
-			p.placeGang(st, now)
+			p.placeGang(st, u, now)
 			continue
 		}
 		for _, t := range st.tasks {
-			if !p.waiting(t, heard, now) {
+			if !waiting(t, u) {
 				continue
 			}
 			var w *worker
@@ -316,10 +315,9 @@
 }
 
 // placeGang starts all tasks of a gang at once, or none.
-func (p *Pool) placeGang(st *stepState, now time.Time) {
-	heard := p.allHeard(now)
+func (p *Pool) placeGang(st *stepState, u uncertainty, now time.Time) {
 	for _, t := range st.tasks {
-		if !p.waiting(t, heard, now) {
+		if !waiting(t, u) {
 			return
 		}
 	}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -66,6 +66,8 @@
 	suspectUntil time.Time
 	fullUntil    time.Time
 	closedUntil  time.Time
+	// sealed workers are or may be recorded as silent.
+	sealed bool
 	// slowness is the learned factor of run times against the pool's.
 	slowness float64
 }
@@ -88,7 +90,9 @@
 	}
 	w := p.workers[info.ID]
 	if w == nil {
-		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1}
+		// A successor would take a sealed worker to run only what its record names.
+		_, sealed := p.recordedSeals[info.ID]
+		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1, sealed: sealed}
 		p.addWorker(w)
 		p.note(Event{What: "worker added", Worker: info.ID})
 		return
@@ -267,20 +271,7 @@
 	}
 }
 
-// allHeard reports whether every worker that a lost holder may have used has reported to this holder.
-func (p *Pool) allHeard(now time.Time) bool {
-	if now.After(p.unsureUntil) {
-		return true
-	}
-	for _, w := range p.workers {
-		if !w.synced && w.heard.IsZero() {
-			return false
-		}
-	}
-	return len(p.workers) > 0
-}
-
 func (p *Pool) usable(w *worker, now time.Time) bool {
-	return w.synced && !w.Draining && !w.cordoned && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
+	return w.synced && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
 		!now.Before(w.fullUntil) && !now.Before(w.closedUntil)
 }
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -29,8 +29,8 @@
 	defaultDeadline = 3 * time.Second
 	// answerReserve is the part of a caller's deadline that the way back takes.
 	answerReserve = 150 * time.Millisecond
-	// firstTry bounds the first attempt at the store, whose answers take milliseconds, and maxTry each further one; the
-	// bound doubles from attempt to attempt, so that a lost answer costs little and a slow store is still heard.
+	// firstTry is the least bound of the first attempt at the store, whose answers take milliseconds, and maxTry the largest one
+	// of any; the bound doubles from attempt to attempt, so that a lost answer costs little and a slow store is still heard.
 	firstTry = 100 * time.Millisecond
 	maxTry   = 800 * time.Millisecond
 	// storePause lies between two attempts.
@@ -229,16 +229,11 @@
 	perhapsStored storeOutcome = "perhapsStored"
 )
 
-// tryTime bounds an attempt at the store; attempts count from 1.
-func tryTime(attempt int) time.Duration {
-	return min(firstTry<<min(attempt-1, 8), maxTry)
-}
-
 // storeJob creates the job's key; repeated attempts have the same condition, so that at most one takes effect.
 func (n *Node) storeJob(ctx context.Context, key string, value []byte) (storeOutcome, int) {
 	unanswered := false
 	for tries := 1; ; tries++ {
-		tryCtx, cancel := context.WithTimeout(ctx, tryTime(tries))
+		tryCtx, cancel := context.WithTimeout(ctx, n.Patience.try(tries))
 		_, _, err := n.Store.Apply(tryCtx, store.Transaction{
 			If: []store.Condition{{Key: key}}, Put: []store.Write{{Key: key, Value: value}},
 		})
@@ -305,7 +300,7 @@
 
 func (n *Node) storedState(ctx context.Context, pool, id string, try int) (workload.State, error) {
 	// Two reads may be needed.
-	ctx, cancel := context.WithTimeout(ctx, 2*tryTime(try))
+	ctx, cancel := context.WithTimeout(ctx, 2*n.Patience.try(try))
 	defer cancel()
 	entry, err := n.Store.Get(ctx, stateKey(pool, id))
 	if err == nil {
@@ -352,7 +347,7 @@
 
 func (n *Node) tryCancel(ctx context.Context, pool, id string, try int) int {
 	// A read and a write are needed.
-	ctx, cancel := context.WithTimeout(ctx, 2*tryTime(try))
+	ctx, cancel := context.WithTimeout(ctx, 2*n.Patience.try(try))
 	defer cancel()
 	entry, err := n.Store.Get(ctx, jobKey(pool, id))
 	if errors.Is(err, store.ErrNotFound) {
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -72,6 +72,7 @@
 	View         *View
 	Peers        *Peers
 	Registry     metrics.Registry
+	Patience     *patience
 
 	pools   pools
 	leaving atomic.Bool
@@ -103,7 +104,7 @@
 		func() platform.Settings { return settings },
 		func() Flags { return flags },
 		func() zerolog.Logger { return newLogger(lines, flags, settings) },
-		steady.New, platform.NewClient, metrics.NewRegistry, newStore, newWorkers, newMachines, newAdvice, newTenure, newView, newPeers,
+		steady.New, platform.NewClient, metrics.NewRegistry, func() *patience { return &patience{} }, newStore, newWorkers, newMachines, newAdvice, newTenure, newView, newPeers,
 		newNode,
 	} {
 		if err := container.Provide(constructor); err != nil {
@@ -127,9 +128,12 @@
 	return zerolog.New(lines).Level(level).With().Timestamp().Str("node", settings.Node).Logger()
 }
 
-func newStore(c *platform.Client, s platform.Settings, registry metrics.Registry) *platform.Store {
+func newStore(c *platform.Client, s platform.Settings, registry metrics.Registry, patience *patience) *platform.Store {
 	return &platform.Store{Client: c, Addr: s.Store, Calls: func(mechanism, outcome string, took time.Duration) {
 		observe(registry, "storeCalls."+mechanism+"."+outcome, took)
+		if mechanism != "watch" && (outcome == "ok" || outcome == "conflict" || outcome == "notFound") {
+			patience.answered(took)
+		}
 	}}
 }
 
@@ -158,9 +162,9 @@
 }
 
 func newNode(s platform.Settings, f Flags, log zerolog.Logger, clock *steady.Clock, st *platform.Store, w *platform.Workers,
-	m *platform.Machines, a *platform.Advice, t *tenure.Tenure, v *View, p *Peers, r metrics.Registry,
+	m *platform.Machines, a *platform.Advice, t *tenure.Tenure, v *View, p *Peers, r metrics.Registry, patience *patience,
 ) *Node {
-	return &Node{Settings: s, Flags: f, Log: log, Clock: clock, Store: st, Workers: w, Machines: m, Advice: a, Tenure: t, View: v, Peers: p, Registry: r}
+	return &Node{Settings: s, Flags: f, Log: log, Clock: clock, Store: st, Workers: w, Machines: m, Advice: a, Tenure: t, View: v, Peers: p, Registry: r, Patience: patience}
 }
 
 const (
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -86,6 +86,8 @@
 	budget logs.Budget
 	// revisions are those of the records of jobs in the store.
 	revisions map[string]store.Revision
+	// silentRevision is that of the record of silent workers.
+	silentRevision store.Revision
 	// tries counts the attempts at writing records since the last one that succeeded, and the present one.
 	tries   int
 	holding map[string]bool
@@ -111,40 +113,31 @@
 	p.book = newMachineBook(p)
 	p.upkeeps = newUpkeeps(p)
 	p.configure(n.View.Configuration())
-	records, err := p.loadRecords(ctx)
-	if err != nil {
-		return err
-	}
-	p.readHandover(ctx)
 	group, groupCtx := errgroup.WithContext(ctx)
 	p.group = group
-	jobs := &jobFollower{pool: p, records: records}
-	jobFollower := follow.Follower{Store: n.Store, Prefix: "job/" + name + "/", Apply: jobs.apply}
-	// Workers are asked only once all jobs are known: a report on an unknown job would be taken for a stray run.
-	if err := jobFollower.Begin(ctx); err != nil {
-		return err
-	}
-	group.Go(func() error { return jobFollower.Run(groupCtx) })
-	orders := follow.Follower{Store: n.Store, Prefix: machinePrefix, Apply: p.book.apply}
-	if err := orders.Begin(ctx); err != nil {
-		return err
-	}
-	group.Go(func() error { return orders.Run(groupCtx) })
-	size := sizer{pool: p}
-	group.Go(func() error { return size.run(groupCtx) })
+	jobs := &jobFollower{pool: p, loaded: make(chan struct{}), ready: make(chan struct{})}
 	followers := []follow.Follower{
-		{Store: n.Store, Prefix: platform.WorkerPrefix, Pause: workerPause, Apply: func(events []store.Event, _ bool) { p.applyWorkers(groupCtx, events) }},
+		{Store: n.Store, Prefix: "job/" + name + "/", Apply: func(events []store.Event, _ bool) { jobs.apply(groupCtx, events) }},
+		{Store: n.Store, Prefix: machinePrefix, Apply: p.book.apply},
+		{Store: n.Store, Prefix: platform.WorkerPrefix, Pause: workerPause, Apply: func(events []store.Event, _ bool) {
+			// Workers are asked only once all jobs are known: a report on an unknown job would be taken for a stray run.
+			if jobs.await(groupCtx, jobs.ready) {
+				p.applyWorkers(groupCtx, events)
+			}
+		}},
 		{Store: n.Store, Prefix: wavePrefix, Apply: p.upkeeps.apply},
 		{Store: n.Store, Prefix: shortPrefix, Apply: p.book.applyShort},
 	}
 	for i := range followers {
 		group.Go(func() error { return followers[i].Run(groupCtx) })
 	}
-	group.Go(func() error { return p.dropAbsent(groupCtx) })
-	group.Go(func() error { return p.decide(groupCtx) })
-	group.Go(func() error { return p.write(groupCtx) })
-	group.Go(func() error { return p.upkeeps.run(groupCtx) })
-	err = group.Wait()
+	size := sizer{pool: p}
+	for _, run := range []func(context.Context) error{
+		jobs.load, size.run, p.dropAbsent, p.decide, p.write, p.upkeeps.run, p.sealSilent,
+	} {
+		group.Go(func() error { return run(groupCtx) })
+	}
+	err := group.Wait()
 	n.pools.remove(name, p)
 	_ = p.orders.Wait()
 	if errors.Is(context.Cause(ctx), errLeaving) {
@@ -244,9 +237,44 @@
 	pool    *pool
 	records map[string]dispatch.Record
 	begun   bool
+	// loaded is closed once the records and what the holder before left are read, ready once all jobs of before are known.
+	loaded, ready chan struct{}
+}
+
+// load reads what the holders before left; all is read at once, since each call may take long at a slow store.
+func (f *jobFollower) load(ctx context.Context) error {
+	p := f.pool
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		var err error
+		f.records, err = p.loadRecords(groupCtx)
+		return err
+	})
+	group.Go(func() error {
+		p.readHandover(groupCtx)
+		return nil
+	})
+	group.Go(func() error { return p.readSilent(groupCtx) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	close(f.loaded)
+	return nil
 }
 
-func (f *jobFollower) apply(events []store.Event, _ bool) {
+func (f *jobFollower) await(ctx context.Context, c <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c:
+		return true
+	}
+}
+
+func (f *jobFollower) apply(ctx context.Context, events []store.Event) {
+	if !f.await(ctx, f.loaded) {
+		return
+	}
 	p := f.pool
 	now := p.node.Clock.Now()
 	p.mu.Lock()
@@ -278,6 +306,7 @@
 	p.mu.Unlock()
 	if !f.begun {
 		f.begun, f.records = true, nil
+		close(f.ready)
 		p.node.pools.set(p.name, p)
 		p.log.Info().Dur("took", now.Sub(p.began)).Int("jobs", len(events)).Msg("pool taken over")
 	}
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -70,8 +70,14 @@
 func (p *pool) writeLast(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 	defer cancel()
-	if err := p.writeOnce(ctx, p.core.Batch); err != nil {
-		p.log.Warn().Err(err).Msg("last records not written")
+	for ctx.Err() == nil {
+		err := p.writeOnce(ctx, p.core.Batch)
+		if err == nil || errors.Is(err, errLost) {
+			return
+		}
+		p.log.Warn().Err(err).Int("tries", p.tries).Msg("last records not written yet")
+		p.tries++
+		pause(ctx, storePause)
 	}
 }
 
@@ -107,7 +113,7 @@
 		t.If = append(t.If, store.Condition{Key: key, Revision: p.revisions[c.Job]})
 		t.Put = append(t.Put, store.Write{Key: key, Value: value})
 	}
-	ctx, cancel := context.WithTimeout(ctx, tryTime(p.tries))
+	ctx, cancel := context.WithTimeout(ctx, p.node.Patience.try(p.tries))
 	defer cancel()
 	revision, current, err := p.node.Store.Apply(ctx, t)
 	if errors.Is(err, store.ErrConflict) {
@@ -142,55 +148,6 @@
 	return store.ErrConflict
 }
 
-// handoverKey names what a pool's holder leaves to its successor.
-func (p *pool) handoverKey() string { return "handover/" + p.name }
-
-// handOver tells the next holder which runs may be present.
-func (p *pool) handOver(ctx context.Context) {
-	p.mu.Lock()
-	h, ok := p.core.Handover(p.node.Clock.Now())
-	p.mu.Unlock()
-	if !ok {
-		p.log.Info().Msg("duty not handed over, the next holder waits for all workers")
-		return
-	}
-	value, err := json.Marshal(h)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
-	defer cancel()
-	if err == nil {
-		_, _, err = p.node.Store.Apply(ctx, store.Transaction{
-			If: []store.Condition{p.dutyCondition()}, Put: []store.Write{{Key: p.handoverKey(), Value: value}},
-		})
-	}
-	p.log.Info().Err(err).Int("bytes", len(value)).Msg("duty handed over")
-}
-
-// readHandover takes over what the holder before has left. It counts only once it is deleted: a holder after this one must not
-// find it.
-func (p *pool) readHandover(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	entry, err := p.node.Store.Get(ctx, p.handoverKey())
-	if errors.Is(err, store.ErrNotFound) {
-		return
-	}
-	var h dispatch.Handover
-	if err == nil {
-		err = json.Unmarshal(entry.Value, &h)
-	}
-	if err == nil {
-		_, _, err = p.node.Store.Apply(ctx, store.Transaction{
-			If: []store.Condition{p.dutyCondition(), {Key: entry.Key, Revision: entry.Revision}}, Delete: []string{entry.Key},
-		})
-	}
-	if err != nil {
-		p.log.Warn().Err(err).Msg("handover not taken, all workers are waited for")
-		return
-	}
-	p.core.Follow(h, p.node.Clock.Now())
-	p.log.Info().Int("workers", len(h.Runs)).Msg("handover taken")
-}
-
 // expire deletes the records of jobs whose state need not be told any longer.
 func (p *pool) expire(ctx context.Context, now time.Time) {
 	p.mu.Lock()
