feat(dispatch): long-running tasks on few workers, evacuated from machines that are due

Change: long-running tasks go to the fullest worker that has room, with up to three of a step on one, and not to machines whose upkeep is due. From a wave's beginning on they are moved off the machines that are due, as many of a step at once as may be unavailable.

--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -287,16 +287,20 @@
 	scoreFar        = 20
 	scoreSibling    = 10
 	scoreSlow       = 8
+	scoreDue        = 15
+	// freeSiblings is how many tasks of its step may be on a worker before a long-running one prefers another.
+	freeSiblings = 2
 )
 
 func (p *Pool) score(w *worker, t *task, free workload.Room, now time.Time) float64 {
 	// The fullest worker that has room leaves the others empty for large tasks and for maintenance.
 	score := float64(free.CPU) / float64(max(1, w.Room.CPU))
 	if t.step.LongRunning {
-		// Long-running tasks disturb each other, and a failure of a worker ends fewer of them when they are spread.
-		score = -score
-		// Tasks of one step on one worker would be unavailable together.
-		score += scoreSibling * float64(p.onWorker(t, w))
+		// Long-running tasks on few workers leave the others free to be lent; many of one step would be lost with one worker.
+		score += scoreSibling * float64(max(0, p.onWorker(t, w)-freeSiblings))
+		if w.due {
+			score += scoreDue
+		}
 	}
 	if slices.Contains(t.avoid, w.ID) {
 		score += scoreFailedHere
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -88,24 +88,23 @@
 	return why
 }
 
-// Spread stops a long-running task on a worker that runs another one of the same step, so that it goes on elsewhere and the
-// worker may be ended later; it reports whether it stopped one.
-func (p *Pool) Spread(id string, now time.Time) bool {
-	w := p.workers[id]
-	if w == nil {
-		return false
-	}
-	for _, x := range w.sorted() {
-		limit := x.task.step.MaxUnavailable
-		if !x.task.step.LongRunning || limit == 0 || x.phase != present || p.onWorker(x.task, w) < 2 || len(p.away(x, nil, now)) >= limit {
+// Evacuate stops long-running tasks on workers whose machines are due for upkeep, so that they go on elsewhere before it: as
+// many of each step as may be unavailable.
+func (p *Pool) Evacuate(now time.Time) {
+	for _, w := range p.ordered() {
+		if !w.due {
 			continue
 		}
-		if other := p.choose(x.task, x.task.step.Reserved(), now, nil); other != nil && other != w {
-			p.stop(x, "another task of its step is on the worker")
-			return true
+		for _, x := range w.sorted() {
+			limit := x.task.step.MaxUnavailable
+			if !x.task.step.LongRunning || limit == 0 || x.phase != present || len(p.away(x, nil, now)) >= limit {
+				continue
+			}
+			if other := p.choose(x.task, x.task.step.Reserved(), now, nil); other != nil && !other.due {
+				p.stop(x, "its machine is due for upkeep")
+			}
 		}
 	}
-	return false
 }
 
 // Cordon keeps new starts away from a worker, or lets them come again.
@@ -115,6 +114,13 @@
 	}
 }
 
+// SetDue tells which machines have their upkeep still to be done; long-running tasks go elsewhere.
+func (p *Pool) SetDue(due func(machine string) bool) {
+	for _, w := range p.workers {
+		w.due = due(w.Worker.Machine)
+	}
+}
+
 // Close keeps new starts away from a worker until a time, so that it becomes idle; its tasks go on.
 func (p *Pool) Close(id string, until time.Time) {
 	if w := p.workers[id]; w != nil {
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -66,6 +66,8 @@
 	suspectUntil time.Time
 	fullUntil    time.Time
 	closedUntil  time.Time
+	// due workers are on machines whose upkeep is still to be done.
+	due bool
 	// sealed workers are or may be recorded as silent.
 	sealed bool
 	// slowness is the learned factor of run times against the pool's.
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -169,10 +169,19 @@
 	}
 	u.pool.book.refresh(ctx, listEvery)
 	u.finish(ctx, w, now)
+	u.tellDue(now)
 	u.begin(ctx, w, now)
 	u.report(ctx, w)
 }
 
+// tellDue moves long-running tasks away from the machines whose upkeep is still to be done.
+func (u *upkeeps) tellDue(now time.Time) {
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	u.pool.core.SetDue(u.due)
+	u.pool.core.Evacuate(now)
+}
+
 // finish frees the slots of the pool's machines that are back.
 func (u *upkeeps) finish(ctx context.Context, w workload.Wave, now time.Time) {
 	for key, s := range u.mine(w) {
@@ -322,19 +331,7 @@
 	}
 }
 
-// spread separates tasks of one step that forbid the upkeep of their worker.
-func (u *upkeeps) spread(in upkeep.Input, now time.Time) {
-	u.pool.mu.Lock()
-	defer u.pool.mu.Unlock()
-	for _, c := range in.Candidates {
-		if !c.Load.Allowed && u.pool.core.Spread(c.Load.Worker, now) {
-			u.pool.kick()
-			return
-		}
-	}
-}
-
-// explainEvery is how often a waiting wave is explained in the log and helped.
+// explainEvery is how often a waiting wave is explained in the log.
 const explainEvery = time.Second
 
 // explain writes why machines of a wave wait.
@@ -343,9 +340,6 @@
 		return
 	}
 	u.explained = now
-	if upkeep.Near(in) {
-		u.spread(in, now)
-	}
 	busy, forbidden, reason := 0, 0, ""
 	for _, c := range in.Candidates {
 		if !c.Load.Allowed {
