--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -32,7 +32,7 @@
 	refusedWait = 2 * time.Second
 	// tellEvery and tellAgain bound how often a shortage is told, and told again when its size changes.
 	tellEvery = 200 * time.Millisecond
-	tellAgain = time.Second
+	tellAgain = 300 * time.Millisecond
 	// arriveMargin is how much longer than its move a machine may take to register.
 	arriveMargin = 1500 * time.Millisecond
 )
