fix(dispatch): a successor also waits for living workers whose registration is gone; soak; tasks that stand still

A holder whose two renewals in a row were not answered was replaced though the store answered its other calls.

Change: after a take-over the platform's list of machines tells which workers live; older tasks wait for those that were neither heard nor recorded as silent. The record of silent workers also names idle ones and those that were forgotten. A holder counts as cut from the store when no call of any kind was answered. Finite tasks without progress for 1.5 s, or half of their expected time, are stopped and run elsewhere. `verbenabench soak` runs entry instances as processes under random faults. Trials that ask for a holder look under its present key and fail without one: since the key's change TestHolderIsKilled and TestHolderIsTerminated had passed without a kill.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -99,6 +99,8 @@
 	Settings Settings
 	// Epoch rises with each holder of the pool.
 	Epoch uint64
+	// AwaitList is set where Expect tells all workers that live; until then any of them may run what a lost holder started.
+	AwaitList bool
 	// Note is told each decision that touches a job or changes what is believed; unset drops them.
 	Note func(Event)
 
@@ -118,6 +120,11 @@
 	unsureUntil time.Time
 	// mayRun holds the workers on which the holder before had runs; nil when it has not told.
 	mayRun map[workload.TaskID]string
+	// living are workers that were not heard yet, registered or not; nil before they were told.
+	living map[string]bool
+	// quiet are workers that were forgotten because their registration is gone and their lease has ended, and until when a
+	// successor is told so.
+	quiet map[string]time.Time
 	// inherited are the silent workers of which the holder before told, recordedSeals those that the store's record names.
 	inherited     Seals
 	recordedSeals Seals
@@ -142,6 +149,7 @@
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
 	p.ended = map[string]workload.Worker{}
+	p.quiet = map[string]time.Time{}
 	p.jobs = map[string]*job{}
 	p.learned = map[string]*figures{}
 	p.tickets = map[stepKey]*ticketSet{}
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -26,7 +26,10 @@
 	stops   []dispatch.Stop
 	paces   []dispatch.Pace
 	silent  map[string]bool
+	// percent is told of each run when it is set; else runs advance, unless they stand still.
 	percent int
+	still   bool
+	reports int
 	figure  float64
 }
 
@@ -36,7 +39,7 @@
 	t.Helper()
 	b := &bench{
 		t: t, now: epoch, clock: time.Minute, present: map[string]map[workload.TaskID]int{}, ended: map[string][]workload.EndedRun{},
-		numbers: map[string]int64{}, silent: map[string]bool{}, percent: 50,
+		numbers: map[string]int64{}, silent: map[string]bool{},
 	}
 	b.takeOver()
 	for i := range workers {
@@ -115,6 +118,11 @@
 
 func (b *bench) report() {
 	b.clock++
+	b.reports++
+	percent := b.percent
+	if percent == 0 && !b.still {
+		percent = b.reports % 100
+	}
 	for _, id := range b.pool.WorkerIDs() {
 		h := b.pool.NextHold(id, b.now)
 		if b.silent[id] {
@@ -129,7 +137,7 @@
 		b.ended[id] = left
 		r := workload.Report{Born: 1, Clock: b.clock, Ended: left}
 		for task, run := range b.present[id] {
-			r.Active = append(r.Active, workload.ActiveRun{Task: task, Run: run, Percent: b.percent, Figure: b.figure})
+			r.Active = append(r.Active, workload.ActiveRun{Task: task, Run: run, Percent: percent, Figure: b.figure})
 		}
 		b.pool.Report(id, r, b.now)
 	}
@@ -203,6 +211,7 @@
 // Guards against a second run of a task while the first may still be running on a worker that is not heard.
 func TestSilentWorkerKeepsItsTasksUntilItsLeaseEnds(t *testing.T) {
 	b := newBench(t, 2)
+	b.still = true
 	b.addJob("j", oneTask(1000))
 	b.plan()
 	first := b.where(task("j", 0, 0))
@@ -573,3 +582,18 @@
 	b.plan()
 	wantCount(t, "starts after the record is gone", len(b.starts), 2)
 }
+
+// Guards against a job that waits for a task that stands still on a worker while others work.
+func TestTaskThatStandsStillRunsElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	b.still = true
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	first := b.where(task("j", 0, 0))
+	b.pass(time.Second)
+	wantCount(t, "stops after a second without progress", len(b.stops), 0)
+	b.pass(1500 * time.Millisecond)
+	if got := b.where(task("j", 0, 0)); got == "" || got == first {
+		t.Errorf("task that stood still on %s: got on %q, want on the other worker", first, got)
+	}
+}
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -25,6 +25,8 @@
 	number   int64
 	least    map[workload.TaskID]int
 	cut      bool
+	// unregistered workers live on though their registration is gone.
+	unregistered bool
 }
 
 type modelEnd struct {
@@ -97,7 +99,7 @@
 	m.old, m.oldFence, m.oldUntil = m.pool, m.fence, m.now.Add(oldHolderGoesOn)
 	m.fence += 100
 	m.newest = m.fence
-	m.pool = &dispatch.Pool{Name: "cutting", Epoch: m.fence}
+	m.pool = &dispatch.Pool{Name: "cutting", Epoch: m.fence, AwaitList: true}
 	m.pool.Begin(m.now)
 	m.pool.SetQueues([]workload.Queue{queue})
 	if m.seals != nil {
@@ -118,7 +120,16 @@
 			m.pool.Cancel(id, m.now)
 		}
 	}
+	var living []string
 	for _, w := range m.workers {
+		living = append(living, w.id)
+		m.register(w)
+	}
+	m.pool.Expect(living)
+}
+
+func (m *model) register(w *modelWorker) {
+	if !w.unregistered {
 		m.pool.SetWorker(workload.Worker{ID: w.id, Pool: "cutting", Rack: "r", Room: workload.Room{CPU: modelCPU, MemoryMB: 1000}, Born: w.born}, m.now)
 	}
 }
@@ -403,6 +414,14 @@
 			"reports": func(*rapid.T) { m.tick(4) },
 			"end":     func(t *rapid.T) { m.endOne(t) },
 			"cut":     func(t *rapid.T) { w := m.draw(t); w.cut = !w.cut },
+			"registration": func(t *rapid.T) {
+				w := m.draw(t)
+				w.unregistered = !w.unregistered
+				if w.unregistered {
+					m.pool.DropWorker(w.id, m.now)
+				}
+				m.register(w)
+			},
 			"cancel": func(t *rapid.T) {
 				if len(m.specs) == 0 {
 					return
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -65,13 +65,21 @@
 			s[id] = tasks
 		}
 	}
+	for id, until := range p.quiet {
+		if now.After(until) {
+			delete(p.quiet, id)
+			continue
+		}
+		s[id] = nil
+	}
 	for _, w := range p.ordered() {
-		// A worker without registration is not known to a successor at all.
+		// A worker without registration is not known to a successor by it.
 		lost := now.Sub(w.heard) > p.Settings.Silence || !w.missing.IsZero()
-		if !w.synced || !lost || len(w.runs) == 0 || w.processed > w.recorded {
+		if !lost || !(w.synced || w.lapsed) || w.processed > w.recorded {
 			continue
 		}
 		w.sealed = true
+		s[w.ID] = nil
 		for _, x := range w.sorted() {
 			s[w.ID] = append(s[w.ID], x.task.id)
 		}
@@ -108,6 +116,17 @@
 	p.inherited, p.recordedSeals = s, s
 }
 
+// Expect tells the workers that live, from a source that does not depend on their registrations: a worker whose heartbeats are
+// lost goes on.
+func (p *Pool) Expect(ids []string) {
+	p.living = map[string]bool{}
+	for _, id := range ids {
+		if w := p.workers[id]; w == nil || w.heard.IsZero() {
+			p.living[id] = true
+		}
+	}
+}
+
 // uncertainty is what a new holder does not know of the runs that a holder before started.
 type uncertainty struct {
 	// everywhere is true while any task of an older job may run on an unheard worker.
@@ -130,7 +149,7 @@
 	if p.mayRun != nil {
 		return u
 	}
-	u.everywhere = len(p.workers) == 0
+	u.everywhere = len(p.workers) == 0 || (p.AwaitList && p.living == nil)
 	for id, tasks := range p.inherited {
 		if w := p.workers[id]; w != nil && !w.heard.IsZero() {
 			continue
@@ -144,6 +163,12 @@
 			u.everywhere = true
 		}
 	}
+	for id := range p.living {
+		_, told := p.inherited[id]
+		if _, gone := p.ended[id]; !told && !gone && p.workers[id] == nil {
+			u.everywhere = true
+		}
+	}
 	return u
 }
 
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -22,7 +22,8 @@
 	if w.synced && r.Clock < w.clock {
 		return
 	}
-	w.clock, w.heard = r.Clock, heard
+	w.clock, w.heard, w.lapsed = r.Clock, heard, false
+	delete(p.living, id)
 	if !w.synced {
 		w.synced = true
 		if heard.Before(p.unsureUntil) && p.unsureUntil.After(w.leaseEnd) {
@@ -44,9 +45,35 @@
 	if !r.Partial {
 		p.missing(w, r, seen)
 	}
+	p.stopStalled(w, heard)
 	p.pace(w, heard)
 }
 
+const (
+	// stallAfter is the least time without progress after which a task stands still; a worker reports at least once a second.
+	stallAfter = 1500 * time.Millisecond
+	// stallShare is the part of a task's expected time that it may be without progress, since slow tasks advance seldom.
+	stallShare = 0.5
+)
+
+// stopStalled has finite tasks that stand still on a worker stopped, so that they run elsewhere; the worker gets no starts for a
+// while.
+func (p *Pool) stopStalled(w *worker, now time.Time) {
+	for _, x := range w.sorted() {
+		if x.phase != present || x.task.step.LongRunning || x.task.step.Gang || x.percent >= 100 {
+			continue
+		}
+		if now.Sub(x.progressAt) < max(stallAfter, time.Duration(stallShare*float64(p.expected(x.task)))) {
+			continue
+		}
+		if now.After(w.suspectUntil) {
+			p.note(Event{What: "worker suspected", Worker: w.ID, Reason: "its tasks stand still"})
+		}
+		w.suspectUntil = now.Add(2 * firstSuspicion)
+		p.stop(x, "stands still")
+	}
+}
+
 // missing ends the runs that a worker does not list though it would have to.
 func (p *Pool) missing(w *worker, r workload.Report, seen map[runKey]bool) {
 	for _, x := range w.sorted() {
@@ -82,6 +109,9 @@
 	if x.startClock == 0 {
 		x.startClock = w.clock
 	}
+	if x.progressAt.IsZero() || a.Percent != x.percent {
+		x.progressAt = now
+	}
 	x.percent, x.figure = a.Percent, a.Figure
 	if a.Checkpoint != "" {
 		x.task.checkpoint = a.Checkpoint
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -37,6 +37,8 @@
 	stopSent   time.Time
 	stopReason string
 	percent    int
+	// progressAt is when the percentage was last seen to change.
+	progressAt time.Time
 	figure     float64
 	pace       int
 	pacedAt    time.Time
@@ -68,6 +70,8 @@
 	closedUntil  time.Time
 	// due workers are on machines whose upkeep is still to be done.
 	due bool
+	// lapsed workers were not heard until their lease had surely ended.
+	lapsed bool
 	// sealed workers are or may be recorded as silent.
 	sealed bool
 	// slowness is the learned factor of run times against the pool's.
@@ -92,6 +96,7 @@
 	}
 	w := p.workers[info.ID]
 	if w == nil {
+		delete(p.quiet, info.ID)
 		// A successor would take a sealed worker to run only what its record names.
 		_, sealed := p.recordedSeals[info.ID]
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1, sealed: sealed}
@@ -160,6 +165,16 @@
 	x.task.job.started = true
 }
 
+// has reports whether a run of the worker has a property.
+func (w *worker) has(property func(*run) bool) bool {
+	for _, x := range w.runs {
+		if property(x) {
+			return true
+		}
+	}
+	return false
+}
+
 // sorted returns the worker's runs in a fixed order, so that equal inputs give equal decisions.
 func (w *worker) sorted() []*run {
 	list := make([]*run, 0, len(w.runs))
@@ -231,6 +246,9 @@
 	return ids
 }
 
+// Workers returns the number of workers of the pool.
+func (p *Pool) Workers() int { return len(p.workers) }
+
 // ordered returns the workers by id; the list is made anew when a worker was added or removed.
 func (p *Pool) ordered() []*worker {
 	if p.order == nil {
@@ -253,6 +271,9 @@
 	p.order = nil
 }
 
+// quietFor is how long a successor is told of a worker that is gone; the platform may list its machine for longer than it lives.
+const quietFor = time.Minute
+
 // checkLeases declares the runs of workers lost whose lease has ended unheard, and forgets workers that left.
 func (p *Pool) checkLeases(now time.Time) {
 	for _, w := range p.ordered() {
@@ -265,9 +286,12 @@
 				}
 			}
 			// What runs here from now on was not ordered after the last report.
-			w.synced = false
+			w.synced, w.lapsed = false, true
 		}
 		if len(w.runs) == 0 && p.abandoned(w, now) && silent {
+			if w.synced || w.lapsed {
+				p.quiet[w.ID] = now.Add(quietFor)
+			}
 			p.removeWorker(w.ID)
 		}
 	}
--- a/fleet/tenure/guard.go
+++ b/fleet/tenure/guard.go
@@ -22,7 +22,7 @@
 
 // Status is what a node tells of itself.
 type Status struct {
-	// StoreAge is how long ago the store last renewed the node's lease.
+	// StoreAge is how long ago the store last answered the node.
 	StoreAge time.Duration `json:"storeAge"`
 	// Heard tells how long ago each holder that the node watches last answered it.
 	Heard map[string]time.Duration `json:"heard,omitempty"`
@@ -40,8 +40,8 @@
 	// silentAfter is the silence after which a holder is replaced unless another guard has heard it within heardWithin.
 	silentAfter = 800 * time.Millisecond
 	heardWithin = 600 * time.Millisecond
-	// storeLost is the age of a holder's last renewal, as a part of a lease, from which on it is replaced by a node whose own is
-	// younger than storeFresh; a renewal is due each eighth of a lease.
+	// storeLost is the age of the store's last answer to a holder, as a part of a lease, from which on it is replaced by a node
+	// whose own is younger than storeFresh; a renewal is due each eighth of a lease.
 	storeLost  = 0.44
 	storeFresh = 0.28
 	// contestPause lies between two attempts at the duties of the same holder.
@@ -87,8 +87,8 @@
 
 func part(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
 
-// fresh reports whether the store renewed the node's lease lately; the lock must be held.
-func (t *Tenure) fresh(now time.Time) bool { return t.storeAge(now) <= part(t.TTL, storeFresh) }
+// fresh reports whether the store answered the node lately; the lock must be held.
+func (t *Tenure) fresh(now time.Time) bool { return t.contactAge(now) <= part(t.TTL, storeFresh) }
 
 // guard watches the holders whose likely successor this node is, so that a lost one is replaced before its lease ends. That is
 // safe since workers refuse the orders of an older fence, and a successor waits for those that it has not heard.
@@ -272,7 +272,7 @@
 			t.drop(name, "another node holds the duty")
 		}
 	}
-	s := Status{StoreAge: t.storeAge(now), Heard: map[string]time.Duration{}, Fences: map[string]uint64{}}
+	s := Status{StoreAge: t.contactAge(now), Heard: map[string]time.Duration{}, Fences: map[string]uint64{}}
 	for node, w := range t.watching {
 		s.Heard[node] = now.Sub(w.heard)
 	}
--- a/fleet/tenure/lease.go
+++ b/fleet/tenure/lease.go
@@ -70,6 +70,21 @@
 	return now.Sub(t.renewed)
 }
 
+// Contact takes note that the store answered a call of the node, of whatever kind.
+func (t *Tenure) Contact() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.contact = t.Clock()
+}
+
+// contactAge is how long ago the store last answered; the lock must be held.
+func (t *Tenure) contactAge(now time.Time) time.Duration {
+	if t.contact.After(t.renewed) {
+		return now.Sub(t.contact)
+	}
+	return t.storeAge(now)
+}
+
 // renew prolongs or creates the lease; it counts from sent, since the store counts from the call's arrival.
 func (t *Tenure) renew(ctx context.Context, sent time.Time) bool {
 	t.mu.Lock()
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -73,7 +73,9 @@
 	until     time.Time
 	confirmed time.Time
 	renewed   time.Time
-	watching  map[string]*watched
+	// contact is when the store last answered any call of the node.
+	contact  time.Time
+	watching map[string]*watched
 	// holders are those that this node watches; stale is true after a change that may make others of them.
 	holders []Member
 	stale   bool
--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -14,6 +15,7 @@
 	"verbenalanding.example/verbenabench/placement"
 	"verbenalanding.example/verbenabench/platform"
 	"verbenalanding.example/verbenabench/rollout"
+	"verbenalanding.example/verbenabench/soak"
 )
 
 type named struct {
@@ -30,6 +32,7 @@
 		{"assignment", "Compare a balanced stream assignment with shared dispatch", &assignmentCommand{streams: s}},
 		{"placement", "Place jobs and compare the policy with first fit", &placementCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
+		{"soak", "Run entry instances as processes under random faults and check the promises", &soakCommand{streams: s}},
 		{"jobs", "Put jobs on entry instances beside the stand-in of the users' platform", &jobsCommand{streams: s}},
 		{"platform", "Serve the stand-ins of the platform over TCP until interrupted", &platformCommand{streams: s}},
 	}
@@ -69,6 +72,34 @@
 	return jobload.Write(c.out, rows, c.JSON)
 }
 
+type soakCommand struct {
+	streams
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Duration  time.Duration `long:"time" default:"10s" description:"time of a seed in which faults come"`
+	Nodes     int           `long:"nodes" default:"4" description:"entry instances, each a process"`
+	Machines  int           `long:"machines" default:"8" description:"machines of the pool"`
+	PerSecond float64       `long:"per-second" default:"10" description:"jobs a second"`
+	Program   string        `long:"program" description:"program of the entry instance; built when not given"`
+	Keep      bool          `long:"keep" description:"keep logs and settings of seeds that kept all promises too"`
+}
+
+// Execute runs the seeds and fails when one broke a promise.
+func (c *soakCommand) Execute([]string) error {
+	var failed error
+	for i := range c.Seeds {
+		s := &soak.Soak{
+			Seed: c.Seed + uint64(i), Duration: c.Duration, Nodes: c.Nodes, Machines: c.Machines, PerSecond: c.PerSecond, Program: c.Program,
+			Keep: c.Keep, Out: c.out,
+		}
+		failed = cmp.Or(failed, s.Run(c.ctx))
+		if c.ctx.Err() != nil {
+			break
+		}
+	}
+	return failed
+}
+
 type floodCommand struct {
 	streams
 	site
--- a/verbenabench/jobload/jobload.go
+++ b/verbenabench/jobload/jobload.go
@@ -125,9 +125,11 @@
 		group.Go(func() error { return serve(ctx, f, j, accepted, started, shown) })
 		if kill && at > l.Duration/2 {
 			kill = false
-			if i := f.Holder(pool); i >= 0 {
-				f.Kill(i)
+			i := f.Holder(pool)
+			if i < 0 {
+				return Row{}, fmt.Errorf("kill holder of %s: the pool has none", pool)
 			}
+			f.Kill(i)
 		}
 	}
 	if err := group.Wait(); err != nil {
--- /dev/null
+++ b/verbenabench/soak/process.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/platform"
+	"verbenalanding.example/platform/standin"
+)
+
+// process is an entry instance that runs as a program of its own; it is started again after it ends.
+type process struct {
+	program  string
+	settings platform.Settings
+	path     string
+	log      *os.File
+	store    *proxy
+	client   *http.Client
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	paused  bool
+	// life counts the starts.
+	life int
+	// version is the newest marker that this life has answered.
+	version int64
+	// failed is the error of a life that ended by itself or badly.
+	failed error
+}
+
+// freePorts returns ports of the loopback interface that are free now.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var ports []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return ports, nil
+}
+
+func (s *Soak) newProcess(name string, group *errgroup.Group) (*process, error) {
+	ports, err := freePorts(3)
+	if err != nil {
+		return nil, err
+	}
+	store, err := newProxy(s.platform.StoreAddr, group)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{program: s.Program, store: store, path: filepath.Join(s.dir, name+".json"), client: &http.Client{Timeout: callTimeout}}
+	p.settings = platform.Settings{
+		Node: name, DataCentre: "z1", IP: ports[0].Addr(), Entry: ports[0], Readiness: ports[1],
+		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: store.addr, Machines: s.platform.CloudAddr, Cores: 1, MemoryMB: 256,
+		MinLeaseTTL: 500 * time.Millisecond, Bounds: s.bounds(),
+	}
+	if err := standin.WriteSettings(p.path, p.settings); err != nil {
+		return nil, err
+	}
+	p.log, err = os.Create(filepath.Join(s.dir, name+".log"))
+	return p, err
+}
+
+// start starts the program; it is killed by its id when the context ends.
+func (p *process) start(ctx context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := exec.CommandContext(ctx, p.program, "--settings", p.path)
+	c.Stdout, c.Stderr = p.log, p.log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.settings.Node, err)
+	}
+	p.command, p.exited, p.paused, p.version = c, make(chan struct{}), false, 0
+	p.life++
+	return nil
+}
+
+// wait returns when the present life has ended.
+func (p *process) wait() error {
+	p.mu.Lock()
+	c, exited := p.command, p.exited
+	p.mu.Unlock()
+	err := c.Wait()
+	close(exited)
+	return err
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch s {
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
+	// A process that has just ended takes no signal.
+	_ = p.command.Process.Signal(s)
+}
+
+func (p *process) lifeNow() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life
+}
+
+// run keeps the program running until the context ends.
+func (p *process) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := p.start(ctx); err != nil {
+			return err
+		}
+		err := p.wait()
+		var exit *exec.ExitError
+		if errors.As(err, &exit) && exit.Exited() && ctx.Err() == nil {
+			return fmt.Errorf("%s ended by itself: %w", p.settings.Node, err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(restartAfter):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/verbenabench/soak/proxy.go
@@ -0,0 +1,157 @@
+package soak
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// mode is what a proxy does to the bytes that pass it.
+type mode int
+
+const (
+	pass mode = iota
+	// delayed bytes arrive later.
+	delayed
+	// silent connections, new and open ones, carry nothing any more.
+	silent
+	// oneWay connections carry requests and no answers.
+	oneWay
+)
+
+const modes = int(oneWay) + 1
+
+// String returns the name of the mode.
+func (m mode) String() string { return [...]string{"pass", "delayed", "silent", "oneWay"}[m] }
+
+// proxyDelay is how much later delayed bytes arrive.
+const proxyDelay = 120 * time.Millisecond
+
+// proxy passes connections on to a target and can harm them.
+type proxy struct {
+	target   netip.AddrPort
+	addr     netip.AddrPort
+	listener net.Listener
+	group    *errgroup.Group
+
+	mu    sync.Mutex
+	mode  mode
+	links map[*link]struct{}
+}
+
+// link is one connection through a proxy; muted directions stay so, since bytes of them are gone.
+type link struct {
+	client, server         net.Conn
+	mutedThere, mutedAgain bool
+}
+
+func newProxy(target netip.AddrPort, group *errgroup.Group) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{target: target, listener: l, group: group, links: map[*link]struct{}{}}
+	if p.addr, err = netip.ParseAddrPort(l.Addr().String()); err != nil {
+		return nil, err
+	}
+	group.Go(p.accept)
+	return p, nil
+}
+
+func (p *proxy) accept() error {
+	for {
+		client, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		server, err := net.DialTimeout("tcp", p.target.String(), time.Second)
+		if err != nil {
+			reset(client)
+			continue
+		}
+		k := &link{client: client, server: server}
+		p.mu.Lock()
+		k.mute(p.mode)
+		p.links[k] = struct{}{}
+		p.mu.Unlock()
+		p.group.Go(func() error { return p.copy(k, client, server, &k.mutedThere) })
+		p.group.Go(func() error { return p.copy(k, server, client, &k.mutedAgain) })
+	}
+}
+
+func (k *link) mute(m mode) {
+	k.mutedThere = k.mutedThere || m == silent
+	k.mutedAgain = k.mutedAgain || m == silent || m == oneWay
+}
+
+// copy passes the bytes of one direction on until either side ends.
+func (p *proxy) copy(k *link, from, to net.Conn, muted *bool) error {
+	defer p.drop(k)
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			// The end of a connection is no failure of the proxy.
+			return nil
+		}
+		p.mu.Lock()
+		quiet, late := *muted, p.mode == delayed
+		p.mu.Unlock()
+		if quiet {
+			continue
+		}
+		if late {
+			time.Sleep(proxyDelay)
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return nil
+		}
+	}
+}
+
+func (p *proxy) drop(k *link) {
+	p.mu.Lock()
+	delete(p.links, k)
+	p.mu.Unlock()
+	_ = k.client.Close()
+	_ = k.server.Close()
+}
+
+// set changes the mode for new connections and harms the open ones accordingly.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	for k := range p.links {
+		k.mute(m)
+	}
+}
+
+// resetAll resets the open connections.
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k := range p.links {
+		reset(k.client)
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.resetAll()
+}
+
+// reset closes a connection so that its other side sees a reset.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/verbenabench/soak/soak.go
@@ -0,0 +1,218 @@
+package soak
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/platform"
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
+)
+
+// ErrPromise is returned when a promise was seen broken.
+var ErrPromise = errors.New("promise broken")
+
+// Soak is one run. Set the exported fields before Run.
+type Soak struct {
+	Seed uint64
+	// Duration is the time in which faults come; a calm time follows in which all accepted work must end.
+	Duration time.Duration
+	Nodes    int
+	Machines int
+	// PerSecond is the rate of jobs.
+	PerSecond float64
+	// Program is the entry instance's program; it is built when empty.
+	Program string
+	// Keep leaves logs and settings in their folder.
+	Keep bool
+	Out  io.Writer
+
+	dir       string
+	platform  *standin.Platform
+	processes []*process
+	mu        sync.Mutex
+	proxies   []*proxy
+	version   int64
+	acked     time.Time
+	book      book
+}
+
+// Default returns s with unset fields filled.
+func (s *Soak) Default() {
+	s.Duration = cmp.Or(s.Duration, 10*time.Second)
+	s.Nodes = cmp.Or(s.Nodes, 4)
+	s.Machines = cmp.Or(s.Machines, 8)
+	s.PerSecond = cmp.Or(s.PerSecond, 10)
+}
+
+const (
+	pool    = "cutting"
+	standby = "spare"
+	host    = "fleet.example"
+	// attempts is how many runs of a task may fail.
+	attempts = 3
+	// restartAfter is how long after its end a process is started again.
+	restartAfter = 300 * time.Millisecond
+	callTimeout  = 3500 * time.Millisecond
+	// calmTime is the longest time after the last fault in which all accepted jobs must end: leases, suspicions of workers that
+	// double up to 16 s, and the work itself.
+	calmTime = 30 * time.Second
+	// settleTime passes before the first job.
+	settleTime = 1500 * time.Millisecond
+)
+
+func (s *Soak) bounds() platform.Bounds {
+	return platform.Bounds{
+		Configuration: 2 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second, MaxLease: 6 * time.Second,
+		Stop: 200 * time.Millisecond, Cancel: 3 * time.Second, OrderGap: time.Second, Move: 300 * time.Millisecond,
+		Upkeep: 300 * time.Millisecond, StatusKept: 2 * time.Minute,
+	}
+}
+
+// Run plays the seed; it ends every process that it started, also when the context ends before.
+func (s *Soak) Run(ctx context.Context) (err error) {
+	s.Default()
+	if s.dir, err = os.MkdirTemp("", fmt.Sprintf("verbena-soak-%d-", s.Seed)); err != nil {
+		return err
+	}
+	if s.Program == "" {
+		s.Program = filepath.Join(s.dir, "verbenaentry")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", s.Program, "verbenalanding.example/verbenaentry").CombinedOutput(); err != nil {
+			return fmt.Errorf("build: %w: %s", err, out)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	group, groupCtx := errgroup.WithContext(ctx)
+	err = s.play(groupCtx, group)
+	cancel()
+	s.mu.Lock()
+	for _, p := range s.proxies {
+		p.close()
+	}
+	s.mu.Unlock()
+	if ended := group.Wait(); err == nil && !errors.Is(ended, context.Canceled) {
+		err = ended
+	}
+	s.summarize(err)
+	if err == nil && !s.Keep {
+		return os.RemoveAll(s.dir)
+	}
+	return err
+}
+
+func (s *Soak) addProxy(p *proxy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proxies = append(s.proxies, p)
+}
+
+func (s *Soak) play(ctx context.Context, group *errgroup.Group) error {
+	s.platform = &standin.Platform{
+		Seed: s.Seed, Pools: map[string]int{pool: s.Machines, standby: 1}, Standby: standby, Room: wire.Room{CPU: 8000, MemMb: 16000},
+		Tick: 5 * time.Millisecond, UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond,
+		Front: func(addr netip.AddrPort) (netip.AddrPort, error) {
+			p, err := newProxy(addr, group)
+			if err != nil {
+				return netip.AddrPort{}, err
+			}
+			s.addProxy(p)
+			return p.addr, nil
+		},
+	}
+	if err := s.platform.Start(ctx, group); err != nil {
+		return err
+	}
+	s.configure()
+	for i := range s.Nodes {
+		p, err := s.newProcess(fmt.Sprintf("n%d", i), group)
+		if err != nil {
+			return err
+		}
+		s.addProxy(p.store)
+		s.processes = append(s.processes, p)
+		group.Go(func() error { return p.run(ctx) })
+	}
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	faults := rand.New(rand.NewPCG(s.Seed, 10))
+	callers, callersCtx := errgroup.WithContext(ctx)
+	callers.Go(func() error { return s.injectAll(callersCtx, faults) })
+	callers.Go(func() error { return s.submitAll(callersCtx, rand.New(rand.NewPCG(s.Seed, 11))) })
+	callers.Go(func() error { return s.watchVersions(callersCtx) })
+	if err := callers.Wait(); err != nil {
+		return err
+	}
+	return s.settle(ctx)
+}
+
+// settle ends all faults and checks that accepted work ends and that processes stop in an orderly way.
+func (s *Soak) settle(ctx context.Context) error {
+	s.calm()
+	if err := s.awaitJobs(ctx); err != nil {
+		return err
+	}
+	for _, v := range s.platform.Violations() {
+		return fmt.Errorf("%w: %s", ErrPromise, v)
+	}
+	return nil
+}
+
+func (s *Soak) calm() {
+	s.platform.Store.SetFaults(standin.Faults{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.proxies {
+		p.set(pass)
+		// Connections that went silent are closed by their users' own time-outs; resets only shorten the calm time.
+		p.resetAll()
+	}
+	for _, p := range s.processes {
+		p.signal(syscall.SIGCONT)
+	}
+	for _, id := range s.platform.Machines() {
+		s.platform.Silence(id, false)
+	}
+}
+
+func (s *Soak) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.platform.Configure(s.version, host, attempts)
+	s.acked = time.Now()
+}
+
+func (s *Soak) summarize(err error) {
+	b := &s.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	outcome := "kept"
+	if err != nil {
+		outcome = err.Error() + "; logs in " + s.dir
+	}
+	fmt.Fprintf(s.Out, "seed %d: %d faults, %d jobs accepted, %d refused as not run, %d unknown, %d cancelled: %s\n",
+		s.Seed, b.faults, len(b.accepted), b.refused, b.unknown, b.cancelled, outcome)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-time.After(d):
+		return nil
+	}
+}
--- /dev/null
+++ b/verbenabench/soak/soak_test.go
@@ -0,0 +1,26 @@
+package soak_test
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"verbenalanding.example/verbenabench/soak"
+)
+
+// Guards the promises over whole processes under kills, pauses, harmed connections and a store that fails; the short seeded
+// run of what `verbenabench soak` does for longer.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "verbenaentry")
+	if out, err := exec.Command("go", "build", "-o", program, "verbenalanding.example/verbenaentry").CombinedOutput(); err != nil {
+		t.Fatalf("build: got %v: %s", err, out)
+	}
+	for _, seed := range []uint64{1, 2} {
+		s := &soak.Soak{Seed: seed, Duration: 6 * time.Second, Program: program, Out: t.Output()}
+		if err := s.Run(context.Background()); err != nil {
+			t.Errorf("seed %d: got %v, want all promises kept", seed, err)
+		}
+	}
+}
--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -10,33 +10,52 @@
 const (
 	// absentEvery is how often the machines of workers that were not heard are looked up after a take-over.
 	absentEvery = 200 * time.Millisecond
-	// absentFirst leaves the workers the time for a first report.
-	absentFirst = 100 * time.Millisecond
 	// absentAge is the least age of a worker that the list of machines may prove to be gone; the list may lag behind.
 	absentAge = 3 * time.Second
 )
 
-// dropAbsent finds registered workers whose machines do not run them any more, so that a new holder waits only for workers
-// that may run something.
+// dropAbsent compares the registered workers with the platform's list of machines after a take-over: the holder waits for
+// workers that live without registration, and not for registered ones whose machines do not run them any more.
 func (p *pool) dropAbsent(ctx context.Context) error {
-	pause(ctx, absentFirst)
-	for ctx.Err() == nil {
+	for told := false; ctx.Err() == nil; {
 		now := p.node.Clock.Now()
+		p.book.refresh(ctx, absentEvery/2)
+		if !told {
+			told = p.tellListed()
+		}
 		p.mu.Lock()
 		unheard := p.core.Unheard(now)
 		p.mu.Unlock()
-		if len(unheard) == 0 && p.node.pools.get(p.name) == p {
+		if told && len(unheard) == 0 && p.node.pools.get(p.name) == p {
 			return nil
 		}
-		if len(unheard) > 0 {
-			p.book.refresh(ctx, absentEvery/2)
-			p.dropListedAbsent(unheard, now)
-		}
+		p.dropListedAbsent(unheard, now)
 		pause(ctx, absentEvery)
 	}
 	return nil
 }
 
+// tellListed tells the decisions which workers live; it reports whether the list could be read.
+func (p *pool) tellListed() bool {
+	p.book.mu.Lock()
+	known := !p.book.failed && !p.book.listed.IsZero()
+	var ids []string
+	for _, m := range p.book.list {
+		if m.Pool == p.name && m.State == workload.MachineUp && m.Worker != "" {
+			ids = append(ids, m.Worker)
+		}
+	}
+	p.book.mu.Unlock()
+	if !known {
+		return false
+	}
+	p.mu.Lock()
+	p.core.Expect(ids)
+	p.mu.Unlock()
+	p.kick()
+	return true
+}
+
 func (p *pool) dropListedAbsent(unheard []workload.Worker, now time.Time) {
 	p.book.mu.Lock()
 	var gone []string
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -131,7 +131,7 @@
 func newStore(c *platform.Client, s platform.Settings, registry metrics.Registry, patience *patience) *platform.Store {
 	return &platform.Store{Client: c, Addr: s.Store, Calls: func(mechanism, outcome string, took time.Duration) {
 		observe(registry, "storeCalls."+mechanism+"."+outcome, took)
-		if mechanism != "watch" && (outcome == "ok" || outcome == "conflict" || outcome == "notFound") {
+		if mechanism != "watch" && platform.Answered(outcome) {
 			patience.answered(took)
 		}
 	}}
@@ -148,7 +148,7 @@
 }
 
 func newTenure(s platform.Settings, f Flags, st *platform.Store, clock *steady.Clock, log zerolog.Logger) *tenure.Tenure {
-	return &tenure.Tenure{
+	t := &tenure.Tenure{
 		Store: st, TTL: max(f.DutyTTL, s.MinLeaseTTL), Clock: clock.Now,
 		Self: tenure.Member{Node: s.Node, Session: rand.Text()[:8], Peer: netip.AddrPortFrom(s.IP, s.PeerPorts[0]), Cores: s.Cores},
 		Note: func(what, duty string, err error) {
@@ -159,6 +159,14 @@
 			log.WithLevel(level).Str("duty", duty).Err(err).Msg(what)
 		},
 	}
+	count := st.Calls
+	st.Calls = func(mechanism, outcome string, took time.Duration) {
+		count(mechanism, outcome, took)
+		if platform.Answered(outcome) {
+			t.Contact()
+		}
+	}
+	return t
 }
 
 func newNode(s platform.Settings, f Flags, log zerolog.Logger, clock *steady.Clock, st *platform.Store, w *platform.Workers,
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -17,8 +17,10 @@
 	holdWait = time.Second
 	// holdReserve is how much longer than that the answer may take.
 	holdReserve = 500 * time.Millisecond
-	// lookPause lies between two looks at a worker whose ends are being recorded.
-	lookPause = 25 * time.Millisecond
+	// lookPause lies between two looks at a worker whose ends are being recorded, in a pool of up to lookWorkers; in larger
+	// ones it grows with the pool, since looks take most of a holder's processor.
+	lookPause   = 25 * time.Millisecond
+	lookWorkers = 32
 	// holdPause lies between two attempts at a worker that does not answer.
 	holdPause = 150 * time.Millisecond
 )
@@ -166,11 +168,11 @@
 			continue
 		}
 		p.mu.Lock()
-		open := p.core.OpenEnds(id)
+		open, workers := p.core.OpenEnds(id), p.core.Workers()
 		p.mu.Unlock()
 		if open {
 			// A worker answers at once while it lists ends that are not acknowledged.
-			pause(ctx, lookPause)
+			pause(ctx, lookPause*time.Duration(max(lookWorkers, workers))/lookWorkers)
 		}
 	}
 	return nil
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -108,7 +108,7 @@
 		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(orderLimit)
-	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note}
+	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note, AwaitList: n.Settings.Machines.IsValid()}
 	p.core.Begin(p.began)
 	p.book = newMachineBook(p)
 	p.upkeeps = newUpkeeps(p)
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/tenure"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/standin"
 	"verbenalanding.example/platform/wire"
@@ -141,7 +142,7 @@
 
 // Holder returns the index of the instance that holds a pool, or -1.
 func (f *Fleet) Holder(pool string) int {
-	content, ok := f.Platform.Store.Get("duty/" + pool)
+	content, ok := f.Platform.Store.Get(tenure.Prefix + pool)
 	var h struct{ Node string }
 	if !ok || json.Unmarshal(content, &h) != nil {
 		return -1
--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -103,19 +104,25 @@
 	wantKept(t, f)
 }
 
+var errNoHolder = errors.New("the pool has no holder")
+
 // Guards against a lost job and against a task that runs twice when the holder of a pool is killed.
 func TestHolderIsKilled(t *testing.T) {
 	f, ctx := startFleet(t, 3)
 	var group errgroup.Group
 	group.Go(func() error {
 		time.Sleep(300 * time.Millisecond)
-		if i := f.Holder("cutting"); i >= 0 {
-			f.Kill(i)
+		i := f.Holder("cutting")
+		if i < 0 {
+			return errNoHolder
 		}
+		f.Kill(i)
 		return nil
 	})
 	serveJobs(ctx, t, f, 60)
-	_ = group.Wait()
+	if err := group.Wait(); err != nil {
+		t.Errorf("killed holder: got %v, want none", err)
+	}
 	wantKept(t, f)
 }
 
@@ -125,10 +132,11 @@
 	var group errgroup.Group
 	group.Go(func() error {
 		time.Sleep(300 * time.Millisecond)
-		if i := f.Holder("cutting"); i >= 0 {
-			return f.Terminate(i)
+		i := f.Holder("cutting")
+		if i < 0 {
+			return errNoHolder
 		}
-		return nil
+		return f.Terminate(i)
 	})
 	serveJobs(ctx, t, f, 60)
 	if err := group.Wait(); err != nil {
