fix(dispatch): a run that no report has listed yet does not stand still

Cause: the log of hung-workers shows "stands still" for runs of some milliseconds: a run that is present by the answer to its start had no time of progress.

Change: only runs that were listed are judged. The test failed before.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -597,3 +597,14 @@
 		t.Errorf("task that stood still on %s: got on %q, want on the other worker", first, got)
 	}
 }
+
+// Guards against stopping a run that was started a moment ago and is in no list of its worker yet.
+func TestRunThatWasNotListedYetGoesOn(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	b.pool.Report("w0", workload.Report{Born: 1, Clock: b.clock - 1}, b.now)
+	b.pool.Report("w0", workload.Report{Born: 1, Clock: b.clock}, b.now)
+	b.plan()
+	wantCount(t, "stops", len(b.stops), 0)
+}
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -60,7 +60,8 @@
 // while.
 func (p *Pool) stopStalled(w *worker, now time.Time) {
 	for _, x := range w.sorted() {
-		if x.phase != present || x.task.step.LongRunning || x.task.step.Gang || x.percent >= 100 {
+		// A run that was present in no report yet has shown nothing.
+		if x.phase != present || x.progressAt.IsZero() || x.task.step.LongRunning || x.task.step.Gang || x.percent >= 100 {
 			continue
 		}
 		if now.Sub(x.progressAt) < max(stallAfter, time.Duration(stallShare*float64(p.expected(x.task)))) {
