--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -68,7 +68,9 @@
 			f.listed = false
 			continue
 		}
-		f.tell(err)
+		if ctx.Err() == nil {
+			f.tell(err)
+		}
 		if err == nil {
 			backoff = firstBackoff
 			continue
