--- /dev/null
+++ b/fleet/dispatch/gang.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// placeGang starts all tasks of a gang at once, or none.
+func (p *Pool) placeGang(st *stepState, u uncertainty, now time.Time) {
+	for _, t := range st.tasks {
+		if !waiting(t, u) {
+			return
+		}
+	}
+	chosen := make([]*worker, len(st.tasks))
+	taken := map[*worker]workload.Room{}
+	racks := []string{""}
+	if st.tasks[0].step.SameRack {
+		racks = p.racks()
+	}
+	for _, rack := range racks {
+		clear(taken)
+		if p.fitGang(st, rack, chosen, taken, now) {
+			number := 0
+			checkpoint := ""
+			for _, t := range st.tasks {
+				number = max(number, p.nextRun(t))
+				checkpoint = max(checkpoint, t.checkpoint)
+			}
+			for i, t := range st.tasks {
+				t.checkpoint = checkpoint
+				p.start(t, chosen[i], number, now)
+			}
+			return
+		}
+	}
+}
+
+func (p *Pool) fitGang(st *stepState, rack string, chosen []*worker, taken map[*worker]workload.Room, now time.Time) bool {
+	perWorker := map[*worker]int{}
+	for i, t := range st.tasks {
+		chosen[i] = nil
+		need := t.step.Reserved()
+		for _, w := range p.ordered() {
+			if rack != "" && w.Rack != rack {
+				continue
+			}
+			if !p.usable(w, now) || now.Before(w.suspectUntil) || !p.admits(w, t, now) || !w.free().Minus(taken[w]).Fits(need) {
+				continue
+			}
+			if limit := t.step.MaxPerWorker; limit > 0 && perWorker[w] >= limit {
+				continue
+			}
+			chosen[i] = w
+			break
+		}
+		if chosen[i] == nil {
+			return false
+		}
+		taken[chosen[i]] = taken[chosen[i]].Plus(need)
+		perWorker[chosen[i]]++
+	}
+	return true
+}
+
+func (p *Pool) racks() []string {
+	var list []string
+	for _, w := range p.workers {
+		if !slices.Contains(list, w.Rack) {
+			list = append(list, w.Rack)
+		}
+	}
+	slices.Sort(list)
+	// Tasks that fit on no single rack still run, only slower.
+	return append(list, "")
+}
--- /dev/null
+++ b/fleet/dispatch/successor_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// Guards against a pool that stands still after a take-over while a worker is silent, and against a second run of what may be
+// on that worker.
+func TestSuccessorWaitsOnlyForWhatSilentWorkersMayRun(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("j", oneTask(16000))
+	b.plan()
+	lost := b.where(task("j", 0, 0))
+	b.silent[lost] = true
+	b.pass(2 * time.Second)
+	seals, changed := b.pool.Seals(b.now)
+	if !changed || len(seals[lost]) != 1 {
+		t.Fatalf("record of silent workers: got %v, want %s with one task", seals, lost)
+	}
+	b.pool.Sealed(seals)
+
+	spec := func(id string) workload.Job {
+		return workload.Job{ID: id, Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(1000)}, Accepted: b.now}
+	}
+	b.takeOver()
+	b.pool.Inherit(seals)
+	b.pool.AddJob(spec("j"), nil, true, b.now)
+	b.pool.AddJob(spec("k"), nil, true, b.now)
+	for id := range b.present {
+		b.addWorker(id)
+	}
+	b.report()
+	b.plan()
+	if got := b.where(task("k", 0, 0)); got == "" || got == lost {
+		t.Errorf("task that no silent worker runs: got on %q, want on the worker that was heard", got)
+	}
+	wantCount(t, "starts", len(b.starts), 2)
+	b.pass(8 * time.Second)
+	wantCount(t, "starts after the silent worker's lease has surely ended", len(b.starts), 3)
+}
+
+// Guards against a start on a worker of which a record in the store says that it runs other things only.
+func TestSealedWorkerGetsNoStartsUntilItsRecordIsGone(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	b.silent["w0"] = true
+	b.pass(2 * time.Second)
+	seals, _ := b.pool.Seals(b.now)
+	b.pool.Sealed(seals)
+	b.silent["w0"] = false
+	b.report()
+	b.addJob("k", oneTask(1000))
+	b.plan()
+	wantCount(t, "starts while the record names the worker", len(b.starts), 1)
+	seals, changed := b.pool.Seals(b.now)
+	if !changed || len(seals) != 0 {
+		t.Fatalf("record of silent workers: got %v, changed %v, want an empty one", seals, changed)
+	}
+	b.pool.Sealed(seals)
+	b.plan()
+	wantCount(t, "starts after the record is gone", len(b.starts), 2)
+}
--- /dev/null
+++ b/verbenaentry/node/waveplan.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"verbenalanding.example/fleet/upkeep"
+	"verbenalanding.example/fleet/workload"
+)
+
+// tellDue moves long-running tasks away from the machines whose upkeep is still to be done.
+func (u *upkeeps) tellDue(now time.Time) {
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	u.pool.core.SetDue(u.due)
+	u.pool.core.Evacuate(now)
+}
+
+// input gathers what the planner needs to know of a wave.
+func (u *upkeeps) input(w workload.Wave, now time.Time) (in upkeep.Input, machines map[string]workload.Machine, held int) {
+	u.mu.Lock()
+	in = upkeep.Input{
+		Now: now, Deadline: u.seen[w.ID].Add(w.Within), MaxDown: w.MaxDown, Cycle: u.pool.node.Settings.Bounds.Upkeep + backMargin,
+	}
+	busy := map[string]bool{}
+	for key, s := range u.slots {
+		if wave, _ := waveOf(key); wave == w.ID {
+			in.Down++
+			busy[s.Machine] = true
+		}
+	}
+	machines = map[string]workload.Machine{}
+	b := u.pool.book
+	b.mu.Lock()
+	for _, id := range w.Machines {
+		m, ok := b.get(id)
+		if !ok || busy[id] || u.done[w.ID][id] {
+			continue
+		}
+		in.Left++
+		if m.Pool != u.pool.name {
+			continue
+		}
+		if m.State == workload.MachineUp && b.free(id, now) {
+			machines[id] = m
+		} else {
+			held++
+		}
+	}
+	b.mu.Unlock()
+	u.mu.Unlock()
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	for id, m := range machines {
+		in.Candidates = append(in.Candidates, upkeep.Candidate{Machine: id, Load: u.pool.core.LoadOf(m.Worker, now)})
+	}
+	slices.SortFunc(in.Candidates, func(a, b upkeep.Candidate) int { return strings.Compare(a.Machine, b.Machine) })
+	return in, machines, held
+}
+
+// closedFor is how long a worker gets no new work unless its upkeep stays due soon.
+const closedFor = 3 * waveEvery
+
+// close keeps new work away from the machines whose upkeep must begin soon.
+func (u *upkeeps) close(in upkeep.Input, now time.Time) {
+	next := upkeep.Next(in)
+	if len(next) == 0 {
+		return
+	}
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	for _, c := range in.Candidates {
+		if slices.Contains(next, c.Machine) {
+			u.pool.core.Close(c.Load.Worker, now.Add(closedFor))
+		}
+	}
+}
+
+// explainEvery is how often a waiting wave is explained in the log.
+const explainEvery = time.Second
+
+// explain writes why machines of a wave wait.
+func (u *upkeeps) explain(w workload.Wave, in upkeep.Input, held int, now time.Time) {
+	if now.Sub(u.explained) < explainEvery || len(in.Candidates)+held == 0 {
+		return
+	}
+	u.explained = now
+	busy, forbidden, reason := 0, 0, ""
+	for _, c := range in.Candidates {
+		if !c.Load.Allowed {
+			forbidden++
+			reason = c.Load.Reason
+		} else if c.Load.Lost > 0 {
+			busy++
+		}
+	}
+	u.pool.log.Info().Str("wave", w.ID).Int("down", in.Down).Int("left", in.Left).Int("here", len(in.Candidates)+held).Int("busy", busy).
+		Int("forbidden", forbidden).Str("reason", reason).Int("moving", held).Dur("timeLeft", in.Deadline.Sub(now)).Msg("machines of the wave wait")
+}
