--- a/fleet/tenure/guard_test.go
+++ b/fleet/tenure/guard_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +32,14 @@
 	in[node] = true
 }
 
+// cutAnother cuts the first node by name that is not the given one.
+func (w *network) cutAnother(node string) {
+	w.mu.Lock()
+	names := slices.Sorted(maps.Keys(w.nodes))
+	w.mu.Unlock()
+	w.set(w.cut, names[slices.IndexFunc(names, func(name string) bool { return name != node })])
+}
+
 func (w *network) ask(from string) func(context.Context, tenure.Member, tenure.Question) (tenure.Status, error) {
 	return func(_ context.Context, m tenure.Member, q tenure.Question) (tenure.Status, error) {
 		w.mu.Lock()
@@ -137,12 +147,7 @@
 	t.Parallel()
 	n := newNodes(t)
 	w, first := startGuarded(t, n, "a", "b", "c")
-	for _, name := range []string{"a", "b", "c"} {
-		if name != first.node {
-			w.set(w.cut, name)
-			break
-		}
-	}
+	w.cutAnother(first.node)
 	assertNoSuccessor(t, n, 2500*time.Millisecond)
 }
 
@@ -167,12 +172,7 @@
 		n.ttl = 1200 * time.Millisecond
 		w, first := startGuarded(t, n, "a", "b", "c")
 		n.store.refuseAll()
-		for _, name := range []string{"a", "b", "c"} {
-			if name != first.node {
-				w.set(w.cut, name)
-				break
-			}
-		}
+		w.cutAnother(first.node)
 		time.Sleep(2 * n.ttl)
 		if w.nodes[first.node].Valid("pool", first.fence) {
 			t.Errorf("holder after 2 leases without store: got valid, want not")
--- a/verbenabench/soak/process.go
+++ b/verbenabench/soak/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -41,33 +40,28 @@
 	failed error
 }
 
-// freePorts returns ports of the loopback interface that are free now.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var ports []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		ports = append(ports, netip.MustParseAddrPort(l.Addr().String()))
-	}
-	return ports, nil
+// firstPort is the lowest port of the run's entry instances.
+const firstPort = 20001
+
+// nextAddr returns an address of the run's own: other soaks on the machine have other process ids, and so other addresses of
+// the loopback network.
+func (s *Soak) nextAddr() netip.AddrPort {
+	pid := os.Getpid()
+	addr := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16), byte(pid >> 8), byte(pid)})
+	s.addrs++
+	return netip.AddrPortFrom(addr, uint16(firstPort+s.addrs))
 }
 
 func (s *Soak) newProcess(name string, group *errgroup.Group) (*process, error) {
-	ports, err := freePorts(3)
-	if err != nil {
-		return nil, err
-	}
+	entry, readiness, peer := s.nextAddr(), s.nextAddr(), s.nextAddr()
 	store, err := newProxy(s.platform.StoreAddr, group)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{program: s.Program, store: store, path: filepath.Join(s.dir, name+".json"), client: &http.Client{Timeout: callTimeout}}
 	p.settings = platform.Settings{
-		Node: name, DataCentre: "z1", IP: ports[0].Addr(), Entry: ports[0], Readiness: ports[1],
-		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: store.addr, Machines: s.platform.CloudAddr, Cores: 1, MemoryMB: 256,
+		Node: name, DataCentre: "z1", IP: entry.Addr(), Entry: entry, Readiness: readiness,
+		PeerPorts: [2]uint16{peer.Port(), peer.Port()}, Store: store.addr, Machines: s.platform.CloudAddr, Cores: 1, MemoryMB: 256,
 		MinLeaseTTL: 500 * time.Millisecond, Bounds: s.bounds(),
 	}
 	if err := standin.WriteSettings(p.path, p.settings); err != nil {
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -40,7 +40,9 @@
 	Keep bool
 	Out  io.Writer
 
-	dir       string
+	dir string
+	// addrs counts the addresses that were given to entry instances.
+	addrs     int
 	platform  *standin.Platform
 	processes []*process
 	mu        sync.Mutex
