fix(node): a handover is taken over under the pool's lock; repeated pieces joined

Cause: since state of earlier holders is read at once, Follow ran without the pool's lock beside the comparison with the list of machines.

What a leaving holder and a record of silent workers tell has one shape, and one test says whether a worker was heard; one test says whether orders for a pool may be given; the two sorts of a wave's machines are one. No bound or check changed, the orders of decisions stay.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -119,7 +119,7 @@
 	// unsureUntil is the end of the time in which a lost holder's runs may be present on workers that were not heard.
 	unsureUntil time.Time
 	// mayRun holds the workers on which the holder before had runs; nil when it has not told.
-	mayRun map[workload.TaskID]string
+	mayRun Seals
 	// living are workers that were not heard yet, registered or not; nil before they were told.
 	living map[string]bool
 	// quiet are workers that were forgotten because their registration is gone and their lease has ended, and until when a
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,13 +21,12 @@
 	}
 	h = Handover{Runs: map[string][]workload.TaskID{}}
 	if now.Before(p.unsureUntil) {
-		for id, worker := range p.mayRun {
-			if w := p.workers[worker]; w == nil || w.heard.IsZero() {
-				h.Runs[worker] = append(h.Runs[worker], id)
-			}
+		told := p.mayRun
+		if told == nil {
+			told = p.inherited
 		}
-		for worker, tasks := range p.inherited {
-			if w := p.workers[worker]; p.mayRun == nil && (w == nil || w.heard.IsZero()) {
+		for worker, tasks := range told {
+			if p.unheard(worker) {
 				h.Runs[worker] = append(h.Runs[worker], tasks...)
 			}
 		}
@@ -42,12 +42,8 @@
 // Follow takes over what the holder before has told. Tasks that it does not name run nowhere; without a handover every task of
 // an older job may run on a worker that was not heard yet.
 func (p *Pool) Follow(h Handover, now time.Time) {
-	p.mayRun = map[workload.TaskID]string{}
-	for worker, tasks := range h.Runs {
-		for _, id := range tasks {
-			p.mayRun[id] = worker
-		}
-	}
+	p.mayRun = Seals{}
+	maps.Copy(p.mayRun, h.Runs)
 	// The holder before gives no orders any more, so that only its last leases count.
 	p.unsureUntil = now.Add(p.stretch(p.Settings.Lease))
 }
@@ -61,7 +57,7 @@
 	s = Seals{}
 	for id, tasks := range p.inherited {
 		// What a holder before said holds until the worker is heard or its last lease has ended.
-		if w := p.workers[id]; now.Before(p.unsureUntil) && (w == nil || w.heard.IsZero()) {
+		if now.Before(p.unsureUntil) && p.unheard(id) {
 			s[id] = tasks
 		}
 	}
@@ -121,7 +117,7 @@
 func (p *Pool) Expect(ids []string) {
 	p.living = map[string]bool{}
 	for _, id := range ids {
-		if w := p.workers[id]; w == nil || w.heard.IsZero() {
+		if p.unheard(id) {
 			p.living[id] = true
 		}
 	}
@@ -141,23 +137,12 @@
 	if now.After(p.unsureUntil) {
 		return u
 	}
-	for task, id := range p.mayRun {
-		if w := p.workers[id]; w == nil || w.heard.IsZero() {
-			u.named[task] = true
-		}
-	}
 	if p.mayRun != nil {
+		p.nameUnheard(u, p.mayRun)
 		return u
 	}
 	u.everywhere = len(p.workers) == 0 || (p.AwaitList && p.living == nil)
-	for id, tasks := range p.inherited {
-		if w := p.workers[id]; w != nil && !w.heard.IsZero() {
-			continue
-		}
-		for _, t := range tasks {
-			u.named[t] = true
-		}
-	}
+	p.nameUnheard(u, p.inherited)
 	for _, w := range p.workers {
 		if _, told := p.inherited[w.ID]; !told && !w.synced && w.heard.IsZero() {
 			u.everywhere = true
@@ -172,6 +157,24 @@
 	return u
 }
 
+// nameUnheard adds the tasks that may run on workers that were not heard, as a holder before told.
+func (p *Pool) nameUnheard(u uncertainty, told Seals) {
+	for id, tasks := range told {
+		if !p.unheard(id) {
+			continue
+		}
+		for _, t := range tasks {
+			u.named[t] = true
+		}
+	}
+}
+
+// unheard reports whether this holder has had no report of a worker.
+func (p *Pool) unheard(id string) bool {
+	w := p.workers[id]
+	return w == nil || w.heard.IsZero()
+}
+
 // unsure reports whether a run that a holder before started may be present on a worker that was not heard.
 func (u uncertainty) unsure(t *task) bool {
 	return t.job.restored && (u.everywhere || u.named[t.id])
--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -38,10 +38,7 @@
 	if free <= 0 || len(in.Candidates) == 0 {
 		return nil
 	}
-	list := slices.Clone(in.Candidates)
-	slices.SortStableFunc(list, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(a.Machine, b.Machine))
-	})
+	list := byLoss(in.Candidates)
 	pressed := Pressed(in)
 	var choices []string
 	lasting := false
@@ -72,10 +69,7 @@
 	if !Near(in) {
 		return nil
 	}
-	list := slices.Clone(in.Candidates)
-	slices.SortStableFunc(list, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(a.Machine, b.Machine))
-	})
+	list := byLoss(in.Candidates)
 	var next []string
 	for _, c := range list {
 		if len(next) < in.MaxDown-in.Down && c.Load.Worker != "" && c.Load.Reason == "" && !c.Load.Idle {
@@ -100,6 +94,15 @@
 	return left-time.Duration(spare*float64(left)) <= need
 }
 
+// byLoss returns the candidates with the least to lose first.
+func byLoss(candidates []Candidate) []Candidate {
+	list := slices.Clone(candidates)
+	slices.SortStableFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(loss(a), loss(b)), cmp.Compare(a.Machine, b.Machine))
+	})
+	return list
+}
+
 // loss orders machines by what their upkeep ends.
 func loss(c Candidate) time.Duration {
 	const lastingLoss = 2 * time.Second
--- a/verbenabench/soak/process.go
+++ b/verbenabench/soak/process.go
@@ -36,8 +36,6 @@
 	life int
 	// version is the newest marker that this life has answered.
 	version int64
-	// failed is the error of a life that ended by itself or badly.
-	failed error
 }
 
 // firstPort is the lowest port of the run's entry instances.
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -48,7 +49,6 @@
 	mu        sync.Mutex
 	proxies   []*proxy
 	version   int64
-	acked     time.Time
 	book      book
 }
 
@@ -195,7 +195,6 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.platform.Configure(s.version, host, attempts)
-	s.acked = time.Now()
 }
 
 func (s *Soak) summarize(err error) {
@@ -204,6 +203,9 @@
 	defer b.mu.Unlock()
 	outcome := "kept"
 	if err != nil {
+		if failed := os.WriteFile(filepath.Join(s.dir, "events.log"), []byte(strings.Join(b.events, "\n")+"\n"), 0o600); failed != nil {
+			fmt.Fprintln(s.Out, "events not kept:", failed)
+		}
 		outcome = err.Error() + "; logs in " + s.dir
 	}
 	fmt.Fprintf(s.Out, "seed %d: %d faults, %d jobs accepted, %d refused as not run, %d unknown, %d cancelled: %s\n",
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -201,6 +201,11 @@
 	line.Msg(e.What)
 }
 
+// holds reports whether orders for the pool may be given: all jobs are known and the duty is surely held.
+func (p *pool) holds() bool {
+	return p.node.Tenure.Valid(p.name, p.fence) && p.node.pools.get(p.name) == p
+}
+
 func (p *pool) kick() { _ = p.wake.Offer(struct{}{}) }
 
 func (p *pool) configure(c *workload.Configuration) {
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -58,7 +58,7 @@
 		}
 		p := s.pool
 		standby := standbyPool(p.node.View.Configuration())
-		if standby == "" || standby == p.name || !p.node.Tenure.Valid(p.name, p.fence) || p.node.pools.get(p.name) != p {
+		if standby == "" || standby == p.name || !p.holds() {
 			continue
 		}
 		if s.home == 0 && !s.readHome(ctx) {
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -56,7 +56,9 @@
 		p.log.Warn().Err(err).Msg("handover not taken, all workers are waited for")
 		return
 	}
+	p.mu.Lock()
 	p.core.Follow(h, p.node.Clock.Now())
+	p.mu.Unlock()
 	p.log.Info().Int("workers", len(h.Runs)).Msg("handover taken")
 }
 
@@ -78,7 +80,7 @@
 		case <-ticker.C:
 		}
 		now := p.node.Clock.Now()
-		if !p.node.Tenure.Valid(p.name, p.fence) || p.node.pools.get(p.name) != p {
+		if !p.holds() {
 			continue
 		}
 		p.mu.Lock()
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -123,7 +123,7 @@
 		case <-ticker.C:
 		}
 		for _, w := range u.pool.node.View.Waves() {
-			if u.pool.node.Tenure.Valid(u.pool.name, u.pool.fence) && u.pool.node.pools.get(u.pool.name) == u.pool {
+			if u.pool.holds() {
 				u.step(ctx, w)
 			}
 		}
