feat(entry): holders are told of stored jobs; a node that is turned away reaches the store through others

Change: the node that stores a job or a wish to cancel tells the pool's holder, the watch stays as the second way; attempts of a request take turns between the node's own way to the store and one through a node that reaches it, which comes first when the store has not answered the node lately; the first watch after a failure waits 20 ms. Tests that failed before: TestFollowerAsksBrieflyAfterAFailure, TestInstanceThatIsTurnedAwayServes (503); TestJobStartsWhileWatchesAreDeaf took 23 s before it had its bound of 3 s.

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -18,6 +18,9 @@
 	answerMargin = 700 * time.Millisecond
 	// listTimeout bounds one page of a list.
 	listTimeout = 2 * time.Second
+	// resumeWait is how long the first watch after a failure waits: the store tells only at the end of a wait that it has
+	// forgotten the history.
+	resumeWait = 20 * time.Millisecond
 )
 
 // Follower lists the keys under a prefix and then follows their changes.
@@ -38,6 +41,8 @@
 	after  store.Revision
 	listed bool
 	failed bool
+	// interrupted is true after a watch that failed.
+	interrupted bool
 }
 
 // Begin lists the prefix, so that all keys of before are applied when it returns; Run then goes on.
@@ -129,9 +134,14 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, f.Wait+answerMargin)
+	wait := f.Wait
+	if f.interrupted {
+		wait = resumeWait
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	batch, err := f.Store.Watch(callCtx, f.Prefix, f.after, f.Wait)
+	batch, err := f.Store.Watch(callCtx, f.Prefix, f.after, wait)
+	f.interrupted = err != nil
 	if err != nil {
 		return err
 	}
--- a/fleet/follow/follow_test.go
+++ b/fleet/follow/follow_test.go
@@ -16,7 +16,9 @@
 
 	lists   []store.Page
 	watches []func() (store.Batch, error)
-	cancel  context.CancelFunc
+	// waits are how long the watches were to wait.
+	waits  []time.Duration
+	cancel context.CancelFunc
 }
 
 func (s *scripted) List(context.Context, string, string, int) (store.Page, error) {
@@ -25,7 +27,8 @@
 	return page, nil
 }
 
-func (s *scripted) Watch(context.Context, string, store.Revision, time.Duration) (store.Batch, error) {
+func (s *scripted) Watch(_ context.Context, _ string, _ store.Revision, wait time.Duration) (store.Batch, error) {
+	s.waits = append(s.waits, wait)
 	if len(s.watches) == 0 {
 		s.cancel()
 		return store.Batch{}, store.ErrUnavailable
@@ -80,3 +83,33 @@
 		t.Errorf("changes: got %v, want %v", got, want)
 	}
 }
+
+// Guards against a follower that hears nothing for the whole wait of a watch after its watch was cut: a store that has forgotten
+// its history may say so only at the end of the wait.
+func TestFollowerAsksBrieflyAfterAFailure(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	empty := func() (store.Batch, error) { return store.Batch{Revision: 2}, nil }
+	s := &scripted{
+		cancel: cancel,
+		lists:  []store.Page{{Revision: 2}},
+		watches: []func() (store.Batch, error){
+			empty,
+			func() (store.Batch, error) { return store.Batch{}, store.ErrUnavailable },
+			empty,
+		},
+	}
+	f := follow.Follower{Store: s, Prefix: "p/", Apply: func([]store.Event, bool) {}}
+	if err := f.Run(ctx); err != nil {
+		t.Fatalf("run: got %v, want none", err)
+	}
+	const whole = 2 * time.Second
+	want := []bool{true, true, false, true}
+	var got []bool
+	for _, wait := range s.waits {
+		got = append(got, wait == whole)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("watches that wait for %v: got %v, want %v (waits %v)", whole, got, want, s.waits)
+	}
+}
--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -34,7 +34,7 @@
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return fmt.Errorf("%w: %w: %w", ErrUnreachable, ErrNotSent, err)
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
 		return c.Sentinels.decode(err)
--- a/fleet/rpc/rpc.go
+++ b/fleet/rpc/rpc.go
@@ -12,6 +12,9 @@
 // ErrUnreachable is returned when a call got no answer; the other side may or may not have run it.
 var ErrUnreachable = errors.New("peer unreachable")
 
+// ErrNotSent is returned with ErrUnreachable when no connection could be opened, so that the other side has surely not run the call.
+var ErrNotSent = errors.New("not sent")
+
 // firstCode is the code of the first sentinel error; the following ones count down from it.
 const firstCode = -32000
 
--- a/fleet/store/store.go
+++ b/fleet/store/store.go
@@ -101,22 +101,22 @@
 
 // Condition requires that a key has a revision; 0 requires that it does not exist.
 type Condition struct {
-	Key      string
-	Revision Revision
+	Key      string   `json:"key"`
+	Revision Revision `json:"revision"`
 }
 
 // Write puts a value in a transaction.
 type Write struct {
-	Key   string
-	Value []byte
-	Lease LeaseID
+	Key   string  `json:"key"`
+	Value []byte  `json:"value"`
+	Lease LeaseID `json:"lease,omitempty"`
 }
 
 // Transaction is a set of writes that apply all together when every condition holds, or not at all.
 type Transaction struct {
-	If     []Condition
-	Put    []Write
-	Delete []string
+	If     []Condition `json:"if,omitempty"`
+	Put    []Write     `json:"put,omitempty"`
+	Delete []string    `json:"delete,omitempty"`
 }
 
 // Transactor is a store that changes several keys in one call.
--- a/fleet/tenure/guard.go
+++ b/fleet/tenure/guard.go
@@ -90,6 +90,13 @@
 // fresh reports whether the store answered the node lately; the lock must be held.
 func (t *Tenure) fresh(now time.Time) bool { return t.contactAge(now) <= part(t.TTL, storeFresh) }
 
+// Reaches reports whether the store answered the node lately.
+func (t *Tenure) Reaches() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh(t.Clock())
+}
+
 // guard watches the holders whose likely successor this node is, so that a lost one is replaced before its lease ends. That is
 // safe since workers refuse the orders of an older fence, and a successor waits for those that it has not heard.
 func (t *Tenure) guard(ctx context.Context) error {
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -206,7 +206,15 @@
 		n.refuse(w, http.StatusBadRequest, "the job cannot be stored")
 		return http.StatusBadRequest
 	}
-	outcome, tries := n.storeJob(ctx, jobKey(q.Pool, id), value)
+	outcome, revision, tries := n.storeJob(ctx, jobKey(q.Pool, id), value)
+	if revision != 0 {
+		s := storedJob{Pool: q.Pool, ID: id, Value: value, Revision: revision}
+		n.tell(q.Pool, methodStored, s, func(p *pool) {
+			if err := p.stored(s); err != nil {
+				log.Error().Err(err).Msg("stored job cannot be read")
+			}
+		})
+	}
 	log.Info().Str("outcome", string(outcome)).Int("tries", tries).Dur("took", n.Clock.Now().Sub(job.Accepted)).Msg("job submitted")
 	switch outcome {
 	case stored:
@@ -229,25 +237,29 @@
 	perhapsStored storeOutcome = "perhapsStored"
 )
 
-// storeJob creates the job's key; repeated attempts have the same condition, so that at most one takes effect.
-func (n *Node) storeJob(ctx context.Context, key string, value []byte) (storeOutcome, int) {
+// storeJob creates the job's key; repeated attempts have the same condition, so that at most one takes effect. The revision is 0
+// unless this call is known to have created the key.
+func (n *Node) storeJob(ctx context.Context, key string, value []byte) (storeOutcome, store.Revision, int) {
 	unanswered := false
 	for tries := 1; ; tries++ {
 		tryCtx, cancel := context.WithTimeout(ctx, n.Patience.try(tries))
-		_, _, err := n.Store.Apply(tryCtx, store.Transaction{
+		revision, _, err := n.keysFor(tries).Apply(tryCtx, store.Transaction{
 			If: []store.Condition{{Key: key}}, Put: []store.Write{{Key: key, Value: value}},
 		})
 		cancel()
-		if err == nil || errors.Is(err, store.ErrConflict) {
-			return stored, tries
+		if err == nil {
+			return stored, revision, tries
+		}
+		if errors.Is(err, store.ErrConflict) {
+			return stored, 0, tries
 		}
 		unanswered = unanswered || errors.Is(err, store.ErrUnavailable)
 		pause(ctx, storePause)
 		if ctx.Err() != nil {
 			if unanswered {
-				return perhapsStored, tries
+				return perhapsStored, 0, tries
 			}
-			return notStored, tries
+			return notStored, 0, tries
 		}
 	}
 }
@@ -302,7 +314,8 @@
 	// Two reads may be needed.
 	ctx, cancel := context.WithTimeout(ctx, 2*n.Patience.try(try))
 	defer cancel()
-	entry, err := n.Store.Get(ctx, stateKey(pool, id))
+	st := n.keysFor(try)
+	entry, err := st.Get(ctx, stateKey(pool, id))
 	if err == nil {
 		var record dispatch.Record
 		if err := json.Unmarshal(entry.Value, &record); err != nil {
@@ -316,7 +329,7 @@
 	if !errors.Is(err, store.ErrNotFound) {
 		return "", err
 	}
-	if _, err := n.Store.Get(ctx, jobKey(pool, id)); err != nil {
+	if _, err := st.Get(ctx, jobKey(pool, id)); err != nil {
 		return "", err
 	}
 	return workload.Queued, nil
@@ -329,6 +342,7 @@
 		if status != 0 {
 			n.Log.Info().Str("job", id).Int("status", status).Msg("cancelling asked for")
 			if status == http.StatusOK {
+				n.tell(q.Pool, methodCancelled, askedFor{q.Pool, id}, func(p *pool) { p.cancelled(id) })
 				n.answerJSON(w, []byte("{}"))
 			} else {
 				n.refuse(w, status, "no such job")
@@ -349,14 +363,15 @@
 	// A read and a write are needed.
 	ctx, cancel := context.WithTimeout(ctx, 2*n.Patience.try(try))
 	defer cancel()
-	entry, err := n.Store.Get(ctx, jobKey(pool, id))
+	st := n.keysFor(try)
+	entry, err := st.Get(ctx, jobKey(pool, id))
 	if errors.Is(err, store.ErrNotFound) {
 		return http.StatusGone
 	}
 	if err != nil {
 		return 0
 	}
-	_, _, err = n.Store.Apply(ctx, store.Transaction{
+	_, _, err = st.Apply(ctx, store.Transaction{
 		If:  []store.Condition{{Key: entry.Key, Revision: entry.Revision}, {Key: cancelKey(pool, id)}},
 		Put: []store.Write{{Key: cancelKey(pool, id), Value: []byte("{}")}},
 	})
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -76,6 +76,8 @@
 
 	pools   pools
 	leaving atomic.Bool
+	// tells are the calls that tell holders of stored requests; nobody waits for them, they end with their time.
+	tells errgroup.Group
 }
 
 // Run runs an entry instance until SIGTERM.
@@ -194,6 +196,7 @@
 	n.Log.Info().Str("session", n.Tenure.Self.Session).Str("entry", n.Settings.Entry.String()).
 		Str("peer", n.Tenure.Self.Peer.String()).Msg("started")
 	group, groupCtx := errgroup.WithContext(runCtx)
+	n.tells.SetLimit(tellLimit)
 	n.Tenure.Gained = n.holdPool
 	n.Tenure.Ask = n.Peers.askMember
 	n.View.Changed = n.configured
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/rpc"
+	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/tenure"
 	"verbenalanding.example/fleet/workload"
 )
@@ -24,6 +25,12 @@
 	methodJobState = "job.state"
 	methodPending  = "queue.pending"
 	methodStatus   = "member.status"
+	// The holder of a pool is told of stored jobs and of recorded wishes to cancel them.
+	methodStored    = "job.stored"
+	methodCancelled = "job.cancelled"
+	// A node that the store turns away has others read and write for it.
+	methodGet   = "store.get"
+	methodApply = "store.apply"
 )
 
 // peerTimeout bounds a call to another node; the store answers when the holder does not.
@@ -54,7 +61,7 @@
 	clients map[netip.AddrPort]*rpc.Client
 }
 
-var peerSentinels = rpc.Sentinels{ErrNotHolder}
+var peerSentinels = rpc.Sentinels{ErrNotHolder, errCutOff, store.ErrNotFound, store.ErrConflict, store.ErrRefused, store.ErrUnavailable}
 
 func newPeers(t *tenure.Tenure) *Peers {
 	return &Peers{Tenure: t, clients: map[netip.AddrPort]*rpc.Client{}}
@@ -111,28 +118,48 @@
 	return c
 }
 
-// answerPeer answers the calls of other nodes from the pools that this node holds.
-func (n *Node) answerPeer(_ context.Context, method string, params json.RawMessage) (any, error) {
-	if method == methodStatus {
-		q, err := rpc.Decode[tenure.Question](params)
-		if err != nil {
-			return nil, err
-		}
-		return n.Tenure.Answer(q), nil
-	}
-	asked, err := rpc.Decode[askedFor](params)
-	if err != nil {
-		return nil, err
+// answerPeer answers the calls of other nodes.
+func (n *Node) answerPeer(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case methodStatus:
+		return rpc.Answer(params, func(q tenure.Question) (tenure.Status, error) { return n.Tenure.Answer(q), nil })
+	case methodGet:
+		return rpc.Answer(params, func(key string) (any, error) { return n.relayGet(ctx, key) })
+	case methodApply:
+		return rpc.Answer(params, func(t store.Transaction) (any, error) { return n.relayApply(ctx, t) })
+	case methodStored:
+		return rpc.Answer(params, func(s storedJob) (any, error) {
+			return nil, n.withPool(s.Pool, func(p *pool) error { return p.stored(s) })
+		})
 	}
-	pool := n.pools.get(asked.Pool)
-	if pool == nil {
-		return nil, fmt.Errorf("%w: %s", ErrNotHolder, asked.Pool)
+	return rpc.Answer(params, func(asked askedFor) (answer any, err error) {
+		err = n.withPool(asked.Pool, func(p *pool) error {
+			answer, err = p.answer(method, asked.Name)
+			return err
+		})
+		return answer, err
+	})
+}
+
+// withPool runs a call at a pool that this node holds.
+func (n *Node) withPool(name string, call func(*pool) error) error {
+	p := n.pools.get(name)
+	if p == nil {
+		return fmt.Errorf("%w: %s", ErrNotHolder, name)
 	}
+	return call(p)
+}
+
+// answer answers another node's call about a job or a queue.
+func (p *pool) answer(method, name string) (any, error) {
 	switch method {
 	case methodJobState:
-		return pool.jobState(asked.Name), nil
+		return p.jobState(name), nil
 	case methodPending:
-		return pool.pending(asked.Name)
+		return p.pending(name)
+	case methodCancelled:
+		p.cancelled(name)
+		return nil, nil
 	}
 	return nil, fmt.Errorf("unknown method %q", method)
 }
--- /dev/null
+++ b/verbenaentry/node/relay.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"verbenalanding.example/fleet/rpc"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/tenure"
+)
+
+// keys is what answering a request needs of the store.
+type keys interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
+	// Apply returns the current entries of a conflict only where the node reaches the store itself.
+	Apply(ctx context.Context, t store.Transaction) (store.Revision, []store.Entry, error)
+}
+
+// relay reaches the store through another node: the platform may turn single nodes away while it serves the others.
+type relay struct{ node *Node }
+
+// errCutOff is returned by a node that does not reach the store either.
+var errCutOff = errors.New("node does not reach the store")
+
+// relayTries is how many nodes an attempt asks whether they reach the store.
+const relayTries = 3
+
+// keysFor returns the way to the store for an attempt; attempts count from 1. The node's own way comes first unless the store has
+// not answered it lately, and both take turns.
+func (n *Node) keysFor(try int) keys {
+	if own := try%2 == 1; own == n.Tenure.Reaches() {
+		return n.Store
+	}
+	return relay{n}
+}
+
+// Get returns the entry of key.
+func (r relay) Get(ctx context.Context, key string) (store.Entry, error) {
+	var e store.Entry
+	return e, r.ask(ctx, methodGet, key, &e)
+}
+
+// Apply runs a transaction.
+func (r relay) Apply(ctx context.Context, t store.Transaction) (store.Revision, []store.Entry, error) {
+	var revision store.Revision
+	err := r.ask(ctx, methodApply, t, &revision)
+	return revision, nil, err
+}
+
+// ask returns store.ErrRefused when the call surely reached no node that reaches the store, and store.ErrUnavailable when it may have.
+func (r relay) ask(ctx context.Context, method string, params, result any) error {
+	for _, m := range r.node.others(relayTries) {
+		err := r.node.Peers.client(m.Peer).Call(ctx, method, params, result)
+		switch {
+		case errors.Is(err, rpc.ErrNotSent), errors.Is(err, errCutOff):
+		case errors.Is(err, rpc.ErrUnreachable):
+			return fmt.Errorf("%w: through %s: %w", store.ErrUnavailable, m.Node, err)
+		default:
+			return err
+		}
+	}
+	return fmt.Errorf("%w: no other node reaches the store", store.ErrRefused)
+}
+
+// others returns some other nodes in random order.
+func (n *Node) others(limit int) []tenure.Member {
+	members := n.Tenure.Members()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var list []tenure.Member
+	for _, m := range members {
+		if m.Node != n.Settings.Node && len(list) < limit {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// relayGet reads a key for another node.
+func (n *Node) relayGet(ctx context.Context, key string) (any, error) {
+	if !n.Tenure.Reaches() {
+		return nil, errCutOff
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.Patience.try(relayAttempt))
+	defer cancel()
+	return n.Store.Get(ctx, key)
+}
+
+// relayAttempt is the attempt by whose bound a call for another node is bounded, which itself tries once.
+const relayAttempt = 2
+
+// relayApply runs a transaction for another node.
+func (n *Node) relayApply(ctx context.Context, t store.Transaction) (any, error) {
+	if !n.Tenure.Reaches() {
+		return nil, errCutOff
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.Patience.try(relayAttempt))
+	defer cancel()
+	revision, _, err := n.Store.Apply(ctx, t)
+	return revision, err
+}
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -42,6 +42,7 @@
 
 type instance struct {
 	settings platform.Settings
+	gate     *standin.Gate
 	cancel   context.CancelFunc
 	signals  chan os.Signal
 	done     chan struct{}
@@ -107,13 +108,17 @@
 			return err
 		}
 	}
+	gate, err := f.Platform.OpenGate()
+	if err != nil {
+		return err
+	}
 	s := platform.Settings{
 		Node: name, DataCentre: "z1", IP: ports[0].Addr(), Entry: ports[0], Readiness: ports[1],
-		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: f.Platform.StoreAddr, Machines: f.Platform.CloudAddr,
+		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: gate.Addr, Machines: f.Platform.CloudAddr,
 		Bounds: Bounds(), MinLeaseTTL: 500 * time.Millisecond,
 	}
 	nodeCtx, cancel := context.WithCancel(f.ctx)
-	n := &instance{settings: s, cancel: cancel, signals: make(chan os.Signal, 4), done: make(chan struct{})}
+	n := &instance{settings: s, gate: gate, cancel: cancel, signals: make(chan os.Signal, 4), done: make(chan struct{})}
 	f.group.Go(func() error {
 		defer close(n.done)
 		n.err = node.RunWith(nodeCtx, s, os.DevNull, f.Flags, f.Log, n.signals)
@@ -175,6 +180,13 @@
 	<-n.done
 }
 
+// TurnAway has the store turn an instance away, or serve it again.
+func (f *Fleet) TurnAway(i int, away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[i].gate.Close(away)
+}
+
 // Terminate ends an instance gracefully and returns its error.
 func (f *Fleet) Terminate(i int) error {
 	f.mu.Lock()
--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -310,3 +310,65 @@
 	}
 	wantKept(t, f)
 }
+
+// Guards against jobs that wait until the store's watches hear of them: a store that forgets its history is deaf before.
+func TestJobStartsWhileWatchesAreDeaf(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	serveJobs(ctx, t, f, 4)
+	f.Platform.Store.SetFaults(standin.Faults{Deaf: true})
+	defer f.Platform.Store.SetFaults(standin.Faults{})
+	const visible = 3 * time.Second
+	for i := range 3 {
+		ctx, cancel := context.WithTimeout(ctx, visible)
+		defer cancel()
+		j := job(1<<23 + i)
+		if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
+			t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
+		}
+		if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
+			t.Fatalf("job %d while watches are deaf: got %v, want completed", i, err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, visible)
+	defer cancel()
+	j := job(1<<23 + 3)
+	j.Took = time.Minute
+	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
+		t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
+	}
+	if status, _, err := f.Do(ctx, 1, http.MethodDelete, trial.Prefix("cutting")+j.ID, nil); err != nil || status != http.StatusOK {
+		t.Fatalf("cancel: got %d and %v, want %d", status, err, http.StatusOK)
+	}
+	if err := f.Await(ctx, "cutting", j.ID, "cancelled"); err != nil {
+		t.Errorf("cancelled job while watches are deaf: got %v, want cancelled", err)
+	}
+	wantKept(t, f)
+}
+
+// Guards against an instance that serves nobody while the store turns it away and serves the others.
+func TestInstanceThatIsTurnedAwayServes(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	serveJobs(ctx, t, f, 4)
+	away := (f.Holder("cutting") + 1) % 3
+	f.TurnAway(away, true)
+	j := job(1 << 24)
+	f.Platform.Submit(j, trial.Attempts)
+	path := trial.Prefix("cutting") + j.ID
+	status, _, err := f.Do(ctx, away, http.MethodPost, path, j.Job)
+	if err != nil {
+		t.Fatalf("submit: got %v, want an answer", err)
+	}
+	wantStatus(t, "submit at the instance that is turned away", status, http.StatusOK)
+	if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
+		t.Errorf("job: got %v, want completed", err)
+	}
+	if status, _, err = f.Do(ctx, away, http.MethodDelete, path, nil); err != nil {
+		t.Fatalf("cancel: got %v, want an answer", err)
+	}
+	wantStatus(t, "cancel at the instance that is turned away", status, http.StatusOK)
+	if status, _, err = f.Do(ctx, away, http.MethodGet, trial.Prefix("cutting")+"00000000000000ab", nil); err != nil {
+		t.Fatalf("state: got %v, want an answer", err)
+	}
+	wantStatus(t, "state of an unknown job", status, http.StatusGone)
+	wantKept(t, f)
+}
