fix(dispatch): an unanswered start is settled by a stop; a worker that starts again gets starts after a written proof

And found by the random model once workers restart in it: a lost holder that is cut off from the store may start tasks on a worker's new life, which has seen no fence, while its successor runs them elsewhere. Change: a start waits 300 ms for its answer; the worker's lists are read then, a run that is not there is stopped, and the next list after the answered stop settles it. A worker that left a start unanswered gets no others until it is heard. A worker that started again under its id gets starts only once a record was written under the duty's condition.

--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -302,21 +302,29 @@
 		case dispatch.Start:
 			m.start(a)
 		case dispatch.Stop:
-			w := m.worker(a.Worker.ID)
-			if w.cut || m.fence < w.fence {
-				continue
-			}
-			w.fence = m.fence
-			w.least[a.Task] = max(w.least[a.Task], a.Run)
-			if run, ok := w.runs[a.Task]; ok && run == a.Run {
-				m.end(w, a.Task, workload.EndStopped)
-			}
-			m.pool.StopAnswered(a)
+			m.stop(a)
 		case dispatch.Pace, dispatch.Ask:
 		}
 	}
 }
 
+// stop has a worker take a stop, or loses the order or its answer.
+func (m *model) stop(a dispatch.Stop) {
+	w := m.worker(a.Worker.ID)
+	fate := rapid.IntRange(0, 4).Draw(m.t, "stop")
+	if w.cut || m.fence < w.fence || a.Worker.Born != w.born || fate == 0 {
+		return
+	}
+	w.fence = m.fence
+	w.least[a.Task] = max(w.least[a.Task], a.Run)
+	if run, ok := w.runs[a.Task]; ok && run == a.Run {
+		m.end(w, a.Task, workload.EndStopped)
+	}
+	if fate != 1 {
+		m.pool.StopAnswered(a, m.clock(w))
+	}
+}
+
 func (m *model) start(s dispatch.Start) {
 	w := m.worker(s.Worker.ID)
 	fate := rapid.IntRange(0, 9).Draw(m.t, "fate")
@@ -414,6 +422,7 @@
 			"reports": func(*rapid.T) { m.tick(4) },
 			"end":     func(t *rapid.T) { m.endOne(t) },
 			"cut":     func(t *rapid.T) { w := m.draw(t); w.cut = !w.cut },
+			"restart": func(t *rapid.T) { m.restart(m.draw(t)) },
 			"registration": func(t *rapid.T) {
 				w := m.draw(t)
 				w.unregistered = !w.unregistered
@@ -437,6 +446,20 @@
 	})
 }
 
+// restart begins a new life of a worker under its id, which knows nothing of before.
+func (m *model) restart(w *modelWorker) {
+	for _, e := range w.ended {
+		if e.How == workload.EndDone {
+			m.doneLost[e.Task] = true
+		}
+	}
+	w.born++
+	w.started, w.fence, w.leaseEnd, w.number, w.ended = m.now, 0, 0, 0, nil
+	clear(w.runs)
+	clear(w.least)
+	m.register(w)
+}
+
 func (m *model) draw(t *rapid.T) *modelWorker {
 	return m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
 }
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -52,7 +52,7 @@
 // record without it is written.
 type Seals map[string][]workload.TaskID
 
-// Seals returns the workers to record as silent; changed is false while the record says so already.
+// Seals returns the workers to record as silent; changed is false while the record says so already and no write of it is needed.
 func (p *Pool) Seals(now time.Time) (s Seals, changed bool) {
 	s = Seals{}
 	for id, tasks := range p.inherited {
@@ -70,6 +70,9 @@
 	}
 	for _, w := range p.ordered() {
 		// A worker without registration is not known to a successor by it.
+		if w.proof != proven {
+			w.proof, changed = proofAsked, true
+		}
 		lost := now.Sub(w.heard) > p.Settings.Silence || !w.missing.IsZero()
 		if !lost || !(w.synced || w.lapsed) || w.processed > w.recorded {
 			continue
@@ -80,7 +83,7 @@
 			s[w.ID] = append(s[w.ID], x.task.id)
 		}
 	}
-	return s, !p.recordedSeals.cover(s)
+	return s, changed || !p.recordedSeals.cover(s)
 }
 
 // cover reports whether s names the same workers as other, and all of its tasks.
@@ -101,8 +104,8 @@
 func (p *Pool) Sealed(s Seals) {
 	p.recordedSeals = s
 	for _, w := range p.workers {
-		if _, named := s[w.ID]; !named {
-			w.sealed = false
+		if _, named := s[w.ID]; !named && w.proof != proofNeeded {
+			w.sealed, w.proof = false, proven
 		}
 	}
 }
@@ -144,7 +147,7 @@
 	u.everywhere = len(p.workers) == 0 || (p.AwaitList && p.living == nil)
 	p.nameUnheard(u, p.inherited)
 	for _, w := range p.workers {
-		if _, told := p.inherited[w.ID]; !told && !w.synced && w.heard.IsZero() {
+		if _, told := p.inherited[w.ID]; w.reborn || (!told && !w.synced && w.heard.IsZero()) {
 			u.everywhere = true
 		}
 	}
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -15,14 +15,14 @@
 	}
 	if r.Born > w.Born {
 		if w.Born != 0 || len(w.runs) > 0 {
-			p.rebirth(w, r.Born)
+			p.rebirth(w, r.Born, heard)
 		}
 		w.Born = r.Born
 	}
 	if w.synced && r.Clock < w.clock {
 		return
 	}
-	w.clock, w.heard, w.lapsed = r.Clock, heard, false
+	w.clock, w.heard, w.lapsed, w.reborn = r.Clock, heard, false, false
 	delete(p.living, id)
 	if !w.synced {
 		w.synced = true
@@ -81,6 +81,14 @@
 		if seen[runKey{x.task.id, x.number}] || x.uncertain {
 			continue
 		}
+		if x.phase == stopping && x.startClock == 0 && x.stopClock != 0 && r.Clock > x.stopClock {
+			p.lose(x, "stopped before it began")
+			continue
+		}
+		if x.phase == unanswered && !x.task.step.Gang {
+			// A stop settles sooner than the start's lease end whether the run will be there.
+			p.stop(x, "start not answered")
+		}
 		// An ordered run is kept until its start is refused by its own lease end, a present one was listed before.
 		if (x.phase == ordered || x.phase == unanswered || x.startClock == 0) && r.Clock <= x.startEnd {
 			continue
@@ -250,6 +258,7 @@
 		if x.phase == ordered {
 			x.phase = unanswered
 		}
+		w.doubted = now
 		return
 	}
 	if a == Present {
@@ -276,14 +285,29 @@
 	return [...]string{"present", "refused", "room", "old", "unhealthy", "ticket", "unanswered"}[a]
 }
 
-// StopAnswered takes note that a worker took a stop: a start of that run that is still on its way is refused from now on.
-func (p *Pool) StopAnswered(s Stop) {
+// Unsettled reports whether the next list of a worker tells if a run that was stopped had begun.
+func (p *Pool) Unsettled(s Stop) bool {
+	w := p.workers[s.Worker.ID]
+	if w == nil {
+		return false
+	}
+	x := w.runs[runKey{s.Task, s.Run}]
+	return x != nil && x.startClock == 0
+}
+
+// StopAnswered takes note that a worker took a stop, at a time of its clock: a start of that run that is still on its way is
+// refused from now on.
+func (p *Pool) StopAnswered(s Stop, clock time.Duration) {
 	w := p.workers[s.Worker.ID]
 	if w == nil {
 		return
 	}
 	x := w.runs[runKey{s.Task, s.Run}]
-	if x != nil && x.uncertain {
+	switch {
+	case x == nil:
+	case x.uncertain:
 		p.lose(x, x.stopReason)
+	case x.phase == stopping && x.stopClock == 0:
+		x.stopClock = clock
 	}
 }
--- /dev/null
+++ b/fleet/dispatch/unanswered_test.go
@@ -0,0 +1,92 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+// orders returns the starts and stops that a plan gives, answering none.
+func (b *bench) orders() (starts []dispatch.Start, stops []dispatch.Stop) {
+	for _, a := range b.pool.Plan(b.now) {
+		switch a := a.(type) {
+		case dispatch.Start:
+			starts = append(starts, a)
+		case dispatch.Stop:
+			stops = append(stops, a)
+		case dispatch.Pace, dispatch.Ask:
+		}
+	}
+	return starts, stops
+}
+
+// step lets a little time pass.
+func (b *bench) step() {
+	const d = 20 * time.Millisecond
+	b.now, b.clock = b.now.Add(d), b.clock+d
+}
+
+func (b *bench) wantCount(what string, got, want int) {
+	b.t.Helper()
+	if got != want {
+		b.t.Errorf("%s: got %d, want %d", what, got, want)
+	}
+}
+
+// Guards against a task that waits for the end of an unanswered start's lease: a stop that the worker takes has the late start
+// refused, and the next list shows that the run is not there.
+func TestUnansweredStartIsSettledByAStop(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
+	starts, _ := b.orders()
+	b.wantCount("starts", len(starts), 1)
+	b.pool.StartAnswered(starts[0], dispatch.Unknown, 0, b.now)
+	b.step()
+	if again, _ := b.orders(); len(again) != 0 {
+		t.Fatalf("starts while the first one may be carried out: got %d, want 0", len(again))
+	}
+	b.report()
+	again, stops := b.orders()
+	b.wantCount("starts before the stop is answered", len(again), 0)
+	b.wantCount("stops of the unanswered start", len(stops), 1)
+	b.pool.StopAnswered(stops[0], b.clock)
+	b.step()
+	again, _ = b.orders()
+	b.wantCount("starts before a list shows that the run is not there", len(again), 0)
+	b.report()
+	again, _ = b.orders()
+	b.wantCount("starts after that", len(again), 1)
+}
+
+// Guards against a run that is stopped though it only seemed not to be there, and against a second run beside it.
+func TestUnansweredStartThatIsListedGoesOn(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
+	starts, _ := b.orders()
+	b.wantCount("starts", len(starts), 1)
+	b.pool.StartAnswered(starts[0], dispatch.Unknown, 0, b.now)
+	b.present["w0"][starts[0].Task] = starts[0].Run
+	b.step()
+	b.report()
+	again, stops := b.orders()
+	b.wantCount("starts", len(again), 0)
+	b.wantCount("stops", len(stops), 0)
+}
+
+// Guards against starts at a worker that has just left one unanswered: it may be gone.
+func TestWorkerThatDoesNotAnswerGetsNoStarts(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
+	starts, _ := b.orders()
+	b.wantCount("starts", len(starts), 1)
+	first := starts[0].Worker.ID
+	b.pool.StartAnswered(starts[0], dispatch.Unknown, 0, b.now)
+	b.addJob("b", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
+	starts, _ = b.orders()
+	b.wantCount("starts of the second job", len(starts), 1)
+	if got := starts[0].Worker.ID; got == first {
+		t.Errorf("worker of the second job: got %s, which left a start unanswered, want the other one", got)
+	}
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -24,6 +24,16 @@
 	stopping
 )
 
+// proof tells whether this holder has proven since a worker started again that it still holds the duty.
+type proof int
+
+const (
+	proven proof = iota
+	proofNeeded
+	// proofAsked means that a record was asked for after the worker started again, and is not known to be written.
+	proofAsked
+)
+
 type run struct {
 	task   *task
 	number int
@@ -32,6 +42,8 @@
 	// startEnd is the worker's clock at which a start on its way is refused, startClock the one at which it was present.
 	startEnd   time.Duration
 	startClock time.Duration
+	// stopClock is the worker's clock at which it took a stop of the run.
+	stopClock  time.Duration
 	orderedAt  time.Time
 	presentAt  time.Time
 	stopSent   time.Time
@@ -68,8 +80,14 @@
 	suspectUntil time.Time
 	fullUntil    time.Time
 	closedUntil  time.Time
+	// doubted is when a start was found unanswered; until the next report the worker may be gone.
+	doubted time.Time
 	// due workers are on machines whose upkeep is still to be done.
 	due bool
+	// proof is what is left to do before a worker that started again gets starts.
+	proof proof
+	// reborn workers started again while a holder before may give orders, and were not heard since.
+	reborn bool
 	// lapsed workers were not heard until their lease had surely ended.
 	lapsed bool
 	// sealed workers are or may be recorded as silent.
@@ -105,7 +123,7 @@
 		return
 	}
 	if info.Born > w.Born && w.Born != 0 {
-		p.rebirth(w, info.Born)
+		p.rebirth(w, info.Born, now)
 	}
 	if info.Draining && !w.Draining {
 		p.note(Event{What: "worker drains", Worker: info.ID})
@@ -186,10 +204,10 @@
 }
 
 // rebirth takes note that a worker started again under its id; it knows nothing of before.
-func (p *Pool) rebirth(w *worker, born int64) {
+func (p *Pool) rebirth(w *worker, born int64, now time.Time) {
 	p.note(Event{What: "worker restarted", Worker: w.ID})
 	for _, r := range w.sorted() {
-		if r.phase == ordered || r.phase == unanswered {
+		if r.startClock == 0 {
 			// Its clock began anew, so the lease end of a start that is still on its way does not stop it.
 			r.uncertain, r.phase, r.stopReason = true, stopping, "worker restarted"
 			continue
@@ -197,6 +215,13 @@
 		p.lose(r, "worker restarted")
 	}
 	w.Born, w.processed, w.recorded, w.clock, w.synced = born, 0, 0, 0, false
+	// The new life has seen no fence and takes orders of a lost holder too: a record that is written from now on proves that this
+	// one is not lost.
+	w.sealed, w.proof = true, proofNeeded
+	if now.Before(p.unsureUntil) {
+		// A holder before may have started tasks on it.
+		w.reborn = true
+	}
 }
 
 // Hold is what to send to a worker next.
@@ -299,5 +324,5 @@
 
 func (p *Pool) usable(w *worker, now time.Time) bool {
 	return w.synced && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
-		!now.Before(w.fullUntil) && !now.Before(w.closedUntil)
+		!now.Before(w.fullUntil) && !now.Before(w.closedUntil) && (w.doubted.IsZero() || w.heard.After(w.doubted))
 }
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -13,6 +13,8 @@
 const (
 	// orderTimeout bounds an order to a worker; what got no answer is settled by the worker's lists.
 	orderTimeout = time.Second
+	// startTimeout bounds a start, whose answer takes milliseconds.
+	startTimeout = 300 * time.Millisecond
 	// holdWait is how long a worker's answer waits for an end.
 	holdWait = time.Second
 	// holdReserve is how much longer than that the answer may take.
@@ -63,9 +65,11 @@
 
 func (p *pool) sendStart(ctx context.Context, s dispatch.Start) {
 	began := time.Now()
-	outcome, clock, err := p.node.Workers.Start(ctx, platform.StartOrder{
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	outcome, clock, err := p.node.Workers.Start(startCtx, platform.StartOrder{
 		Order: p.order(s.Worker, s.Task, s.Run), Spec: s.Spec, LeaseEnd: s.LeaseEnd, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 	})
+	cancel()
 	observe(p.node.Registry, "starts."+string(outcome), time.Since(began))
 	p.note(dispatch.Event{What: "start", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Reason: string(outcome), Age: s.Waited})
 	if err != nil {
@@ -94,21 +98,44 @@
 		p.core.Terminated(s.Worker.ID, "another worker has its address")
 	}
 	p.mu.Unlock()
+	if answer == dispatch.Unknown {
+		// The worker's lists show whether the start was carried out.
+		lookCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+		defer cancel()
+		p.look(lookCtx, s.Worker.ID)
+	}
 	if answer != dispatch.Present {
 		p.kick()
 	}
 }
 
 func (p *pool) sendStop(ctx context.Context, s dispatch.Stop) {
-	taken, err := p.node.Workers.Stop(ctx, p.order(s.Worker, s.Task, s.Run))
+	taken, clock, err := p.node.Workers.Stop(ctx, p.order(s.Worker, s.Task, s.Run))
 	p.note(dispatch.Event{What: "stop", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Reason: s.Reason})
 	if err != nil {
 		p.log.Debug().Err(err).Str("worker", s.Worker.ID).Msg("stop not answered")
 	}
 	if taken {
 		p.mu.Lock()
-		p.core.StopAnswered(s)
+		p.core.StopAnswered(s, clock)
+		settled := !p.core.Unsettled(s)
 		p.mu.Unlock()
+		if !settled {
+			p.look(ctx, s.Worker.ID)
+		}
+	}
+}
+
+// look asks a worker for its lists at once.
+func (p *pool) look(ctx context.Context, id string) {
+	if !p.node.Tenure.Valid(p.name, p.fence) {
+		return
+	}
+	p.mu.Lock()
+	next := p.core.NextHold(id, p.node.Clock.Now())
+	p.mu.Unlock()
+	if next.Known {
+		p.holdOnce(ctx, next, 0)
 	}
 }
 
