--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -15,10 +15,13 @@
 	orderTimeout = time.Second
 	// startTimeout bounds a start, whose answer takes milliseconds.
 	startTimeout = 300 * time.Millisecond
-	// holdWait is how long a worker's answer waits for an end.
-	holdWait = time.Second
+	// holdWait is how long a worker's answer waits for an end, and doubtedWait how long for doubtedFor after it left a hold
+	// unanswered: what ends meanwhile is not heard until the next hold.
+	holdWait    = 500 * time.Millisecond
+	doubtedWait = 150 * time.Millisecond
+	doubtedFor  = 3 * time.Second
 	// holdReserve is how much longer than that the answer may take.
-	holdReserve = 500 * time.Millisecond
+	holdReserve = 250 * time.Millisecond
 	// lookPause lies between two looks at a worker whose ends are being recorded, in a pool of up to lookWorkers; in larger
 	// ones it grows with the pool, since looks take most of a holder's processor.
 	lookPause   = 25 * time.Millisecond
@@ -174,6 +177,7 @@
 		p.mu.Unlock()
 	}()
 	known := false
+	var doubted time.Time
 	for ctx.Err() == nil {
 		if !p.node.Tenure.Valid(p.name, p.fence) {
 			pause(ctx, holdPause)
@@ -188,9 +192,13 @@
 		wait := time.Duration(0)
 		if known {
 			wait = holdWait
+			if p.node.Clock.Now().Before(doubted) {
+				wait = doubtedWait
+			}
 		}
 		known = p.holdOnce(ctx, next, wait)
 		if !known {
+			doubted = p.node.Clock.Now().Add(doubtedFor)
 			pause(ctx, holdPause)
 			continue
 		}
