fix(dispatch): workers that fail get no work in a busy pool; lost machines are looked up while the duty is held

And tasks on a machine that fell dark waited 4 s for its worker's lease, though the list of machines showed it as down. Change: a suspected worker gets no starts, then one at a time, unless more than a third of the pool is suspected; a task runs again where it failed only if no other worker could ever run it; each run that is done halves a worker's weight of failures. Workers with runs that are silent for 0.9 s are looked up in the list of machines.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -110,6 +110,8 @@
 	ended map[string]workload.Worker
 	// roomiest is the largest free CPU of a worker that takes starts; -1 when there is none.
 	roomiest int64
+	// suspects is how many workers are suspected.
+	suspects int
 	// order holds the workers by id; nil after a change.
 	order   []*worker
 	jobs    map[string]*job
--- a/fleet/dispatch/gang.go
+++ b/fleet/dispatch/gang.go
@@ -47,7 +47,7 @@
 			if rack != "" && w.Rack != rack {
 				continue
 			}
-			if !p.usable(w, now) || now.Before(w.suspectUntil) || !p.admits(w, t, now) || !w.free().Minus(taken[w]).Fits(need) {
+			if !p.usable(w, now) || !p.admits(w, t, now) || !w.free().Minus(taken[w]).Fits(need) {
 				continue
 			}
 			if limit := t.step.MaxPerWorker; limit > 0 && perWorker[w] >= limit {
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -23,6 +23,7 @@
 	p.checkLeases(now)
 	p.repeatStops(now)
 	p.replaceDraining(now)
+	p.countSuspects(now)
 	p.measureRoom(now)
 	u := p.uncertain(now)
 	for _, c := range p.candidates(u, now) {
@@ -228,10 +229,12 @@
 	})
 }
 
-// choose returns the worker for a task, or nil; taken is room that is promised to other tasks of the same gang.
+// choose returns the worker for a task, or nil. A task runs again where it failed only if no other worker could ever run it: a run
+// too many ends the job, and waiting does not. taken is room that is promised to other tasks of the same gang.
 func (p *Pool) choose(t *task, need workload.Room, now time.Time, taken map[*worker]workload.Room) *worker {
-	var best *worker
-	var bestScore float64
+	var best, avoided *worker
+	var bestScore, avoidedScore float64
+	elsewhere := false
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
 		return nil
 	}
@@ -239,14 +242,23 @@
 		if !p.usable(w, now) || !p.admits(w, t, now) {
 			continue
 		}
+		failedHere := slices.Contains(t.avoid, w.ID)
+		elsewhere = elsewhere || (!failedHere && w.Room.Fits(need))
 		free := w.free().Minus(taken[w])
 		if !free.Fits(need) {
 			continue
 		}
-		if score := p.score(w, t, free, now); best == nil || score < bestScore {
+		score := p.score(w, t, free, now)
+		if failedHere && (avoided == nil || score < avoidedScore) {
+			avoided, avoidedScore = w, score
+		}
+		if !failedHere && (best == nil || score < bestScore) {
 			best, bestScore = w, score
 		}
 	}
+	if best == nil && !elsewhere {
+		return avoided
+	}
 	return best
 }
 
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -173,8 +173,7 @@
 }
 
 func (p *Pool) done(w *worker, x *run, t *task, now time.Time) {
-	w.failures, w.failedJob = 0, ""
-	w.suspectUntil = time.Time{}
+	w.succeeded()
 	if x != nil {
 		p.learn(x, now)
 	}
@@ -193,9 +192,6 @@
 	}
 }
 
-// firstSuspicion is how long a worker gets no starts after its second failure in a row; it doubles with each further one.
-const firstSuspicion = 2 * time.Second
-
 func (p *Pool) failed(w *worker, t *task, number int, now time.Time) {
 	if slices.Contains(t.failedRuns, number) {
 		// The end was counted by an earlier holder that could not acknowledge it any more.
@@ -206,15 +202,7 @@
 	if !slices.Contains(t.avoid, w.ID) {
 		t.avoid = append(t.avoid, w.ID)
 	}
-	// A task that failed elsewhere too is at fault itself.
-	if len(t.failedRuns) == 1 && w.failedJob != t.id.Job {
-		w.failures++
-		w.failedJob = t.id.Job
-		if w.failures >= 2 {
-			w.suspectUntil = now.Add(min(firstSuspicion<<min(w.failures-2, 8), p.Settings.MaxSuspect))
-			p.note(Event{What: "worker suspected", Worker: w.ID, Reason: "runs of several jobs failed in a row"})
-		}
-	}
+	p.failedOn(w, t, now)
 	if len(t.failedRuns) >= t.job.queue.MaxAttempts {
 		p.finish(t.job, workload.Failed, now)
 	}
--- a/fleet/dispatch/score.go
+++ b/fleet/dispatch/score.go
@@ -1,22 +1,19 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
 )
 
-// Weights of a worker's score for a task; a lower score is better. A worker that is suspected or on which the task failed is
-// used only when no other has room.
+// Weights of a worker's score for a task; a lower score is better.
 const (
-	scoreFailedHere = 100
-	scoreSuspect    = 50
-	scoreFailures   = 5
-	scoreFar        = 20
-	scoreSibling    = 10
-	scoreSlow       = 8
-	scoreDue        = 15
+	scoreSuspect  = 50
+	scoreFailures = 5
+	scoreFar      = 20
+	scoreSibling  = 10
+	scoreSlow     = 8
+	scoreDue      = 15
 	// freeSiblings is how many tasks of its step may be on a worker before a long-running one prefers another.
 	freeSiblings = 2
 )
@@ -31,13 +28,10 @@
 			score += scoreDue
 		}
 	}
-	if slices.Contains(t.avoid, w.ID) {
-		score += scoreFailedHere
-	}
 	if now.Before(w.suspectUntil) {
 		score += scoreSuspect
 	}
-	score += scoreFailures * float64(w.failures)
+	score += scoreFailures * w.failures
 	if t.step.DataRack != "" && t.step.DataRack != w.Rack {
 		score += scoreFar
 	}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -74,8 +74,8 @@
 	used      workload.Room
 	processed int64
 	recorded  int64
-	// failures counts the runs that failed in a row.
-	failures     int
+	// failures is the weight of the runs that failed lately.
+	failures     float64
 	failedJob    string
 	suspectUntil time.Time
 	fullUntil    time.Time
@@ -174,6 +174,17 @@
 	return list
 }
 
+// Silent returns the workers with runs that have not reported for a time.
+func (p *Pool) Silent(now time.Time, since time.Duration) []workload.Worker {
+	var list []workload.Worker
+	for _, w := range p.ordered() {
+		if len(w.runs) > 0 && !w.heard.IsZero() && now.Sub(w.heard) >= since {
+			list = append(list, w.Worker)
+		}
+	}
+	return list
+}
+
 // attach adds a run to its worker and its task.
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
@@ -324,5 +335,6 @@
 
 func (p *Pool) usable(w *worker, now time.Time) bool {
 	return w.synced && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
-		!now.Before(w.fullUntil) && !now.Before(w.closedUntil) && (w.doubted.IsZero() || w.heard.After(w.doubted))
+		!now.Before(w.fullUntil) && !now.Before(w.closedUntil) && (w.doubted.IsZero() || w.heard.After(w.doubted)) &&
+		!p.shunned(w, now)
 }
--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -8,29 +8,30 @@
 )
 
 const (
-	// absentEvery is how often the machines of workers that were not heard are looked up after a take-over.
+	// absentEvery is how often the machines of workers that are not heard are looked up.
 	absentEvery = 200 * time.Millisecond
+	// absentAfter is the silence of a worker after which its machine is looked up: two holds were not answered.
+	absentAfter = 900 * time.Millisecond
 	// absentAge is the least age of a worker that the list of machines may prove to be gone; the list may lag behind.
 	absentAge = 3 * time.Second
 )
 
-// dropAbsent compares the registered workers with the platform's list of machines after a take-over: the holder waits for
-// workers that live without registration, and not for registered ones whose machines do not run them any more.
+// dropAbsent compares workers that are not heard with the platform's list of machines, so that nothing waits for one whose machine
+// does not run it any more. After a take-over the holder also waits for workers that live without registration.
 func (p *pool) dropAbsent(ctx context.Context) error {
-	for told := false; ctx.Err() == nil; {
+	for told := false; ctx.Err() == nil; pause(ctx, absentEvery) {
 		now := p.node.Clock.Now()
+		p.mu.Lock()
+		unheard := append(p.core.Unheard(now), p.core.Silent(now, absentAfter)...)
+		p.mu.Unlock()
+		if told && len(unheard) == 0 {
+			continue
+		}
 		p.book.refresh(ctx, absentEvery/2)
 		if !told {
 			told = p.tellListed()
 		}
-		p.mu.Lock()
-		unheard := p.core.Unheard(now)
-		p.mu.Unlock()
-		if told && len(unheard) == 0 && p.node.pools.get(p.name) == p {
-			return nil
-		}
 		p.dropListedAbsent(unheard, now)
-		pause(ctx, absentEvery)
 	}
 	return nil
 }
--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -24,11 +24,16 @@
 const bound = 30 * time.Second
 
 func startFleet(t *testing.T, nodes int) (*trial.Fleet, context.Context) {
+	t.Helper()
+	return startFleetWith(t, nodes, node.Flags{DutyTTL: 800 * time.Millisecond, WorkerLease: 1500 * time.Millisecond, LogLevel: "info"})
+}
+
+func startFleetWith(t *testing.T, nodes int, flags node.Flags) (*trial.Fleet, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
 	f := &trial.Fleet{
-		Nodes: nodes, Flags: node.Flags{DutyTTL: 800 * time.Millisecond, WorkerLease: 1500 * time.Millisecond, LogLevel: "info"},
+		Nodes: nodes, Flags: flags,
 		Platform: &standin.Platform{
 			Seed: 1, Pools: map[string]int{"cutting": 4, "fitting": 4, "spare": 2}, Standby: "spare",
 			Room: wire.Room{CPU: 16000, MemMb: 64000}, Tick: 5 * time.Millisecond,
@@ -286,6 +291,32 @@
 	wantKept(t, f)
 }
 
+// Guards against tasks that wait for the lease of a worker whose machine the platform lists as down.
+func TestTasksOfALostMachineRunAtOnce(t *testing.T) {
+	const lease = 5500 * time.Millisecond
+	f, ctx := startFleetWith(t, 2, node.Flags{DutyTTL: 800 * time.Millisecond, WorkerLease: lease, LogLevel: "info"})
+	serveJobs(ctx, t, f, 2)
+	// The list of machines proves the end of a worker only from a certain age of it on.
+	time.Sleep(2500 * time.Millisecond)
+	j := job(1 << 25)
+	j.Took = time.Second
+	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
+		t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
+	}
+	for len(f.Platform.Busy()) == 0 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	began := time.Now()
+	f.Platform.Lose(f.Platform.Busy()[0])
+	if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
+		t.Errorf("job: got %v, want completed", err)
+	}
+	if got := time.Since(began); got > lease {
+		t.Errorf("time until the job was done: got %v, want less than the worker's lease of %v", got, lease)
+	}
+	wantKept(t, f)
+}
+
 // Guards against taking runs for ended when the platform accepts an upkeep that it carried out before: their worker goes on.
 func TestUpkeepThatWasDoneBeforeEndsNothing(t *testing.T) {
 	f, ctx := startFleet(t, 2)
