perf(entry): a conflict shows which records an unanswered write has stored

Change: records that a conflict shows as they should be count as written; a conflict is followed by the next attempt without a pause. Test: TestConflictShowsWhatAnUnansweredWriteDid, on a signature that the code before did not have.

--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -54,7 +55,9 @@
 			if errors.Is(err, errLost) {
 				pause(ctx, writeEvery)
 			}
-			pause(ctx, min(storePause<<min(p.tries, maxShift), writeEvery))
+			if !errors.Is(err, store.ErrConflict) {
+				pause(ctx, min(storePause<<min(p.tries, maxShift), writeEvery))
+			}
 			_ = p.writes.Offer(struct{}{})
 		} else {
 			p.tries = 1
@@ -117,7 +120,7 @@
 	defer cancel()
 	revision, current, err := p.node.Store.Apply(ctx, t)
 	if errors.Is(err, store.ErrConflict) {
-		return p.conflict(changes, current)
+		return p.conflict(t, current)
 	}
 	if err != nil {
 		return err
@@ -129,23 +132,28 @@
 	return nil
 }
 
-// conflict takes over the revisions that the store has; an earlier write of this holder may have taken effect unheard.
-func (p *pool) conflict(changes []dispatch.Change, current []store.Entry) error {
-	for _, c := range changes {
-		delete(p.revisions, c.Job)
-	}
-	held := false
+// conflict takes over the revisions that the store has. An earlier write of this holder may have taken effect unheard: records that the
+// store has as they should be are written.
+func (p *pool) conflict(t store.Transaction, current []store.Entry) error {
+	found := map[string]store.Entry{}
 	for _, e := range current {
-		if e.Key == tenure.Prefix+p.name {
-			held = uint64(e.Revision) == p.fence
-			continue
+		found[e.Key] = e
+	}
+	missing := 0
+	for _, w := range t.Put {
+		e := found[w.Key]
+		p.revisions[strings.TrimPrefix(w.Key, stateKey(p.name, ""))] = e.Revision
+		if !bytes.Equal(e.Value, w.Value) {
+			missing++
 		}
-		p.revisions[strings.TrimPrefix(e.Key, stateKey(p.name, ""))] = e.Revision
 	}
-	if !held {
+	if uint64(found[tenure.Prefix+p.name].Revision) != p.fence {
 		return errLost
 	}
-	return store.ErrConflict
+	if missing > 0 {
+		return store.ErrConflict
+	}
+	return nil
 }
 
 // expire deletes the records of jobs whose state need not be told any longer.
--- /dev/null
+++ b/verbenaentry/node/write_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"errors"
+	"testing"
+
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/tenure"
+)
+
+// Guards against records that are written again, and a job that is shown as completed late, after a write that took effect
+// without an answer; and against taking another holder's records for one's own.
+func TestConflictShowsWhatAnUnansweredWriteDid(t *testing.T) {
+	const fence = 7
+	duty := store.Entry{Key: tenure.Prefix + "cutting", Revision: fence}
+	put := func(id, value string) store.Write {
+		return store.Write{Key: stateKey("cutting", id), Value: []byte(value)}
+	}
+	has := func(id, value string, revision store.Revision) store.Entry {
+		return store.Entry{Key: stateKey("cutting", id), Value: []byte(value), Revision: revision}
+	}
+	for _, c := range []struct {
+		name    string
+		current []store.Entry
+		want    error
+	}{
+		{"all records are there", []store.Entry{duty, has("a", "1", 11), has("b", "2", 11)}, nil},
+		{"an older record is there", []store.Entry{duty, has("a", "0", 9), has("b", "2", 11)}, store.ErrConflict},
+		{"a record is missing", []store.Entry{duty, has("a", "1", 11)}, store.ErrConflict},
+		{"the duty is another holder's", []store.Entry{{Key: duty.Key, Revision: fence + 1}, has("a", "1", 11), has("b", "2", 11)}, errLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := &pool{name: "cutting", fence: fence, revisions: map[string]store.Revision{"a": 3}}
+			err := p.conflict(store.Transaction{Put: []store.Write{put("a", "1"), put("b", "2")}}, c.current)
+			if !errors.Is(err, c.want) {
+				t.Errorf("conflict: got %v, want %v", err, c.want)
+			}
+			for _, e := range c.current[1:] {
+				id := e.Key[len(stateKey("cutting", "")):]
+				if got := p.revisions[id]; got != e.Revision {
+					t.Errorf("revision of %s: got %d, want %d", id, got, e.Revision)
+				}
+			}
+		})
+	}
+}
