--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -36,12 +36,17 @@
 
 func (p *Pool) repeatStops(now time.Time) {
 	for _, w := range p.ordered() {
+		var due []*run
 		for _, x := range w.runs {
 			if x.phase == stopping && now.Sub(x.stopSent) >= p.Settings.StopRepeat {
-				x.stopSent = now
-				p.actions = append(p.actions, Stop{Worker: w.Worker, Task: x.task.id, Run: x.number, Reason: x.stopReason})
+				due = append(due, x)
 			}
 		}
+		slices.SortFunc(due, compareRuns)
+		for _, x := range due {
+			x.stopSent = now
+			p.actions = append(p.actions, Stop{Worker: w.Worker, Task: x.task.id, Run: x.number, Reason: x.stopReason})
+		}
 	}
 }
 
--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -9,6 +9,8 @@
 type Settings struct {
 	// Utilization is the share of a pool's processors, in hundredths, up to which work is planned.
 	Utilization int64
+	// Lead is how far ahead a growth of the demand is followed: about the time in which a machine arrives.
+	Lead time.Duration
 	// Linger is how long a machine above the home size stays after the last need for it.
 	Linger time.Duration
 	// HomeLinger is how long a machine of the home size stays.
@@ -22,6 +24,7 @@
 // Default returns s with unset fields filled.
 func (s Settings) Default() Settings {
 	s.Utilization = cmp.Or(s.Utilization, 90)
+	s.Lead = cmp.Or(s.Lead, time.Second)
 	s.Linger = cmp.Or(s.Linger, time.Second)
 	s.HomeLinger = cmp.Or(s.HomeLinger, time.Minute)
 	s.RefillAfter = cmp.Or(s.RefillAfter, 3*time.Second)
@@ -61,8 +64,9 @@
 
 // Decision is what to do with a pool's machines.
 type Decision struct {
-	// Take is how many machines the pool needs now.
-	Take int
+	// Take is how many machines the pool would take from the standby pool, Missing how many of them its work needs now.
+	Take    int
+	Missing int
 	// Refill is how many it would take up to its home size while no pool is short.
 	Refill  int
 	Release []string
@@ -95,8 +99,18 @@
 	short time.Time
 	// below is since when the pool has been smaller than its home size; zero while it is not.
 	below time.Time
+	// demands are those of the last growthWindow, the oldest first.
+	demands []demandAt
+}
+
+type demandAt struct {
+	at     time.Time
+	demand int64
 }
 
+// growthWindow is the time over which the growth of the demand is measured.
+const growthWindow = time.Second
+
 // Decide returns what to do now.
 func (t *Tracker) Decide(in Input) Decision {
 	s := t.Settings.Default()
@@ -104,12 +118,14 @@
 		return Decision{}
 	}
 	usable := in.MachineCPU * s.Utilization / 100
-	need := max(int((in.Demand+usable-1)/usable), in.Spread, 1)
-	for len(t.needed) < max(need, in.Machines) {
+	machines := func(demand int64) int { return max(int((demand+usable-1)/usable), in.Spread, 1) }
+	need := machines(in.Demand)
+	want := machines(in.Demand + t.growth(in, s.Lead))
+	for len(t.needed) < max(want, in.Machines) {
 		// A size that was not looked at before counts as needed until now, so that a new holder gives nothing away at once.
 		t.needed = append(t.needed, in.Now)
 	}
-	for i := range need {
+	for i := range want {
 		t.needed[i] = in.Now
 	}
 	have := in.Machines + in.Incoming
@@ -120,7 +136,9 @@
 	}
 	if need > have {
 		t.short = in.Now
-		return Decision{Take: min(need-have, s.MaxTake)}
+	}
+	if want > have {
+		return Decision{Take: min(want-have, s.MaxTake), Missing: max(0, need-have)}
 	}
 	d := Decision{Lend: t.lend(in, need)}
 	if len(d.Lend) > 0 {
@@ -133,6 +151,17 @@
 	return d
 }
 
+// growth returns by how much the demand will have grown after a time if it goes on as within the last growthWindow.
+func (t *Tracker) growth(in Input, ahead time.Duration) int64 {
+	t.demands = append(t.demands, demandAt{in.Now, in.Demand})
+	for len(t.demands) > 1 && in.Now.Sub(t.demands[1].at) >= growthWindow {
+		t.demands = t.demands[1:]
+	}
+	first := t.demands[0]
+	passed := max(in.Now.Sub(first.at), growthWindow)
+	return max(0, int64(float64(in.Demand-first.demand)*float64(ahead)/float64(passed)))
+}
+
 // Short returns when the pool last needed more machines than it had.
 func (t *Tracker) Short() time.Time { return t.short }
 
--- a/fleet/sizing/sizing_test.go
+++ b/fleet/sizing/sizing_test.go
@@ -31,6 +31,20 @@
 	wantInt(t, "take with machines on their way", tracker.Decide(in).Take, 0)
 }
 
+// Guards against a turn of demand whose first seconds are served by too few: machines are ordered ahead while the demand grows, and
+// others are not told that they are missing.
+func TestTakesAheadOfGrowth(t *testing.T) {
+	var tracker sizing.Tracker
+	wantInt(t, "take at rest", tracker.Decide(at(0, 4, machineCPU)).Take, 0)
+	d := tracker.Decide(at(time.Second, 4, 3*machineCPU))
+	wantInt(t, "take while the demand grows", d.Take, 2)
+	wantInt(t, "missing while the demand grows", d.Missing, 0)
+	d = tracker.Decide(at(2*time.Second, 4, 5*machineCPU))
+	wantInt(t, "take above the size", d.Take, 4)
+	wantInt(t, "missing above the size", d.Missing, 2)
+	wantInt(t, "take once the demand falls", tracker.Decide(at(4*time.Second, 8, 4*machineCPU)).Take, 0)
+}
+
 // Guards against machines that go back and forth with each short pause of demand.
 func TestGivesBackAfterALinger(t *testing.T) {
 	var tracker sizing.Tracker
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -145,7 +145,7 @@
 			return nil
 		})
 	}
-	s.tell(ctx, max(0, decision.Take-len(chosen)), now)
+	s.tell(ctx, max(0, decision.Missing-len(chosen)), now)
 	for _, worker := range decision.Release {
 		s.give(ctx, worker, standby, now)
 	}
