--- a/verbenaentry/node/metrics.go
+++ b/verbenaentry/node/metrics.go
@@ -21,6 +21,26 @@
 	h.(metrics.Histogram).Update(took.Microseconds())
 }
 
+// count counts an event.
+func count(r metrics.Registry, name string) { metrics.GetOrRegisterCounter(name, r).Inc(1) }
+
+// poolGauges are the gauges of a pool that this node holds.
+var poolGauges = []string{"poolWorkers", "poolUsedCores", "poolWaitingCores", "poolMissingMachines"}
+
+// gauge shows the present figures of the pool, in the order of poolGauges.
+func (p *pool) gauge(values ...int64) {
+	for i, v := range values {
+		metrics.GetOrRegisterGauge(poolGauges[i]+"."+p.name, p.node.Registry).Update(v)
+	}
+}
+
+// dropGauges removes the figures of a pool that this node holds no more, so that no old ones are read.
+func (p *pool) dropGauges() {
+	for _, name := range poolGauges {
+		p.node.Registry.Unregister(name + "." + p.name)
+	}
+}
+
 // countsEvery is how often the counts are written to the log.
 const countsEvery = 10 * time.Second
 
@@ -36,8 +56,11 @@
 		}
 		line := n.Log.Info()
 		n.Registry.Each(func(name string, m any) {
-			if h, ok := m.(metrics.Histogram); ok {
-				line = line.Int64(name, h.Count())
+			switch m := m.(type) {
+			case metrics.Histogram:
+				line = line.Int64(name, m.Count())
+			case metrics.Counter:
+				line = line.Int64(name, m.Count())
 			}
 		})
 		line.Msg("counts")
--- /dev/null
+++ b/verbenaentry/node/metrics_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/verbenaentry/logs"
+)
+
+// Guards the metrics that operators read against kinds that are not written, and against figures of a pool that went elsewhere.
+func TestMetricsShowAPoolWhileItIsHeld(t *testing.T) {
+	n := &Node{Registry: metrics.NewRegistry()}
+	p := &pool{node: n, name: "cutting", budget: logs.Budget{PerSecond: decisionLines}}
+	p.gauge(9, 120, 40, 2)
+	count(n.Registry, "moves.accepted")
+	p.note(dispatch.Event{What: "job completed", Job: "j", Age: 2 * time.Second})
+	p.note(dispatch.Event{What: "run lost", Job: "j"})
+	held := []string{
+		`verbena_poolWorkers{kind="cutting"} 9`, `verbena_poolUsedCores{kind="cutting"} 120`, `verbena_poolWaitingCores{kind="cutting"} 40`,
+		`verbena_poolMissingMachines{kind="cutting"} 2`,
+	}
+	always := []string{
+		`verbena_moves_total{kind="accepted"} 1`, `verbena_jobs_seconds{kind="completed",quantile="0.5"} 2`, `verbena_events_total{kind="run-lost"} 1`,
+	}
+	wantMetrics(t, n, append(held, always...), nil)
+	p.dropGauges()
+	wantMetrics(t, n, always, held)
+}
+
+func wantMetrics(t *testing.T, n *Node, there, gone []string) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	n.metrics(w, nil)
+	got := w.Body.String()
+	for _, line := range there {
+		if !strings.Contains(got, line+"\n") {
+			t.Errorf("metrics: got\n%s\nwant the line %s", got, line)
+		}
+	}
+	for _, line := range gone {
+		if strings.Contains(got, line) {
+			t.Errorf("metrics: got the line %s, want it gone", line)
+		}
+	}
+}
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -139,6 +139,7 @@
 	}
 	err := group.Wait()
 	n.pools.remove(name, p)
+	p.dropGauges()
 	_ = p.orders.Wait()
 	if errors.Is(context.Cause(ctx), errLeaving) {
 		p.writeLast(ctx)
@@ -173,8 +174,16 @@
 	}
 }
 
-// note writes a decision of the pool to the log.
+// note counts a decision of the pool and writes it to the log.
 func (p *pool) note(e dispatch.Event) {
+	switch e.What {
+	case "job completed", "job failed", "job cancelled":
+		observe(p.node.Registry, "jobs."+strings.TrimPrefix(e.What, "job "), e.Age)
+	case "start":
+		observe(p.node.Registry, "taskWaits."+e.Reason, e.Age)
+	case "run lost", "worker suspected", "worker ended":
+		count(p.node.Registry, "events."+strings.ReplaceAll(e.What, " ", "-"))
+	}
 	leftOut, ok := p.budget.Allow(time.Now())
 	if !ok {
 		return
--- a/verbenaentry/node/relay.go
+++ b/verbenaentry/node/relay.go
@@ -55,9 +55,12 @@
 		err := r.node.Peers.client(m.Peer).Call(ctx, method, params, result)
 		switch {
 		case errors.Is(err, rpc.ErrNotSent), errors.Is(err, errCutOff):
+			count(r.node.Registry, "relayed.cutOff")
 		case errors.Is(err, rpc.ErrUnreachable):
+			count(r.node.Registry, "relayed.unanswered")
 			return fmt.Errorf("%w: through %s: %w", store.ErrUnavailable, m.Node, err)
 		default:
+			count(r.node.Registry, "relayed.answered")
 			return err
 		}
 	}
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -139,6 +139,8 @@
 		p.book.refresh(ctx, sizeListAge)
 		chosen = s.spare(standby, now, want)
 	}
+	const core = 1000
+	p.gauge(int64(d.Workers), d.Used/core, d.Waiting/core, int64(max(0, decision.Missing-len(chosen))))
 	for _, id := range chosen {
 		p.orders.Go(func() error {
 			p.move(ctx, id, "", p.name)
@@ -235,6 +237,7 @@
 		outcome, err = p.node.Machines.Move(callCtx, platform.Holder{Node: p.node.Settings.Node, Fence: fence}, machine, target)
 	}
 	p.log.Info().Err(err).Str("machine", machine).Str("worker", worker).Str("target", target).Str("outcome", string(outcome)).Msg("move ordered")
+	count(p.node.Registry, "moves."+string(outcome))
 	if outcome != platform.MachineAccepted {
 		p.book.refused(machine, refusedWait)
 	}
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/upkeep"
 	"verbenalanding.example/fleet/workload"
@@ -165,6 +167,7 @@
 	completed := u.told[w.ID]
 	u.mu.Unlock()
 	if completed {
+		u.pool.node.Registry.Unregister("waveMachinesLeft." + w.ID)
 		return
 	}
 	u.pool.book.refresh(ctx, listEvery)
@@ -253,6 +256,7 @@
 		}
 	}
 	input, machines, held := u.input(w, now)
+	metrics.GetOrRegisterGauge("waveMachinesLeft."+w.ID, u.pool.node.Registry).Update(int64(input.Left))
 	u.close(input, now)
 	u.explain(w, input, held, now)
 	for _, id := range upkeep.Plan(input) {
@@ -321,6 +325,7 @@
 	outcome, err := u.pool.node.Machines.Upkeep(callCtx, platform.Holder{Node: u.pool.node.Settings.Node, Fence: fence}, s.Machine, w.ID)
 	u.pool.log.Info().Err(err).Str("wave", w.ID).Str("machine", s.Machine).Str("worker", s.Worker).Str("outcome", string(outcome)).
 		Bool("idle", load.Idle).Dur("lost", load.Lost).Int("lasting", load.Lasting).Msg("upkeep ordered")
+	count(u.pool.node.Registry, "upkeeps."+string(outcome))
 	if outcome != platform.MachineAccepted {
 		u.pool.mu.Lock()
 		u.pool.core.Cordon(s.Worker, false)
