fix(dispatch): no upkeep of machines whose worker was not heard; ended workers are not waited for; more faults in the soak

Two causes found by reading, each caused in a test: a machine whose worker was not heard yet, because its registration had lapsed or the list shows another life, counted as idle, so that its upkeep was ordered; and a run that the holder before has stopped is listed until its end and counted as at work. Change: a machine's load is that of its known lives; an unknown worker that is listed may not be ended while a holder before may have runs; runs that were taken over do not count as at work for the time of a stop and 0.4 s. A proven end counts for what a handover or the record of silent workers names. The soak has deaf watches, lost machines, restarted workers, late starts, failing workers, and waves that must be told truly and in time. Tests that failed before: TestSuccessorLetsStopsOfTheHolderBeforeEnd and TestLoadOfAMachineWhoseWorkerIsNotKnown (its function is new), TestSuccessorDoesNotWaitForAnEndedWorker.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	ClockRate float64
 	// MissingEntry is how long a worker whose registration is gone is still held.
 	MissingEntry time.Duration
+	// Stop is the longest time that a worker takes to stop a run.
+	Stop time.Duration
 	// StopRepeat is the time after which an unanswered stop is sent again.
 	StopRepeat time.Duration
 	// MaxSuspect is the longest time for which a worker whose runs fail gets no starts.
@@ -38,6 +40,7 @@
 	// The platform states that a worker's clock may be 2% slow.
 	s.ClockRate = cmp.Or(s.ClockRate, 0.975)
 	s.MissingEntry = cmp.Or(s.MissingEntry, 2500*time.Millisecond)
+	s.Stop = cmp.Or(s.Stop, time.Second)
 	s.StopRepeat = cmp.Or(s.StopRepeat, 400*time.Millisecond)
 	s.MaxSuspect = cmp.Or(s.MaxSuspect, 16*time.Second)
 	s.StatusKept = cmp.Or(s.StatusKept, 120*time.Second)
@@ -108,6 +111,8 @@
 	workers map[string]*worker
 	// ended holds the workers whose life has surely ended while their registrations may still be there.
 	ended map[string]workload.Worker
+	// gone are the workers whose end was proven while a holder before may have had runs on them.
+	gone map[string]bool
 	// roomiest is the largest free CPU of a worker that takes starts; -1 when there is none.
 	roomiest int64
 	// suspects is how many workers are suspected.
@@ -151,6 +156,7 @@
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
 	p.ended = map[string]workload.Worker{}
+	p.gone = map[string]bool{}
 	p.quiet = map[string]time.Time{}
 	p.jobs = map[string]*job{}
 	p.learned = map[string]*figures{}
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -39,12 +39,12 @@
 					m.pool.Follow(h, m.now)
 				}
 			},
-			"wait":    func(t *rapid.T) { m.pass(time.Duration(m.t.pick("ms", 10, 2500)) * time.Millisecond) },
+			"wait":    func(*rapid.T) { m.pass(time.Duration(m.t.pick("ms", 10, 2500)) * time.Millisecond) },
 			"reports": func(*rapid.T) { m.tick(4) },
-			"end":     func(t *rapid.T) { m.endOne() },
-			"cut":     func(t *rapid.T) { w := m.draw(); w.cut = !w.cut },
-			"restart": func(t *rapid.T) { m.restart(m.draw()) },
-			"registration": func(t *rapid.T) {
+			"end":     func(*rapid.T) { m.endOne() },
+			"cut":     func(*rapid.T) { w := m.draw(); w.cut = !w.cut },
+			"restart": func(*rapid.T) { m.restart(m.draw()) },
+			"registration": func(*rapid.T) {
 				w := m.draw()
 				w.unregistered = !w.unregistered
 				if w.unregistered {
@@ -52,7 +52,7 @@
 				}
 				m.register(w)
 			},
-			"cancel": func(t *rapid.T) {
+			"cancel": func(*rapid.T) {
 				if len(m.specs) == 0 {
 					return
 				}
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -138,6 +138,7 @@
 func (p *Pool) uncertain(now time.Time) uncertainty {
 	u := uncertainty{named: map[workload.TaskID]bool{}}
 	if now.After(p.unsureUntil) {
+		clear(p.gone)
 		return u
 	}
 	if p.mayRun != nil {
@@ -172,10 +173,12 @@
 	}
 }
 
-// unheard reports whether this holder has had no report of a worker.
+// unheard reports whether this holder has had neither a report of a worker nor a proof of its end.
 func (p *Pool) unheard(id string) bool {
-	w := p.workers[id]
-	return w == nil || w.heard.IsZero()
+	if w := p.workers[id]; w != nil {
+		return w.heard.IsZero()
+	}
+	return !p.gone[id]
 }
 
 // unsure reports whether a run that a holder before started may be present on a worker that was not heard.
--- /dev/null
+++ b/fleet/dispatch/machine_test.go
@@ -0,0 +1,67 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// Guards against an upkeep that ends long-running tasks unseen: after a take-over the list of machines shows a worker that lives, and
+// whose registration has lapsed; and it may show an earlier life of a machine.
+func TestLoadOfAMachineWhoseWorkerIsNotKnown(t *testing.T) {
+	b := newBench(t, 2)
+	b.takeOver()
+	b.addWorker("w0")
+	b.report()
+	if got := b.pool.LoadOn("m-w1", "w1", b.now); got.Allowed || got.Idle {
+		t.Errorf("machine of a worker that was not heard: got allowed %v and idle %v, want neither", got.Allowed, got.Idle)
+	}
+	if got := b.pool.LoadOn("m-spare", "", b.now); !got.Allowed || !got.Idle {
+		t.Errorf("machine without a worker: got allowed %v and idle %v, want both", got.Allowed, got.Idle)
+	}
+	b.addWorker("w1")
+	b.pool.Terminated("w1", "ended")
+	if got := b.pool.LoadOn("m-w1", "w1", b.now); !got.Allowed {
+		t.Errorf("machine whose worker has ended: got forbidden, want allowed")
+	}
+	serving := oneTask(1000)
+	serving.LongRunning, serving.MaxUnavailable, serving.Tasks = true, 1, 2
+	b.percent = 100
+	b.addJob("j", serving)
+	b.plan()
+	b.report()
+	b.pool.SetWorker(workload.Worker{ID: "w2", Machine: "m-w0", Pool: "cutting", Room: workload.Room{CPU: 16000}, Born: 2}, b.now)
+	if got := b.pool.LoadOn("m-w0", "w2", b.now); got.Allowed {
+		t.Errorf("machine with a new life that was not heard: got allowed, want forbidden")
+	}
+	b.now = b.now.Add(time.Minute)
+	if got := b.pool.LoadOn("m-gone", "w9", b.now); !got.Allowed {
+		t.Errorf("machine of a worker that could run nothing any more: got forbidden, want allowed")
+	}
+}
+
+// Guards against too many tasks of a long-running step that are away at once after a take-over: the holder before may have stopped one,
+// which its worker lists until it has ended.
+func TestSuccessorLetsStopsOfTheHolderBeforeEnd(t *testing.T) {
+	b := newBench(t, 2)
+	serving := oneTask(1000)
+	serving.Tasks, serving.LongRunning, serving.MaxUnavailable, serving.MaxPerWorker = 2, true, 1, 1
+	b.percent = 100
+	b.addJob("j", serving)
+	b.pass(time.Second)
+	b.takeOver()
+	b.addJob("j", serving)
+	b.addWorker("w0")
+	b.addWorker("w1")
+	b.report()
+	b.step()
+	b.report()
+	if got := b.pool.LoadOf("w0", b.now); got.Allowed {
+		t.Errorf("right after the take-over: got allowed, want forbidden")
+	}
+	b.pass(2 * time.Second)
+	if got := b.pool.LoadOf("w0", b.now); !got.Allowed {
+		t.Errorf("once stops of before have ended: got forbidden (%s), want allowed", got.Reason)
+	}
+}
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -135,7 +135,7 @@
 		p.actions = append(p.actions, Stop{Worker: w.Worker, Task: a.Task, Run: a.Run, Reason: "not wanted"})
 		return nil
 	}
-	x := &run{task: t, number: a.Run, worker: w, phase: present, orderedAt: now, presentAt: now, startClock: w.clock, pace: 100}
+	x := &run{task: t, number: a.Run, worker: w, phase: present, orderedAt: now, presentAt: now, startClock: w.clock, pace: 100, adopted: true}
 	x.attach()
 	p.note(Event{What: "run taken over", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
 	return x
--- a/fleet/dispatch/successor_test.go
+++ b/fleet/dispatch/successor_test.go
@@ -42,6 +42,41 @@
 	wantCount(t, "starts after the silent worker's lease has surely ended", len(b.starts), 3)
 }
 
+// Guards against a task that waits, after a take-over, for a worker whose end is proven.
+func TestSuccessorDoesNotWaitForAnEndedWorker(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("j", oneTask(16000))
+	b.plan()
+	lost := b.where(task("j", 0, 0))
+	b.silent[lost] = true
+	h, ok := b.pool.Handover(b.now)
+	if !ok {
+		t.Fatalf("handover: got none, want one")
+	}
+	for _, how := range []string{"handover", "record of silent workers"} {
+		b.takeOver()
+		if how == "handover" {
+			b.pool.Follow(h, b.now)
+		} else {
+			b.pool.Inherit(h.Runs)
+		}
+		b.pool.AddJob(workload.Job{
+			ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(16000)}, Accepted: b.now,
+		}, nil, true, b.now)
+		for id := range b.present {
+			b.addWorker(id)
+		}
+		b.report()
+		if starts, _ := b.orders(); len(starts) != 0 {
+			t.Errorf("%s: starts while the worker may run the task: got %d, want 0", how, len(starts))
+		}
+		b.pool.Terminated(lost, "its machine does not run it any more")
+		if starts, _ := b.orders(); len(starts) != 1 {
+			t.Errorf("%s: starts once the worker's end is proven: got %d, want 1", how, len(starts))
+		}
+	}
+}
+
 // Guards against a start on a worker of which a record in the store says that it runs other things only.
 func TestSealedWorkerGetsNoStartsUntilItsRecordIsGone(t *testing.T) {
 	b := newBench(t, 1)
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -28,7 +28,6 @@
 func (p *Pool) LoadOf(id string, now time.Time) Load {
 	w := p.workers[id]
 	if w == nil {
-		// A machine that is switched off, or whose worker is gone, runs nothing.
 		return Load{Idle: true, Allowed: true}
 	}
 	if !w.synced {
@@ -50,6 +49,28 @@
 	return l
 }
 
+// LoadOn returns what the end of a machine's present life would cost; listed is the worker that the list of machines shows, which may
+// be an earlier life or one that was not heard yet.
+func (p *Pool) LoadOn(machine, listed string, now time.Time) Load {
+	var load Load
+	for _, w := range p.ordered() {
+		if w.Worker.Machine != machine {
+			continue
+		}
+		if load = p.LoadOf(w.ID, now); !load.Allowed {
+			return load
+		}
+	}
+	if load.Known {
+		return load
+	}
+	if _, ended := p.ended[listed]; listed != "" && !ended && now.Before(p.unsureUntil) {
+		// It may run what a holder before started.
+		return Load{Known: true, Reason: "worker " + listed + " was not heard yet"}
+	}
+	return Load{Idle: true, Allowed: true}
+}
+
 // away tells which other tasks of a long-running run's step are not at work, or would end with the run's worker. Steps without
 // a bound, such as fillers, are not protected.
 func (p *Pool) away(x *run, w *worker, now time.Time) []string {
@@ -58,15 +79,18 @@
 		if t == x.task {
 			continue
 		}
-		if why := t.notAtWork(w, now, p.Settings.Silence); why != "" {
+		if why := p.notAtWork(t, w, now); why != "" {
 			away = append(away, fmt.Sprintf("%d %s", t.id.Index, why))
 		}
 	}
 	return away
 }
 
+// orderMargin is how long an order of a holder before may still be on its way to a worker that this one has heard.
+const orderMargin = 400 * time.Millisecond
+
 // notAtWork says why a long-running task would not serve without a worker; it is empty for one that would.
-func (t *task) notAtWork(without *worker, now time.Time, silence time.Duration) string {
+func (p *Pool) notAtWork(t *task, without *worker, now time.Time) string {
 	if len(t.runs) == 0 {
 		return "waits"
 	}
@@ -77,8 +101,10 @@
 			why = "is on the same worker"
 		case x.worker.cordoned:
 			why = "is on " + x.worker.ID + ", which is ended too"
-		case now.Sub(x.worker.heard) > silence:
+		case now.Sub(x.worker.heard) > p.Settings.Silence:
 			why = "is on " + x.worker.ID + ", which is silent"
+		case x.adopted && now.Sub(x.presentAt) < p.Settings.Stop+orderMargin:
+			why = "may be ended by the holder before, on " + x.worker.ID
 		case x.phase != present || x.percent < 100:
 			why = fmt.Sprintf("is at %d percent on %s", x.percent, x.worker.ID)
 		default:
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -43,8 +43,10 @@
 	startEnd   time.Duration
 	startClock time.Duration
 	// stopClock is the worker's clock at which it took a stop of the run.
-	stopClock  time.Duration
-	orderedAt  time.Time
+	stopClock time.Duration
+	orderedAt time.Time
+	// adopted runs were started by a holder before.
+	adopted    bool
 	presentAt  time.Time
 	stopSent   time.Time
 	stopReason string
@@ -115,6 +117,7 @@
 	w := p.workers[info.ID]
 	if w == nil {
 		delete(p.quiet, info.ID)
+		delete(p.gone, info.ID)
 		// A successor would take a sealed worker to run only what its record names.
 		_, sealed := p.recordedSeals[info.ID]
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1, sealed: sealed}
@@ -156,7 +159,7 @@
 		p.lose(r, reason)
 	}
 	p.removeWorker(id)
-	p.ended[id] = w.Worker
+	p.ended[id], p.gone[id] = w.Worker, true
 	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
 }
 
--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -49,7 +49,7 @@
 	p := s.processes[random.IntN(len(s.processes))]
 	lasts := time.Duration(200+random.IntN(3300)) * time.Millisecond
 	node := p.settings.Node
-	switch random.IntN(12) {
+	switch random.IntN(14) {
 	case 0:
 		return fault{name: "kill " + node, begin: func() { p.signal(syscall.SIGKILL) }}
 	case 1:
@@ -65,21 +65,10 @@
 		return fault{name: "history forgotten", begin: s.platform.Store.Forget}
 	case 8:
 		return fault{name: "configuration", begin: s.configure}
-	case 9:
-		machines := s.platform.Machines()
-		id := machines[random.IntN(len(machines))]
-		return fault{name: "worker crash on " + id, begin: func() {
-			if err := s.platform.Crash(id); err != nil {
-				s.book.note("crash of "+id+": "+err.Error(), nil)
-			}
-		}}
-	case 10:
-		machines := s.platform.Machines()
-		id := machines[random.IntN(len(machines))]
-		return fault{
-			name: "worker silent on " + id, lasts: lasts,
-			begin: func() { s.platform.Silence(id, true) }, end: func() { s.platform.Silence(id, false) },
-		}
+	case 9, 10, 11:
+		return s.workerFault(random, lasts)
+	case 12:
+		return fault{name: "wave", begin: s.askWave}
 	}
 	s.mu.Lock()
 	w := s.proxies[random.IntN(len(s.proxies))]
@@ -92,10 +81,43 @@
 }
 
 func (s *Soak) storeFault(random *rand.Rand, lasts time.Duration) fault {
-	faults := []standin.Faults{{Refuse: true}, {LoseAnswers: 0.3}, {Delay: 200 * time.Millisecond}}
+	faults := []standin.Faults{{Refuse: true}, {LoseAnswers: 0.3}, {Delay: 200 * time.Millisecond}, {Deaf: true}}
 	f := faults[random.IntN(len(faults))]
 	return fault{
 		name: fmt.Sprintf("store %+v", f), lasts: lasts,
 		begin: func() { s.platform.Store.SetFaults(f) }, end: func() { s.platform.Store.SetFaults(standin.Faults{}) },
 	}
 }
+
+// workerFault chooses a fault of one machine's worker.
+func (s *Soak) workerFault(random *rand.Rand, lasts time.Duration) fault {
+	machines := s.platform.Machines()
+	id := machines[random.IntN(len(machines))]
+	trouble := func(name string, t standin.Trouble) fault {
+		return fault{
+			name: name + " on " + id, lasts: lasts,
+			begin: func() { s.platform.SetTrouble(id, t) }, end: func() { s.platform.SetTrouble(id, standin.Trouble{}) },
+		}
+	}
+	tell := func(err error) {
+		if err != nil {
+			s.book.note(id+": "+err.Error(), nil)
+		}
+	}
+	switch random.IntN(6) {
+	case 0:
+		return fault{name: "worker crash on " + id, begin: func() { tell(s.platform.Crash(id)) }}
+	case 1:
+		return fault{name: "worker restart on " + id, begin: func() { s.platform.Restart(id) }}
+	case 2:
+		return fault{
+			name: "machine lost: " + id, lasts: lasts,
+			begin: func() { s.platform.Lose(id) }, end: func() { tell(s.platform.Recover(id)) },
+		}
+	case 3:
+		return trouble("late starts", standin.Trouble{Late: time.Duration(400+random.IntN(3000)) * time.Millisecond})
+	case 4:
+		return trouble("failing worker", standin.Trouble{Failing: true})
+	}
+	return trouble("silent worker", standin.Trouble{Silent: true})
+}
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -49,7 +49,9 @@
 	mu        sync.Mutex
 	proxies   []*proxy
 	version   int64
-	book      book
+	// waves counts the waves that the operator asked for.
+	waves int
+	book  book
 }
 
 // Default returns s with unset fields filled.
@@ -167,6 +169,9 @@
 	if err := s.awaitJobs(ctx); err != nil {
 		return err
 	}
+	if err := s.awaitWaves(ctx); err != nil {
+		return err
+	}
 	for _, v := range s.platform.Violations() {
 		return fmt.Errorf("%w: %s", ErrPromise, v)
 	}
@@ -186,7 +191,10 @@
 		p.signal(syscall.SIGCONT)
 	}
 	for _, id := range s.platform.Machines() {
-		s.platform.Silence(id, false)
+		s.platform.SetTrouble(id, standin.Trouble{})
+		if err := s.platform.Recover(id); err != nil {
+			s.book.note(id+": "+err.Error(), nil)
+		}
 	}
 }
 
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -312,8 +313,9 @@
 func (u *upkeeps) order(ctx context.Context, w workload.Wave, key string, s heldSlot, fence uint64) {
 	now := u.pool.node.Clock.Now()
 	u.pool.mu.Lock()
-	load := u.pool.core.LoadOf(s.Worker, now)
+	load := u.pool.core.LoadOn(s.Machine, s.Worker, now)
 	if load.Allowed {
+		s.Worker = cmp.Or(load.Worker, s.Worker)
 		u.pool.core.Cordon(s.Worker, true)
 	}
 	u.pool.mu.Unlock()
--- a/verbenaentry/node/waveplan.go
+++ b/verbenaentry/node/waveplan.go
@@ -53,7 +53,7 @@
 	u.pool.mu.Lock()
 	defer u.pool.mu.Unlock()
 	for id, m := range machines {
-		in.Candidates = append(in.Candidates, upkeep.Candidate{Machine: id, Load: u.pool.core.LoadOf(m.Worker, now)})
+		in.Candidates = append(in.Candidates, upkeep.Candidate{Machine: id, Load: u.pool.core.LoadOn(id, m.Worker, now)})
 	}
 	slices.SortFunc(in.Candidates, func(a, b upkeep.Candidate) int { return strings.Compare(a.Machine, b.Machine) })
 	return in, machines, held
--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -279,9 +279,9 @@
 	var group errgroup.Group
 	group.Go(func() error {
 		time.Sleep(200 * time.Millisecond)
-		f.Platform.Silence("m-cutting-0", true)
+		f.Platform.SetTrouble("m-cutting-0", standin.Trouble{Silent: true})
 		time.Sleep(2500 * time.Millisecond)
-		f.Platform.Silence("m-cutting-0", false)
+		f.Platform.SetTrouble("m-cutting-0", standin.Trouble{})
 		return f.Platform.Crash("m-fitting-1")
 	})
 	serveJobs(ctx, t, f, 40)
