fix: a holder's locks are taken in one order; a start that a worker's new life took is not run twice

Change: machines are chosen with one lock at a time, and so is a changed configuration passed on; the order of locks is written down. At a worker's new life only runs that a list has shown are given up; others are kept until the new life lists them, or takes a stop and does not list them. The random model has restarts that the holder hears of later, and starts and stops that reach the life with the id; the exploration too. Open: a worker that starts again and is silent from then on keeps such a run until the list of machines proves its end.

--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -71,6 +71,7 @@
 	{"old holder acts", 0, (*model).oldActs},
 	{"records are written", 0, (*model).record},
 	{"a run ends", 0, (*model).endOne},
+	{"a registration is heard", 0, func(m *model) { m.register(m.draw()) }},
 	{"time passes", 0, func(m *model) { m.pass(1200 * time.Millisecond) }},
 	{"another holder takes over", 1, (*model).takeOver},
 	{"a worker is cut off", 1, func(m *model) { w := m.draw(); w.cut = !w.cut }},
@@ -127,7 +128,7 @@
 		}
 	}
 	for _, l := range m.late {
-		out += fmt.Sprintln("late", l.order.Worker.ID, l.order.Worker.Born, l.order.Task, l.order.Run, l.fence, l.at.Sub(m.now))
+		out += fmt.Sprintln("late", l.order.Worker.ID, l.born, l.order.Task, l.order.Run, l.fence, l.at.Sub(m.now))
 	}
 	return out
 }
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -44,6 +44,7 @@
 			"end":     func(*rapid.T) { m.endOne() },
 			"cut":     func(*rapid.T) { w := m.draw(); w.cut = !w.cut },
 			"restart": func(*rapid.T) { m.restart(m.draw()) },
+			"seen":    func(*rapid.T) { m.register(m.draw()) },
 			"registration": func(*rapid.T) {
 				w := m.draw()
 				w.unregistered = !w.unregistered
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -36,6 +36,8 @@
 	order dispatch.Start
 	fence uint64
 	at    time.Time
+	// born is the life of the worker that the start was sent to.
+	born int64
 }
 
 // source makes the choices of a model and takes its failures.
@@ -157,7 +159,10 @@
 			left = append(left, l)
 			continue
 		}
-		m.carryOut(l.order, l.fence)
+		// A start that is carried out late ends with the life that it was sent to.
+		if l.born == m.worker(l.order.Worker.ID).born {
+			m.carryOut(l.order, l.fence)
+		}
 	}
 	m.late = left
 }
@@ -186,7 +191,7 @@
 // carryOut is a start at the worker; it checks the oracle's rules.
 func (m *model) carryOut(s dispatch.Start, fence uint64) dispatch.Answer {
 	w := m.worker(s.Worker.ID)
-	if s.Worker.Born != w.born || fence < w.fence || s.LeaseEnd < m.clock(w) || s.Run <= w.least[s.Task] {
+	if fence < w.fence || s.LeaseEnd < m.clock(w) || s.Run <= w.least[s.Task] {
 		return dispatch.Refused
 	}
 	w.fence = fence
@@ -315,7 +320,7 @@
 func (m *model) stop(a dispatch.Stop) {
 	w := m.worker(a.Worker.ID)
 	fate := m.t.pick("stop", 0, 4)
-	if w.cut || m.fence < w.fence || a.Worker.Born != w.born || fate == 0 {
+	if w.cut || m.fence < w.fence || fate == 0 {
 		return
 	}
 	w.fence = m.fence
@@ -335,7 +340,7 @@
 	case w.cut || fate == 0:
 		m.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
 	case fate == 1:
-		m.late = append(m.late, lateStart{s, m.fence, m.now.Add(time.Duration(m.t.pick("late", 500, 9000)) * time.Millisecond)})
+		m.late = append(m.late, lateStart{s, m.fence, m.now.Add(time.Duration(m.t.pick("late", 500, 9000)) * time.Millisecond), w.born})
 		m.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
 	case fate == 2:
 		m.carryOut(s, m.fence)
@@ -399,7 +404,8 @@
 	m.pool.AddJob(j, nil, false, m.now)
 }
 
-// restart begins a new life of a worker under its id, which knows nothing of before.
+// restart begins a new life of a worker under its id, which knows nothing of before; the holder hears of it by a report or by its
+// registration.
 func (m *model) restart(w *modelWorker) {
 	for _, e := range w.ended {
 		if e.How == workload.EndDone {
@@ -410,7 +416,6 @@
 	w.started, w.fence, w.leaseEnd, w.number, w.ended = m.now, 0, 0, 0, nil
 	clear(w.runs)
 	clear(w.least)
-	m.register(w)
 }
 
 func (m *model) draw() *modelWorker {
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -78,19 +78,19 @@
 // missing ends the runs that a worker does not list though it would have to.
 func (p *Pool) missing(w *worker, r workload.Report, seen map[runKey]bool) {
 	for _, x := range w.sorted() {
-		if seen[runKey{x.task.id, x.number}] || x.uncertain {
+		if seen[runKey{x.task.id, x.number}] {
 			continue
 		}
 		if x.phase == stopping && x.startClock == 0 && x.stopClock != 0 && r.Clock > x.stopClock {
 			p.lose(x, "stopped before it began")
 			continue
 		}
-		if x.phase == unanswered && !x.task.step.Gang {
+		if x.phase == unanswered && (x.uncertain || !x.task.step.Gang) {
 			// A stop settles sooner than the start's lease end whether the run will be there.
 			p.stop(x, "start not answered")
 		}
 		// An ordered run is kept until its start is refused by its own lease end, a present one was listed before.
-		if (x.phase == ordered || x.phase == unanswered || x.startClock == 0) && r.Clock <= x.startEnd {
+		if (x.phase == ordered || x.phase == unanswered || x.startClock == 0) && (x.uncertain || r.Clock <= x.startEnd) {
 			continue
 		}
 		if x.startClock != 0 && r.Clock <= x.startClock {
@@ -112,6 +112,7 @@
 	if x.phase == ordered || x.phase == unanswered {
 		x.phase = present
 	}
+	x.uncertain = false
 	if x.presentAt.IsZero() {
 		x.presentAt = now
 	}
@@ -291,11 +292,7 @@
 		return
 	}
 	x := w.runs[runKey{s.Task, s.Run}]
-	switch {
-	case x == nil:
-	case x.uncertain:
-		p.lose(x, x.stopReason)
-	case x.phase == stopping && x.stopClock == 0:
+	if x != nil && x.phase == stopping && x.stopClock == 0 {
 		x.stopClock = clock
 	}
 }
--- a/fleet/dispatch/unanswered_test.go
+++ b/fleet/dispatch/unanswered_test.go
@@ -90,3 +90,41 @@
 		t.Errorf("worker of the second job: got %s, which left a start unanswered, want the other one", got)
 	}
 }
+
+// Guards against a second run of a task whose start was taken by a new life of a worker before its holder heard of that life.
+func TestStartTakenByANewLifeOfItsWorker(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		b := newBench(t, 2)
+		b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
+		starts, _ := b.orders()
+		b.wantCount("starts", len(starts), 1)
+		first := starts[0]
+		b.pool.StartAnswered(first, dispatch.Present, 5*time.Millisecond, b.now)
+		again := first.Worker
+		again.Born = 2
+		b.pool.SetWorker(again, b.now)
+		if starts, _ = b.orders(); len(starts) != 0 {
+			t.Fatalf("starts before the new life was heard: got %d, want 0", len(starts))
+		}
+		life := func(clock time.Duration) {
+			r := workload.Report{Born: 2, Clock: clock}
+			if listed {
+				r.Active = []workload.ActiveRun{{Task: first.Task, Run: first.Run, Percent: 10}}
+			}
+			b.pool.Report(first.Worker.ID, r, b.now)
+		}
+		life(10 * time.Millisecond)
+		starts, stops := b.orders()
+		if listed {
+			b.wantCount("starts beside a run that the new life lists", len(starts), 0)
+			b.wantCount("stops of a run that the new life lists", len(stops), 0)
+			continue
+		}
+		b.wantCount("starts before the stop is answered", len(starts), 0)
+		b.wantCount("stops of a run that the new life does not list", len(stops), 1)
+		b.pool.StopAnswered(stops[0], 12*time.Millisecond)
+		life(14 * time.Millisecond)
+		starts, _ = b.orders()
+		b.wantCount("starts once the run is surely not there", len(starts), 1)
+	}
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -56,7 +56,7 @@
 	figure     float64
 	pace       int
 	pacedAt    time.Time
-	// uncertain runs may be carried out by a later life of the worker; only an answered stop rules that out.
+	// uncertain runs may be carried out by a later life of the worker than they were ordered from, whatever the end of their lease.
 	uncertain bool
 }
 
@@ -221,9 +221,10 @@
 func (p *Pool) rebirth(w *worker, born int64, now time.Time) {
 	p.note(Event{What: "worker restarted", Worker: w.ID})
 	for _, r := range w.sorted() {
-		if r.startClock == 0 {
-			// Its clock began anew, so the lease end of a start that is still on its way does not stop it.
-			r.uncertain, r.phase, r.stopReason = true, stopping, "worker restarted"
+		if r.progressAt.IsZero() {
+			// No list of the earlier life had it, so that the new one may have taken its start. Its clock began anew: the lease end of a
+			// start that is still on its way does not stop it.
+			r.uncertain, r.phase, r.startClock, r.stopClock = true, unanswered, 0, 0
 			continue
 		}
 		p.lose(r, "worker restarted")
--- /dev/null
+++ b/verbenaentry/node/lock_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/ring"
+	"verbenalanding.example/fleet/steady"
+	"verbenalanding.example/fleet/workload"
+)
+
+// lockedPool is a pool with machines, a wave and no connection to anything.
+func lockedPool() *pool {
+	n := &Node{Clock: steady.New(), Registry: metrics.NewRegistry(), View: &View{waves: map[string]workload.Wave{}}}
+	p := &pool{node: n, name: "cutting", core: &dispatch.Pool{Name: "cutting"}}
+	p.core.Begin(n.Clock.Now())
+	p.book, p.upkeeps = newMachineBook(p), newUpkeeps(p)
+	w := workload.Wave{ID: "1", Within: time.Minute, MaxDown: 2}
+	for i := range 20 {
+		id := fmt.Sprintf("m%d", i)
+		p.book.list[id] = workload.Machine{ID: id, Pool: []string{"cutting", "spare"}[i%2], State: workload.MachineUp}
+		w.Machines = append(w.Machines, id)
+	}
+	n.View.waves["w"] = w
+	n.pools.set(p.name, p)
+	return p
+}
+
+// Guards against a holder that stands still: its locks were taken in different orders by the planning of a wave, the choice of spare
+// machines, a changed configuration and the registration of a worker.
+func TestLocksAreTakenInOneOrder(t *testing.T) {
+	p := lockedPool()
+	p.wake = ring.New[struct{}](1)
+	n := p.node
+	s := sizer{pool: p}
+	wave := n.View.Waves()[0]
+	configuration := &workload.Configuration{}
+	var group errgroup.Group
+	const rounds = 20000
+	for _, do := range []func(){
+		func() { s.spare("spare", n.Clock.Now(), 3) },
+		func() { p.upkeeps.input(wave, n.Clock.Now()) },
+		func() { p.upkeeps.tellDue(n.Clock.Now()) },
+		func() { n.pools.configure(configuration) },
+		func() {
+			known := n.pools.get(p.name) == p
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if known {
+				p.core.Plan(n.Clock.Now())
+			}
+			p.book.registered(workload.Worker{ID: "w", Machine: "m0"})
+		},
+	} {
+		group.Go(func() error {
+			for range rounds {
+				do()
+			}
+			return nil
+		})
+	}
+	ended := make(chan struct{})
+	var waiter errgroup.Group
+	waiter.Go(func() error {
+		_ = group.Wait()
+		close(ended)
+		return nil
+	})
+	select {
+	case <-ended:
+	case <-time.After(30 * time.Second):
+		t.Fatal("locks: got a deadlock, want none within 30 s")
+	}
+}
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -36,7 +36,8 @@
 	seen     time.Time
 }
 
-// machineBook knows the platform's machines and the last order for each.
+// machineBook knows the platform's machines and the last order for each. Its lock is the innermost one: that of the pool comes before that
+// of its waves, and both before this one.
 type machineBook struct {
 	pool *pool
 
@@ -170,6 +171,20 @@
 	return !ordered || o.Node == b.pool.node.Settings.Node || now.Sub(o.seen) >= b.pool.node.Settings.Bounds.OrderGap+gapMargin
 }
 
+// upIn returns the machines of a pool that are up and may be ordered now.
+func (b *machineBook) upIn(pool string, now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id := range b.list {
+		m, _ := b.get(id)
+		if m.Pool == pool && m.State == workload.MachineUp && b.free(id, now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // claim records an order for a machine, together with other changes, and returns its fencing token.
 func (b *machineBook) claim(ctx context.Context, id string, o machineOrder, t store.Transaction) (uint64, error) {
 	now := b.pool.node.Clock.Now()
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -67,9 +69,10 @@
 
 func (p *pools) configure(c *workload.Configuration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, held := range p.held {
-		held.configure(c)
+	held := slices.Collect(maps.Values(p.held))
+	p.mu.Unlock()
+	for _, h := range held {
+		h.configure(c)
 	}
 }
 
@@ -372,9 +375,10 @@
 		}
 		now := p.node.Clock.Now()
 		began := time.Now()
+		known := p.node.pools.get(p.name) == p
 		p.mu.Lock()
 		var actions []dispatch.Action
-		if p.node.pools.get(p.name) == p {
+		if known {
 			actions = p.core.Plan(now)
 		}
 		ended := p.core.HasEnded()
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -197,16 +197,7 @@
 
 // spare returns machines of the standby pool that may be moved now, in an order that differs by pool.
 func (s *sizer) spare(standby string, now time.Time, n int) []string {
-	b := s.pool.book
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var ids []string
-	for id := range b.list {
-		m, _ := b.get(id)
-		if m.Pool == standby && m.State == workload.MachineUp && b.free(id, now) {
-			ids = append(ids, id)
-		}
-	}
+	ids := s.pool.book.upIn(standby, now)
 	due := map[string]bool{}
 	for _, id := range ids {
 		due[id] = s.pool.upkeeps.due(id)
