--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -78,17 +78,6 @@
 	{"a worker starts again", 1, func(m *model) { m.restart(m.draw()) }},
 }
 
-// oldActs lets the holder before act, which does not know yet that it lost the duty.
-func (m *model) oldActs() {
-	if m.old == nil || m.now.After(m.oldUntil) {
-		return
-	}
-	pool, fence := m.pool, m.fence
-	m.pool, m.fence = m.old, m.oldFence
-	m.act()
-	m.pool, m.fence = pool, fence
-}
-
 // play runs a script from the beginning and returns the fingerprint of the state that it leads to.
 func play(s *script) (state [sha256.Size]byte, violation string) {
 	defer func() {
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -427,14 +427,19 @@
 	for range n {
 		m.pass(100 * time.Millisecond)
 		m.act()
-		if m.old == nil || m.now.After(m.oldUntil) {
-			continue
-		}
-		pool, fence := m.pool, m.fence
-		m.pool, m.fence = m.old, m.oldFence
-		m.act()
-		m.pool, m.fence = pool, fence
+		m.oldActs()
+	}
+}
+
+// oldActs lets the holder before act, which does not know yet that it lost the duty.
+func (m *model) oldActs() {
+	if m.old == nil || m.now.After(m.oldUntil) {
+		return
 	}
+	pool, fence := m.pool, m.fence
+	m.pool, m.fence = m.old, m.oldFence
+	m.act()
+	m.pool, m.fence = pool, fence
 }
 
 // act lets the holder hear some of the workers and plan.
--- /dev/null
+++ b/fleet/dispatch/report_test.go
@@ -0,0 +1,101 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// Guards against a pool that stands still after a planned hand-over beside a silent worker: only the tasks that may run there wait.
+func TestHandoverTellsWhatMayRun(t *testing.T) {
+	b := newBench(t, 2)
+	step := oneTask(16000)
+	step.Tasks = 3
+	b.addJob("j", step)
+	b.plan()
+	handover, ok := b.pool.Handover(b.now)
+	if !ok {
+		t.Fatalf("handover: got none, want one")
+	}
+	b.silent["w0"] = true
+	b.takeOver()
+	b.pool.Follow(handover, b.now)
+	b.pool.AddJob(workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{step}, Accepted: b.now}, nil, true, b.now)
+	for id := range b.present {
+		b.addWorker(id)
+	}
+	b.report()
+	for id := range b.present["w1"] {
+		b.end("w1", id, workload.EndDone)
+	}
+	b.starts = nil
+	b.pass(time.Second)
+	wantCount(t, "starts beside a silent worker", len(b.starts), 1)
+	if got := len(b.present["w0"]); got != 1 {
+		t.Fatalf("runs on the silent worker: got %d, want 1", got)
+	}
+	for id := range b.present["w0"] {
+		if b.starts[0].Task == id {
+			t.Errorf("start: got %v, which may run on the silent worker", id)
+		}
+	}
+}
+
+// Guards against a start beyond the attempts: the failed run of a holder that did not know of its loss is listed while the next
+// holder's run is present, and it counts once its end is acknowledged.
+func TestFailedEndOfAnotherHoldersRunCounts(t *testing.T) {
+	b := newBench(t, 2)
+	b.addJob("j", oneTask(16000))
+	b.plan()
+	other := map[string]string{"w0": "w1", "w1": "w0"}[b.where(task("j", 0, 0))]
+	b.present[other][task("j", 0, 0)] = 2
+	b.end(other, task("j", 0, 0), workload.EndFailed)
+	b.report()
+	b.end(b.where(task("j", 0, 0)), task("j", 0, 0), workload.EndFailed)
+	b.report()
+	b.record()
+	b.wantState("j", workload.Failed)
+}
+
+// Guards against a worker that comes back to life by its old registration after its machine was moved away: it counts as a
+// machine of the pool, and a new holder waits for its report.
+func TestEndedWorkerIsNotAddedByItsOldRegistration(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.Terminated("w1", "moved")
+	b.addWorker("w1")
+	wantCount(t, "workers after the old registration", len(b.pool.WorkerIDs()), 1)
+	again := workload.Worker{ID: "w1", Machine: "m-w1", Pool: "cutting", Room: workload.Room{CPU: 16000, MemoryMB: 64000}, Born: 2}
+	b.pool.SetWorker(again, b.now)
+	wantCount(t, "workers after a new life", len(b.pool.WorkerIDs()), 2)
+	b.pool.Terminated("w1", "moved")
+	b.pool.DropWorker("w1", b.now)
+	b.pool.SetWorker(again, b.now)
+	wantCount(t, "workers after the registration was gone", len(b.pool.WorkerIDs()), 2)
+}
+
+// Guards against a job that waits for a task that stands still on a worker while others work.
+func TestTaskThatStandsStillRunsElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	b.still = true
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	first := b.where(task("j", 0, 0))
+	b.pass(time.Second)
+	wantCount(t, "stops after a second without progress", len(b.stops), 0)
+	b.pass(1500 * time.Millisecond)
+	if got := b.where(task("j", 0, 0)); got == "" || got == first {
+		t.Errorf("task that stood still on %s: got on %q, want on the other worker", first, got)
+	}
+}
+
+// Guards against stopping a run that was started a moment ago and is in no list of its worker yet.
+func TestRunThatWasNotListedYetGoesOn(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	b.pool.Report("w0", workload.Report{Born: 1, Clock: b.clock - 1}, b.now)
+	b.pool.Report("w0", workload.Report{Born: 1, Clock: b.clock}, b.now)
+	b.plan()
+	wantCount(t, "stops", len(b.stops), 0)
+}
