--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -48,7 +48,9 @@
 	processes []*process
 	mu        sync.Mutex
 	proxies   []*proxy
-	version   int64
+	// ended is true once the proxies were closed.
+	ended   bool
+	version int64
 	// waves counts the waves that the operator asked for.
 	waves int
 	book  book
@@ -103,6 +105,7 @@
 	err = s.play(groupCtx, group)
 	cancel()
 	s.mu.Lock()
+	s.ended = true
 	for _, p := range s.proxies {
 		p.close()
 	}
@@ -120,6 +123,10 @@
 func (s *Soak) addProxy(p *proxy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ended {
+		// A machine may come back from its upkeep while the run ends.
+		p.close()
+	}
 	s.proxies = append(s.proxies, p)
 }
 
