test(bench): planning steps are measured by processor time

Change: the quickest of 25 steps by the processor time of its thread, in one place for both measurements; the bound is unchanged.

--- a/verbenabench/moves/moves.go
+++ b/verbenabench/moves/moves.go
@@ -82,7 +82,11 @@
 		r.Outcomes = append(r.Outcomes, o)
 	}
 	for _, n := range []int{8, 50, 500, 4300} {
-		r.Steps = append(r.Steps, target.Step{Workers: n, Step: measureStep(n)})
+		step, err := measureStep(n)
+		if err != nil {
+			return err
+		}
+		r.Steps = append(r.Steps, target.Step{Workers: n, Step: step})
 	}
 	r.judge()
 	return b.print(r)
@@ -182,8 +186,11 @@
 	}
 }
 
+// stepsMeasured is how many planning steps are measured, of which the quickest counts.
+const stepsMeasured = 25
+
 // measureStep returns the least time of one planning step of many, because other load on the machine only adds to it.
-func measureStep(workers int) time.Duration {
+func measureStep(workers int) (time.Duration, error) {
 	n := max(2, workers*197/4300)
 	f := fleet{dataCentres: min(11, n), racks: max(4, workers/4/11)}
 	for k := range n {
@@ -197,13 +204,7 @@
 			p.observe(move.Sample{Pool: q.Declared.Name, At: start.Add(time.Duration(m) * interval), Slots: float64(len(q.Members)*slots) * float64((k+3)%4) / 3})
 		}
 	}
-	var times []time.Duration
-	for k := range 25 {
-		before := time.Now()
-		p.plan(start.Add(2*time.Hour+time.Duration(k)*planEvery), pools)
-		times = append(times, time.Since(before))
-	}
-	return slices.Min(times)
+	return target.LeastTime(stepsMeasured, func(k int) { p.plan(start.Add(2*time.Hour+time.Duration(k)*planEvery), pools) })
 }
 
 func (r *report) judge() {
--- a/verbenabench/rollout/rollout.go
+++ b/verbenabench/rollout/rollout.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -83,7 +82,11 @@
 		r.Results = append(r.Results, result{Scenario: sc.name, Bound: lowerBound(policy), Policy: policy.run(), Serial: serial.run()})
 	}
 	for _, n := range []int{8, 50, 500, 4300} {
-		r.Steps = append(r.Steps, target.Step{Workers: n, Step: measureStep(n)})
+		step, err := measureStep(n)
+		if err != nil {
+			return err
+		}
+		r.Steps = append(r.Steps, target.Step{Workers: n, Step: step})
 	}
 	r.judge()
 	return b.print(r)
@@ -126,9 +129,12 @@
 	return time.Duration(batches) * shortest
 }
 
+// stepsMeasured is how many planning steps are measured, of which the quickest counts.
+const stepsMeasured = 25
+
 // measureStep returns the least time of one planning step in the middle of a wave, because other load on the machine only
 // adds to it.
-func measureStep(workers int) time.Duration {
+func measureStep(workers int) (time.Duration, error) {
 	pools := evenly(max(1, workers*197/4300), workers)
 	set := declare(pools, min(11, max(1, workers/4)))
 	s := newSimulation(set, place(pools, min(11, max(1, workers/4)), rand.New(rand.NewPCG(1, 2))), scenario{}, 1)
@@ -139,13 +145,7 @@
 		}
 	}
 	s.now = s.start.Add(2 * time.Hour)
-	var times []time.Duration
-	for range 25 {
-		before := time.Now()
-		s.planner.Plan(s.tick())
-		times = append(times, time.Since(before))
-	}
-	return slices.Min(times)
+	return target.LeastTime(stepsMeasured, func(int) { s.planner.Plan(s.tick()) })
 }
 
 func (r *report) judge() {
