--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -7,7 +7,7 @@
 
 // Load is what the end of a worker would cost now.
 type Load struct {
-	// Known is false for a worker that is not in the pool.
+	// Known is false where no worker is known that could run anything.
 	Known  bool
 	Worker string
 	// Idle workers run nothing and have no ends that are not recorded.
