refactor: the answer to a stop says whether a list decides; one place for relayed calls

Found on reading the change once more: StopAnswered and Unsettled looked the same run up one after the other, and relayGet and relayApply were one check and one bound written twice. Behaviour is unchanged; the tests are as they were.

--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -274,25 +274,19 @@
 	return [...]string{"present", "refused", "room", "old", "unhealthy", "ticket", "unanswered"}[a]
 }
 
-// Unsettled reports whether the next list of a worker tells if a run that was stopped had begun.
-func (p *Pool) Unsettled(s Stop) bool {
+// StopAnswered takes note that a worker took a stop, at a time of its clock: a start of that run that is still on its way is
+// refused from now on. It reports whether the worker's next list is what tells if the run had begun.
+func (p *Pool) StopAnswered(s Stop, clock time.Duration) (listDecides bool) {
 	w := p.workers[s.Worker.ID]
 	if w == nil {
 		return false
 	}
 	x := w.runs[runKey{s.Task, s.Run}]
-	return x != nil && x.startClock == 0
-}
-
-// StopAnswered takes note that a worker took a stop, at a time of its clock: a start of that run that is still on its way is
-// refused from now on.
-func (p *Pool) StopAnswered(s Stop, clock time.Duration) {
-	w := p.workers[s.Worker.ID]
-	if w == nil {
-		return
+	if x == nil {
+		return false
 	}
-	x := w.runs[runKey{s.Task, s.Run}]
-	if x != nil && x.phase == stopping && x.stopClock == 0 {
+	if x.phase == stopping && x.stopClock == 0 {
 		x.stopClock = clock
 	}
+	return x.startClock == 0
 }
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -120,10 +120,9 @@
 	}
 	if taken {
 		p.mu.Lock()
-		p.core.StopAnswered(s, clock)
-		settled := !p.core.Unsettled(s)
+		listDecides := p.core.StopAnswered(s, clock)
 		p.mu.Unlock()
-		if !settled {
+		if listDecides {
 			p.look(ctx, s.Worker.ID)
 		}
 	}
--- a/verbenaentry/node/relay.go
+++ b/verbenaentry/node/relay.go
@@ -80,26 +80,28 @@
 	return list
 }
 
-// relayGet reads a key for another node.
-func (n *Node) relayGet(ctx context.Context, key string) (any, error) {
+// relayAttempt is the attempt by whose bound a call for another node is bounded, which itself tries once.
+const relayAttempt = 2
+
+// serveRelay makes a call to the store for another node, unless this one does not reach it either.
+func serveRelay[T any](ctx context.Context, n *Node, call func(context.Context) (T, error)) (any, error) {
 	if !n.Tenure.Reaches() {
 		return nil, errCutOff
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.Patience.try(relayAttempt))
 	defer cancel()
-	return n.Store.Get(ctx, key)
+	return call(ctx)
 }
 
-// relayAttempt is the attempt by whose bound a call for another node is bounded, which itself tries once.
-const relayAttempt = 2
+// relayGet reads a key for another node.
+func (n *Node) relayGet(ctx context.Context, key string) (any, error) {
+	return serveRelay(ctx, n, func(ctx context.Context) (store.Entry, error) { return n.Store.Get(ctx, key) })
+}
 
 // relayApply runs a transaction for another node.
 func (n *Node) relayApply(ctx context.Context, t store.Transaction) (any, error) {
-	if !n.Tenure.Reaches() {
-		return nil, errCutOff
-	}
-	ctx, cancel := context.WithTimeout(ctx, n.Patience.try(relayAttempt))
-	defer cancel()
-	revision, _, err := n.Store.Apply(ctx, t)
-	return revision, err
+	return serveRelay(ctx, n, func(ctx context.Context) (store.Revision, error) {
+		revision, _, err := n.Store.Apply(ctx, t)
+		return revision, err
+	})
 }
