--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -126,10 +127,13 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	setTimeFormat()
 	return zerolog.New(lines).Level(level).With().Timestamp().Str("node", settings.Node).Logger()
 }
 
+// setTimeFormat sets the library's format of times for the process, once: nodes that run in one process may be logging already.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs })
+
 func newStore(c *platform.Client, s platform.Settings, registry metrics.Registry, patience *patience) *platform.Store {
 	return &platform.Store{Client: c, Addr: s.Store, Calls: func(mechanism, outcome string, took time.Duration) {
 		observe(registry, "storeCalls."+mechanism+"."+outcome, took)
--- /dev/null
+++ b/verbenaentry/node/node_test.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"io"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/platform"
+	"verbenalanding.example/verbenaentry/logs"
+)
+
+// Guards against a data race between the log lines of one node and the start of another one in the same process.
+func TestNodesOfOneProcessMayLogWhileOthersStart(_ *testing.T) {
+	var group errgroup.Group
+	for range 4 {
+		group.Go(func() error {
+			log := newLogger(logs.NewWriter(io.Discard), Flags{LogLevel: "info"}, platform.Settings{})
+			for range 100 {
+				log.Info().Msg("line")
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
