feat(entry): the log tells what a new holder knew of runs before

A task that ran twice after a take-over could not be explained from the log alone: the line on a handover named neither its writer nor its age, and nothing was said of the list of machines. A handover holds the fence of its writer now, which its line shows, and a line tells how many living workers are listed and not heard. Logic is unchanged.

--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -10,6 +10,9 @@
 
 // Handover is what a holder that gives its duty back tells its successor: every run that may be present, by worker.
 type Handover struct {
+	// Writer is the epoch of the holder that wrote it.
+	Writer uint64 `json:"writer"`
+	// Runs holds the runs that may be present, by worker.
 	Runs map[string][]workload.TaskID `json:"runs"`
 }
 
@@ -19,7 +22,7 @@
 	if len(p.dirty) > 0 || p.uncertain(now).everywhere {
 		return Handover{}, false
 	}
-	h = Handover{Runs: map[string][]workload.TaskID{}}
+	h = Handover{Writer: p.Epoch, Runs: map[string][]workload.TaskID{}}
 	if now.Before(p.unsureUntil) {
 		told := p.mayRun
 		if told == nil {
--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -52,7 +52,9 @@
 	}
 	p.mu.Lock()
 	p.core.Expect(ids)
+	unheard := len(p.core.Unheard(p.node.Clock.Now()))
 	p.mu.Unlock()
+	p.log.Info().Int("listed", len(ids)).Int("unheard", unheard).Msg("living workers listed")
 	p.kick()
 	return true
 }
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -59,7 +59,7 @@
 	p.mu.Lock()
 	p.core.Follow(h, p.node.Clock.Now())
 	p.mu.Unlock()
-	p.log.Info().Int("workers", len(h.Runs)).Msg("handover taken")
+	p.log.Info().Uint64("writer", h.Writer).Int("workers", len(h.Runs)).Msg("handover taken")
 }
 
 // silentKey names the record of a pool's silent workers and of what may run on them.
