--- /dev/null
+++ b/fleet/dispatch/tenure_test.go
@@ -0,0 +1,90 @@
+//go:build knownred
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+// restored adds a job that was accepted before the present holder began.
+func (b *bench) restored(id string, steps ...workload.Step) {
+	b.pool.AddJob(workload.Job{ID: id, Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: steps, Accepted: b.now}, nil, true, b.now)
+}
+
+// handOver has the present holder leave and the next one begin.
+func (b *bench) handOver() {
+	b.t.Helper()
+	h, ok := b.pool.Handover(b.now)
+	if !ok {
+		b.t.Fatalf("handover: got none, want one")
+	}
+	b.takeOver()
+	b.pool.Follow(h, b.now)
+}
+
+// Guards against a task that runs twice since its holder was preceded by one that left soon after it had replaced a lost holder: the lost
+// one may go on giving orders for a time, to workers that neither of them has heard.
+func TestHandoverDoesNotHideALostHolder(t *testing.T) {
+	const (
+		// lostGoesOn is how long a lost holder may give orders; its leases end as much later as a worker may have been granted.
+		lostGoesOn = 2500 * time.Millisecond
+		lastLease  = 3500 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name string
+		// before prepares what the lost holder left, after what happens once the next but one began.
+		before, after func(b *bench)
+	}{
+		{"a worker joined", func(*bench) {}, func(b *bench) { b.addWorker("w9") }},
+		{"a worker started again", func(b *bench) { b.addWorker("w9"); b.report() }, func(b *bench) {
+			b.pool.SetWorker(workload.Worker{ID: "w9", Pool: "cutting", Room: workload.Room{CPU: 16000}, Born: 2}, b.now)
+		}},
+		{"a worker is recorded as silent", func(b *bench) {
+			b.pool.Inherit(dispatch.Seals{"w9": {task("j", 0, 0)}})
+			b.restored("j", oneTask(16000))
+		}, func(b *bench) { b.addWorker("w9") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 1)
+			b.takeOver()
+			c.before(b)
+			b.addWorker("w0")
+			b.report()
+			b.pass(300 * time.Millisecond)
+			b.silent["w9"] = true
+			b.handOver()
+			b.restored("j", oneTask(16000))
+			b.addWorker("w0")
+			c.after(b)
+			b.report()
+			b.pass(lostGoesOn + lastLease - 400*time.Millisecond)
+			wantCount(t, "starts while the lost holder's may be present", len(b.starts), 0)
+			b.pass(time.Second)
+			wantCount(t, "starts after that", len(b.starts), 1)
+		})
+	}
+}
+
+// Guards against a worker that gets no work any more since the write of the record that names it as silent was not answered.
+func TestWorkerOfAnUnansweredRecordGetsWorkAgain(t *testing.T) {
+	b := newBench(t, 1)
+	b.silent["w0"] = true
+	b.pass(2 * time.Second)
+	if _, changed := b.pool.Seals(b.now); !changed {
+		t.Fatalf("record of silent workers: got no change, want one")
+	}
+	b.silent["w0"] = false
+	b.report()
+	seals, changed := b.pool.Seals(b.now)
+	if !changed {
+		t.Fatalf("record after the worker was heard: got no change, want one, since the store may name the worker")
+	}
+	b.pool.Sealed(seals)
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	wantCount(t, "starts", len(b.starts), 1)
+}
--- /dev/null
+++ b/verbenaentry/trial/handover_test.go
@@ -0,0 +1,54 @@
+//go:build knownred
+
+package trial_test
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/platform/standin"
+)
+
+// Guards against a task that runs twice since a holder believes a handover that is not of the holder before it: the next holder
+// did not get the store's answer to its read, and is lost itself.
+func TestHandoverCountsForTheNextHolderOnly(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	serveJobs(ctx, t, f, 2)
+	first := f.Holder("cutting")
+	f.LoseReads("handover/")
+	var group errgroup.Group
+	group.Go(func() error { return f.Terminate(first) })
+	second := first
+	for (second == first || second < 0) && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+		second = f.Holder("cutting")
+	}
+	j := job(1 << 26)
+	j.Took = 3 * time.Second
+	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
+		t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	f.LoseReads("")
+	for f.Platform.Runs() < 3 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	busy := f.Platform.Busy()
+	for _, id := range busy {
+		f.Platform.SetTrouble(id, standin.Trouble{Silent: true})
+	}
+	f.Kill(second)
+	time.Sleep(700 * time.Millisecond)
+	for _, id := range busy {
+		f.Platform.SetTrouble(id, standin.Trouble{})
+	}
+	if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
+		t.Errorf("job: got %v, want completed", err)
+	}
+	if err := group.Wait(); err != nil {
+		t.Errorf("terminated node: got %v, want none", err)
+	}
+	wantKept(t, f)
+}
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -187,6 +188,21 @@
 	f.nodes[i].gate.Close(away)
 }
 
+// LoseReads has the answers to reads of keys with a prefix be lost for all instances; an empty prefix ends that.
+func (f *Fleet) LoseReads(prefix string) {
+	var lost func(*http.Request) bool
+	if prefix != "" {
+		lost = func(r *http.Request) bool {
+			return r.URL.Path == wire.PathKey && strings.HasPrefix(r.URL.Query().Get("Key"), prefix)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		n.gate.Lose(lost)
+	}
+}
+
 // Terminate ends an instance gracefully and returns its error.
 func (f *Fleet) Terminate(i int) error {
 	f.mu.Lock()
