fix(dispatch): a handover says for how long a lost holder before its writer may give orders

Cause: a holder that was lost unheard may give orders for a lease after its successor began. When the successor left within that time, its handover said that what it does not name runs nowhere, and the next holder counted one worker's lease from its own beginning on. Workers that joined or started again since, and tasks named as on a silent worker, were taken for free while the lost holder's runs were there.

A handover holds the time for which a lost holder may still give orders and the births of the workers that its writer had heard, which refuse those orders. While that time and a lease last, the next holder also waits for workers in other lives, and for tasks of silent workers until the lost holder's leases have ended. In a calm restart in turn the time is zero and nothing waits longer.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -125,6 +125,10 @@
 	tickets map[stepKey]*ticketSet
 	// unsureUntil is the end of the time in which a lost holder's runs may be present on workers that were not heard.
 	unsureUntil time.Time
+	// lostUntil is until when a lost holder may give orders.
+	lostUntil time.Time
+	// heardBefore holds the births of the workers that the holder before had heard; nil when no lost holder may give orders.
+	heardBefore map[string]int64
 	// mayRun holds the workers on which the holder before had runs; nil when it has not told.
 	mayRun Seals
 	// living are workers that were not heard yet, registered or not; nil before they were told.
@@ -162,7 +166,8 @@
 	p.learned = map[string]*figures{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
-	p.unsureUntil = now.Add(p.Settings.Takeover + p.stretch(p.Settings.Lease))
+	p.lostUntil = now.Add(p.Settings.Takeover)
+	p.unsureUntil = p.lostUntil.Add(p.stretch(p.Settings.Lease))
 }
 
 // stretch returns the longest time in which a worker's clock advances by d.
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -14,6 +14,10 @@
 	Writer uint64 `json:"writer"`
 	// Runs holds the runs that may be present, by worker.
 	Runs map[string][]workload.TaskID `json:"runs"`
+	// Lost is for how much longer a holder that was lost before the writer began may give orders.
+	Lost time.Duration `json:"lost,omitempty"`
+	// Heard holds the births of the workers that the writer had heard, which refuse orders of holders before; empty without Lost.
+	Heard map[string]int64 `json:"heard,omitempty"`
 }
 
 // Handover returns the runs that may be present; ok is false for a holder that does not know them all itself, or that has
@@ -39,6 +43,14 @@
 			h.Runs[w.ID] = append(h.Runs[w.ID], x.task.id)
 		}
 	}
+	if h.Lost = max(p.lostUntil.Sub(now), 0); h.Lost > 0 {
+		h.Heard = map[string]int64{}
+		for _, w := range p.ordered() {
+			if w.synced {
+				h.Heard[w.ID] = w.Born
+			}
+		}
+	}
 	return h, true
 }
 
@@ -47,8 +59,10 @@
 func (p *Pool) Follow(h Handover, now time.Time) {
 	p.mayRun = Seals{}
 	maps.Copy(p.mayRun, h.Runs)
-	// The holder before gives no orders any more, so that only its last leases count.
-	p.unsureUntil = now.Add(p.stretch(p.Settings.Lease))
+	p.heardBefore = h.Heard
+	// The writer gives no orders any more, so that only the last leases count: its own and those of a holder lost before it.
+	p.lostUntil = now.Add(h.Lost)
+	p.unsureUntil = p.lostUntil.Add(p.stretch(p.Settings.Lease))
 }
 
 // Seals names, for each worker that became silent, the tasks that may run on it; a sealed worker gets no more starts until a
@@ -144,24 +158,44 @@
 		clear(p.gone)
 		return u
 	}
+	told := p.inherited
 	if p.mayRun != nil {
-		p.nameUnheard(u, p.mayRun)
-		return u
+		told = p.mayRun
+	}
+	p.nameUnheard(u, told)
+	// A complete handover leaves out only what a holder that was lost before its writer may have ordered since.
+	if p.mayRun == nil || p.heardBefore != nil {
+		u.everywhere = p.unaccounted(told)
+	}
+	return u
+}
+
+// unaccounted reports whether there may be a worker that takes orders of a lost holder and of which nobody told what it runs.
+func (p *Pool) unaccounted(told Seals) bool {
+	if len(p.workers) == 0 || (p.AwaitList && p.living == nil) {
+		return true
 	}
-	u.everywhere = len(p.workers) == 0 || (p.AwaitList && p.living == nil)
-	p.nameUnheard(u, p.inherited)
 	for _, w := range p.workers {
-		if _, told := p.inherited[w.ID]; w.reborn || (!told && !w.synced && w.heard.IsZero()) {
-			u.everywhere = true
+		if w.reborn || (!w.synced && w.heard.IsZero() && !p.accounted(w.ID, w.Born, told)) {
+			return true
 		}
 	}
 	for id := range p.living {
-		_, told := p.inherited[id]
-		if _, gone := p.ended[id]; !told && !gone && p.workers[id] == nil {
-			u.everywhere = true
+		if _, gone := p.ended[id]; !gone && p.workers[id] == nil && !p.accounted(id, 0, told) {
+			return true
 		}
 	}
-	return u
+	return false
+}
+
+// accounted reports whether a holder before told all that a worker may run. One that it had heard takes no orders of lost holders as
+// long as it lives; one that was silent gets none.
+func (p *Pool) accounted(id string, born int64, told Seals) bool {
+	if heard, ok := p.heardBefore[id]; ok {
+		return heard == born
+	}
+	_, ok := told[id]
+	return ok
 }
 
 // nameUnheard adds the tasks that may run on workers that were not heard, as a holder before told.
