fix(dispatch): a worker gets work again after an unanswered record of silent workers

Found by reading: too little is served by a pool whose store loses answers.

Cause: a worker that is about to be recorded as silent gets no starts until a record without it is known to be written. When the write got no answer and the worker was heard again, the next record was equal to the last one that was known to be stored, so that none was written, and the worker stayed without work until another worker became silent or the holder changed. A record is asked for now while a worker that it would not name is kept from work.

TestWorkerOfAnUnansweredRecordGetsWorkAgain failed before: no further record was asked for.

--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -100,6 +100,12 @@
 			s[w.ID] = append(s[w.ID], x.task.id)
 		}
 	}
+	for _, w := range p.ordered() {
+		if _, named := s[w.ID]; w.sealed && !named {
+			// A record whose write was not answered may name it.
+			changed = true
+		}
+	}
 	return s, changed || !p.recordedSeals.cover(s)
 }
 
--- a/fleet/dispatch/sealed_test.go
+++ b/fleet/dispatch/sealed_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package dispatch_test
 
 import (
