fix(dispatch): jobs heard of soon after a take-over may have been started by a lost holder

Found by the random model of fleet/dispatch once more than one lost holder went on in it: 'j0 starts as run 1 on w2: run 1 is on w0'.

Cause: a job that was accepted after the duty was taken was held for one that no other holder could have started. A holder that was lost unheard hears of new jobs as well, by its watch and from the callers that it still serves, starts them under the same run number, and its successor waited for no worker. Such a job counts as one of before now while a lost holder's leases may last: it starts once each worker was heard or accounted for, and its runs are numbered by the holder's epoch. After a handover by a holder that nobody overlapped nothing changes.

TestJobOfAnOverlapWaitsForUnheardWorkers failed before (1 start, want 0).

--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -42,7 +42,7 @@
 	queue   workload.Queue
 	state   workload.State
 	started bool
-	// restored jobs were accepted before this holder began; a lost holder may have started their tasks.
+	// restored jobs were heard of while a holder before may have given orders; it may have started their tasks.
 	restored    bool
 	occurrences []occurrence
 	finished    time.Time
@@ -52,12 +52,15 @@
 	recordedVersion int
 }
 
-// AddJob adds an accepted job; record is the one that an earlier holder left, if any.
+// AddJob adds an accepted job; record is the one that an earlier holder left, if any, and restored tells that the job was accepted
+// before this holder began.
 func (p *Pool) AddJob(spec workload.Job, record *Record, restored bool, now time.Time) {
 	if p.jobs[spec.ID] != nil {
 		return
 	}
-	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored}
+	// A lost holder hears of new jobs too, by its watch and from the callers that it still serves.
+	overlaps := now.Before(p.unsureUntil)
+	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
 	}
--- /dev/null
+++ b/fleet/dispatch/overlap_test.go
@@ -0,0 +1,47 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a job that two holders take for new: it is accepted while a lost holder still gives orders, which may have started
+// its task on a worker that the present holder has not heard.
+func TestJobOfAnOverlapWaitsForUnheardWorkers(t *testing.T) {
+	b := newBench(t, 2)
+	b.takeOver()
+	b.addWorker("w0")
+	b.addWorker("w1")
+	b.silent["w1"] = true
+	b.report()
+	b.addJob("j", oneTask(16000))
+	starts, _ := b.orders()
+	wantCount(t, "starts while a worker was not heard", len(starts), 0)
+	b.silent["w1"] = false
+	b.report()
+	starts, _ = b.orders()
+	wantCount(t, "starts once all workers were heard", len(starts), 1)
+}
+
+// Guards against jobs that wait without need: no other holder gives orders any more, or a handover tells what runs.
+func TestJobAfterAnOverlapStartsAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begin func(b *bench)
+	}{
+		{"long after the take-over", func(b *bench) { b.takeOver(); b.now = b.now.Add(7 * time.Second) }},
+		{"after a handover", func(b *bench) { b.now = b.now.Add(7 * time.Second); b.report(); b.handOver() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 2)
+			c.begin(b)
+			b.silent["w1"] = true
+			b.addWorker("w0")
+			b.addWorker("w1")
+			b.report()
+			b.addJob("j", oneTask(16000))
+			starts, _ := b.orders()
+			wantCount(t, "starts beside a worker that was not heard", len(starts), 1)
+		})
+	}
+}
