fix(tenure): no orders after a pause before the duties are proven to be held

Cause: guards replace a holder that was silent for 0.8 s. One that wakes within its lease plans with what it knew before: it starts tasks on workers that started again or joined meanwhile, which have seen no newer fence, until its watch or the successor tells it of the loss.

A node takes note each 100 ms that it runs. After a gap of 0.4 s, by the clock that goes on while the machine is suspended, no duty counts as held until the store shows its key with the own fence, or, while the store does not answer, all other nodes know no newer holder. The cost is a read for each duty after a pause.

--- a/fleet/tenure/lease.go
+++ b/fleet/tenure/lease.go
@@ -145,10 +145,21 @@
 
 // unconfirmed returns the question to all other nodes when the lease was not renewed for half of its time.
 func (t *Tenure) unconfirmed(now time.Time) (Question, []Member) {
+	t.mu.Lock()
+	recent := t.storeAge(now) < t.TTL/2
+	t.mu.Unlock()
+	if recent {
+		return Question{}, nil
+	}
+	return t.question()
+}
+
+// question returns the question to all other nodes whether they know of newer holders of the node's duties.
+func (t *Tenure) question() (Question, []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q := Question{From: t.Self.Node}
-	if t.Ask == nil || t.leaving || len(t.held) == 0 || t.storeAge(now) < t.TTL/2 {
+	if t.Ask == nil || t.leaving || len(t.held) == 0 {
 		return q, nil
 	}
 	for name := range t.held {
--- /dev/null
+++ b/fleet/tenure/pause.go
@@ -0,0 +1,101 @@
+package tenure
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+)
+
+const (
+	// pauseEvery is how often a node takes note that it runs; a longer gap than pauseLimit counts as a pause. Guards replace a holder
+	// that was silent for twice as long.
+	pauseEvery = 100 * time.Millisecond
+	pauseLimit = 400 * time.Millisecond
+	// proofPause lies between two attempts at proving duties.
+	proofPause = 50 * time.Millisecond
+)
+
+// running reports whether the node has run without a pause since its duties were last known to be held; the lock must be held.
+func (t *Tenure) running(now time.Time) bool { return !t.paused && now.Sub(t.ran) < pauseLimit }
+
+// watchPauses finds pauses of the node, as of a suspended machine: another node may have taken its duties meanwhile and nothing has told
+// it yet, so that no orders are given until the duties are proven to be held.
+func (t *Tenure) watchPauses(ctx context.Context) error {
+	ticker := time.NewTicker(pauseEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if pause, began := t.noteRunning(); began {
+			t.note("node stood still", "", nil)
+			t.group.Go(func() error { return t.endPause(ctx, pause) })
+		}
+	}
+}
+
+// noteRunning takes note that the node runs; began is true when a pause was found, which counts from 1.
+func (t *Tenure) noteRunning() (pause int, began bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock()
+	began = now.Sub(t.ran) >= pauseLimit
+	t.ran = now
+	if began {
+		t.paused = true
+		t.pauses++
+	}
+	return t.pauses, began
+}
+
+// endPause ends a pause once all held duties are proven to be held; a later pause has a proof of its own.
+func (t *Tenure) endPause(ctx context.Context, pause int) error {
+	for ctx.Err() == nil {
+		proven := t.proveDuties(ctx)
+		t.mu.Lock()
+		if t.pauses == pause && proven {
+			t.paused = false
+		}
+		ended := t.pauses != pause || proven
+		t.mu.Unlock()
+		if ended {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(proofPause):
+		}
+	}
+	return nil
+}
+
+// proveDuties drops the duties that the store shows as another node's; it reports false when neither the store nor all other nodes
+// have told which of the others are held.
+func (t *Tenure) proveDuties(ctx context.Context) bool {
+	t.mu.Lock()
+	holdings := maps.Clone(t.held)
+	t.mu.Unlock()
+	for name, h := range holdings {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		entry, err := t.Store.Get(callCtx, Prefix+name)
+		cancel()
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			q, others := t.question()
+			return len(others) > 0 && t.confirm(ctx, q, others)
+		}
+		if err == nil && uint64(entry.Revision) == h.fence {
+			continue
+		}
+		t.mu.Lock()
+		if t.held[name] == h {
+			t.drop(name, "duty taken away")
+		}
+		t.mu.Unlock()
+	}
+	return true
+}
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -73,6 +73,11 @@
 	until     time.Time
 	confirmed time.Time
 	renewed   time.Time
+	// ran is when the node last took note that it runs, pauses how many gaps it found in that, and paused is true until the duties are
+	// proven to be held after the last one.
+	ran    time.Time
+	pauses int
+	paused bool
 	// contact is when the store last answered any call of the node.
 	contact  time.Time
 	watching map[string]*watched
@@ -103,6 +108,7 @@
 // Run takes and keeps duties until the context ends.
 func (t *Tenure) Run(ctx context.Context) error {
 	t.began = t.Clock()
+	t.ran = t.began
 	t.TTL = cmp.Or(t.TTL, 2500*time.Millisecond)
 	t.seen, t.vacant, t.held, t.lastTold = map[string]Duty{}, map[string]time.Time{}, map[string]*holding{}, map[string]string{}
 	t.members, t.watching = map[string]member{}, map[string]*watched{}
@@ -115,6 +121,7 @@
 	group.Go(func() error { return t.guard(groupCtx) })
 	group.Go(func() error { return t.confirmDuties(groupCtx) })
 	group.Go(func() error { return t.balance(groupCtx) })
+	group.Go(func() error { return t.watchPauses(groupCtx) })
 	return group.Wait()
 }
 
@@ -139,7 +146,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.held[name]
-	return h != nil && h.fence == fence && t.Clock().Before(t.validUntil())
+	now := t.Clock()
+	return h != nil && h.fence == fence && t.running(now) && now.Before(t.validUntil())
 }
 
 // Leave gives all duties back and takes no more; it returns when their work has ended or the context ends.
--- a/fleet/tenure/tenure_test.go
+++ b/fleet/tenure/tenure_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,8 +29,8 @@
 	next     store.LeaseID
 	// refuse holds the leases whose calls are refused.
 	refuse map[store.LeaseID]bool
-	// down refuses all calls.
-	down bool
+	// down refuses all calls; deaf watches hear no changes.
+	down, deaf bool
 }
 
 func newMemory() *memory {
@@ -56,6 +57,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.deaf {
+		return store.Batch{Revision: after}, nil
+	}
 	batch := store.Batch{Revision: m.revision}
 	for _, e := range m.events {
 		if e.Entry.Revision > after {
@@ -65,6 +69,19 @@
 	return batch, nil
 }
 
+func (m *memory) Get(_ context.Context, key string) (store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return store.Entry{}, store.ErrRefused
+	}
+	e, ok := m.entries[key]
+	if !ok {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return e, nil
+}
+
 func (m *memory) Apply(_ context.Context, t store.Transaction) (store.Revision, []store.Entry, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -163,6 +180,8 @@
 	ctx    context.Context
 	began  chan spell
 	ended  chan spell
+	// skipped is by how much the clocks of all nodes jumped.
+	skipped atomic.Int64
 	// ttl is the lease of nodes that are built without one of their own.
 	ttl time.Duration
 	// first is the first spell of nodes that were started together.
@@ -187,8 +206,10 @@
 }
 
 func (n *nodes) build(name string, ttl time.Duration) *tenure.Tenure {
+	clock := steady.New()
 	x := &tenure.Tenure{
-		Store: n.store, Self: tenure.Member{Node: name, Session: name, Cores: 1}, TTL: cmp.Or(n.ttl, ttl), Clock: steady.New().Now,
+		Store: n.store, Self: tenure.Member{Node: name, Session: name, Cores: 1}, TTL: cmp.Or(n.ttl, ttl),
+		Clock: func() time.Time { return clock.Now().Add(time.Duration(n.skipped.Load())) },
 	}
 	x.Gained = func(ctx context.Context, _ string, fence uint64) error {
 		n.began <- spell{node: name, fence: fence}
