fix(dispatch): a worker that joined after the take-over gets work once the duty is proven

Cause: a worker that joins has seen no fence and takes the orders of every holder. One that was lost unheard, but hears its registration, starts a task there that its successor has started elsewhere before the worker was there; no successor can wait for that. A worker that starts again under its id was guarded already: its holder writes a record under the duty's condition first. A worker that joins is guarded in the same way now, but for those whose registration is older than the holder's duty, which a successor finds in its first list.

TestWorkerThatJoinsGetsWorkAfterAProof failed before the change in its second case (1 start, want 0).

--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -1,8 +1,11 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"verbenalanding.example/fleet/workload"
 )
 
 // Guards against a job that two holders take for new: it is accepted while a lost holder still gives orders, which may have started
@@ -45,3 +48,31 @@
 		})
 	}
 }
+
+// Guards against a lost holder that starts a task of its successor's on a worker that joined after the loss: the worker has seen no fence, and
+// the successor could not wait for it.
+func TestWorkerThatJoinsGetsWorkAfterAProof(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Epoch = 100
+	for _, c := range []struct {
+		id         string
+		registered uint64
+		want       int
+	}{{"w1", 99, 1}, {"w2", 101, 0}} {
+		b.pool.SetWorker(workload.Worker{
+			ID: c.id, Pool: "cutting", Room: workload.Room{CPU: 32000, MemoryMB: 64000}, Born: 1, Registered: c.registered,
+		}, b.now)
+		b.present[c.id] = map[workload.TaskID]int{}
+		b.report()
+		b.addJob("j"+c.id, oneTask(32000))
+		starts, _ := b.orders()
+		wantCount(t, "starts on a worker registered at revision "+fmt.Sprint(c.registered), len(starts), c.want)
+	}
+	seals, changed := b.pool.Seals(b.now)
+	if !changed {
+		t.Fatalf("record: got no change, want one that proves the duty")
+	}
+	b.pool.Sealed(seals)
+	starts, _ := b.orders()
+	wantCount(t, "starts after the proof", len(starts), 1)
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -24,13 +24,13 @@
 	stopping
 )
 
-// proof tells whether this holder has proven since a worker started again that it still holds the duty.
+// proof tells whether this holder has proven since a life of a worker began that it still holds the duty.
 type proof int
 
 const (
 	proven proof = iota
 	proofNeeded
-	// proofAsked means that a record was asked for after the worker started again, and is not known to be written.
+	// proofAsked means that a record was asked for after the life began, and is not known to be written.
 	proofAsked
 )
 
@@ -86,7 +86,8 @@
 	doubted time.Time
 	// due workers are on machines whose upkeep is still to be done.
 	due bool
-	// proof is what is left to do before a worker that started again gets starts.
+	// proof is what is left to do before a new life gets starts: it has seen no fence and takes orders of a lost holder too, while a
+	// record that is written after its begin shows that this holder is not lost.
 	proof proof
 	// reborn workers started again while a holder before may give orders, and were not heard since.
 	reborn bool
@@ -121,6 +122,10 @@
 		// A successor would take a sealed worker to run only what its record names.
 		_, sealed := p.recordedSeals[info.ID]
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1, sealed: sealed}
+		if info.Registered > p.Epoch {
+			// A successor lists the workers that were registered when this holder took the duty, and waits for them.
+			w.sealed, w.proof = true, proofNeeded
+		}
 		p.addWorker(w)
 		p.note(Event{What: "worker added", Worker: info.ID})
 		return
@@ -230,8 +235,6 @@
 		p.lose(r, "worker restarted")
 	}
 	w.Born, w.processed, w.recorded, w.clock, w.synced = born, 0, 0, 0, false
-	// The new life has seen no fence and takes orders of a lost holder too: a record that is written from now on proves that this
-	// one is not lost.
 	w.sealed, w.proof = true, proofNeeded
 	if now.Before(p.unsureUntil) {
 		// A holder before may have started tasks on it.
@@ -337,6 +340,11 @@
 	}
 }
 
+// Unproven reports whether a worker waits for a record that proves that this holder is not lost.
+func (p *Pool) Unproven() bool {
+	return slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.proof == proofNeeded })
+}
+
 func (p *Pool) usable(w *worker, now time.Time) bool {
 	return w.synced && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
 		!now.Before(w.fullUntil) && !now.Before(w.closedUntil) && (w.doubted.IsZero() || w.heard.After(w.doubted)) &&
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -95,8 +95,10 @@
 	tries   int
 	holding map[string]bool
 
-	wake    *ring.Ring[struct{}]
-	writes  *ring.Ring[struct{}]
+	wake   *ring.Ring[struct{}]
+	writes *ring.Ring[struct{}]
+	// seals asks for a record of silent workers at once.
+	seals   *ring.Ring[struct{}]
 	group   *errgroup.Group
 	orders  errgroup.Group
 	book    *machineBook
@@ -108,7 +110,7 @@
 	p := &pool{
 		node: n, name: name, fence: fence, began: n.Clock.Now(), log: n.Log.With().Str("pool", name).Uint64("fence", fence).Logger(),
 		revisions: map[string]store.Revision{}, holding: map[string]bool{},
-		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
+		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), seals: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(orderLimit)
 	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note, AwaitList: n.Settings.Machines.IsValid()}
@@ -346,6 +348,7 @@
 			p.core.DropWorker(w.ID, now)
 			continue
 		}
+		w.Registered = uint64(e.Entry.Created)
 		p.core.SetWorker(w, now)
 		p.book.registered(w)
 		if !p.holding[w.ID] {
@@ -353,6 +356,9 @@
 			p.group.Go(func() error { return p.hold(ctx, w.ID) })
 		}
 	}
+	if p.core.Unproven() {
+		_ = p.seals.Offer(struct{}{})
+	}
 	p.kick()
 }
 
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -134,6 +134,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-p.seals.Items():
 		}
 		now := p.node.Clock.Now()
 		if !p.holds() {
