fix(entry): an unanswered record of silent workers is found written; its first attempt waits for the usual time of an answer

The attempts are bounded like other writes now, and a conflict that shows the duty as still held and the record as it should be counts as written; one that shows the duty as another node's does not. TestUnansweredRecordOfSilentWorkersIsFound failed before (revision 0 after the second attempt).

--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -89,8 +89,9 @@
 	budget logs.Budget
 	// revisions are those of the records of jobs in the store.
 	revisions map[string]store.Revision
-	// silentRevision is that of the record of silent workers.
+	// silentRevision is that of the record of silent workers, silentTries the number of attempts since the last write that succeeded.
 	silentRevision store.Revision
+	silentTries    int
 	// tries counts the attempts at writing records since the last one that succeeded, and the present one.
 	tries   int
 	holding map[string]bool
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -1,10 +1,10 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
@@ -77,9 +77,8 @@
 
 // ownsDuty reports whether entries of the store show the duty as this holder's.
 func (p *pool) ownsDuty(entries []store.Entry) bool {
-	return slices.ContainsFunc(entries, func(e store.Entry) bool {
-		return e.Key == p.dutyCondition().Key && e.Revision == p.dutyCondition().Revision
-	})
+	duty := p.dutyCondition()
+	return find(entries, duty.Key).Revision == duty.Revision
 }
 
 // proveDuty reads whether the duty is still this holder's.
@@ -156,27 +155,40 @@
 		p.log.Error().Err(err).Msg("silent workers not encoded")
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	p.silentTries++
+	callCtx, cancel := context.WithTimeout(ctx, p.node.Patience.try(p.silentTries))
 	defer cancel()
 	revision, current, err := p.node.Store.Apply(callCtx, store.Transaction{
 		If:  []store.Condition{p.dutyCondition(), {Key: p.silentKey(), Revision: p.silentRevision}},
 		Put: []store.Write{{Key: p.silentKey(), Value: value}},
 	})
 	if errors.Is(err, store.ErrConflict) {
-		for _, e := range current {
-			if e.Key == p.silentKey() {
-				p.silentRevision = e.Revision
-			}
+		// An earlier attempt may have taken effect unheard; the answer shows the duty's present revision too.
+		stored := find(current, p.silentKey())
+		p.silentRevision = stored.Revision
+		if p.ownsDuty(current) && bytes.Equal(stored.Value, value) {
+			revision, err = stored.Revision, nil
 		}
 	}
 	p.log.Info().Err(err).Int("workers", len(seals)).Msg("silent workers recorded")
 	if err != nil {
 		return
 	}
-	p.silentRevision = revision
+	p.silentRevision, p.silentTries = revision, 0
 	p.mu.Lock()
 	p.core.Sealed(seals)
 	p.mu.Unlock()
+	p.kick()
+}
+
+// find returns the entry of a key, or an empty one.
+func find(entries []store.Entry, key string) store.Entry {
+	for _, e := range entries {
+		if e.Key == key {
+			return e
+		}
+	}
+	return store.Entry{}
 }
 
 // readSilent takes over which workers were silent for the holder before.
--- a/verbenaentry/node/successor_test.go
+++ b/verbenaentry/node/successor_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/steady"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/tenure"
@@ -44,7 +45,7 @@
 		t.Fatalf("open gate: got %v, want none", err)
 	}
 	n := &Node{Clock: steady.New(), Store: &platform.Store{Client: platform.NewClient(), Addr: gate.Addr}, Patience: &patience{}}
-	s := &succession{t: t, gate: gate, ctx: ctx, pool: &pool{node: n, name: "cutting"}}
+	s := &succession{t: t, gate: gate, ctx: ctx, pool: &pool{node: n, name: "cutting", wake: ring.New[struct{}](1)}}
 	s.takeDuty()
 	s.pool.core = &dispatch.Pool{Name: "cutting", Epoch: s.pool.fence}
 	s.pool.core.Begin(n.Clock.Now())
@@ -155,3 +156,27 @@
 	s.wantGone()
 	s.wantFollowed(false)
 }
+
+// Guards against a worker that waits for its record although the store has it: the answer to the write was lost.
+func TestUnansweredRecordOfSilentWorkersIsFound(t *testing.T) {
+	s := newSuccession(t)
+	s.loseAnswers(wire.PathTransaction, 1)
+	seals := dispatch.Seals{"w0": nil}
+	s.pool.writeSilent(s.ctx, seals)
+	before := s.pool.silentRevision
+	s.pool.writeSilent(s.ctx, seals)
+	entry, err := s.pool.node.Store.Get(s.ctx, s.pool.silentKey())
+	if err != nil {
+		t.Fatalf("record: got %v, want one", err)
+	}
+	if before != 0 || s.pool.silentRevision != entry.Revision {
+		t.Errorf("revisions known: got %d and %d, want 0 and %d", before, s.pool.silentRevision, entry.Revision)
+	}
+	fence := s.pool.fence
+	s.takeDuty()
+	s.pool.fence, s.pool.silentRevision = fence, 0
+	s.pool.writeSilent(s.ctx, seals)
+	if s.pool.silentTries == 0 {
+		t.Errorf("write after the duty was lost: got it taken for written, want not")
+	}
+}
