fix(entry): no upkeep is ordered once the duty may be lost

Moves were checked right before the call, upkeeps were not; where the platform does not check fencing tokens an upkeep of a holder that stood still after its reservation ended its successor's runs, and could make too many tasks of a step unavailable.

TestNoUpkeepIsOrderedOnceTheDutyIsLost failed before (1 order, want 0).

--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -322,6 +322,10 @@
 	if !load.Allowed {
 		return
 	}
+	if !u.pool.holds() {
+		// The duty may have been lost since the slot was reserved; the platform does not refuse an older fencing token everywhere.
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
 	defer cancel()
 	outcome, err := u.pool.node.Machines.Upkeep(callCtx, platform.Holder{Node: u.pool.node.Settings.Node, Fence: fence}, s.Machine, w.ID)
