fix(dispatch): an ended worker that comes back under its id gets work after a proof of the duty

The same cause as for workers that join: the new life has seen no fence. Its registration may be older than the duty, since it was overwritten and not created again. TestWorkerThatComesBackGetsWorkAfterAProof failed before (1 start, want 0).

--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -76,3 +76,19 @@
 	starts, _ := b.orders()
 	wantCount(t, "starts after the proof", len(starts), 1)
 }
+
+// Guards against the same on a worker whose end was proven and that comes back under its id and its old registration.
+func TestWorkerThatComesBackGetsWorkAfterAProof(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Terminated("w0", "its machine does not run it any more")
+	b.pool.SetWorker(workload.Worker{ID: "w0", Pool: "cutting", Room: workload.Room{CPU: 16000, MemoryMB: 64000}, Born: 2}, b.now)
+	b.present["w0"] = map[workload.TaskID]int{}
+	b.pool.Report("w0", workload.Report{Born: 2, Clock: time.Second}, b.now)
+	b.addJob("j", oneTask(16000))
+	starts, _ := b.orders()
+	wantCount(t, "starts before a proof", len(starts), 0)
+	seals, _ := b.pool.Seals(b.now)
+	b.pool.Sealed(seals)
+	starts, _ = b.orders()
+	wantCount(t, "starts after the proof", len(starts), 1)
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -108,7 +108,8 @@
 
 // SetWorker adds a worker or takes over a change of its registration.
 func (p *Pool) SetWorker(info workload.Worker, now time.Time) {
-	if e, ok := p.ended[info.ID]; ok {
+	e, ended := p.ended[info.ID]
+	if ended {
 		if info.Born <= e.Born && info.Addr == e.Addr {
 			// A registration outlives its worker by some heartbeats, and may change until then.
 			return
@@ -122,8 +123,8 @@
 		// A successor would take a sealed worker to run only what its record names.
 		_, sealed := p.recordedSeals[info.ID]
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1, sealed: sealed}
-		if info.Registered > p.Epoch {
-			// A successor lists the workers that were registered when this holder took the duty, and waits for them.
+		if ended || info.Registered > p.Epoch {
+			// A successor lists the lives that were registered when this holder took the duty, and waits for them.
 			w.sealed, w.proof = true, proofNeeded
 		}
 		p.addWorker(w)
