fix(dispatch): a proof of the end of one life of a worker does not end its next life

Cause: the answer of another worker at an address, and the list of machines, were held against a worker by its id. When it had started again under its id meanwhile, the new life was dropped with its runs, which started elsewhere beside it, and its registrations were ignored from then on. Both proofs name the life now, by birth and address.

--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -155,7 +155,7 @@
 	p.note(gone)
 }
 
-// Terminated takes note of a proof that a worker's life has ended with all its runs.
+// Terminated takes note of a proof that a worker has ended with all its runs, whatever its life.
 func (p *Pool) Terminated(id, reason string) {
 	w := p.workers[id]
 	if w == nil {
@@ -169,6 +169,13 @@
 	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
 }
 
+// LifeEnded takes note of a proof that one life of a worker has ended; a later life under the same id goes on.
+func (p *Pool) LifeEnded(life workload.Worker, reason string) {
+	if w := p.workers[life.ID]; w != nil && w.Born == life.Born && w.Addr == life.Addr {
+		p.Terminated(life.ID, reason)
+	}
+}
+
 // Unheard returns the workers that may run what a holder before started and have not reported to this one.
 func (p *Pool) Unheard(now time.Time) []workload.Worker {
 	if now.After(p.unsureUntil) {
--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -61,11 +61,11 @@
 
 func (p *pool) dropListedAbsent(unheard []workload.Worker, now time.Time) {
 	p.book.mu.Lock()
-	var gone []string
+	var gone []workload.Worker
 	for _, w := range unheard {
 		m, listed := p.book.list[w.Machine]
 		if !p.book.failed && !p.book.listed.Before(now) && absent(w, m, listed, now) {
-			gone = append(gone, w.ID)
+			gone = append(gone, w)
 		}
 	}
 	p.book.mu.Unlock()
@@ -73,8 +73,8 @@
 		return
 	}
 	p.mu.Lock()
-	for _, id := range gone {
-		p.core.Terminated(id, "its machine does not run it any more")
+	for _, w := range gone {
+		p.core.LifeEnded(w, "its machine does not run it any more")
 	}
 	p.mu.Unlock()
 	p.kick()
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -98,7 +98,7 @@
 	p.mu.Lock()
 	p.core.StartAnswered(s, answer, clock, now)
 	if outcome == platform.OtherWorker {
-		p.core.Terminated(s.Worker.ID, "another worker has its address")
+		p.core.LifeEnded(s.Worker, "another worker has its address")
 	}
 	p.mu.Unlock()
 	if answer == dispatch.Unknown {
@@ -239,7 +239,7 @@
 		return true
 	case platform.HoldOther:
 		p.mu.Lock()
-		p.core.Terminated(next.Worker.ID, "another worker has its address")
+		p.core.LifeEnded(next.Worker, "another worker has its address")
 		p.mu.Unlock()
 		p.kick()
 	case platform.HoldFenced:
