fix(dispatch): a report that lists only some ends does not account for a worker

Found by the table of proofs; needs 500 open ends on one worker, as after half a minute without the store.

Cause: a worker lists 500 ends at once and the rest once these are acknowledged. A new holder took the first report for whole: a task whose end came behind the 500th was neither running nor done, and was started again after it was done. A worker counts as heard once a report has listed all. TestReportThatListsOnlySomeEnds failed before (1 start, want 0).

--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -182,7 +182,7 @@
 		return true
 	}
 	for _, w := range p.workers {
-		if w.reborn || (!w.synced && w.heard.IsZero() && !p.accounted(w.ID, w.Born, told)) {
+		if w.reborn || (p.unheard(w.ID) && !p.accounted(w.ID, w.Born, told)) {
 			return true
 		}
 	}
@@ -216,10 +216,10 @@
 	}
 }
 
-// unheard reports whether this holder has had neither a report of a worker nor a proof of its end.
+// unheard reports whether this holder has had neither a whole report of a worker nor a proof of its end.
 func (p *Pool) unheard(id string) bool {
 	if w := p.workers[id]; w != nil {
-		return w.heard.IsZero()
+		return w.heard.IsZero() || w.partial
 	}
 	return !p.gone[id]
 }
--- a/fleet/dispatch/report_test.go
+++ b/fleet/dispatch/report_test.go
@@ -99,3 +99,29 @@
 	b.plan()
 	wantCount(t, "stops", len(b.stops), 0)
 }
+
+// Guards against a task that a successor starts although its run was done: a worker lists 500 ends at once, and the rest of them once
+// these are acknowledged.
+func TestReportThatListsOnlySomeEnds(t *testing.T) {
+	const listed = 500
+	b := newBench(t, 2)
+	b.takeOver()
+	other := oneTask(1000)
+	other.Tasks = listed
+	b.restored("other", other)
+	b.restored("j", oneTask(1000))
+	b.addWorker("w0")
+	b.addWorker("w1")
+	b.pool.Report("w1", workload.Report{Born: 1, Clock: b.clock}, b.now)
+	r := workload.Report{Born: 1, Clock: b.clock, Partial: true}
+	for i := range listed {
+		r.Ended = append(r.Ended, workload.EndedRun{Number: int64(i + 1), Task: task("other", 0, i), Run: 1, How: workload.EndDone})
+	}
+	b.pool.Report("w0", r, b.now)
+	starts, _ := b.orders()
+	wantCount(t, "starts before all ends were listed", len(starts), 0)
+	r.Ended, r.Partial = nil, false
+	b.pool.Report("w0", r, b.now)
+	starts, _ = b.orders()
+	wantCount(t, "starts once all ends were listed", len(starts), 1)
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -67,6 +67,8 @@
 	missing  time.Time
 	cordoned bool
 	synced   bool
+	// partial is true while no report has listed all ends of a worker: what is not listed may have ended.
+	partial bool
 	// clock is the worker's clock in the last report, heard the local time at which that report arrived.
 	clock time.Duration
 	heard time.Time
@@ -183,7 +185,7 @@
 	}
 	var list []workload.Worker
 	for _, w := range p.ordered() {
-		if !w.synced && w.heard.IsZero() {
+		if p.unheard(w.ID) {
 			list = append(list, w.Worker)
 		}
 	}
