fix(tenure): a duty is valid only as long as its key was read lately

Cause: a successor counts one lease from its begin on, since the lost holder's lease ends by then. But a guard takes the key of a holder whose lease lasts, and that lease is still renewed: only the watch, or the guard's one call, told the holder. Where both were lost it gave orders for 2.7 s and more beside its successor, which counts 2.5 s.

A held duty is valid for a lease less the safety margin from the last call that showed its key with the own fence: the taking, a read three times in a lease, or the answers of all other nodes while the store does not answer. That makes the successor's count a bound. The cost is 1.2 reads a second for each pool.

--- a/fleet/tenure/pause.go
+++ b/fleet/tenure/pause.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"time"
-
-	"verbenalanding.example/fleet/store"
 )
 
 const (
@@ -73,29 +69,3 @@
 	}
 	return nil
 }
-
-// proveDuties drops the duties that the store shows as another node's; it reports false when neither the store nor all other nodes
-// have told which of the others are held.
-func (t *Tenure) proveDuties(ctx context.Context) bool {
-	t.mu.Lock()
-	holdings := maps.Clone(t.held)
-	t.mu.Unlock()
-	for name, h := range holdings {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		entry, err := t.Store.Get(callCtx, Prefix+name)
-		cancel()
-		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			q, others := t.question()
-			return len(others) > 0 && t.confirm(ctx, q, others)
-		}
-		if err == nil && uint64(entry.Revision) == h.fence {
-			continue
-		}
-		t.mu.Lock()
-		if t.held[name] == h {
-			t.drop(name, "duty taken away")
-		}
-		t.mu.Unlock()
-	}
-	return true
-}
--- /dev/null
+++ b/fleet/tenure/proof.go
@@ -0,0 +1,73 @@
+package tenure
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+)
+
+// proofs is how many reads of a held duty's key fit into a lease.
+const proofs = 3
+
+// provenUntil is when orders for a duty end that the store has not shown as held since, by its key or by the other nodes' answers; the lock
+// must be held. The lease alone does not show it: a guard takes the key of a holder whose lease still lasts and is renewed.
+func (t *Tenure) provenUntil(h *holding) time.Time {
+	until := h.proven.Add(t.TTL - safety)
+	if t.confirmed.After(until) {
+		return t.confirmed
+	}
+	return until
+}
+
+// keepProven reads the keys of the held duties again and again, since the watch that tells of a loss may be deaf.
+func (t *Tenure) keepProven(ctx context.Context) error {
+	ticker := time.NewTicker(t.TTL / proofs)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		t.readDuties(ctx)
+	}
+}
+
+// proveDuties reports whether the store, or all other nodes while it does not answer, have told which of the duties are held; the others
+// are dropped.
+func (t *Tenure) proveDuties(ctx context.Context) bool {
+	if t.readDuties(ctx) {
+		return true
+	}
+	q, others := t.question()
+	return len(others) > 0 && t.confirm(ctx, q, others)
+}
+
+// readDuties reads the keys of the held duties and drops those that are another node's; it reports false when the store did not answer.
+func (t *Tenure) readDuties(ctx context.Context) bool {
+	t.mu.Lock()
+	holdings := maps.Clone(t.held)
+	t.mu.Unlock()
+	for name, h := range holdings {
+		sent := t.Clock()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		entry, err := t.Store.Get(callCtx, Prefix+name)
+		cancel()
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return false
+		}
+		t.mu.Lock()
+		switch {
+		case t.held[name] != h:
+		case err == nil && uint64(entry.Revision) == h.fence:
+			h.proven = sent
+		default:
+			t.drop(name, "duty taken away")
+		}
+		t.mu.Unlock()
+	}
+	return true
+}
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -94,7 +94,9 @@
 }
 
 type holding struct {
-	fence  uint64
+	fence uint64
+	// proven is when the call was sent that last showed the duty's key with this fence.
+	proven time.Time
 	cancel context.CancelCauseFunc
 	done   chan struct{}
 }
@@ -122,6 +124,7 @@
 	group.Go(func() error { return t.confirmDuties(groupCtx) })
 	group.Go(func() error { return t.balance(groupCtx) })
 	group.Go(func() error { return t.watchPauses(groupCtx) })
+	group.Go(func() error { return t.keepProven(groupCtx) })
 	return group.Wait()
 }
 
@@ -147,7 +150,16 @@
 	defer t.mu.Unlock()
 	h := t.held[name]
 	now := t.Clock()
-	return h != nil && h.fence == fence && t.running(now) && now.Before(t.validUntil())
+	return h != nil && h.fence == fence && t.running(now) && now.Before(t.validUntil()) && now.Before(t.provenUntil(h))
+}
+
+// Lost tells that a newer holder of a duty was met, as by a worker that follows it.
+func (t *Tenure) Lost(name string, fence uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.held[name]; h != nil && h.fence == fence {
+		t.drop(name, "newer holder met")
+	}
 }
 
 // Leave gives all duties back and takes no more; it returns when their work has ended or the context ends.
--- a/fleet/tenure/vacancy.go
+++ b/fleet/tenure/vacancy.go
@@ -68,6 +68,7 @@
 	t.mu.Lock()
 	lease := t.lease
 	t.mu.Unlock()
+	sent := t.Clock()
 	value, err := json.Marshal(t.Self)
 	if err != nil || lease == 0 {
 		t.note("duty not taken", name, err)
@@ -95,18 +96,18 @@
 		return 0, false
 	}
 	t.noteOnce("taking "+name, nil)
-	return uint64(revision), t.begin(ctx, name, uint64(revision), lease)
+	return uint64(revision), t.begin(ctx, name, uint64(revision), lease, sent)
 }
 
-// begin starts the work of a duty that was taken.
-func (t *Tenure) begin(ctx context.Context, name string, fence uint64, lease store.LeaseID) bool {
+// begin starts the work of a duty that was taken by a call that was sent at a time.
+func (t *Tenure) begin(ctx context.Context, name string, fence uint64, lease store.LeaseID, sent time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.leaving || t.lease != lease || t.held[name] != nil || t.seen[name].Fence > fence {
 		return false
 	}
 	dutyCtx, cancel := context.WithCancelCause(ctx)
-	h := &holding{fence: fence, cancel: cancel, done: make(chan struct{})}
+	h := &holding{fence: fence, proven: sent, cancel: cancel, done: make(chan struct{})}
 	t.held[name], t.stale = h, true
 	t.seen[name] = Duty{t.Self, fence}
 	t.note("duty taken", name, nil)
