fix(entry): a holder that meets a newer one stops at once

The table of proofs showed a lost holder's start on a new life of a worker of which it had not heard. Nobody can refuse that order, so that the time in which a lost holder gives orders has to be short.

Cause: the answers that prove a newer holder (a worker that follows a newer fence, a write whose condition shows the duty as another node's) were logged or made a pause, and the holder went on for the rest of its lease. Each of them ends the duty now.

--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -90,7 +90,10 @@
 		answer = dispatch.RefusedUnhealthy
 	case platform.RefusedTicket:
 		answer = dispatch.RefusedTicket
-	case platform.RefusedFence, platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker:
+	case platform.RefusedFence:
+		answer = dispatch.Refused
+		p.lost()
+	case platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker:
 		answer = dispatch.Refused
 	case platform.Unanswered:
 	}
@@ -244,6 +247,7 @@
 		p.kick()
 	case platform.HoldFenced:
 		p.log.Warn().Str("worker", next.Worker.ID).Msg("worker follows a newer holder")
+		p.lost()
 	case platform.HoldUnanswered:
 	}
 	return false
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -221,6 +221,9 @@
 	return p.node.Tenure.Valid(p.name, p.fence) && p.node.pools.get(p.name) == p
 }
 
+// lost tells that a newer holder of the pool was met.
+func (p *pool) lost() { p.node.Tenure.Lost(p.name, p.fence) }
+
 func (p *pool) kick() { _ = p.wake.Offer(struct{}{}) }
 
 func (p *pool) configure(c *workload.Configuration) {
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -166,7 +166,9 @@
 		// An earlier attempt may have taken effect unheard; the answer shows the duty's present revision too.
 		stored := find(current, p.silentKey())
 		p.silentRevision = stored.Revision
-		if p.ownsDuty(current) && bytes.Equal(stored.Value, value) {
+		if !p.ownsDuty(current) {
+			p.lost()
+		} else if bytes.Equal(stored.Value, value) {
 			revision, err = stored.Revision, nil
 		}
 	}
--- a/verbenaentry/node/successor_test.go
+++ b/verbenaentry/node/successor_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatalf("open gate: got %v, want none", err)
 	}
-	n := &Node{Clock: steady.New(), Store: &platform.Store{Client: platform.NewClient(), Addr: gate.Addr}, Patience: &patience{}}
+	n := &Node{Clock: steady.New(), Tenure: &tenure.Tenure{}, Store: &platform.Store{Client: platform.NewClient(), Addr: gate.Addr}, Patience: &patience{}}
 	s := &succession{t: t, gate: gate, ctx: ctx, pool: &pool{node: n, name: "cutting", wake: ring.New[struct{}](1)}}
 	s.takeDuty()
 	s.pool.core = &dispatch.Pool{Name: "cutting", Epoch: s.pool.fence}
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -53,6 +53,7 @@
 			p.log.Warn().Err(err).Int("tries", p.tries).Msg("records not written yet")
 			p.tries++
 			if errors.Is(err, errLost) {
+				p.lost()
 				pause(ctx, writeEvery)
 			}
 			if !errors.Is(err, store.ErrConflict) {
