fix(dispatch): a worker that started again may keep the longest lease

Cause: an order that was meant for the life before names a time of that life's clock, which is far ahead of the new one's, so that the new life holds the longest lease that workers grant, 6 s. The holder counted its own 3.5 s, and so did the next one after a handover. When the worker was then cut off, its tasks ran elsewhere up to 2.5 s too early.

Open: after a loss without a handover the successor counts 3.5 s from the end of the lost holder's time, also for a worker that started again unheard by it.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -11,6 +11,8 @@
 type Settings struct {
 	// Lease is how long a worker goes on without a hold.
 	Lease time.Duration
+	// MaxLease is the longest lease that workers grant: a lease end that was meant for an earlier life is cut to it.
+	MaxLease time.Duration
 	// StartLease is how long a start may be on its way; a worker refuses it later.
 	StartLease time.Duration
 	// Takeover is how long a lost holder may have gone on giving orders after its successor began.
@@ -34,6 +36,7 @@
 // Default returns s with unset fields filled.
 func (s Settings) Default() Settings {
 	s.Lease = cmp.Or(s.Lease, 3500*time.Millisecond)
+	s.MaxLease = max(s.Lease, cmp.Or(s.MaxLease, 6*time.Second))
 	s.StartLease = cmp.Or(s.StartLease, 1500*time.Millisecond)
 	s.Takeover = cmp.Or(s.Takeover, 2500*time.Millisecond)
 	s.Silence = cmp.Or(s.Silence, 1500*time.Millisecond)
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -73,7 +73,9 @@
 	clock time.Duration
 	heard time.Time
 	// leaseEnd is the latest local time at which the worker still runs what it was given.
-	leaseEnd  time.Time
+	leaseEnd time.Time
+	// longLease is until when a worker that started again may keep what it took by an order for the life before.
+	longLease time.Time
 	runs      map[runKey]*run
 	used      workload.Room
 	processed int64
@@ -246,6 +248,11 @@
 	}
 	w.Born, w.processed, w.recorded, w.clock, w.synced = born, 0, 0, 0, false
 	w.sealed, w.proof = true, proofNeeded
+	// What was sent to the life before names a time of a clock that was further ahead.
+	w.longLease = now.Add(p.stretch(p.Settings.MaxLease))
+	if w.longLease.After(w.leaseEnd) {
+		w.leaseEnd = w.longLease
+	}
 	if now.Before(p.unsureUntil) {
 		// A holder before may have started tasks on it.
 		w.reborn = true
