fix(entry): the age of a worker does not rest on another machine's clock alone

Cause: the list of machines proves the end of a worker only if the worker is older than the list may lag, 3 s.

Case 'the worker's clock may be behind' of TestAbsentWorkers is new: born 4 s ago by its own clock and known for 1 s, it was taken for gone before. The cases of before are unchanged.

--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -62,6 +62,7 @@
 
 type worker struct {
 	workload.Worker
+	// added is since when this holder knows of the present life.
 	added time.Time
 	// missing is since when the registration is gone; zero while it is there.
 	missing  time.Time
@@ -180,26 +181,32 @@
 	}
 }
 
+// SeenWorker is a worker and since when this holder knows of its present life.
+type SeenWorker struct {
+	workload.Worker
+	Since time.Time
+}
+
 // Unheard returns the workers that may run what a holder before started and have not reported to this one.
-func (p *Pool) Unheard(now time.Time) []workload.Worker {
+func (p *Pool) Unheard(now time.Time) []SeenWorker {
 	if now.After(p.unsureUntil) {
 		return nil
 	}
-	var list []workload.Worker
+	var list []SeenWorker
 	for _, w := range p.ordered() {
 		if p.unheard(w.ID) {
-			list = append(list, w.Worker)
+			list = append(list, SeenWorker{w.Worker, w.added})
 		}
 	}
 	return list
 }
 
 // Silent returns the workers with runs that have not reported for a time.
-func (p *Pool) Silent(now time.Time, since time.Duration) []workload.Worker {
-	var list []workload.Worker
+func (p *Pool) Silent(now time.Time, since time.Duration) []SeenWorker {
+	var list []SeenWorker
 	for _, w := range p.ordered() {
 		if len(w.runs) > 0 && !w.heard.IsZero() && now.Sub(w.heard) >= since {
-			list = append(list, w.Worker)
+			list = append(list, SeenWorker{w.Worker, w.added})
 		}
 	}
 	return list
@@ -246,7 +253,7 @@
 		}
 		p.lose(r, "worker restarted")
 	}
-	w.Born, w.processed, w.recorded, w.clock, w.synced = born, 0, 0, 0, false
+	w.Born, w.added, w.processed, w.recorded, w.clock, w.synced = born, now, 0, 0, 0, false
 	w.sealed, w.proof = true, proofNeeded
 	// What was sent to the life before names a time of a clock that was further ahead.
 	w.longLease = now.Add(p.stretch(p.Settings.MaxLease))
--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/workload"
 )
 
@@ -14,6 +15,8 @@
 	absentAfter = 900 * time.Millisecond
 	// absentAge is the least age of a worker that the list of machines may prove to be gone; the list may lag behind.
 	absentAge = 3 * time.Second
+	// clockDifference is by how much the times of day of two machines may differ; a worker tells its birth by its own.
+	clockDifference = 5 * time.Second
 )
 
 // dropAbsent compares workers that are not heard with the platform's list of machines, so that nothing waits for one whose machine
@@ -59,13 +62,13 @@
 	return true
 }
 
-func (p *pool) dropListedAbsent(unheard []workload.Worker, now time.Time) {
+func (p *pool) dropListedAbsent(unheard []dispatch.SeenWorker, now time.Time) {
 	p.book.mu.Lock()
 	var gone []workload.Worker
 	for _, w := range unheard {
 		m, listed := p.book.list[w.Machine]
 		if !p.book.failed && !p.book.listed.Before(now) && absent(w, m, listed, now) {
-			gone = append(gone, w)
+			gone = append(gone, w.Worker)
 		}
 	}
 	p.book.mu.Unlock()
@@ -81,8 +84,11 @@
 }
 
 // absent reports whether a list of machines proves that a worker has ended.
-func absent(w workload.Worker, m workload.Machine, listed bool, now time.Time) bool {
-	if w.Machine == "" || w.Born == 0 || now.Sub(time.UnixMilli(w.Born)) < absentAge {
+func absent(w dispatch.SeenWorker, m workload.Machine, listed bool, now time.Time) bool {
+	if w.Machine == "" || w.Born == 0 {
+		return false
+	}
+	if now.Sub(w.Since) < absentAge && now.Sub(time.UnixMilli(w.Born)) < absentAge+clockDifference {
 		return false
 	}
 	return !listed || m.State != workload.MachineUp || m.Worker != w.ID
--- a/verbenaentry/node/absent_test.go
+++ b/verbenaentry/node/absent_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 )
@@ -70,7 +71,7 @@
 func TestListAskedForAboutAnEarlierLife(t *testing.T) {
 	p := newProof(t)
 	p.hear(time.Now().Add(-time.Minute), netip.AddrPort{})
-	unheard := []workload.Worker{p.worker}
+	unheard := []dispatch.SeenWorker{{Worker: p.worker}}
 	asked := p.list()
 	p.hear(time.Now(), netip.AddrPort{})
 	p.pool.dropListedAbsent(unheard, asked)
--- a/verbenaentry/node/evidence_test.go
+++ b/verbenaentry/node/evidence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/workload"
 )
 
@@ -39,14 +40,18 @@
 // Guards against work that waits after a take-over for workers that are gone, and against tasks that are started again while
 // a worker that is only cut off still runs them.
 func TestAbsentWorkers(t *testing.T) {
-	w := workload.Worker{ID: "w", Machine: "m", Born: noon.Add(-time.Minute).UnixMilli()}
-	young := w
-	young.Born = noon.Add(-time.Second).UnixMilli()
+	seen := func(since time.Duration, w workload.Worker) dispatch.SeenWorker {
+		return dispatch.SeenWorker{Worker: w, Since: noon.Add(-since)}
+	}
+	w := seen(0, workload.Worker{ID: "w", Machine: "m", Born: noon.Add(-time.Minute).UnixMilli()})
+	young := seen(time.Second, workload.Worker{ID: "w", Machine: "m", Born: noon.Add(-time.Second).UnixMilli()})
+	behind := seen(time.Second, workload.Worker{ID: "w", Machine: "m", Born: noon.Add(-4 * time.Second).UnixMilli()})
+	ahead := seen(4*time.Second, workload.Worker{ID: "w", Machine: "m", Born: noon.Add(3 * time.Second).UnixMilli()})
 	up := workload.Machine{ID: "m", State: workload.MachineUp, Worker: "w"}
 	other := workload.Machine{ID: "m", State: workload.MachineUp, Worker: "x"}
 	for _, c := range []struct {
 		name   string
-		worker workload.Worker
+		worker dispatch.SeenWorker
 		m      workload.Machine
 		listed bool
 		want   bool
@@ -56,7 +61,9 @@
 		{"its machine is down", w, workload.Machine{ID: "m", State: workload.MachineState("down"), Worker: "w"}, true, true},
 		{"its machine is not listed", w, workload.Machine{}, false, true},
 		{"the list may be older than the worker", young, other, true, false},
-		{"its machine is not known", workload.Worker{ID: "w", Born: w.Born}, workload.Machine{}, false, false},
+		{"the worker's clock may be behind", behind, other, true, false},
+		{"it was known for longer than the list lags", ahead, other, true, true},
+		{"its machine is not known", seen(0, workload.Worker{ID: "w", Born: w.Born}), workload.Machine{}, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if got := absent(c.worker, c.m, c.listed, noon); got != c.want {
