--- a/fleet/archive/merger.go
+++ b/fleet/archive/merger.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
 )
@@ -40,9 +41,7 @@
 // Run merges until the context ends or another holder has a higher epoch; then it returns record.ErrFenced.
 func (m *Merger) Run(ctx context.Context) error {
 	m.pause = writePause
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
+	for range interval.FromNow(ctx, sweepInterval) {
 		err := m.Sweep(ctx)
 		if errors.Is(err, record.ErrFenced) {
 			return err
@@ -50,12 +49,8 @@
 		if err != nil && ctx.Err() == nil {
 			m.Log.Warn().Err(err).Msg("counts were not merged")
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
 	}
+	return ctx.Err()
 }
 
 // Sweep takes every step that is due. It may be ended and repeated at any step.
--- a/fleet/drain/drain.go
+++ b/fleet/drain/drain.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 )
 
@@ -47,16 +48,10 @@
 	if t.Interval == 0 {
 		t.Interval = DefaultInterval
 	}
-	ticker := time.NewTicker(t.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			t.Poll(ctx, now)
-		}
+	for now := range interval.Each(ctx, t.Interval) {
+		t.Poll(ctx, now)
 	}
+	return nil
 }
 
 // Confirmed reports whether every registered entry instance has seen the drain number and has nothing in flight at the
--- a/fleet/entry/guard.go
+++ b/fleet/entry/guard.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"verbenalanding.example/fleet/interval"
 )
 
 // beatEvery is much shorter than the pause limit, so that a busy machine does not look like a pause.
@@ -48,19 +50,13 @@
 // watchPauses notices pauses of the process and refreshes the view after them.
 func (e *Entry) watchPauses(ctx context.Context) error {
 	e.guard.beat.Store(e.guard.since(e.Now()))
-	ticker := time.NewTicker(beatEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, beatEvery) {
 		e.guard.tick(e.Now(), e.PauseLimit)
 		if e.guard.paused.Load() {
 			e.refresh(ctx)
 		}
 	}
+	return ctx.Err()
 }
 
 func (e *Entry) refresh(ctx context.Context) {
--- /dev/null
+++ b/fleet/interval/doc.go
@@ -0,0 +1,2 @@
+// Package interval repeats work at a fixed interval until a context ends.
+package interval
--- /dev/null
+++ b/fleet/interval/interval_test.go
@@ -0,0 +1,54 @@
+package interval_test
+
+import (
+	"context"
+	"iter"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"verbenalanding.example/fleet/internal/check"
+	"verbenalanding.example/fleet/interval"
+)
+
+// Guards against a loop that begins too soon or too late, misses an interval, or goes on after its context has ended.
+func TestSteps(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps func(context.Context, time.Duration) iter.Seq[time.Time]
+		want  []time.Duration
+	}{
+		{"each", interval.Each, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}},
+		{"from now", interval.FromNow, []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+				defer cancel()
+				began := time.Now()
+				var got []time.Duration
+				for now := range c.steps(ctx, time.Second) {
+					got = append(got, now.Sub(began))
+				}
+				check.Equal(t, "steps", got, c.want)
+				check.Equal(t, "end", time.Since(began), 3500*time.Millisecond)
+			})
+		})
+	}
+}
+
+// Guards against a loop that goes on after its body has left it.
+func TestLeftLoop(t *testing.T) {
+	for _, steps := range []iter.Seq[time.Time]{
+		interval.Each(t.Context(), time.Millisecond), interval.FromNow(t.Context(), time.Millisecond),
+	} {
+		n := 0
+		for range steps {
+			n++
+			if n == 2 {
+				break
+			}
+		}
+		check.Equal(t, "steps", n, 2)
+	}
+}
--- a/fleet/jobs/jobs.go
+++ b/fleet/jobs/jobs.go
@@ -14,6 +14,7 @@
 
 	"verbenalanding.example/fleet/chart"
 	"verbenalanding.example/fleet/declaration"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/placement"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/quarantine"
@@ -185,18 +186,12 @@
 // Run takes the shard over and drives it until the context ends or a higher epoch is seen, which returns
 // record.ErrFenced.
 func (h *Holder) Run(ctx context.Context) error {
-	ticker := time.NewTicker(h.Timing.Default().StepEvery)
-	defer ticker.Stop()
-	for {
+	for range interval.FromNow(ctx, h.Timing.Default().StepEvery) {
 		if err := h.Step(ctx, h.clock()); err != nil {
 			return err
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
 	}
+	return nil
 }
 
 func (h *Holder) clock() time.Time {
--- a/fleet/maintenance/maintenance.go
+++ b/fleet/maintenance/maintenance.go
@@ -9,6 +9,7 @@
 
 	"verbenalanding.example/fleet/chart"
 	"verbenalanding.example/fleet/declaration"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
@@ -84,9 +85,7 @@
 
 // run repeats a step until the context ends or the duty is fenced.
 func (d *Duty) run(ctx context.Context, name string, step func(context.Context, time.Time) error) error {
-	ticker := time.NewTicker(d.Interval)
-	defer ticker.Stop()
-	for {
+	for range interval.FromNow(ctx, d.Interval) {
 		err := step(ctx, d.Now())
 		if errors.Is(err, record.ErrFenced) {
 			return err
@@ -94,12 +93,8 @@
 		if ctx.Err() == nil {
 			d.logStep(name, err)
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
 	}
+	return ctx.Err()
 }
 
 // logStep logs the first failed step and the first one that succeeds again; a store outage of minutes would otherwise
--- a/fleet/standin/site.go
+++ b/fleet/standin/site.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/platform"
 )
 
@@ -99,18 +100,12 @@
 
 // carryReboots closes the connections of an instance that is down and serves again once it is healthy.
 func (s *Site) carryReboots(ctx context.Context) error {
-	ticker := time.NewTicker(siteInterval)
-	defer ticker.Stop()
-	for {
+	for range interval.FromNow(ctx, siteInterval) {
 		for id, b := range s.backends {
 			s.setStopped(id, b, !s.Control.Healthy(id))
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
 	}
+	return ctx.Err()
 }
 
 func (s *Site) setStopped(id string, b *Backend, stop bool) {
--- a/fleet/tenure/balance.go
+++ b/fleet/tenure/balance.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -26,15 +27,8 @@
 
 // balance gives duties to nodes with more processors and fewer duties.
 func (t *Tenure) balance(ctx context.Context) error {
-	ticker := time.NewTicker(balanceEvery)
-	defer ticker.Stop()
 	var since time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, balanceEvery) {
 		now := t.Clock()
 		name := t.surplus()
 		switch {
@@ -47,6 +41,7 @@
 			since = now.Add(balancePause - balanceAfter)
 		}
 	}
+	return nil
 }
 
 // surplus returns a duty that another node should hold; empty when there is none.
--- a/fleet/tenure/guard.go
+++ b/fleet/tenure/guard.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"verbenalanding.example/fleet/interval"
 )
 
 // ErrNoProcess is returned by Ask when the other machine answers that no process listens there.
@@ -103,18 +105,12 @@
 	if t.Ask == nil {
 		return nil
 	}
-	ticker := time.NewTicker(guardEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, guardEvery) {
 		for _, holder := range t.watchedHolders() {
 			t.look(ctx, holder)
 		}
 	}
+	return nil
 }
 
 // watchedHolders returns the holders that this node watches.
--- a/fleet/tenure/lease.go
+++ b/fleet/tenure/lease.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -22,10 +23,8 @@
 )
 
 func (t *Tenure) keepLease(ctx context.Context) error {
-	ticker := time.NewTicker(t.TTL / renewals / 2)
-	defer ticker.Stop()
 	var renewed time.Time
-	for {
+	for range interval.FromNow(ctx, t.TTL/renewals/2) {
 		now := t.Clock()
 		t.expire(now)
 		if now.Sub(renewed) >= t.TTL/renewals {
@@ -34,12 +33,8 @@
 			}
 		}
 		t.register(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
 	}
+	return nil
 }
 
 // validUntil is when orders for held duties end, by the lease or by what the other nodes confirmed; the lock must be held.
@@ -122,14 +117,7 @@
 // confirmDuties goes on holding duties while the store answers nobody: a successor waits for the time of a lease from its own
 // beginning on, so that orders are safe for as long after all other nodes said that they hold none of these duties.
 func (t *Tenure) confirmDuties(ctx context.Context) error {
-	ticker := time.NewTicker(confirmEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, confirmEvery) {
 		sent := t.Clock()
 		q, others := t.unconfirmed(sent)
 		if len(others) == 0 || !t.confirm(ctx, q, others) {
@@ -141,6 +129,7 @@
 		}
 		t.mu.Unlock()
 	}
+	return nil
 }
 
 // unconfirmed returns the question to all other nodes when the lease was not renewed for half of its time.
--- a/fleet/tenure/vacancy.go
+++ b/fleet/tenure/vacancy.go
@@ -7,22 +7,17 @@
 	"fmt"
 	"time"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
 func (t *Tenure) takeVacant(ctx context.Context) error {
-	ticker := time.NewTicker(stepEvery)
-	defer ticker.Stop()
-	for {
+	for range interval.FromNow(ctx, stepEvery) {
 		for name, fence := range t.due() {
 			t.take(ctx, name, fence)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
 	}
+	return nil
 }
 
 // due returns the wanted duties that this node should take now, with the fences that their keys must have.
--- a/verbenaentry/node/metrics.go
+++ b/verbenaentry/node/metrics.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"verbenalanding.example/fleet/interval"
 )
 
 // sampleSize is how many values a histogram keeps; its quantiles have an error of about 4% at that size.
@@ -46,14 +48,7 @@
 
 // reportCounts writes the counts of calls and requests to the log, for a look back without a scraper.
 func (n *Node) reportCounts(ctx context.Context) error {
-	ticker := time.NewTicker(countsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, countsEvery) {
 		line := n.Log.Info()
 		n.Registry.Each(func(name string, m any) {
 			switch m := m.(type) {
@@ -65,6 +60,7 @@
 		})
 		line.Msg("counts")
 	}
+	return nil
 }
 
 // metrics writes counters and histograms in the text format that Prometheus reads; durations are in seconds.
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/steady"
 	"verbenalanding.example/fleet/tenure"
 	"verbenalanding.example/platform"
@@ -278,16 +279,10 @@
 const settingsEvery = 10 * time.Second
 
 func (n *Node) watchSettings(ctx context.Context) error {
-	ticker := time.NewTicker(settingsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			n.reloadSettings("file")
-		}
+	for range interval.Each(ctx, settingsEvery) {
+		n.reloadSettings("file")
 	}
+	return nil
 }
 
 // reloadSettings checks a changed settings file; addresses of a running process do not change, so it only takes note.
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/sizing"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
@@ -48,14 +49,7 @@
 }
 
 func (s *sizer) run(ctx context.Context) error {
-	ticker := time.NewTicker(sizeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, sizeEvery) {
 		p := s.pool
 		standby := standbyPool(p.node.View.Configuration())
 		if standby == "" || standby == p.name || !p.holds() {
@@ -66,6 +60,7 @@
 		}
 		s.step(ctx, standby)
 	}
+	return nil
 }
 
 // standbyPool returns the pool of machines that are switched off, if any.
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/upkeep"
 	"verbenalanding.example/fleet/workload"
@@ -117,20 +118,14 @@
 }
 
 func (u *upkeeps) run(ctx context.Context) error {
-	ticker := time.NewTicker(waveEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, waveEvery) {
 		for _, w := range u.pool.node.View.Waves() {
 			if u.pool.holds() {
 				u.step(ctx, w)
 			}
 		}
 	}
+	return nil
 }
 
 // due reports whether the upkeep of a machine is still to be done.
--- a/verbenalanding/daemon/duties.go
+++ b/verbenalanding/daemon/duties.go
@@ -19,6 +19,7 @@
 	"verbenalanding.example/fleet/drain"
 	"verbenalanding.example/fleet/duty"
 	"verbenalanding.example/fleet/entry"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/jobs"
 	"verbenalanding.example/fleet/maintenance"
 	"verbenalanding.example/fleet/move"
@@ -193,21 +194,15 @@
 
 // housekeeping writes snapshots and removes the registrations of entry instances that are gone for good.
 func (d *duties) housekeeping(ctx context.Context) error {
-	ticker := time.NewTicker(housekeepingInterval)
-	defer ticker.Stop()
-	for {
+	for range interval.FromNow(ctx, housekeepingInterval) {
 		if err := d.changes.Compact(ctx); err != nil && ctx.Err() == nil {
 			d.log.Warn().Err(err).Msg("snapshot was not written")
 		}
 		if err := d.removeGone(ctx); err != nil && ctx.Err() == nil {
 			d.log.Warn().Err(err).Msg("registrations were not checked")
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
 	}
+	return ctx.Err()
 }
 
 // removeGone removes the registration of an entry instance without a live key that the platform lists as gone or that
--- a/verbenalanding/demo/auditor.go
+++ b/verbenalanding/demo/auditor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/budget"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
 )
@@ -42,20 +43,14 @@
 }
 
 func (a *auditor) run(ctx context.Context) error {
-	ticker := time.NewTicker(auditInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, auditInterval) {
 		instances, err := a.deployment.instances(ctx)
 		if err != nil {
 			return err
 		}
 		a.check(instances)
 	}
+	return nil
 }
 
 // check counts the instances of each budget that are not in service.
