refactor(test): tests of unanswered starts share their opening

Four tests gave the start of a job's only task in the same lines; startedTask and unansweredStart do it once. Each test checks what it checked before; a job that gets no start now ends its test at once instead of by an index out of range.

--- a/fleet/dispatch/unanswered_test.go
+++ b/fleet/dispatch/unanswered_test.go
@@ -35,14 +35,30 @@
 	}
 }
 
+// unansweredStart returns a bench with a job of one task, whose start was given and not answered.
+func unansweredStart(t *testing.T, workers int) (*bench, dispatch.Start) {
+	t.Helper()
+	b, start := startedTask(t, workers)
+	b.pool.StartAnswered(start, dispatch.Unknown, 0, b.now)
+	return b, start
+}
+
+// startedTask returns a bench with a job of one task, whose start was given.
+func startedTask(t *testing.T, workers int) (*bench, dispatch.Start) {
+	t.Helper()
+	b := newBench(t, workers)
+	b.addJob("a", oneTask(1000))
+	starts, _ := b.orders()
+	if len(starts) != 1 {
+		t.Fatalf("starts: got %d, want 1", len(starts))
+	}
+	return b, starts[0]
+}
+
 // Guards against a task that waits for the end of an unanswered start's lease: a stop that the worker takes has the late start
 // refused, and the next list shows that the run is not there.
 func TestUnansweredStartIsSettledByAStop(t *testing.T) {
-	b := newBench(t, 1)
-	b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
-	starts, _ := b.orders()
-	b.wantCount("starts", len(starts), 1)
-	b.pool.StartAnswered(starts[0], dispatch.Unknown, 0, b.now)
+	b, _ := unansweredStart(t, 1)
 	b.step()
 	if again, _ := b.orders(); len(again) != 0 {
 		t.Fatalf("starts while the first one may be carried out: got %d, want 0", len(again))
@@ -62,12 +78,8 @@
 
 // Guards against a run that is stopped though it only seemed not to be there, and against a second run beside it.
 func TestUnansweredStartThatIsListedGoesOn(t *testing.T) {
-	b := newBench(t, 1)
-	b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
-	starts, _ := b.orders()
-	b.wantCount("starts", len(starts), 1)
-	b.pool.StartAnswered(starts[0], dispatch.Unknown, 0, b.now)
-	b.present["w0"][starts[0].Task] = starts[0].Run
+	b, start := unansweredStart(t, 1)
+	b.present["w0"][start.Task] = start.Run
 	b.step()
 	b.report()
 	again, stops := b.orders()
@@ -77,16 +89,11 @@
 
 // Guards against starts at a worker that has just left one unanswered: it may be gone.
 func TestWorkerThatDoesNotAnswerGetsNoStarts(t *testing.T) {
-	b := newBench(t, 2)
-	b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
+	b, first := unansweredStart(t, 2)
+	b.addJob("b", oneTask(1000))
 	starts, _ := b.orders()
-	b.wantCount("starts", len(starts), 1)
-	first := starts[0].Worker.ID
-	b.pool.StartAnswered(starts[0], dispatch.Unknown, 0, b.now)
-	b.addJob("b", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
-	starts, _ = b.orders()
 	b.wantCount("starts of the second job", len(starts), 1)
-	if got := starts[0].Worker.ID; got == first {
+	if got := starts[0].Worker.ID; got == first.Worker.ID {
 		t.Errorf("worker of the second job: got %s, which left a start unanswered, want the other one", got)
 	}
 }
@@ -94,16 +101,12 @@
 // Guards against a second run of a task whose start was taken by a new life of a worker before its holder heard of that life.
 func TestStartTakenByANewLifeOfItsWorker(t *testing.T) {
 	for _, listed := range []bool{true, false} {
-		b := newBench(t, 2)
-		b.addJob("a", workload.Step{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Second})
-		starts, _ := b.orders()
-		b.wantCount("starts", len(starts), 1)
-		first := starts[0]
+		b, first := startedTask(t, 2)
 		b.pool.StartAnswered(first, dispatch.Present, 5*time.Millisecond, b.now)
 		again := first.Worker
 		again.Born = 2
 		b.pool.SetWorker(again, b.now)
-		if starts, _ = b.orders(); len(starts) != 0 {
+		if starts, _ := b.orders(); len(starts) != 0 {
 			t.Fatalf("starts before the new life was heard: got %d, want 0", len(starts))
 		}
 		life := func(clock time.Duration) {
