refactor(test): trials under a fault share their frame

Three trials spelled out the same group around a fault, the serving of jobs and the check of promises, two of them the same wait for a holder, and four the same submission. serveJobsDuring, atHolder and submit hold them once. The faults, their times, the numbers of jobs and all checks are the same.

--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// submit has a job accepted by the pool cutting.
+func submit(ctx context.Context, t *testing.T, f *trial.Fleet, j *standin.Job) {
+	t.Helper()
+	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
+		t.Fatalf("submit: got accepted %v and %v, want accepted", accepted, err)
+	}
+}
+
+// serveJobsDuring serves jobs while a fault is caused, and checks that no promise was broken.
+func serveJobsDuring(ctx context.Context, t *testing.T, f *trial.Fleet, n int, fault func() error) {
+	t.Helper()
+	var group errgroup.Group
+	group.Go(fault)
+	serveJobs(ctx, t, f, n)
+	if err := group.Wait(); err != nil {
+		t.Errorf("fault: got %v, want none", err)
+	}
+	wantKept(t, f)
+}
+
 func wantKept(t *testing.T, f *trial.Fleet) {
 	t.Helper()
 	for _, v := range f.Platform.Violations() {
@@ -111,43 +131,31 @@
 
 var errNoHolder = errors.New("the pool has no holder")
 
-// Guards against a lost job and against a task that runs twice when the holder of a pool is killed.
-func TestHolderIsKilled(t *testing.T) {
-	f, ctx := startFleet(t, 3)
-	var group errgroup.Group
-	group.Go(func() error {
+// atHolder returns what causes a fault at the holder of the pool cutting, once jobs are running.
+func atHolder(f *trial.Fleet, fault func(node int) error) func() error {
+	return func() error {
 		time.Sleep(300 * time.Millisecond)
 		i := f.Holder("cutting")
 		if i < 0 {
 			return errNoHolder
 		}
+		return fault(i)
+	}
+}
+
+// Guards against a lost job and against a task that runs twice when the holder of a pool is killed.
+func TestHolderIsKilled(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	serveJobsDuring(ctx, t, f, 60, atHolder(f, func(i int) error {
 		f.Kill(i)
 		return nil
-	})
-	serveJobs(ctx, t, f, 60)
-	if err := group.Wait(); err != nil {
-		t.Errorf("killed holder: got %v, want none", err)
-	}
-	wantKept(t, f)
+	}))
 }
 
 // Guards against requests and runs that a planned stop cuts: the duty goes to another node and the runs go on.
 func TestHolderIsTerminated(t *testing.T) {
 	f, ctx := startFleet(t, 3)
-	var group errgroup.Group
-	group.Go(func() error {
-		time.Sleep(300 * time.Millisecond)
-		i := f.Holder("cutting")
-		if i < 0 {
-			return errNoHolder
-		}
-		return f.Terminate(i)
-	})
-	serveJobs(ctx, t, f, 60)
-	if err := group.Wait(); err != nil {
-		t.Errorf("terminated node: got %v, want none", err)
-	}
-	wantKept(t, f)
+	serveJobsDuring(ctx, t, f, 60, atHolder(f, f.Terminate))
 }
 
 // Guards the answers to callers while writes take effect without an answer.
@@ -196,9 +204,7 @@
 	f, ctx := startFleet(t, 2)
 	j := job(1 << 20)
 	j.Took = time.Minute
-	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
-		t.Fatalf("submit: got %v and %v, want accepted", accepted, err)
-	}
+	submit(ctx, t, f, j)
 	for f.Platform.Runs() == 0 && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -276,19 +282,13 @@
 // Guards against two runs of a task when a worker falls silent and answers again.
 func TestSilentWorker(t *testing.T) {
 	f, ctx := startFleet(t, 2)
-	var group errgroup.Group
-	group.Go(func() error {
+	serveJobsDuring(ctx, t, f, 40, func() error {
 		time.Sleep(200 * time.Millisecond)
 		f.Platform.SetTrouble("m-cutting-0", standin.Trouble{Silent: true})
 		time.Sleep(2500 * time.Millisecond)
 		f.Platform.SetTrouble("m-cutting-0", standin.Trouble{})
 		return f.Platform.Crash("m-fitting-1")
 	})
-	serveJobs(ctx, t, f, 40)
-	if err := group.Wait(); err != nil {
-		t.Errorf("crash: got %v, want none", err)
-	}
-	wantKept(t, f)
 }
 
 // Guards against tasks that wait for the lease of a worker whose machine the platform lists as down.
@@ -300,9 +300,7 @@
 	time.Sleep(2500 * time.Millisecond)
 	j := job(1 << 25)
 	j.Took = time.Second
-	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
-		t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
-	}
+	submit(ctx, t, f, j)
 	for len(f.Platform.Busy()) == 0 && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -353,9 +351,7 @@
 		ctx, cancel := context.WithTimeout(ctx, visible)
 		defer cancel()
 		j := job(1<<23 + i)
-		if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
-			t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
-		}
+		submit(ctx, t, f, j)
 		if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
 			t.Fatalf("job %d while watches are deaf: got %v, want completed", i, err)
 		}
@@ -364,9 +360,7 @@
 	defer cancel()
 	j := job(1<<23 + 3)
 	j.Took = time.Minute
-	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
-		t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
-	}
+	submit(ctx, t, f, j)
 	if status, _, err := f.Do(ctx, 1, http.MethodDelete, trial.Prefix("cutting")+j.ID, nil); err != nil || status != http.StatusOK {
 		t.Fatalf("cancel: got %d and %v, want %d", status, err, http.StatusOK)
 	}
