--- /dev/null
+++ b/verbenaentry/node/cancel.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
+)
+
+// cancel records the caller's wish; the pool's holder carries it out.
+func (n *Node) cancel(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string) int {
+	for try := 1; ; try++ {
+		status := n.tryCancel(ctx, q.Pool, id, try)
+		if status != 0 {
+			n.Log.Info().Str("job", id).Int("status", status).Msg("cancelling asked for")
+			if status == http.StatusOK {
+				n.tell(q.Pool, methodCancelled, askedFor{q.Pool, id}, func(p *pool) { p.cancelled(id) })
+				n.answerJSON(w, []byte("{}"))
+			} else {
+				n.refuse(w, status, "no such job")
+			}
+			return status
+		}
+		select {
+		case <-ctx.Done():
+			n.Log.Warn().Str("job", id).Msg("cancelling not recorded in time")
+			n.refuse(w, http.StatusGatewayTimeout, "the store has not answered")
+			return http.StatusGatewayTimeout
+		case <-time.After(storePause):
+		}
+	}
+}
+
+func (n *Node) tryCancel(ctx context.Context, pool, id string, try int) int {
+	// A read and a write are needed.
+	ctx, cancel := context.WithTimeout(ctx, 2*n.Patience.try(try))
+	defer cancel()
+	st := n.keysFor(try)
+	entry, err := st.Get(ctx, jobKey(pool, id))
+	if errors.Is(err, store.ErrNotFound) {
+		return http.StatusGone
+	}
+	if err != nil {
+		return 0
+	}
+	_, _, err = st.Apply(ctx, store.Transaction{
+		If:  []store.Condition{{Key: entry.Key, Revision: entry.Revision}, {Key: cancelKey(pool, id)}},
+		Put: []store.Write{{Key: cancelKey(pool, id), Value: []byte("{}")}},
+	})
+	if err == nil || errors.Is(err, store.ErrConflict) {
+		// The job's own key never changes, so a conflict means that the wish was recorded before.
+		return http.StatusOK
+	}
+	return 0
+}
--- /dev/null
+++ b/verbenaentry/node/key.go
@@ -0,0 +1,8 @@
+package node
+
+// Keys of a job: its body, its progress, and its caller's wish to cancel it.
+func jobKey(pool, id string) string    { return "job/" + pool + "/" + id }
+func stateKey(pool, id string) string  { return "state/" + pool + "/" + id }
+func cancelKey(pool, id string) string { return jobKey(pool, id) + cancelSuffix }
+
+const cancelSuffix = "/cancel"
--- a/verbenaentry/node/patience.go
+++ b/verbenaentry/node/patience.go
@@ -6,6 +6,12 @@
 )
 
 const (
+	// firstTry is the least bound of the first attempt at the store, whose answers take milliseconds, and maxTry the largest one
+	// of any; the bound doubles from attempt to attempt, so that a lost answer costs little and a slow store is still heard.
+	firstTry = 100 * time.Millisecond
+	maxTry   = 800 * time.Millisecond
+	// storePause lies between two attempts.
+	storePause = 40 * time.Millisecond
 	// patienceFactor is how many times the usual time of an answer the first attempt at the store waits.
 	patienceFactor = 3
 	// patienceFall is the share of a quicker answer in the usual time; a slower one counts at once.
--- /dev/null
+++ b/verbenaentry/node/state.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
+)
+
+// answerState tells a job's state from the pool's holder, or from the store when the holder does not know.
+func (n *Node) answerState(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string) int {
+	state, source, err := n.stateOf(ctx, q.Pool, id)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		n.Log.Info().Str("job", id).Str("source", source).Msg("state asked of an unknown job")
+		n.refuse(w, http.StatusGone, "no such job")
+		return http.StatusGone
+	case err != nil:
+		n.Log.Warn().Str("job", id).Err(err).Msg("state not known")
+		n.refuse(w, http.StatusGatewayTimeout, "neither the holder nor the store has answered")
+		return http.StatusGatewayTimeout
+	}
+	body, err := platform.EncodeState(state)
+	if err != nil {
+		n.Log.Error().Err(err).Msg("state not encoded")
+		n.refuse(w, http.StatusInternalServerError, "state not encoded")
+		return http.StatusInternalServerError
+	}
+	n.Log.Debug().Str("job", id).Str("state", string(state)).Str("source", source).Msg("state told")
+	n.answerJSON(w, body)
+	return http.StatusOK
+}
+
+func (n *Node) stateOf(ctx context.Context, pool, id string) (workload.State, string, error) {
+	answer := jobAnswer{}
+	if held := n.pools.get(pool); held != nil {
+		answer = held.jobState(id)
+	} else if err := n.Peers.askHolder(ctx, pool, methodJobState, askedFor{pool, id}, &answer); err != nil {
+		n.Log.Debug().Str("job", id).Err(err).Msg("holder has not told the state")
+	}
+	if answer.Known {
+		return answer.State, "holder", nil
+	}
+	for try := 1; ; try++ {
+		state, err := n.storedState(ctx, pool, id, try)
+		if err == nil || errors.Is(err, store.ErrNotFound) {
+			return state, "store", err
+		}
+		pause(ctx, storePause)
+		if ctx.Err() != nil {
+			return "", "store", err
+		}
+	}
+}
+
+func (n *Node) storedState(ctx context.Context, pool, id string, try int) (workload.State, error) {
+	// Two reads may be needed.
+	ctx, cancel := context.WithTimeout(ctx, 2*n.Patience.try(try))
+	defer cancel()
+	st := n.keysFor(try)
+	entry, err := st.Get(ctx, stateKey(pool, id))
+	if err == nil {
+		var record dispatch.Record
+		if err := json.Unmarshal(entry.Value, &record); err != nil {
+			return "", err
+		}
+		if record.State == workload.Queued && record.Started {
+			return workload.Running, nil
+		}
+		return record.State, nil
+	}
+	if !errors.Is(err, store.ErrNotFound) {
+		return "", err
+	}
+	if _, err := st.Get(ctx, jobKey(pool, id)); err != nil {
+		return "", err
+	}
+	return workload.Queued, nil
+}
+
+// answerPending tells how many jobs of a queue have not begun.
+func (n *Node) answerPending(w http.ResponseWriter, r *http.Request, q *workload.Queue) {
+	ctx, cancel := context.WithTimeout(r.Context(), deadline(r)-answerReserve)
+	defer cancel()
+	var answer pendingAnswer
+	for {
+		var err error
+		if held := n.pools.get(q.Pool); held != nil {
+			answer, err = held.pending(q.Name)
+		} else {
+			err = n.Peers.askHolder(ctx, q.Pool, methodPending, askedFor{q.Pool, q.Name}, &answer)
+		}
+		if err == nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			n.Log.Warn().Str("queue", q.Name).Err(err).Msg("pending jobs not known")
+			n.refuse(w, http.StatusServiceUnavailable, "the holder of the pool has not answered")
+			return
+		case <-time.After(storePause):
+		}
+	}
+	body, err := platform.EncodePending(answer.Pending)
+	if err != nil {
+		n.refuse(w, http.StatusInternalServerError, "count not encoded")
+		return
+	}
+	n.answerJSON(w, body)
+}
