--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -19,8 +19,12 @@
 // token of the order, so that tokens rise over all holders.
 const machinePrefix = "machine/"
 
-// gapMargin is added to the pause that must lie between the orders of two holders to one machine.
-const gapMargin = 300 * time.Millisecond
+const (
+	// gapMargin is added to the pause that must lie between the orders of two holders to one machine.
+	gapMargin = 300 * time.Millisecond
+	// machineTimeout bounds a list of the machines and an order for an upkeep.
+	machineTimeout = 1500 * time.Millisecond
+)
 
 // machineOrder is the value of a machine's key.
 type machineOrder struct {
