refactor: what the operator was told of a wave, and the slots of a wave, have names

The set told held a wave's id for completed and the id behind "running " for running; it is two sets now. Three loops picked the slots of one wave by the same lines; slotsOf yields them. The fields of upkeeps and heldSlot say what they hold. Behaviour is the same.

--- a/verbenaentry/node/slot.go
+++ b/verbenaentry/node/slot.go
@@ -28,17 +28,21 @@
 func slotKey(wave string, n int) string   { return wavePrefix + wave + "/slot/" + strconv.Itoa(n) }
 func doneKey(wave, machine string) string { return wavePrefix + wave + "/done/" + machine }
 func statusKey(wave string) string        { return platform.WaveStatusPrefix + wave }
+
+// waveOf returns the wave of a key under wavePrefix and the rest of the key.
 func waveOf(key string) (wave, rest string) {
-	w, r, _ := strings.Cut(strings.TrimPrefix(key, wavePrefix), "/")
-	return w, r
+	wave, rest, _ = strings.Cut(strings.TrimPrefix(key, wavePrefix), "/")
+	return wave, rest
 }
 
+// heldSlot is a taken slot as the store shows it.
 type heldSlot struct {
 	slot
 	revision store.Revision
 	// ordered is when this holder had the upkeep accepted; zero for one that an earlier holder left.
 	ordered time.Time
-	since   time.Time
+	// since is when this holder first saw the slot with its machine.
+	since time.Time
 }
 
 // back decides from the newest life of the slot's machine, and from the list of machines and its time.
--- a/verbenaentry/node/upkeep.go
+++ b/verbenaentry/node/upkeep.go
@@ -42,8 +42,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	mine := map[string]heldSlot{}
-	for key, s := range u.slots {
-		if wave, _ := waveOf(key); wave == w.ID && s.Pool == u.pool.name {
+	for key, s := range u.slotsOf(w.ID) {
+		if s.Pool == u.pool.name {
 			mine[key] = s
 		}
 	}
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"iter"
 	"slices"
 	"strings"
 	"sync"
@@ -30,11 +31,15 @@
 type upkeeps struct {
 	pool *pool
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// slots are the taken slots of all waves and pools, by key.
 	slots map[string]heldSlot
-	done  map[string]map[string]bool
-	seen  map[string]time.Time
-	told  map[string]bool
+	// done holds the machines of each wave whose upkeep is over.
+	done map[string]map[string]bool
+	// seen is when each wave was first seen.
+	seen map[string]time.Time
+	// running and completed are the waves of which the operator was told that.
+	running, completed map[string]bool
 	// explained is when it was last written why machines wait.
 	explained time.Time
 }
@@ -42,7 +47,7 @@
 func newUpkeeps(p *pool) *upkeeps {
 	return &upkeeps{
 		pool: p, slots: map[string]heldSlot{}, done: map[string]map[string]bool{}, seen: map[string]time.Time{},
-		told: map[string]bool{},
+		running: map[string]bool{}, completed: map[string]bool{},
 	}
 }
 
@@ -82,6 +87,17 @@
 	u.done[wave][machine] = true
 }
 
+// slotsOf yields the taken slots of a wave, by key; the lock must be held.
+func (u *upkeeps) slotsOf(wave string) iter.Seq2[string, heldSlot] {
+	return func(yield func(string, heldSlot) bool) {
+		for key, s := range u.slots {
+			if of, _ := waveOf(key); of == wave && !yield(key, s) {
+				return
+			}
+		}
+	}
+}
+
 func (u *upkeeps) run(ctx context.Context) error {
 	for range interval.Each(ctx, waveEvery) {
 		for _, w := range u.pool.node.View.Waves() {
@@ -99,7 +115,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, w := range waves {
-		if !u.told[w.ID] && !u.done[w.ID][machine] && slices.Contains(w.Machines, machine) {
+		if !u.completed[w.ID] && !u.done[w.ID][machine] && slices.Contains(w.Machines, machine) {
 			return true
 		}
 	}
@@ -112,7 +128,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, w := range waves {
-		if seen := u.seen[w.ID]; !u.told[w.ID] && !seen.IsZero() && now.Sub(seen) > time.Duration(pressedShare*float64(w.Within)) {
+		if seen := u.seen[w.ID]; !u.completed[w.ID] && !seen.IsZero() && now.Sub(seen) > time.Duration(pressedShare*float64(w.Within)) {
 			return true
 		}
 	}
@@ -125,7 +141,7 @@
 	if u.seen[w.ID].IsZero() {
 		u.seen[w.ID] = now
 	}
-	completed := u.told[w.ID]
+	completed := u.completed[w.ID]
 	u.mu.Unlock()
 	if completed {
 		u.pool.node.Registry.Unregister("waveMachinesLeft." + w.ID)
@@ -164,12 +180,10 @@
 			completed = false
 		}
 	}
-	for key := range u.slots {
-		if wave, _ := waveOf(key); wave == w.ID {
-			completed = false
-		}
+	for range u.slotsOf(w.ID) {
+		completed = false
 	}
-	running := u.told["running "+w.ID]
+	running := u.running[w.ID]
 	u.mu.Unlock()
 	if running && !completed {
 		return
@@ -189,8 +203,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if completed {
-		u.told[w.ID] = true
+		u.completed[w.ID] = true
 	} else {
-		u.told["running "+w.ID] = true
+		u.running[w.ID] = true
 	}
 }
--- a/verbenaentry/node/waveplan.go
+++ b/verbenaentry/node/waveplan.go
@@ -24,11 +24,9 @@
 		Now: now, Deadline: u.seen[w.ID].Add(w.Within), MaxDown: w.MaxDown, Cycle: u.pool.node.Settings.Bounds.Upkeep + backMargin,
 	}
 	busy := map[string]bool{}
-	for key, s := range u.slots {
-		if wave, _ := waveOf(key); wave == w.ID {
-			in.Down++
-			busy[s.Machine] = true
-		}
+	for _, s := range u.slotsOf(w.ID) {
+		in.Down++
+		busy[s.Machine] = true
 	}
 	machines = map[string]workload.Machine{}
 	b := u.pool.book
