refactor: waiting until a context ends stands in one place

Behaviour is the same, but where the context ends in the very moment the wait does: that counts as the end of the context now, which was left to the choice of select before. pause of verbenaentry/node stays as a name for it, since files that others work on call it.

--- a/fleet/archive/merger.go
+++ b/fleet/archive/merger.go
@@ -98,12 +98,8 @@
 
 // before waits for the pace and checks the fence.
 func (m *Merger) before(ctx context.Context) error {
-	if m.pause > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(m.pause):
-		}
+	if m.pause > 0 && !interval.Wait(ctx, m.pause) {
+		return ctx.Err()
 	}
 	return m.fence(ctx)
 }
--- a/fleet/claim/journal/journal.go
+++ b/fleet/claim/journal/journal.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/claim"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -215,10 +216,8 @@
 
 // backoff waits before the next try and doubles the wait up to one second.
 func backoff(ctx context.Context, wait *time.Duration) error {
-	select {
-	case <-ctx.Done():
+	if !interval.Wait(ctx, *wait) {
 		return ctx.Err()
-	case <-time.After(*wait):
 	}
 	*wait = min(2**wait, time.Second)
 	return nil
--- a/fleet/deferred/acceptor.go
+++ b/fleet/deferred/acceptor.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
 )
@@ -96,10 +97,8 @@
 				return false, fmt.Errorf("deferred work %s: %w", w.ID, ErrStoreDown)
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !interval.Wait(ctx, wait) {
 			return true, fmt.Errorf("deferred work %s: %w", w.ID, ErrUnknown)
-		case <-time.After(wait):
 		}
 	}
 }
--- a/fleet/deferred/holder.go
+++ b/fleet/deferred/holder.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -175,10 +176,8 @@
 }
 
 func pause(ctx context.Context, wait *time.Duration) error {
-	select {
-	case <-ctx.Done():
+	if !interval.Wait(ctx, *wait) {
 		return ctx.Err()
-	case <-time.After(*wait):
 	}
 	*wait = min(2**wait, 2*time.Second)
 	return nil
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -20,6 +20,7 @@
 	"verbenalanding.example/fleet/claim"
 	"verbenalanding.example/fleet/declaration"
 	"verbenalanding.example/fleet/deferred"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -196,33 +197,24 @@
 // leave ends the service without cutting a request in flight.
 func (e *Entry) leave(ctx context.Context, server *http.Server) error {
 	e.leaving.Store(notReady)
-	sleep(ctx, e.LeaveDelay)
+	interval.Wait(ctx, e.LeaveDelay)
 	e.leaving.Store(refusing)
 	server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, MaxDeadline+leaveMargin)
 	defer cancel()
 	// Connections accepted meanwhile are answered with a refusal instead of being reset.
 	for e.live.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, 10*time.Millisecond)
+		interval.Wait(ctx, 10*time.Millisecond)
 	}
 	if err := server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("wait for requests in flight: %w", err)
 	}
 	for e.reports.Len() > 0 && ctx.Err() == nil {
-		sleep(ctx, 10*time.Millisecond)
+		interval.Wait(ctx, 10*time.Millisecond)
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // reportOutcomes sends the outcomes of claims to the shard holders. A lost report leaves the outcome unknown there.
 func (e *Entry) reportOutcomes(ctx context.Context) error {
 	const tries = 3
@@ -238,7 +230,7 @@
 			if err == nil {
 				break
 			}
-			sleep(ctx, time.Duration(50<<n)*time.Millisecond)
+			interval.Wait(ctx, time.Duration(50<<n)*time.Millisecond)
 		}
 		if err != nil {
 			e.count("claimReportLost")
--- a/fleet/entry/perform.go
+++ b/fleet/entry/perform.go
@@ -14,6 +14,7 @@
 	"verbenalanding.example/fleet/admission"
 	"verbenalanding.example/fleet/claim"
 	"verbenalanding.example/fleet/declaration"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/retry"
 )
 
@@ -98,7 +99,7 @@
 		a, err := e.Claims.Claim(ctx, request)
 		switch {
 		case err != nil:
-			sleep(ctx, wait)
+			interval.Wait(ctx, wait)
 			if ctx.Err() == nil {
 				continue
 			}
@@ -193,7 +194,7 @@
 			c.recycle()
 			return last
 		}
-		sleep(ctx, v.delay)
+		interval.Wait(ctx, v.delay)
 		if ctx.Err() != nil {
 			l.send(message{kind: messageGiveUp, call: c})
 			return last
--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -80,10 +81,7 @@
 			backoff = firstBackoff
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff):
-		}
+		interval.Wait(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
@@ -163,9 +161,6 @@
 		return nil
 	}
 	f.Apply(events, false)
-	select {
-	case <-ctx.Done():
-	case <-time.After(f.Pause):
-	}
+	interval.Wait(ctx, f.Pause)
 	return nil
 }
--- a/fleet/interval/doc.go
+++ b/fleet/interval/doc.go
@@ -1,2 +1,2 @@
-// Package interval repeats work at a fixed interval until a context ends.
+// Package interval waits, once or at a fixed interval, until a context ends.
 package interval
--- a/fleet/interval/interval.go
+++ b/fleet/interval/interval.go
@@ -27,6 +27,18 @@
 	}
 }
 
+// Wait waits for d or until the context ends; it reports whether the context goes on.
+func Wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
+
 func each(ctx context.Context, ticker *time.Ticker, yield func(time.Time) bool) {
 	for {
 		select {
--- a/fleet/interval/interval_test.go
+++ b/fleet/interval/interval_test.go
@@ -52,3 +52,27 @@
 		check.Equal(t, "steps", n, 2)
 	}
 }
+
+// Guards against a wait that ends too soon, goes on after its context has ended, or hides that it has.
+func TestWait(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		timeout, wait time.Duration
+		took          time.Duration
+		goesOn        bool
+	}{
+		{"to the end", time.Minute, 2 * time.Second, 2 * time.Second, true},
+		{"context ends before", time.Second, 2 * time.Second, time.Second, false},
+		{"context has ended, nothing to wait for", 0, 0, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), c.timeout)
+				defer cancel()
+				began := time.Now()
+				check.Equal(t, "context goes on", interval.Wait(ctx, c.wait), c.goesOn)
+				check.Equal(t, "time", time.Since(began), c.took)
+			})
+		})
+	}
+}
--- a/fleet/mirror/mirror.go
+++ b/fleet/mirror/mirror.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -76,14 +77,7 @@
 // Pause waits for a random time between half and the whole of d, so that processes do not retry in step;
 // it reports false when the context ended.
 func Pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return interval.Wait(ctx, d/2+rand.N(d/2+1))
 }
 
 // All returns a copy of the records.
--- a/fleet/standin/backend.go
+++ b/fleet/standin/backend.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/interval"
 )
 
 // BackendFault is how a Backend misbehaves on a request.
@@ -331,12 +333,7 @@
 	if d == 0 {
 		return
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	interval.Wait(ctx, d)
 }
 
 func (b *Backend) answer(w http.ResponseWriter, fault BackendFault, id string, body []byte) {
--- a/fleet/standin/store.go
+++ b/fleet/standin/store.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -231,11 +232,7 @@
 	delay := s.faults.Delay
 	s.mu.Unlock()
 	if delay > 0 {
-		select {
-		case <-ctx.Done():
-			return store.ErrUnavailable
-		case <-time.After(delay):
-		}
+		interval.Wait(ctx, delay)
 	}
 	if ctx.Err() != nil {
 		return store.ErrUnavailable
--- a/fleet/tenure/guard.go
+++ b/fleet/tenure/guard.go
@@ -255,10 +255,8 @@
 	t.mu.Lock()
 	delay := time.Duration(t.place(name, d.Node)) * rankDelay
 	t.mu.Unlock()
-	select {
-	case <-ctx.Done():
+	if !interval.Wait(ctx, delay) {
 		return false
-	case <-time.After(delay):
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/verbenabench/capacity/measures.go
+++ b/verbenabench/capacity/measures.go
@@ -16,6 +16,7 @@
 	"verbenalanding.example/fleet/declaration"
 	"verbenalanding.example/fleet/drain"
 	"verbenalanding.example/fleet/duty"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/maintenance"
 	"verbenalanding.example/fleet/mirror"
 	"verbenalanding.example/fleet/peer"
@@ -257,10 +258,7 @@
 	}
 	const wait = 3 * time.Second
 	before := s.Calls()["renew"]
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
+	interval.Wait(ctx, wait)
 	renewed := s.Calls()["renew"] - before
 	cancel()
 	return float64(renewed) / wait.Seconds() / speedUp, group.Wait()
--- a/verbenabench/capacity/process.go
+++ b/verbenabench/capacity/process.go
@@ -15,6 +15,7 @@
 
 	"verbenalanding.example/fleet/configuration"
 	"verbenalanding.example/fleet/declaration"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/operator"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/record"
@@ -98,9 +99,9 @@
 	defer cancel()
 	var group errgroup.Group
 	group.Go(func() error { return d.Run(ctx) })
-	wait(ctx, warmUp)
+	interval.Wait(ctx, warmUp)
 	usedBefore, callsBefore := processorTime(), readsOf(s)
-	wait(ctx, window)
+	interval.Wait(ctx, window)
 	used, calls := processorTime()-usedBefore, readsOf(s)-callsBefore
 	var after runtime.MemStats
 	runtime.GC()
@@ -159,15 +160,6 @@
 	return file.Name(), file.Close()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // processorTime returns the time that this process has used in user and system mode.
 func processorTime() time.Duration {
 	var u syscall.Rusage
--- a/verbenactl/client/client.go
+++ b/verbenactl/client/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/google/uuid"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/operator/message"
 )
 
@@ -240,10 +241,7 @@
 		c.Pause(ctx, d)
 		return
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	interval.Wait(ctx, d)
 }
 
 func (c *Client) attempt(ctx context.Context, server string, k call) (answer, error) {
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -261,10 +261,7 @@
 	n.Tenure.Leave(leaveCtx)
 	cancel()
 	grace := max(cmp.Or(n.Settings.Bounds.Grace, 6*time.Second)-killMargin, servingAfterSignal)
-	select {
-	case <-time.After(servingAfterSignal - time.Since(began)):
-	case <-ctx.Done():
-	}
+	interval.Wait(ctx, servingAfterSignal-time.Since(began))
 	endCtx, cancel := context.WithTimeout(ctx, grace-time.Since(began))
 	defer cancel()
 	for _, s := range servers {
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 )
@@ -213,10 +214,7 @@
 }
 
 func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	interval.Wait(ctx, d)
 }
 
 // holdOnce reports whether the worker answered with its lists.
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/tenure"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/standin"
@@ -255,10 +256,8 @@
 		if err == nil && status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout && status != http.StatusTooManyRequests {
 			return false, nil
 		}
-		select {
-		case <-ctx.Done():
+		if !interval.Wait(ctx, retryPause) {
 			return false, fmt.Errorf("submit %s: %w", j.ID, ctx.Err())
-		case <-time.After(retryPause):
 		}
 	}
 }
@@ -290,10 +289,8 @@
 		if err == nil {
 			last = state
 		}
-		select {
-		case <-ctx.Done():
+		if !interval.Wait(ctx, 20*time.Millisecond) {
 			return fmt.Errorf("job %s: state %q, want %q: %w", id, last, want, ctx.Err())
-		case <-time.After(20 * time.Millisecond):
 		}
 	}
 }
--- a/verbenalanding/demo/deployment.go
+++ b/verbenalanding/demo/deployment.go
@@ -12,6 +12,7 @@
 
 	"verbenalanding.example/fleet/configuration"
 	"verbenalanding.example/fleet/declaration"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/sample"
 	"verbenalanding.example/fleet/standin"
@@ -219,12 +220,8 @@
 }
 
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !interval.Wait(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
