refactor: requests wait for their next attempt at the store by one function

Submitting, cancelling, reading a state and counting pending jobs each spelled out the wait between two attempts, in two ways. nextTry holds it. tryCancel told by a status of 0 that the store had not answered; it returns that as a second result now. Log lines and answers are the same.

--- a/verbenaentry/node/cancel.go
+++ b/verbenaentry/node/cancel.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
@@ -13,8 +12,7 @@
 // cancel records the caller's wish; the pool's holder carries it out.
 func (n *Node) cancel(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string) int {
 	for try := 1; ; try++ {
-		status := n.tryCancel(ctx, q.Pool, id, try)
-		if status != 0 {
+		if status, answered := n.tryCancel(ctx, q.Pool, id, try); answered {
 			n.Log.Info().Str("job", id).Int("status", status).Msg("cancelling asked for")
 			if status == http.StatusOK {
 				n.tell(q.Pool, methodCancelled, askedFor{q.Pool, id}, func(p *pool) { p.cancelled(id) })
@@ -24,27 +22,26 @@
 			}
 			return status
 		}
-		select {
-		case <-ctx.Done():
+		if !nextTry(ctx) {
 			n.Log.Warn().Str("job", id).Msg("cancelling not recorded in time")
 			n.refuse(w, http.StatusGatewayTimeout, "the store has not answered")
 			return http.StatusGatewayTimeout
-		case <-time.After(storePause):
 		}
 	}
 }
 
-func (n *Node) tryCancel(ctx context.Context, pool, id string, try int) int {
+// tryCancel makes one attempt to record the wish and returns the status for the caller, unless the store has not answered.
+func (n *Node) tryCancel(ctx context.Context, pool, id string, try int) (status int, answered bool) {
 	// A read and a write are needed.
 	ctx, cancel := context.WithTimeout(ctx, 2*n.Patience.try(try))
 	defer cancel()
 	st := n.keysFor(try)
 	entry, err := st.Get(ctx, jobKey(pool, id))
 	if errors.Is(err, store.ErrNotFound) {
-		return http.StatusGone
+		return http.StatusGone, true
 	}
 	if err != nil {
-		return 0
+		return 0, false
 	}
 	_, _, err = st.Apply(ctx, store.Transaction{
 		If:  []store.Condition{{Key: entry.Key, Revision: entry.Revision}, {Key: cancelKey(pool, id)}},
@@ -52,7 +49,7 @@
 	})
 	if err == nil || errors.Is(err, store.ErrConflict) {
 		// The job's own key never changes, so a conflict means that the wish was recorded before.
-		return http.StatusOK
+		return http.StatusOK, true
 	}
-	return 0
+	return 0, false
 }
--- a/verbenaentry/node/patience.go
+++ b/verbenaentry/node/patience.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"verbenalanding.example/fleet/interval"
 )
 
 const (
@@ -42,3 +45,6 @@
 	p.mu.Unlock()
 	return min(first<<min(attempt-1, 8), maxTry)
 }
+
+// nextTry waits before another attempt; it reports false when the context has ended.
+func nextTry(ctx context.Context) bool { return interval.Wait(ctx, storePause) }
--- a/verbenaentry/node/state.go
+++ b/verbenaentry/node/state.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"time"
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/store"
@@ -52,8 +51,7 @@
 		if err == nil || errors.Is(err, store.ErrNotFound) {
 			return state, "store", err
 		}
-		pause(ctx, storePause)
-		if ctx.Err() != nil {
+		if !nextTry(ctx) {
 			return "", "store", err
 		}
 	}
@@ -99,12 +97,10 @@
 		if err == nil {
 			break
 		}
-		select {
-		case <-ctx.Done():
+		if !nextTry(ctx) {
 			n.Log.Warn().Str("queue", q.Name).Err(err).Msg("pending jobs not known")
 			n.refuse(w, http.StatusServiceUnavailable, "the holder of the pool has not answered")
 			return
-		case <-time.After(storePause):
 		}
 	}
 	body, err := platform.EncodePending(answer.Pending)
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -87,12 +87,12 @@
 			return stored, 0, tries
 		}
 		unanswered = unanswered || errors.Is(err, store.ErrUnavailable)
-		pause(ctx, storePause)
-		if ctx.Err() != nil {
-			if unanswered {
-				return perhapsStored, 0, tries
-			}
-			return notStored, 0, tries
+		if nextTry(ctx) {
+			continue
+		}
+		if unanswered {
+			return perhapsStored, 0, tries
 		}
+		return notStored, 0, tries
 	}
 }
