--- a/fleet/tenure/pause.go
+++ b/fleet/tenure/pause.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"verbenalanding.example/fleet/interval"
 )
 
 const (
@@ -20,19 +22,13 @@
 // watchPauses finds pauses of the node, as of a suspended machine: another node may have taken its duties meanwhile and nothing has told
 // it yet, so that no orders are given until the duties are proven to be held.
 func (t *Tenure) watchPauses(ctx context.Context) error {
-	ticker := time.NewTicker(pauseEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, pauseEvery) {
 		if pause, began := t.noteRunning(); began {
 			t.note("node stood still", "", nil)
 			t.group.Go(func() error { return t.endPause(ctx, pause) })
 		}
 	}
+	return nil
 }
 
 // noteRunning takes note that the node runs; began is true when a pause was found, which counts from 1.
@@ -62,10 +58,7 @@
 		if ended {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(proofPause):
-		}
+		interval.Wait(ctx, proofPause)
 	}
 	return nil
 }
--- a/fleet/tenure/proof.go
+++ b/fleet/tenure/proof.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -24,16 +25,10 @@
 
 // keepProven reads the keys of the held duties again and again, since the watch that tells of a loss may be deaf.
 func (t *Tenure) keepProven(ctx context.Context) error {
-	ticker := time.NewTicker(t.TTL / proofs)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for range interval.Each(ctx, t.TTL/proofs) {
 		t.readDuties(ctx)
 	}
+	return nil
 }
 
 // proveDuties reports whether the store, or all other nodes while it does not answer, have told which of the duties are held; the others
