fix(dispatch): workers that come after the first list of registrations get work after a proof of the duty

Found by the explored model: a holder that was lost before it had its first list took a worker's new life for one of before, since the registration was older than the duty; it started a task there that its successor had started elsewhere, under a handover that left it with nobody to wait for.

Cause: the age of a registration does not tell the age of the worker's life, and a list that is read late may show what began after the loss. The node reads its duty once more after the first list has arrived; only the workers of that list get starts without a written proof. The read runs beside the reading of the jobs.

TestWorkerThatJoinsGetsWorkAfterAProof is stated by the first list now.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -112,6 +112,8 @@
 
 	queues  map[string]workload.Queue
 	workers map[string]*worker
+	// listed is true once the first list of registrations was taken over.
+	listed bool
 	// ended holds the workers whose life has surely ended while their registrations may still be there.
 	ended map[string]workload.Worker
 	// gone are the workers whose end was proven while a holder before may have had runs on them.
--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -53,20 +52,17 @@
 // the successor could not wait for it.
 func TestWorkerThatJoinsGetsWorkAfterAProof(t *testing.T) {
 	b := newBench(t, 1)
-	b.pool.Epoch = 100
 	for _, c := range []struct {
-		id         string
-		registered uint64
-		want       int
-	}{{"w1", 99, 1}, {"w2", 101, 0}} {
-		b.pool.SetWorker(workload.Worker{
-			ID: c.id, Pool: "cutting", Room: workload.Room{CPU: 32000, MemoryMB: 64000}, Born: 1, Registered: c.registered,
-		}, b.now)
+		id   string
+		want int
+	}{{"w1", 1}, {"w2", 0}} {
+		b.pool.SetWorker(workload.Worker{ID: c.id, Pool: "cutting", Room: workload.Room{CPU: 32000, MemoryMB: 64000}, Born: 1}, b.now)
+		b.pool.Listed()
 		b.present[c.id] = map[workload.TaskID]int{}
 		b.report()
 		b.addJob("j"+c.id, oneTask(32000))
 		starts, _ := b.orders()
-		wantCount(t, "starts on a worker registered at revision "+fmt.Sprint(c.registered), len(starts), c.want)
+		wantCount(t, "starts on "+c.id, len(starts), c.want)
 	}
 	seals, changed := b.pool.Seals(b.now)
 	if !changed {
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -111,6 +111,10 @@
 	return w.clock + now.Sub(w.heard)
 }
 
+// Listed tells that the workers which were registered at a time when this holder surely held the duty are set. A successor lists these lives or
+// earlier ones and waits for them; lives that come later get no starts before a proof.
+func (p *Pool) Listed() { p.listed = true }
+
 // SetWorker adds a worker or takes over a change of its registration.
 func (p *Pool) SetWorker(info workload.Worker, now time.Time) {
 	e, ended := p.ended[info.ID]
@@ -128,8 +132,7 @@
 		// A successor would take a sealed worker to run only what its record names.
 		_, sealed := p.recordedSeals[info.ID]
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1, sealed: sealed}
-		if ended || info.Registered > p.Epoch {
-			// A successor lists the lives that were registered when this holder took the duty, and waits for them.
+		if ended || p.listed {
 			w.sealed, w.proof = true, proofNeeded
 		}
 		p.addWorker(w)
--- a/fleet/workload/worker.go
+++ b/fleet/workload/worker.go
@@ -19,8 +19,6 @@
 	Draining bool
 	// Born is when this life began, in milliseconds since 1970; a worker that starts again under the same id has a new one.
 	Born int64
-	// Registered is the revision of the store at which its registration was created.
-	Registered uint64
 }
 
 // Queue is where callers submit jobs of one kind.
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -92,6 +92,8 @@
 	// silentRevision is that of the record of silent workers, silentTries the number of attempts since the last write that succeeded.
 	silentRevision store.Revision
 	silentTries    int
+	// listed is true once the first list of registrations was taken over.
+	listed bool
 	// tries counts the attempts at writing records since the last one that succeeded, and the present one.
 	tries   int
 	holding map[string]bool
@@ -126,6 +128,10 @@
 		{Store: n.Store, Prefix: "job/" + name + "/", Apply: func(events []store.Event, _ bool) { jobs.apply(groupCtx, events) }},
 		{Store: n.Store, Prefix: machinePrefix, Apply: p.book.apply},
 		{Store: n.Store, Prefix: platform.WorkerPrefix, Pause: workerPause, Apply: func(events []store.Event, _ bool) {
+			// What is known of the first list's workers holds only if the duty was still held when it was read.
+			if !p.listed && !p.proveList(groupCtx) {
+				return
+			}
 			// Workers are asked only once all jobs are known: a report on an unknown job would be taken for a stray run.
 			if jobs.await(groupCtx, jobs.ready) {
 				p.applyWorkers(groupCtx, events)
@@ -352,7 +358,6 @@
 			p.core.DropWorker(w.ID, now)
 			continue
 		}
-		w.Registered = uint64(e.Entry.Created)
 		p.core.SetWorker(w, now)
 		p.book.registered(w)
 		if !p.holding[w.ID] {
@@ -360,6 +365,10 @@
 			p.group.Go(func() error { return p.hold(ctx, w.ID) })
 		}
 	}
+	if !p.listed {
+		p.listed = true
+		p.core.Listed()
+	}
 	if p.core.Unproven() {
 		_ = p.seals.Offer(struct{}{})
 	}
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -93,6 +93,15 @@
 	return nil
 }
 
+// proveList reports whether the duty is still held after the first list of registrations was read; it ends the duty otherwise.
+func (p *pool) proveList(ctx context.Context) bool {
+	err := p.untilAnswered(ctx, "list of workers not proven yet", p.proveDuty)
+	if errors.Is(err, errLost) {
+		p.lost()
+	}
+	return err == nil
+}
+
 func (p *pool) follow(h dispatch.Handover) {
 	p.mu.Lock()
 	p.core.Follow(h, p.node.Clock.Now())
