fix(dispatch): runs and ends of jobs that are not known yet are kept

Found by the random model: '{j0 0 0 1} starts as run 204 on w0: run 104 is on w0'.

Cause: a lost holder is told of a job by the caller that it still serves, while its successor hears of it by a watch, up to seconds later. The successor heard the worker first: it had the run stopped as unknown, a stop that may be lost, or took the end over and acknowledged it; then it heard of the job and started its tasks, beside the run or after it was done. While a lost holder's jobs may still come, runs of unknown jobs are kept as what may be present, in records and handovers too, and the ends of a worker are taken over only up to the first one of an unknown job.

TestRunOfAJobThatIsHeardOfLater failed before (starts beside the run, and after its end); a run whose job never comes is stopped as before.

--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -31,7 +31,7 @@
 		}
 		d.Workers++
 		d.MachineCPU = max(d.MachineCPU, w.Room.CPU)
-		if len(w.runs) == 0 && w.synced && !w.cordoned && w.processed == w.recorded {
+		if w.idle() && w.synced && !w.cordoned {
 			idle = append(idle, w)
 		}
 	}
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -29,7 +29,7 @@
 	for _, w := range p.ordered() {
 		fmt.Fprintln(&b, w.ID, w.Born, age(now, w.missing), w.synced, w.clock-w.clockAt(now), age(now, w.heard), age(now, w.leaseEnd),
 			w.processed, w.recorded, w.failures, w.failedJob, age(now, w.suspectUntil), age(now, w.fullUntil), age(now, w.doubted), w.proof,
-			w.reborn, w.lapsed, w.sealed)
+			w.reborn, w.lapsed, w.sealed, w.partial, w.early, w.withheld, age(now, w.longLease))
 		for _, x := range w.sorted() {
 			fmt.Fprintln(&b, x.task.id, x.number, x.phase, x.startEnd-w.clock, x.startClock != 0, x.startClock-w.clock, x.stopClock != 0,
 				x.stopClock-w.clock, age(now, x.stopSent), x.uncertain, age(now, x.progressAt))
--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -39,8 +39,8 @@
 		}
 	}
 	for _, w := range p.ordered() {
-		for _, x := range w.sorted() {
-			h.Runs[w.ID] = append(h.Runs[w.ID], x.task.id)
+		if tasks := w.mayRun(); len(tasks) > 0 {
+			h.Runs[w.ID] = append(h.Runs[w.ID], tasks...)
 		}
 	}
 	if h.Lost = max(p.lostUntil.Sub(now), 0); h.Lost > 0 {
@@ -100,10 +100,7 @@
 			continue
 		}
 		w.sealed = true
-		s[w.ID] = nil
-		for _, x := range w.sorted() {
-			s[w.ID] = append(s[w.ID], x.task.id)
-		}
+		s[w.ID] = w.mayRun()
 	}
 	for _, w := range p.ordered() {
 		if _, named := s[w.ID]; w.sealed && !named {
@@ -158,13 +155,17 @@
 type uncertainty struct {
 	// everywhere is true while any task of an older job may run on an unheard worker.
 	everywhere bool
-	// named holds the tasks that may run on unheard workers of which a holder before told.
+	// named holds the tasks that may run on unheard workers of which a holder before told, and those that workers listed before their
+	// jobs were known.
 	named map[workload.TaskID]bool
 }
 
 // uncertain returns what is not known yet; after a complete handover only the tasks that it names can be unsure.
 func (p *Pool) uncertain(now time.Time) uncertainty {
 	u := uncertainty{named: map[workload.TaskID]bool{}}
+	for _, w := range p.workers {
+		maps.Copy(u.named, w.early)
+	}
 	if now.After(p.unsureUntil) {
 		clear(p.gone)
 		return u
@@ -231,5 +232,5 @@
 
 // unsure reports whether a run that a holder before started may be present on a worker that was not heard.
 func (u uncertainty) unsure(t *task) bool {
-	return t.job.restored && (u.everywhere || u.named[t.id])
+	return u.named[t.id] || (t.job.restored && u.everywhere)
 }
--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -88,3 +88,50 @@
 	starts, _ = b.orders()
 	wantCount(t, "starts after the proof", len(starts), 1)
 }
+
+// Guards against a task that runs twice, or again after it was done, since the present holder hears of its job after a worker that has it: the
+// lost holder was told of the job first.
+func TestRunOfAJobThatIsHeardOfLater(t *testing.T) {
+	takeOver := func(t *testing.T) *bench {
+		b := newBench(t, 2)
+		b.takeOver()
+		b.addWorker("w0")
+		b.addWorker("w1")
+		return b
+	}
+	t.Run("is present", func(t *testing.T) {
+		b := takeOver(t)
+		b.present["w1"][task("j", 0, 0)] = 5
+		b.report()
+		_, stops := b.orders()
+		wantCount(t, "stops of the run", len(stops), 0)
+		b.addJob("j", oneTask(1000))
+		starts, _ := b.orders()
+		wantCount(t, "starts beside the run", len(starts), 0)
+		b.report()
+		b.end("w1", task("j", 0, 0), workload.EndDone)
+		b.report()
+		b.record()
+		b.wantState("j", workload.Completed)
+	})
+	t.Run("has ended", func(t *testing.T) {
+		b := takeOver(t)
+		b.present["w1"][task("j", 0, 0)] = 5
+		b.end("w1", task("j", 0, 0), workload.EndDone)
+		b.report()
+		b.record()
+		b.report()
+		b.addJob("j", oneTask(1000))
+		starts, _ := b.orders()
+		wantCount(t, "starts after the end", len(starts), 0)
+		b.report()
+		b.record()
+		b.wantState("j", workload.Completed)
+	})
+	t.Run("never comes", func(t *testing.T) {
+		b := takeOver(t)
+		b.present["w1"][task("j", 0, 0)] = 5
+		b.pass(10 * time.Second)
+		wantCount(t, "stops of the run", len(b.stops), 1)
+	})
+}
--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -86,10 +86,10 @@
 	return false
 }
 
-// OpenEnds reports whether ends of a worker wait to be recorded.
+// OpenEnds reports whether ends of a worker wait to be recorded or taken over; it lists them at once until they are acknowledged.
 func (p *Pool) OpenEnds(id string) bool {
 	w := p.workers[id]
-	return w != nil && w.processed > w.recorded
+	return w != nil && w.open()
 }
 
 // Recorded takes note that all changes of a batch are in the store, so that its ends may be acknowledged.
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -24,6 +24,7 @@
 	}
 	w.clock, w.heard, w.lapsed, w.reborn = r.Clock, heard, false, false
 	delete(p.living, id)
+	r, w.withheld = p.withoutLaterEnds(w, r, heard)
 	w.partial = r.Partial && (w.partial || !w.synced)
 	if !w.synced {
 		w.synced = true
@@ -38,6 +39,7 @@
 			p.end(w, e, heard)
 		}
 	}
+	w.early = nil
 	seen := make(map[runKey]bool, len(r.Active))
 	for _, a := range r.Active {
 		seen[runKey{a.Task, a.Run}] = true
@@ -50,6 +52,26 @@
 	p.pace(w, heard)
 }
 
+// lateJob is how much later than a lost holder, which may have been told at once, a holder hears of a job by its watch.
+const lateJob = 3 * time.Second
+
+// mayCome reports whether a job that is not known may be one that a lost holder has heard of sooner.
+func (p *Pool) mayCome(job string, now time.Time) bool {
+	return p.jobs[job] == nil && now.Before(p.unsureUntil.Add(lateJob))
+}
+
+// withoutLaterEnds returns a report without the ends from the first one on whose job is not known yet: what is taken over is acknowledged,
+// and the task would be started when its job is heard of.
+func (p *Pool) withoutLaterEnds(w *worker, r workload.Report, now time.Time) (rest workload.Report, withheld bool) {
+	for i, e := range r.Ended {
+		if e.Number > w.processed && p.mayCome(e.Task.Job, now) {
+			r.Ended, r.Partial = r.Ended[:i], true
+			return r, true
+		}
+	}
+	return r, false
+}
+
 const (
 	// stallAfter is the least time without progress after which a task stands still; a worker reports at least once a second.
 	stallAfter = 1500 * time.Millisecond
@@ -132,6 +154,14 @@
 // adopt takes a run over that another holder started, or has it stopped.
 func (p *Pool) adopt(w *worker, a workload.ActiveRun, now time.Time) *run {
 	t := p.find(a.Task)
+	if p.mayCome(a.Task.Job, now) {
+		if w.early == nil {
+			w.early = map[workload.TaskID]bool{}
+		}
+		w.early[a.Task] = true
+		p.note(Event{What: "run of a job that is not known yet", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
+		return nil
+	}
 	if t == nil || t.done || (len(t.runs) > 0 && !t.step.Speculative) {
 		p.note(Event{What: "unknown run", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
 		p.actions = append(p.actions, Stop{Worker: w.Worker, Task: a.Task, Run: a.Run, Reason: "not wanted"})
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -33,8 +33,8 @@
 	if !w.synced {
 		return Load{Known: true}
 	}
-	open := w.processed > w.recorded
-	l := Load{Known: true, Worker: id, Idle: len(w.runs) == 0 && !open, Open: open, Allowed: !open}
+	open := w.open()
+	l := Load{Known: true, Worker: id, Idle: w.idle(), Open: open, Allowed: !open}
 	for _, x := range w.runs {
 		if !x.task.step.LongRunning {
 			l.Lost += now.Sub(x.orderedAt)
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -78,6 +79,10 @@
 	// longLease is until when a worker that started again may keep what it took by an order for the life before.
 	longLease time.Time
 	runs      map[runKey]*run
+	// early are the tasks of listed runs whose jobs are not known yet.
+	early map[workload.TaskID]bool
+	// withheld is true while ends are not taken over since the first of them is of a job that is not known yet.
+	withheld  bool
 	used      workload.Room
 	processed int64
 	recorded  int64
@@ -234,6 +239,23 @@
 	return false
 }
 
+// open reports whether the worker lists ends that are not recorded or not taken over.
+func (w *worker) open() bool { return w.withheld || w.processed > w.recorded }
+
+// idle reports whether the worker could be ended without a loss.
+func (w *worker) idle() bool { return len(w.runs) == 0 && len(w.early) == 0 && !w.open() }
+
+// mayRun returns the tasks that may be present on the worker, in a fixed order.
+func (w *worker) mayRun() []workload.TaskID {
+	var tasks []workload.TaskID
+	for _, x := range w.sorted() {
+		tasks = append(tasks, x.task.id)
+	}
+	early := slices.Collect(maps.Keys(w.early))
+	slices.SortFunc(early, func(a, b workload.TaskID) int { return compareTasks(a, b, 0, 0) })
+	return append(tasks, early...)
+}
+
 // sorted returns the worker's runs in a fixed order, so that equal inputs give equal decisions.
 func (w *worker) sorted() []*run {
 	list := make([]*run, 0, len(w.runs))
@@ -258,6 +280,7 @@
 	}
 	w.Born, w.added, w.processed, w.recorded, w.clock, w.synced = born, now, 0, 0, 0, false
 	w.sealed, w.proof = true, proofNeeded
+	w.early, w.withheld = nil, false
 	// What was sent to the life before names a time of a clock that was further ahead.
 	w.longLease = now.Add(p.stretch(p.Settings.MaxLease))
 	if w.longLease.After(w.leaseEnd) {
@@ -348,17 +371,18 @@
 func (p *Pool) checkLeases(now time.Time) {
 	for _, w := range p.ordered() {
 		silent := now.Sub(w.heard) > p.Settings.Silence
-		if len(w.runs) > 0 && now.After(w.leaseEnd) && (silent || p.abandoned(w, now)) {
+		if (len(w.runs) > 0 || len(w.early) > 0) && now.After(w.leaseEnd) && (silent || p.abandoned(w, now)) {
 			p.note(Event{What: "worker lease ended", Worker: w.ID, Age: now.Sub(w.heard)})
 			for _, r := range w.sorted() {
 				if !r.uncertain {
 					p.lose(r, "lease ended")
 				}
 			}
+			w.early = nil
 			// What runs here from now on was not ordered after the last report.
 			w.synced, w.lapsed = false, true
 		}
-		if len(w.runs) == 0 && p.abandoned(w, now) && silent {
+		if len(w.runs) == 0 && len(w.early) == 0 && p.abandoned(w, now) && silent {
 			if w.synced || w.lapsed {
 				p.quiet[w.ID] = now.Add(quietFor)
 			}
