perf(entry): a young worker that is gone is waited for for a second, not for three

The same package takes the list of machines to show an order's effect after 1 s; a worker that this holder has known for so long is old enough.

--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -13,9 +13,10 @@
 	absentEvery = 200 * time.Millisecond
 	// absentAfter is the silence of a worker after which its machine is looked up: two holds were not answered.
 	absentAfter = 900 * time.Millisecond
-	// absentAge is the least age of a worker that the list of machines may prove to be gone; the list may lag behind.
-	absentAge = 3 * time.Second
-	// clockDifference is by how much the times of day of two machines may differ; a worker tells its birth by its own.
+	// absentAge is the least age of a worker that the list of machines may prove to be gone, since the list may lag behind, and
+	// clockDifference by how much the times of day of two machines may differ; a worker tells its birth by its own. A worker that
+	// this holder has known for listSettles is old enough in any case.
+	absentAge       = 3 * time.Second
 	clockDifference = 5 * time.Second
 )
 
@@ -88,7 +89,7 @@
 	if w.Machine == "" || w.Born == 0 {
 		return false
 	}
-	if now.Sub(w.Since) < absentAge && now.Sub(time.UnixMilli(w.Born)) < absentAge+clockDifference {
+	if now.Sub(w.Since) < listSettles && now.Sub(time.UnixMilli(w.Born)) < absentAge+clockDifference {
 		return false
 	}
 	return !listed || m.State != workload.MachineUp || m.Worker != w.ID
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -145,7 +145,7 @@
 	return !ok || m.State != workload.MachineUp || m.Worker != worker, true
 }
 
-// listSettles is the age of an order after which the list of machines shows its effect.
+// listSettles is the age of an order, or of what else is known of a machine, from which on the list of machines shows it.
 const listSettles = time.Second
 
 // get returns a machine with the pool in which the last order or the list shows it; the lock must be held.
