fix(dispatch): ends that were not taken over are told neither in handovers nor in records of silent workers

Cause: since ends are held back behind one of a job that is not known yet, a worker may list the end of a run that its holder does not know, and whose task it would name nowhere. The handover and the record of silent workers looked at open ends in another way and left such workers in. Both ask the worker now. TestRunOfAJobThatIsHeardOfLater/has_ended_before_a_run_that_was_done failed before.

--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -23,7 +23,7 @@
 // Handover returns the runs that may be present; ok is false for a holder that does not know them all itself, or that has
 // seen ends which are not recorded.
 func (p *Pool) Handover(now time.Time) (h Handover, ok bool) {
-	if len(p.dirty) > 0 || p.uncertain(now).everywhere || p.hasLongLease(now) {
+	if len(p.dirty) > 0 || p.uncertain(now).everywhere || p.untold(now) {
 		return Handover{}, false
 	}
 	h = Handover{Writer: p.Epoch, Runs: map[string][]workload.TaskID{}}
@@ -54,9 +54,11 @@
 	return h, true
 }
 
-// hasLongLease reports whether a worker may hold a longer lease than a successor counts after a handover.
-func (p *Pool) hasLongLease(now time.Time) bool {
-	return slices.ContainsFunc(p.ordered(), func(w *worker) bool { return len(w.runs) > 0 && now.Before(w.longLease) })
+// untold reports whether a worker has what a handover cannot tell: ends that were not taken over, or a longer lease than a successor counts.
+func (p *Pool) untold(now time.Time) bool {
+	return slices.ContainsFunc(p.ordered(), func(w *worker) bool {
+		return w.withheld || (len(w.runs) > 0 && now.Before(w.longLease))
+	})
 }
 
 // Follow takes over what the holder before has told. Tasks that it does not name run nowhere; without a handover every task of
@@ -96,7 +98,7 @@
 			w.proof, changed = proofAsked, true
 		}
 		lost := now.Sub(w.heard) > p.Settings.Silence || !w.missing.IsZero()
-		if !lost || !(w.synced || w.lapsed) || w.processed > w.recorded {
+		if !lost || !(w.synced || w.lapsed) || w.open() {
 			continue
 		}
 		w.sealed = true
--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -128,6 +128,23 @@
 		b.record()
 		b.wantState("j", workload.Completed)
 	})
+	t.Run("has ended before a run that was done", func(t *testing.T) {
+		b := takeOver(t)
+		b.addJob("k", oneTask(1000))
+		b.present["w1"][task("j", 0, 0)], b.present["w1"][task("k", 0, 0)] = 5, 5
+		b.end("w1", task("j", 0, 0), workload.EndDone)
+		b.end("w1", task("k", 0, 0), workload.EndDone)
+		b.report()
+		b.pass(7 * time.Second)
+		if h, ok := b.pool.Handover(b.now); ok {
+			t.Errorf("handover beside ends that were not taken over: got %v, want none", h)
+		}
+		b.silent["w1"] = true
+		b.pass(2 * time.Second)
+		if seals, _ := b.pool.Seals(b.now); len(seals) != 0 {
+			t.Errorf("record of silent workers: got %v, want none, since its ends were not taken over", seals)
+		}
+	})
 	t.Run("never comes", func(t *testing.T) {
 		b := takeOver(t)
 		b.present["w1"][task("j", 0, 0)] = 5
