fix(node): orders that wait for their turn delay no plan

Cause: the pause after a plan is twice the time of the plan, and the time in which its orders waited for one of the pool's order slots was counted as the plan's. While workers leave orders unanswered that is seconds: the pool stood still for twice as long, with work waiting and machines idle, and gave the machines away.

Change: the pause counts the plan only. TestOrdersThatWaitDelayNoPlan fails with the fault put back: got 4 s, want 4 ms.

--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -373,22 +373,29 @@
 		if !p.node.Tenure.Valid(p.name, p.fence) {
 			continue
 		}
-		now := p.node.Clock.Now()
-		began := time.Now()
-		known := p.node.pools.get(p.name) == p
-		p.mu.Lock()
-		var actions []dispatch.Action
-		if known {
-			actions = p.core.Plan(now)
-		}
-		ended := p.core.HasEnded()
-		p.mu.Unlock()
-		if ended {
-			_ = p.writes.Offer(struct{}{})
-		}
-		for _, a := range actions {
-			p.send(ctx, a)
-		}
-		pause(ctx, max(planPause, planRest*time.Since(began)))
+		pause(ctx, p.plan(ctx))
+	}
+}
+
+// plan plans once, sends the orders and returns how long the next plan has to wait. What the orders wait for their turn does not
+// count: it takes no processor, and work that waits would wait for longer the slower the workers answer.
+func (p *pool) plan(ctx context.Context) time.Duration {
+	now := p.node.Clock.Now()
+	began := time.Now()
+	known := p.node.pools.get(p.name) == p
+	p.mu.Lock()
+	var actions []dispatch.Action
+	if known {
+		actions = p.core.Plan(now)
+	}
+	ended := p.core.HasEnded()
+	p.mu.Unlock()
+	rest := max(planPause, planRest*time.Since(began))
+	if ended {
+		_ = p.writes.Offer(struct{}{})
+	}
+	for _, a := range actions {
+		p.send(ctx, a)
 	}
+	return rest
 }
