refactor: the pausing of a declaration's waves stands in one place

The demonstration, the capacity measurement (twice) and the daemon's tests each paused all waves of a set by the same loop; Set.PauseWaves does it. Five tests of the daemon applied the sample in the same lines; applySample does it, and TestWholePath reads the sample when it applies it. What the tests check is the same.

--- a/fleet/declaration/statement.go
+++ b/fleet/declaration/statement.go
@@ -310,6 +310,14 @@
 	return next, nil
 }
 
+// PauseWaves pauses all waves of the set, so that their windows, which depend on the time of day, do not matter.
+func (s Set) PauseWaves() {
+	for name, w := range s.Waves {
+		w.Paused = true
+		s.Waves[name] = w
+	}
+}
+
 func (s Set) setPaused(wave string, at Place, paused bool) error {
 	w, ok := s.Waves[wave]
 	if !ok {
--- a/verbenabench/capacity/measures.go
+++ b/verbenabench/capacity/measures.go
@@ -129,10 +129,7 @@
 // stepLoad returns the share of a core that a node spends on the steps of its part of the pools' loops.
 func stepLoad(ctx context.Context, s store.Store, workers, pools int) (float64, error) {
 	set := fleetSet(pools)
-	for name, w := range set.Waves {
-		w.Paused = true
-		set.Waves[name] = w
-	}
+	set.PauseWaves()
 	control := standin.NewControl()
 	for i := range workers {
 		r := instance(i, pools)
--- a/verbenabench/capacity/process.go
+++ b/verbenabench/capacity/process.go
@@ -120,10 +120,7 @@
 	s := standin.NewStore()
 	p := standinPlatform{Control: standin.NewControl(), Workers: standin.NewWorkers()}
 	set := fleetSet(pools)
-	for name, w := range set.Waves {
-		w.Paused = true
-		set.Waves[name] = w
-	}
+	set.PauseWaves()
 	l := &configuration.Log{Store: s, Now: time.Now}
 	if _, err := l.Propose(ctx, configuration.Change{ID: "all", Delta: declaration.Between(declaration.Set{}, set)}); err != nil {
 		return nil, p, err
--- a/verbenalanding/daemon/archive_test.go
+++ b/verbenalanding/daemon/archive_test.go
@@ -8,9 +8,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/burn"
-	"verbenalanding.example/fleet/declaration"
 	"verbenalanding.example/fleet/operator/message"
-	"verbenalanding.example/fleet/sample"
 	"verbenalanding.example/fleet/standin"
 )
 
@@ -43,12 +41,7 @@
 // counted both from the store and from a live process; a report in an outage covers the live process.
 func TestBurnReportSurvivesReplacement(t *testing.T) {
 	s := openSite(t)
-	set, err := sample.Set("cascade")
-	if err != nil {
-		t.Fatal(err)
-	}
-	pauseWaves(set)
-	apply(t, s.Store, "first", func(next *declaration.Set) { *next = set })
+	applySample(t, s.Store)
 	want := uint64(0)
 	for i := range 3 {
 		p := start(t, s, fmt.Sprintf("e%d", i+1))
--- a/verbenalanding/daemon/daemon_test.go
+++ b/verbenalanding/daemon/daemon_test.go
@@ -130,12 +130,16 @@
 	}
 }
 
-// pauseWaves pauses the sample's waves, whose windows depend on the time of day.
-func pauseWaves(set declaration.Set) {
-	for name, w := range set.Waves {
-		w.Paused = true
-		set.Waves[name] = w
+// applySample applies the declarations of cascade, with its waves paused, as the first change and returns them.
+func applySample(t *testing.T, s store.Store) declaration.Set {
+	t.Helper()
+	set, err := sample.Set("cascade")
+	if err != nil {
+		t.Fatal(err)
 	}
+	set.PauseWaves()
+	apply(t, s, "first", func(next *declaration.Set) { *next = set })
+	return set
 }
 
 func instances(t *testing.T, s store.Store) []record.Instance {
@@ -190,16 +194,11 @@
 // Guards the whole path: declarations reach every entry instance, pools fill, and requests are answered.
 func TestWholePath(t *testing.T) {
 	s := openSite(t)
-	set, err := sample.Set("cascade")
-	if err != nil {
-		t.Fatal(err)
-	}
 	processes := []*process{start(t, s, "e1"), start(t, s, "e2"), start(t, s, "e3")}
 	for _, p := range processes {
 		defer p.stop(t)
 	}
-	pauseWaves(set)
-	apply(t, s.Store, "first", func(next *declaration.Set) { *next = set })
+	set := applySample(t, s.Store)
 	eventually(t, "pools are filled", 20*time.Second, func() bool {
 		count := inService(t, s.Store)
 		for name, pool := range set.Pools {
--- a/verbenalanding/daemon/outage_test.go
+++ b/verbenalanding/daemon/outage_test.go
@@ -12,7 +12,6 @@
 	"verbenalanding.example/fleet/declaration"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/rpc"
-	"verbenalanding.example/fleet/sample"
 	"verbenalanding.example/fleet/standin"
 	"verbenalanding.example/fleet/store"
 )
@@ -47,12 +46,7 @@
 func TestReplacementDuringStoreOutage(t *testing.T) {
 	s := openSite(t)
 	addr := serveStore(t, s.Store)
-	set, err := sample.Set("cascade")
-	if err != nil {
-		t.Fatal(err)
-	}
-	pauseWaves(set)
-	apply(t, s.Store, "first", func(next *declaration.Set) { *next = set })
+	applySample(t, s.Store)
 	first, second, third := startRemote(t, s, addr, "e1"), startRemote(t, s, addr, "e2"), startRemote(t, s, addr, "e3")
 	defer first.stop(t)
 	defer second.stop(t)
@@ -108,12 +102,7 @@
 // Guards P6: a backend server that the platform lists as leaving gets no new request after 5 s.
 func TestLeavingInstanceGetsNoNewRequests(t *testing.T) {
 	s := openSite(t)
-	set, err := sample.Set("cascade")
-	if err != nil {
-		t.Fatal(err)
-	}
-	pauseWaves(set)
-	apply(t, s.Store, "first", func(next *declaration.Set) { *next = set })
+	applySample(t, s.Store)
 	p := start(t, s, "e1")
 	defer p.stop(t)
 	eventually(t, "pools are filled", 20*time.Second, func() bool { return inService(t, s.Store)["fittingDesk"] == 9 })
@@ -152,12 +141,7 @@
 // Guards P8 and the service of requests while the store takes 2 s for each answer.
 func TestSlowStore(t *testing.T) {
 	s := openSite(t)
-	set, err := sample.Set("cascade")
-	if err != nil {
-		t.Fatal(err)
-	}
-	pauseWaves(set)
-	apply(t, s.Store, "first", func(next *declaration.Set) { *next = set })
+	applySample(t, s.Store)
 	processes := []*process{start(t, s, "e1"), start(t, s, "e2")}
 	for _, p := range processes {
 		defer p.stop(t)
--- a/verbenalanding/demo/deployment.go
+++ b/verbenalanding/demo/deployment.go
@@ -69,7 +69,8 @@
 	if err != nil {
 		return err
 	}
-	d.set = pauseWaves(set)
+	set.PauseWaves()
+	d.set = set
 	instances := 0
 	for _, p := range set.Pools {
 		instances += p.Instances
@@ -87,15 +88,6 @@
 	return nil
 }
 
-// pauseWaves pauses the sample's own waves, whose windows depend on the time of day.
-func pauseWaves(s declaration.Set) declaration.Set {
-	for name, w := range s.Waves {
-		w.Paused = true
-		s.Waves[name] = w
-	}
-	return s
-}
-
 func capacity(name string) platform.Resources {
 	if name == "cascade" {
 		return platform.Resources{MilliCores: 64_000, MemoryBytes: 128 * gigabyte}
