refactor: reading all records under a prefix stands in one place

The daemon had list and decode for it, the demonstration the same loops for instances and for jobs; record.List and record.Decode serve both. Behaviour is the same, but an error of the demonstration's reads now also names the prefix that was listed.

--- a/fleet/record/record.go
+++ b/fleet/record/record.go
@@ -245,6 +245,28 @@
 	return value, e.Revision, nil
 }
 
+// List reads and decodes the records under a prefix.
+func List[T any](ctx context.Context, s store.Store, prefix string) ([]T, error) {
+	entries, _, err := store.ListAll(ctx, s, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	return Decode[T](entries)
+}
+
+// Decode decodes records.
+func Decode[T any](entries []store.Entry) ([]T, error) {
+	values := make([]T, 0, len(entries))
+	for _, e := range entries {
+		var value T
+		if err := json.Unmarshal(e.Value, &value); err != nil {
+			return nil, fmt.Errorf("decode %s: %w", e.Key, err)
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
+
 // Save encodes and writes the record at key when it has the expected revision; 0 creates it.
 func Save(ctx context.Context, s store.Store, key string, value any, expect store.Revision, l store.LeaseID) (store.Revision, error) {
 	encoded, err := json.Marshal(value)
--- a/verbenalanding/daemon/daemon_test.go
+++ b/verbenalanding/daemon/daemon_test.go
@@ -144,7 +144,7 @@
 
 func instances(t *testing.T, s store.Store) []record.Instance {
 	t.Helper()
-	all, err := list[record.Instance](context.Background(), s, record.InstancePrefix)
+	all, err := record.List[record.Instance](context.Background(), s, record.InstancePrefix)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/verbenalanding/daemon/records.go
+++ b/verbenalanding/daemon/records.go
@@ -31,27 +31,6 @@
 	node     *peer.Node
 }
 
-// list reads and decodes the records under a prefix.
-func list[T any](ctx context.Context, s store.Store, prefix string) ([]T, error) {
-	entries, _, err := store.ListAll(ctx, s, prefix)
-	if err != nil {
-		return nil, fmt.Errorf("list %s: %w", prefix, err)
-	}
-	return decode[T](entries)
-}
-
-func decode[T any](entries []store.Entry) ([]T, error) {
-	values := make([]T, 0, len(entries))
-	for _, e := range entries {
-		var value T
-		if err := json.Unmarshal(e.Value, &value); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", e.Key, err)
-		}
-		values = append(values, value)
-	}
-	return values, nil
-}
-
 // Instances returns the instance records, which this process follows.
 func (r *records) Instances(context.Context) ([]record.Instance, error) {
 	return slices.Clone(r.view.instances()), nil
@@ -71,17 +50,17 @@
 
 // Budgets reads the budget records.
 func (r *records) Budgets(ctx context.Context) ([]record.Budget, error) {
-	return list[record.Budget](ctx, r.stores[store.Maintenance], record.BudgetPrefix)
+	return record.List[record.Budget](ctx, r.stores[store.Maintenance], record.BudgetPrefix)
 }
 
 // Waves reads the wave records.
 func (r *records) Waves(ctx context.Context) ([]record.Wave, error) {
-	return list[record.Wave](ctx, r.stores[store.Maintenance], record.WavePrefix)
+	return record.List[record.Wave](ctx, r.stores[store.Maintenance], record.WavePrefix)
 }
 
 // Moves reads the move records.
 func (r *records) Moves(ctx context.Context) ([]record.Move, error) {
-	return list[record.Move](ctx, r.stores[store.Maintenance], record.MovePrefix)
+	return record.List[record.Move](ctx, r.stores[store.Maintenance], record.MovePrefix)
 }
 
 // Jobs reads the job records.
@@ -91,7 +70,7 @@
 		return nil, fmt.Errorf("list jobs: %w", err)
 	}
 	entries = slices.DeleteFunc(entries, func(e store.Entry) bool { return jobs.IsCancellation(e.Key) })
-	return decode[record.Job](entries)
+	return record.Decode[record.Job](entries)
 }
 
 // Refusals returns the recent refusals of all entry instances that answer, newest first.
--- a/verbenalanding/demo/auditor.go
+++ b/verbenalanding/demo/auditor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -10,7 +9,6 @@
 	"verbenalanding.example/fleet/budget"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
-	"verbenalanding.example/fleet/store"
 )
 
 // auditInterval is the time between two looks at the instances.
@@ -27,19 +25,7 @@
 
 // instances reads the instance records.
 func (d *deployment) instances(ctx context.Context) ([]record.Instance, error) {
-	entries, _, err := store.ListAll(ctx, d.site.Store, record.InstancePrefix)
-	if err != nil {
-		return nil, err
-	}
-	var instances []record.Instance
-	for _, e := range entries {
-		var i record.Instance
-		if err := json.Unmarshal(e.Value, &i); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", e.Key, err)
-		}
-		instances = append(instances, i)
-	}
-	return instances, nil
+	return record.List[record.Instance](ctx, d.site.Store, record.InstancePrefix)
 }
 
 func (a *auditor) run(ctx context.Context) error {
--- a/verbenalanding/demo/jobs.go
+++ b/verbenalanding/demo/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -11,7 +10,6 @@
 	"verbenalanding.example/fleet/jobs"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/record"
-	"verbenalanding.example/fleet/store"
 )
 
 const (
@@ -77,7 +75,7 @@
 	var all []record.Job
 	err := await(ctx, "jobs to end", func() (bool, error) {
 		var err error
-		all, err = d.readJobs(ctx)
+		all, err = record.List[record.Job](ctx, d.site.Store, record.JobPrefix)
 		if err != nil {
 			return false, err
 		}
@@ -115,22 +113,6 @@
 	}
 }
 
-func (d *deployment) readJobs(ctx context.Context) ([]record.Job, error) {
-	entries, _, err := store.ListAll(ctx, d.site.Store, record.JobPrefix)
-	if err != nil {
-		return nil, err
-	}
-	var all []record.Job
-	for _, e := range entries {
-		var j record.Job
-		if err := json.Unmarshal(e.Value, &j); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", e.Key, err)
-		}
-		all = append(all, j)
-	}
-	return all, nil
-}
-
 // awaitWave waits until the wave has finished its round.
 func (d *deployment) awaitWave(ctx context.Context) error {
 	began := time.Now()
