--- a/verbenalanding/demo/auditor.go
+++ b/verbenalanding/demo/auditor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -62,13 +63,8 @@
 
 // line says how close each budget came to its limit.
 func (a *auditor) line() string {
-	var names []string
-	for name := range a.worst {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	text := ""
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(a.worst)) {
 		text += fmt.Sprintf(" %s %d of %d;", name, a.worst[name], a.deployment.set.Budgets[name].MaxUnavailable)
 	}
 	return text
--- a/verbenalanding/demo/deployment.go
+++ b/verbenalanding/demo/deployment.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -88,6 +90,12 @@
 	return nil
 }
 
+// team returns one of the declared teams by a number.
+func (d *deployment) team(n int) string {
+	teams := slices.Sorted(maps.Keys(d.set.Teams))
+	return teams[n%len(teams)]
+}
+
 func capacity(name string) platform.Resources {
 	if name == "cascade" {
 		return platform.Resources{MilliCores: 64_000, MemoryBytes: 128 * gigabyte}
--- a/verbenalanding/demo/jobs.go
+++ b/verbenalanding/demo/jobs.go
@@ -54,14 +54,9 @@
 }
 
 func (d *deployment) job(pool string, class declaration.Class, i int) record.Job {
-	var teams []string
-	for name := range d.set.Teams {
-		teams = append(teams, name)
-	}
-	slices.Sort(teams)
 	return record.Job{
 		ID:       fmt.Sprintf("%s-%s-%d", pool, class, i),
-		Team:     teams[i%len(teams)],
+		Team:     d.team(i),
 		Pool:     pool,
 		Class:    string(class),
 		Kind:     "demo",
--- a/verbenalanding/demo/traffic.go
+++ b/verbenalanding/demo/traffic.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -82,7 +83,7 @@
 // stop ends new requests; run returns when those in flight are answered.
 func (t *traffic) stop() { t.once.Do(func() { close(t.stopped) }) }
 
-// flooded names the services that are flooded: the least urgent of each pool, and the urgent ones.
+// flooded names the services that are flooded: all but the urgent ones.
 func (t *traffic) flooded() string {
 	var names []string
 	for name := range t.deployment.set.Services {
@@ -102,12 +103,7 @@
 // run sends requests until stop, at random intervals and unevenly over the entry instances.
 func (t *traffic) run(ctx context.Context) error {
 	group := &errgroup.Group{}
-	names := make([]string, 0, len(t.counts))
-	for name := range t.counts {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(t.counts)) {
 		gaps := newGaps(t.deployment.rand.Uint64())
 		group.Go(func() error { return t.runService(ctx, name, gaps) })
 	}
@@ -237,14 +233,7 @@
 }
 
 // team spreads the services over the declared teams.
-func (t *traffic) team(service string) string {
-	var names []string
-	for name := range t.deployment.set.Teams {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names[len(service)%len(names)]
-}
+func (t *traffic) team(service string) string { return t.deployment.team(len(service)) }
 
 // newCallers returns clients that come from addresses of their own, since limits are per caller.
 func newCallers() []*http.Client {
