refactor(placement): the two peaks of urgent demand fall by the same code

decayPeak spelled the fall of the peak of minutes and that of seconds out one after the other. The type peak holds an amount and the time up to which its fall is taken into account; the bound of 256 falls a call has a name.

--- a/fleet/placement/plan.go
+++ b/fleet/placement/plan.go
@@ -19,7 +19,7 @@
 	if po.stale {
 		po.rebuild()
 	}
-	po.decayPeak(p.now)
+	po.trackPeaks(p.now)
 	po.oldest = nil
 	entrants := p.entrants(po)
 	p.probe(po, entrants)
@@ -213,12 +213,12 @@
 		return RuleSuspect, func() string { return "jobs of kind " + j.Kind + " fail on many workers; one runs at a time" }
 	case !j.urgent() && !aged && j.due.After(p.now) && !po.leavesHeadroom(need):
 		return RuleReserve, func() string {
-			return fmt.Sprintf("urgent jobs needed up to %s in the last minute and use %s; the difference stays free", Format(po.recentPeak), Format(po.urgentDemand))
+			return fmt.Sprintf("urgent jobs needed up to %s in the last minute and use %s; the difference stays free", Format(po.recentPeak.amount), Format(po.urgentDemand))
 		}
 	case !j.urgent() && j.fixed() && !aged && !po.leavesUrgentRoom(need):
 		return RuleReserve, func() string {
 			return fmt.Sprintf("jobs that cannot be preempted use %s; %s stay reachable for urgent jobs after the loss of a rack",
-				Format(po.fixedUse), Format(po.urgentPeak))
+				Format(po.fixedUse), Format(po.urgentPeak.amount))
 		}
 	}
 	return "", nil
@@ -228,12 +228,12 @@
 // minute. Without it other jobs take the room of each urgent job that ends, and the next urgent job waits for another
 // preemption.
 func (po *pool) leavesHeadroom(need platform.Resources) bool {
-	headroom := maximum(sub(po.recentPeak, po.urgentDemand), platform.Resources{})
+	headroom := maximum(sub(po.recentPeak.amount, po.urgentDemand), platform.Resources{})
 	free := sub(sub(po.capacity, po.reserved), headroom)
-	if po.recentPeak.Accelerators == 0 {
+	if po.recentPeak.amount.Accelerators == 0 {
 		free.Accelerators = need.Accelerators
 	}
-	return po.recentPeak == platform.Resources{} || fits(need, free)
+	return po.recentPeak.amount == platform.Resources{} || fits(need, free)
 }
 
 // fixedPart is the part of a pool that jobs which cannot be preempted may always use. In a pool of nine workers a rack
@@ -243,7 +243,7 @@
 // leavesUrgentRoom reports whether, after the loss of the largest rack, the pool still reaches the recent peak of urgent
 // demand and a quarter when need more is taken by a job that cannot be preempted.
 func (po *pool) leavesUrgentRoom(need platform.Resources) bool {
-	if po.urgentPeak == (platform.Resources{}) || fits(add(po.fixedUse, need), scale(po.capacity, 1, fixedPart)) {
+	if po.urgentPeak.amount == (platform.Resources{}) || fits(add(po.fixedUse, need), scale(po.capacity, 1, fixedPart)) {
 		return true
 	}
 	largest := platform.Resources{}
@@ -252,33 +252,42 @@
 			largest = maximum(largest, r.capacity)
 		}
 	}
-	left := sub(sub(sub(po.capacity, largest), scale(po.urgentPeak, 5, 4)), po.fixedUse)
+	left := sub(sub(sub(po.capacity, largest), scale(po.urgentPeak.amount, 5, 4)), po.fixedUse)
 	// Dimensions that urgent jobs do not use are not kept free for them.
-	if po.urgentPeak.Accelerators == 0 {
+	if po.urgentPeak.amount.Accelerators == 0 {
 		left.Accelerators = need.Accelerators
 	}
 	return fits(need, left)
 }
 
-// decayPeak follows rises of urgent demand at once and falls by a sixteenth a minute, so that a turn of demand some
-// minutes apart finds its room kept.
-func (po *pool) decayPeak(now time.Time) {
-	if po.peakDecayed.IsZero() {
-		po.peakDecayed = now
-	}
-	for minutes := 0; now.Sub(po.peakDecayed) >= time.Minute && minutes < 256; minutes++ {
-		po.urgentPeak = scale(po.urgentPeak, 15, 16)
-		po.peakDecayed = po.peakDecayed.Add(time.Minute)
-	}
-	po.urgentPeak = maximum(po.urgentPeak, minimum(po.urgentDemand, po.capacity))
-	if po.recentDecayed.IsZero() {
-		po.recentDecayed = now
+// trackPeaks brings the peaks of urgent demand up to now. The longer one falls by a sixteenth a minute, so that a turn of demand
+// some minutes apart finds its room kept.
+func (po *pool) trackPeaks(now time.Time) {
+	demand := minimum(po.urgentDemand, po.capacity)
+	po.urgentPeak.track(demand, now, time.Minute, 16)
+	po.recentPeak.track(demand, now, time.Second, 32)
+}
+
+// peak is the largest amount of late; it follows rises at once and falls slowly.
+type peak struct {
+	amount platform.Resources
+	// fallen is up to when the fall is taken into account.
+	fallen time.Time
+}
+
+// maxFalls bounds the work of one call after a long pause; later calls make up for the rest.
+const maxFalls = 256
+
+// track lets the peak fall by one part of several in each interval, and rise to the present amount.
+func (k *peak) track(amount platform.Resources, now time.Time, every time.Duration, parts int64) {
+	if k.fallen.IsZero() {
+		k.fallen = now
 	}
-	for seconds := 0; now.Sub(po.recentDecayed) >= time.Second && seconds < 256; seconds++ {
-		po.recentPeak = scale(po.recentPeak, 31, 32)
-		po.recentDecayed = po.recentDecayed.Add(time.Second)
+	for falls := 0; now.Sub(k.fallen) >= every && falls < maxFalls; falls++ {
+		k.amount = scale(k.amount, parts-1, parts)
+		k.fallen = k.fallen.Add(every)
 	}
-	po.recentPeak = maximum(po.recentPeak, minimum(po.urgentDemand, po.capacity))
+	k.amount = maximum(k.amount, amount)
 }
 
 // wait announces a rule once; the explanation is written only then.
--- a/fleet/placement/pool.go
+++ b/fleet/placement/pool.go
@@ -69,11 +69,9 @@
 	kindRunning  map[string]int
 	throttled    map[*job]bool
 	urgentDemand platform.Resources
-	urgentPeak   platform.Resources
-	peakDecayed  time.Time
+	urgentPeak   peak
 	// recentPeak is like urgentPeak but forgets within a minute; its unused part is kept free of other jobs.
-	recentPeak    platform.Resources
-	recentDecayed time.Time
+	recentPeak peak
 	// reserved is the sum of all reservations on the pool's workers.
 	reserved platform.Resources
 	cursor   int
