--- a/fleet/claim/journal/journal_test.go
+++ b/fleet/claim/journal/journal_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"verbenalanding.example/fleet/claim"
 	"verbenalanding.example/fleet/internal/check"
 	"verbenalanding.example/fleet/record"
@@ -18,15 +15,7 @@
 func start(t *testing.T, s store.Store, epoch record.Epoch) *Holder {
 	t.Helper()
 	h := &Holder{Store: s, Epoch: epoch}
-	ctx, cancel := context.WithCancel(context.Background())
-	var g errgroup.Group
-	g.Go(func() error { return h.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		if err := g.Wait(); !errors.Is(err, context.Canceled) && !errors.Is(err, ErrFenced) {
-			t.Errorf("run: got %v, want canceled or fenced", err)
-		}
-	})
+	check.Background(t, h.Run, context.Canceled, ErrFenced)
 	return h
 }
 
--- a/fleet/deferred/deferred_test.go
+++ b/fleet/deferred/deferred_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"verbenalanding.example/fleet/declaration"
 	"verbenalanding.example/fleet/internal/check"
 	"verbenalanding.example/fleet/record"
@@ -52,16 +50,7 @@
 func run(t *testing.T, s store.Store, id string, epoch record.Epoch, e Executor, now func() time.Time) context.CancelFunc {
 	t.Helper()
 	h := &Holder{Store: s, Shard: ShardOf(id), Epoch: epoch, Executor: e, Now: now, SaveTime: 100 * time.Millisecond}
-	ctx, cancel := context.WithCancel(context.Background())
-	var g errgroup.Group
-	g.Go(func() error { return h.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		if err := g.Wait(); !errors.Is(err, context.Canceled) && !errors.Is(err, ErrFenced) {
-			t.Errorf("run: got %v, want canceled or fenced", err)
-		}
-	})
-	return cancel
+	return check.Background(t, h.Run, context.Canceled, ErrFenced)
 }
 
 func work(n int, repeatable bool) Work {
--- a/fleet/entry/entry_test.go
+++ b/fleet/entry/entry_test.go
@@ -80,16 +80,8 @@
 
 // background runs a function until the test ends.
 func background(t testing.TB, run func(context.Context) error) context.CancelFunc {
-	ctx, cancel := context.WithCancel(context.Background())
-	var g errgroup.Group
-	g.Go(func() error { return run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, record.ErrFenced) {
-			t.Errorf("background: got %v, want none", err)
-		}
-	})
-	return cancel
+	t.Helper()
+	return check.Background(t, run, nil, context.Canceled, record.ErrFenced)
 }
 
 func newCluster(t testing.TB, backends int) *cluster {
--- a/fleet/internal/check/check.go
+++ b/fleet/internal/check/check.go
@@ -1,9 +1,13 @@
 package check
 
 import (
+	"context"
 	"errors"
 	"reflect"
+	"slices"
 	"testing"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Equal fails the test when got differs from want.
@@ -37,3 +41,20 @@
 		t.Fatalf("%s: got false, want true", name)
 	}
 }
+
+// Background runs a function until the test ends, or until the returned function is called. The test fails unless the function
+// returns one of the given errors, of which nil stands for none.
+func Background(t testing.TB, run func(context.Context) error, want ...error) context.CancelFunc {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		err := group.Wait()
+		if !slices.ContainsFunc(want, func(w error) bool { return errors.Is(err, w) }) {
+			t.Errorf("end of what ran in the background: got %v, want one of %v", err, want)
+		}
+	})
+	return cancel
+}
--- a/fleet/store/remote_test.go
+++ b/fleet/store/remote_test.go
@@ -20,14 +20,8 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
 	server := rpc.Server{Listener: listener, Handler: store.Serve(s), Sentinels: store.Sentinels()}
-	var group errgroup.Group
-	group.Go(func() error { return server.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		check.NoError(t, group.Wait())
-	})
+	check.Background(t, server.Run, nil)
 	return store.NewRemote(netip.MustParseAddrPort(listener.Addr().String()))
 }
 
