refactor(entry): the lane's calls and its configuration have their own files

lane.go held 445 lines: the messages between a call and its lane, the taking over of configuration and view, and the loop that decides. call.go and configure.go take the first two.

--- a/fleet/entry/lane.go
+++ b/fleet/entry/lane.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,72 +16,6 @@
 // idleTick is the interval of ticks without requests; 197 pools would otherwise tick 1,970 times a second.
 const idleTick = time.Second
 
-type messageKind uint8
-
-const (
-	// messageArrive asks for admission.
-	messageArrive messageKind = iota
-	// messageCancel withdraws a call that waits for admission.
-	messageCancel
-	// messagePick asks for the instance of a further attempt.
-	messagePick
-	// messageEnded reports the last attempt of a call and frees its slot.
-	messageEnded
-	// messageFailed reports an attempt and asks whether to repeat it.
-	messageFailed
-	// messageGiveUp frees the slot of a call that waits for a further attempt.
-	messageGiveUp
-)
-
-type message struct {
-	kind   messageKind
-	call   *call
-	target *target
-	result admission.Result
-	took   time.Duration
-	retry  retry.Attempt
-}
-
-type verdictKind uint8
-
-const (
-	verdictRefuse verdictKind = iota
-	verdictDispatch
-	verdictRetry
-	verdictStop
-)
-
-type verdict struct {
-	kind       verdictKind
-	target     *target
-	reason     string
-	retryAfter time.Duration
-	delay      time.Duration
-}
-
-// call is a request in its pool's goroutine. Each message but messageCancel, messageEnded and messageGiveUp is answered
-// by exactly one verdict.
-type call struct {
-	arrival    admission.Arrival
-	repeatable bool
-	verdict    chan verdict
-
-	ref        admission.Ref
-	dispatched bool
-	last       string
-	// cancelled is set when a messageCancel was sent, which may arrive after the end of the call.
-	cancelled bool
-}
-
-var callPool = sync.Pool{New: func() any { return &call{verdict: make(chan verdict, 1)} }}
-
-// recycle is called by whoever handles the last message or verdict of a call.
-func (c *call) recycle() {
-	if !c.cancelled {
-		callPool.Put(c)
-	}
-}
-
 type peerDemand struct {
 	peer     string
 	services []admission.ServiceDemand
@@ -203,99 +136,6 @@
 	l.admission.PeerDemand(now, d.peer, d.services)
 }
 
-// catchUp applies a changed configuration and view, so that no decision is made by an older one.
-func (l *lane) catchUp(now time.Time) {
-	set, revision, ok := l.entry.Configuration.Current()
-	v := l.entry.view.Load()
-	if v == l.view && (!ok || revision == l.revision) {
-		return
-	}
-	if ok && (revision != l.revision || l.set == nil) {
-		l.set, l.revision = set, revision
-		l.router.Connections = set.Pools[l.pool].Connections
-		l.router.Default()
-		l.decide(now, l.admission.Configure(now, admissionConfig(set, l.pool)))
-	}
-	if v.peers != nil || l.view.peers != nil {
-		l.admission.Peers(now, v.peers)
-	}
-	l.router.SetEntries(len(v.peers) + 1)
-	l.view = v
-	l.router.SetMembers(now, l.routingMembers(v))
-	l.updateMembers(now)
-	l.applied.Store(v.generation)
-}
-
-func admissionConfig(set *declaration.Set, pool string) admission.Config {
-	var c admission.Config
-	for _, s := range set.Services {
-		if s.Pool == pool {
-			c.Services = append(c.Services, admission.Service{
-				Name: s.Name, Class: classOf(s.Class), Share: s.Share, CallerRate: s.Rate,
-			})
-		}
-	}
-	for _, t := range set.Teams {
-		if t.Rate > 0 {
-			c.Teams = append(c.Teams, admission.Team{Key: hashName(t.Name), Rate: t.Rate})
-		}
-	}
-	return c
-}
-
-func classOf(c declaration.Class) admission.Class {
-	switch c {
-	case declaration.Urgent:
-		return admission.Urgent
-	case declaration.Standard:
-		return admission.Standard
-	default:
-		return admission.Deferrable
-	}
-}
-
-func (l *lane) routingMembers(v *view) []routing.Member {
-	l.targets = make(map[string]*target, len(v.instances[l.pool]))
-	members := make([]routing.Member, 0, len(v.instances[l.pool]))
-	for _, i := range v.instances[l.pool] {
-		state := routing.Draining
-		switch {
-		case v.leaving[i.ID]:
-			state = routing.Leaving
-		case i.State == stateInService:
-			state = routing.InService
-		}
-		l.targets[i.ID] = l.entry.target(i)
-		members = append(members, routing.Member{
-			ID: i.ID, DataCentre: i.Location.DataCentre, Rack: i.Location.Rack, State: state,
-		})
-	}
-	return members
-}
-
-// updateMembers tells admission which instances are usable and routing how many requests each should have.
-func (l *lane) updateMembers(now time.Time) {
-	slots := 0
-	if l.set != nil {
-		slots = l.set.Pools[l.pool].Slots
-	}
-	l.members = l.members[:0]
-	for _, i := range l.view.instances[l.pool] {
-		serving := i.State == stateInService && !l.view.leaving[i.ID]
-		l.members = append(l.members, admission.Member{
-			ID: i.ID, Slots: slots, InService: serving, Ejected: serving && !l.router.Usable(i.ID),
-		})
-	}
-	l.decide(now, l.admission.Members(now, l.members))
-	l.setQuotas()
-}
-
-func (l *lane) setQuotas() {
-	for _, m := range l.members {
-		l.router.SetQuota(m.ID, l.admission.Quota(m.ID))
-	}
-}
-
 func (l *lane) tick(now time.Time) {
 	l.router.Tick(now)
 	l.probe(now)
