--- a/verbenalanding/demo/auditor.go
+++ b/verbenalanding/demo/auditor.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"verbenalanding.example/fleet/budget"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
-	"verbenalanding.example/fleet/store"
 )
 
 // auditInterval is the time between two looks at the instances.
@@ -27,19 +26,7 @@
 
 // instances reads the instance records.
 func (d *deployment) instances(ctx context.Context) ([]record.Instance, error) {
-	entries, _, err := store.ListAll(ctx, d.site.Store, record.InstancePrefix)
-	if err != nil {
-		return nil, err
-	}
-	var instances []record.Instance
-	for _, e := range entries {
-		var i record.Instance
-		if err := json.Unmarshal(e.Value, &i); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", e.Key, err)
-		}
-		instances = append(instances, i)
-	}
-	return instances, nil
+	return record.List[record.Instance](ctx, d.site.Store, record.InstancePrefix)
 }
 
 func (a *auditor) run(ctx context.Context) error {
@@ -76,13 +63,8 @@
 
 // line says how close each budget came to its limit.
 func (a *auditor) line() string {
-	var names []string
-	for name := range a.worst {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	text := ""
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(a.worst)) {
 		text += fmt.Sprintf(" %s %d of %d;", name, a.worst[name], a.deployment.set.Budgets[name].MaxUnavailable)
 	}
 	return text
--- a/verbenalanding/demo/deployment.go
+++ b/verbenalanding/demo/deployment.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -69,7 +71,8 @@
 	if err != nil {
 		return err
 	}
-	d.set = pauseWaves(set)
+	set.PauseWaves()
+	d.set = set
 	instances := 0
 	for _, p := range set.Pools {
 		instances += p.Instances
@@ -87,13 +90,10 @@
 	return nil
 }
 
-// pauseWaves pauses the sample's own waves, whose windows depend on the time of day.
-func pauseWaves(s declaration.Set) declaration.Set {
-	for name, w := range s.Waves {
-		w.Paused = true
-		s.Waves[name] = w
-	}
-	return s
+// team returns one of the declared teams by a number.
+func (d *deployment) team(n int) string {
+	teams := slices.Sorted(maps.Keys(d.set.Teams))
+	return teams[n%len(teams)]
 }
 
 func capacity(name string) platform.Resources {
