feat(soak): planned stops in series, late writes, new holders lost

The soak stopped single processes at random, its store answered every read and carried each unanswered write out at once, and nothing harmed the holder that had just taken a duty. So no later holder found what an earlier one had left in the store.

Faults of the store that overlap hold until the end of the last one.

--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -15,11 +15,12 @@
 // faultPause is the mean time between two faults, which may overlap.
 const faultPause = 500 * time.Millisecond
 
-// fault begins and, after its time, ends.
+// fault begins and, after its time, ends; run, where set, plays the time in between.
 type fault struct {
 	name  string
 	begin func()
 	end   func()
+	run   func(ctx context.Context) error
 	lasts time.Duration
 }
 
@@ -27,16 +28,13 @@
 func (s *Soak) injectAll(ctx context.Context, random *rand.Rand) error {
 	group, groupCtx := errgroup.WithContext(ctx)
 	for end := time.Now().Add(s.Duration); time.Now().Before(end); {
-		f := s.draw(random)
-		s.book.note(fmt.Sprintf("fault %s for %v", f.name, f.lasts.Round(time.Millisecond)), &s.book.faults)
-		f.begin()
-		group.Go(func() error {
-			err := sleep(groupCtx, f.lasts)
-			if f.end != nil {
-				f.end()
+		for _, f := range s.draw(random) {
+			s.book.note(fmt.Sprintf("fault %s for %v", f.name, f.lasts.Round(time.Millisecond)), &s.book.faults)
+			if f.begin != nil {
+				f.begin()
 			}
-			return err
-		})
+			group.Go(func() error { return f.play(groupCtx) })
+		}
 		if err := sleep(ctx, time.Duration(random.ExpFloat64()*float64(faultPause))); err != nil {
 			return err
 		}
@@ -44,10 +42,36 @@
 	return group.Wait()
 }
 
-// draw chooses a fault.
-func (s *Soak) draw(random *rand.Rand) fault {
-	p := s.processes[random.IntN(len(s.processes))]
+// play waits for the end of a fault that has begun.
+func (f *fault) play(ctx context.Context) error {
+	run := f.run
+	if run == nil {
+		run = func(ctx context.Context) error { return sleep(ctx, f.lasts) }
+	}
+	err := run(ctx)
+	if f.end != nil {
+		f.end()
+	}
+	return err
+}
+
+// draw chooses the faults that begin next: one, or several that harm a take-over together.
+func (s *Soak) draw(random *rand.Rand) []fault {
 	lasts := time.Duration(200+random.IntN(3300)) * time.Millisecond
+	switch random.IntN(18) {
+	case 14, 15:
+		return s.turnoverFaults(random)
+	case 16:
+		return []fault{s.stopsInSeries(random)}
+	case 17:
+		return []fault{s.holdersLost(random, lasts)}
+	}
+	return []fault{s.drawOne(random, lasts)}
+}
+
+// drawOne chooses a fault of one part.
+func (s *Soak) drawOne(random *rand.Rand, lasts time.Duration) fault {
+	p := s.processes[random.IntN(len(s.processes))]
 	node := p.settings.Node
 	switch random.IntN(14) {
 	case 0:
@@ -73,7 +97,10 @@
 	s.mu.Lock()
 	w := s.proxies[random.IntN(len(s.proxies))]
 	s.mu.Unlock()
-	m := mode(random.IntN(modes))
+	return connectionFault(w, mode(random.IntN(modes)), lasts)
+}
+
+func connectionFault(w *proxy, m mode, lasts time.Duration) fault {
 	if m == pass {
 		return fault{name: "connections reset", begin: w.resetAll}
 	}
@@ -81,11 +108,29 @@
 }
 
 func (s *Soak) storeFault(random *rand.Rand, lasts time.Duration) fault {
-	faults := []standin.Faults{{Refuse: true}, {LoseAnswers: 0.3}, {Delay: 200 * time.Millisecond}, {Deaf: true}}
-	f := faults[random.IntN(len(faults))]
+	faults := append([]standin.Faults{{Refuse: true}, {Delay: 200 * time.Millisecond}, {Deaf: true}}, unanswered...)
+	return s.storeFails(faults[random.IntN(len(faults))], lasts)
+}
+
+// storeFails has the store fail; where such faults overlap, the last one holds until its own end.
+func (s *Soak) storeFails(f standin.Faults, lasts time.Duration) fault {
+	turn := 0
 	return fault{
 		name: fmt.Sprintf("store %+v", f), lasts: lasts,
-		begin: func() { s.platform.Store.SetFaults(f) }, end: func() { s.platform.Store.SetFaults(standin.Faults{}) },
+		begin: func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.storeTurn++
+			turn = s.storeTurn
+			s.platform.Store.SetFaults(f)
+		},
+		end: func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.storeTurn == turn {
+				s.platform.Store.SetFaults(standin.Faults{})
+			}
+		},
 	}
 }
 
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -48,6 +48,10 @@
 	processes []*process
 	mu        sync.Mutex
 	proxies   []*proxy
+	// workers are the proxies of workers, in the order of their beginning.
+	workers []*proxy
+	// storeTurn counts the faults of the store.
+	storeTurn int
 	// ended is true once the proxies were closed.
 	ended   bool
 	version int64
@@ -140,6 +144,9 @@
 				return netip.AddrPort{}, err
 			}
 			s.addProxy(p)
+			s.mu.Lock()
+			s.workers = append(s.workers, p)
+			s.mu.Unlock()
 			return p.addr, nil
 		},
 	}
