feat(soak): connections between nodes go through a proxy

A node has one address to listen at and to register, so a proxy before it took a change outside the nodes: the stand-in's store writes the proxy's address in its place into registrations of nodes and duties (keys under control/). No product code changes.

The connections of a node's peers are delayed, silenced, cut one way and reset. The proxy listens only while a life of the process does, so that the peers of a process that is gone are refused, as before.

--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -58,13 +58,18 @@
 // draw chooses the faults that begin next: one, or several that harm a take-over together.
 func (s *Soak) draw(random *rand.Rand) []fault {
 	lasts := time.Duration(200+random.IntN(3300)) * time.Millisecond
-	switch random.IntN(18) {
+	switch random.IntN(20) {
 	case 14, 15:
 		return s.turnoverFaults(random)
 	case 16:
 		return []fault{s.stopsInSeries(random)}
 	case 17:
 		return []fault{s.holdersLost(random, lasts)}
+	case 18, 19:
+		p := s.processes[random.IntN(len(s.processes))]
+		f := connectionFault(p.peer, mode(random.IntN(modes)), lasts)
+		f.name = p.settings.Node + "'s peers: " + f.name
+		return []fault{f}
 	}
 	return []fault{s.drawOne(random, lasts)}
 }
--- a/verbenabench/soak/process.go
+++ b/verbenabench/soak/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -26,12 +27,17 @@
 	path     string
 	log      *os.File
 	store    *proxy
-	client   *http.Client
+	// peer is where other processes reach this one.
+	peer   *proxy
+	group  *errgroup.Group
+	client *http.Client
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
 	paused  bool
+	// gone is true after the end of the present life.
+	gone bool
 	// life counts the starts.
 	life int
 	// version is the newest marker that this life has answered.
@@ -56,7 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{program: s.Program, store: store, path: filepath.Join(s.dir, name+".json"), client: &http.Client{Timeout: callTimeout}}
+	peerProxy := &proxy{target: peer, addr: s.nextAddr(), group: group, links: map[*link]struct{}{}}
+	s.platform.Store.Translate(peer.String(), peerProxy.addr.String())
+	p := &process{program: s.Program, store: store, peer: peerProxy, group: group, path: filepath.Join(s.dir, name+".json"), client: &http.Client{Timeout: callTimeout}}
 	p.settings = platform.Settings{
 		Node: name, DataCentre: "z1", IP: entry.Addr(), Entry: entry, Readiness: readiness,
 		PeerPorts: [2]uint16{peer.Port(), peer.Port()}, Store: store.addr, Machines: s.platform.CloudAddr, Cores: 1, MemoryMB: 256,
@@ -78,17 +86,50 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.settings.Node, err)
 	}
-	p.command, p.exited, p.paused, p.version = c, make(chan struct{}), false, 0
+	p.command, p.exited, p.paused, p.gone, p.version = c, make(chan struct{}), false, false, 0
 	p.life++
+	exited := p.exited
+	p.group.Go(func() error { return p.openPeer(ctx, exited) })
 	return nil
 }
 
+// listenEvery is how often a process that starts is tried.
+const listenEvery = 20 * time.Millisecond
+
+// openPeer lets other processes reach a life once it listens: a process that is gone must refuse connections through the proxy too.
+func (p *process) openPeer(ctx context.Context, exited chan struct{}) error {
+	for {
+		conn, err := net.DialTimeout("tcp", p.peer.target.String(), listenEvery)
+		if err == nil {
+			_ = conn.Close()
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-exited:
+			return nil
+		case <-time.After(listenEvery):
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.exited != exited || p.gone {
+		return nil
+	}
+	return p.peer.open()
+}
+
 // wait returns when the present life has ended.
 func (p *process) wait() error {
 	p.mu.Lock()
 	c, exited := p.command, p.exited
 	p.mu.Unlock()
 	err := c.Wait()
+	p.mu.Lock()
+	p.gone = true
+	p.mu.Unlock()
+	p.peer.shut()
 	close(exited)
 	return err
 }
--- a/verbenabench/soak/proxy.go
+++ b/verbenabench/soak/proxy.go
@@ -33,14 +33,15 @@
 
 // proxy passes connections on to a target and can harm them.
 type proxy struct {
-	target   netip.AddrPort
-	addr     netip.AddrPort
-	listener net.Listener
-	group    *errgroup.Group
+	target netip.AddrPort
+	addr   netip.AddrPort
+	group  *errgroup.Group
 
-	mu    sync.Mutex
-	mode  mode
-	links map[*link]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	ended    bool
+	mode     mode
+	links    map[*link]struct{}
 }
 
 // link is one connection through a proxy; muted directions stay so, since bytes of them are gone.
@@ -50,21 +51,42 @@
 }
 
 func newProxy(target netip.AddrPort, group *errgroup.Group) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p := &proxy{target: target, addr: netip.MustParseAddrPort("127.0.0.1:0"), group: group, links: map[*link]struct{}{}}
+	return p, p.open()
+}
+
+// open takes connections at the proxy's address, unless it does already or the run ends.
+func (p *proxy) open() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.ended {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.addr.String())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &proxy{target: target, listener: l, group: group, links: map[*link]struct{}{}}
 	if p.addr, err = netip.ParseAddrPort(l.Addr().String()); err != nil {
-		return nil, err
+		return err
 	}
-	group.Go(p.accept)
-	return p, nil
+	p.listener = l
+	p.group.Go(func() error { return p.accept(l) })
+	return nil
 }
 
-func (p *proxy) accept() error {
+// shut refuses new connections, as a machine does on which no process listens; the open ones end with the process.
+func (p *proxy) shut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
+
+func (p *proxy) accept(l net.Listener) error {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -144,7 +166,10 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.shut()
 	p.resetAll()
 }
 
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -160,6 +160,7 @@
 			return err
 		}
 		s.addProxy(p.store)
+		s.addProxy(p.peer)
 		s.processes = append(s.processes, p)
 		group.Go(func() error { return p.run(ctx) })
 	}
