feat(soak): lapsed registrations, workers that join while the duty moves

Registrations of workers that go on end while the store is away and come back within 2 s after it. While the duty moves by a planned stop and its next holders are lost, workers join under new ids, or begin anew under theirs.

--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -58,7 +58,7 @@
 // draw chooses the faults that begin next: one, or several that harm a take-over together.
 func (s *Soak) draw(random *rand.Rand) []fault {
 	lasts := time.Duration(200+random.IntN(3300)) * time.Millisecond
-	switch random.IntN(20) {
+	switch random.IntN(23) {
 	case 14, 15:
 		return s.turnoverFaults(random)
 	case 16:
@@ -70,6 +70,10 @@
 		f := connectionFault(p.peer, mode(random.IntN(modes)), lasts)
 		f.name = p.settings.Node + "'s peers: " + f.name
 		return []fault{f}
+	case 20:
+		return []fault{s.registrationsLapse(random, lasts)}
+	case 21, 22:
+		return s.joinFaults(random)
 	}
 	return []fault{s.drawOne(random, lasts)}
 }
--- a/verbenabench/soak/turnover.go
+++ b/verbenabench/soak/turnover.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -28,6 +29,11 @@
 	holderEvery = 10 * time.Millisecond
 	// mostHolding is the longest time that a new holder has before it is lost; it is less than the lease of 2.5 s.
 	mostHolding = 1200 * time.Millisecond
+	// mostUnregistered is the longest time after which a registration that lapsed while the store was away is back.
+	mostUnregistered = 2 * time.Second
+	// Up to mostJoins workers join while the duty moves, at most mostJoinGap after each other.
+	mostJoins   = 4
+	mostJoinGap = 400 * time.Millisecond
 	// slowWorkers is how many workers are harmed at a turnover.
 	slowWorkers = 2
 )
@@ -94,6 +100,60 @@
 	}}
 }
 
+// registrationsLapse has registrations of workers end while the store is away; they come back soon after it.
+func (s *Soak) registrationsLapse(random *rand.Rand, lasts time.Duration) fault {
+	machines := s.platform.Machines()
+	random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	machines = machines[:1+random.IntN(len(machines))]
+	delays := make([]time.Duration, len(machines))
+	for i := range delays {
+		delays[i] = time.Duration(random.Int64N(int64(mostUnregistered)))
+	}
+	away := s.storeFails(standin.Faults{Refuse: true}, lasts)
+	return fault{name: fmt.Sprintf("store away, registrations lapse %v", machines), lasts: lasts, run: func(ctx context.Context) error {
+		away.begin()
+		err := sleep(ctx, lasts)
+		for _, id := range machines {
+			s.platform.Lapse(id)
+		}
+		away.end()
+		var group errgroup.Group
+		for i, id := range machines {
+			group.Go(func() error {
+				defer s.platform.Register(id)
+				return sleep(ctx, delays[i])
+			})
+		}
+		return cmp.Or(group.Wait(), err)
+	}}
+}
+
+// joinFaults have workers end and join under new ids, or begin anew under theirs, while the duty moves by a planned stop.
+func (s *Soak) joinFaults(random *rand.Rand) []fault {
+	gap := time.Duration(random.Int64N(int64(mostJoinGap)))
+	machines := s.platform.Machines()
+	random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	machines = machines[:1+random.IntN(mostJoins)]
+	anew := random.IntN(3) == 0
+	joins := fault{name: fmt.Sprintf("workers join on %v each %v, their ids kept: %v", machines, gap.Round(time.Millisecond), anew), run: func(ctx context.Context) error {
+		if _, p := s.holder(); p != nil {
+			p.signal(syscall.SIGTERM)
+		}
+		for _, id := range machines {
+			if anew {
+				s.platform.Restart(id)
+			} else if err := s.platform.Crash(id); err != nil {
+				s.book.note(id+": "+err.Error(), nil)
+			}
+			if err := sleep(ctx, gap); err != nil {
+				return err
+			}
+		}
+		return nil
+	}}
+	return []fault{joins, s.holdersLost(random, turnoverTime)}
+}
+
 // loseHolder pauses a process, for less or more than a lease, or kills it where no time is given.
 func (s *Soak) loseHolder(ctx context.Context, p *process, pause time.Duration) error {
 	if pause == 0 {
