feat(soak): a handover that its reader cannot read, then a lost reader

The store failed for whole turns, so that no holder could read what was left; new holders were lost before they gave orders; tasks ended before the next holder began; series of stops left no process to take the duty.

Now the store fails for moments that begin when the duty falls vacant; the holder that cannot read the handover works for up to 2.4 s and is killed or paused, while the answers of some workers are harmed.

--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -77,7 +77,7 @@
 	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds     int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
 	Duration  time.Duration `long:"time" default:"10s" description:"time of a seed in which faults come"`
-	Nodes     int           `long:"nodes" default:"4" description:"entry instances, each a process"`
+	Nodes     int           `long:"nodes" description:"entry instances, each a process; 4, 7 or 10 by the seed when not given"`
 	Machines  int           `long:"machines" default:"8" description:"machines of the pool"`
 	PerSecond float64       `long:"per-second" default:"10" description:"jobs a second"`
 	Program   string        `long:"program" description:"program of the entry instance; built when not given"`
--- a/verbenabench/soak/caller.go
+++ b/verbenabench/soak/caller.go
@@ -44,6 +44,9 @@
 	retryPause  = 150 * time.Millisecond
 	// cancelShare is the part of the accepted jobs that their callers cancel.
 	cancelShare = 0.1
+	// One job of longEvery has small tasks that take longerTook more, so that they outlast a take-over.
+	longEvery  = 4
+	longerTook = 2 * time.Second
 	// One job of lastingEvery is long-running; lastingCancelShare of them are cancelled while faults come, the others after that.
 	lastingEvery       = 12
 	lastingCancelShare = 0.4
@@ -82,6 +85,11 @@
 		j.Steps = []wire.Step{{Count: 1 + random.IntN(2), CPU: 500, MemMb: 256, LongRunning: true, MayMiss: 1}}
 		return j
 	}
+	if random.IntN(longEvery) == 0 {
+		j.Took += longerTook
+		j.Steps = []wire.Step{{Count: 1 + random.IntN(4), CPU: 500, MemMb: 256, EstimateMs: 2000}}
+		return j
+	}
 	for step := range 1 + random.IntN(3) {
 		w := wire.Step{Count: 1 + random.IntN(4), CPU: int64(500 * (1 + random.IntN(6))), MemMb: 256, EstimateMs: 300, MaxPerServer: random.IntN(3)}
 		if step > 0 {
--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -58,7 +58,7 @@
 // draw chooses the faults that begin next: one, or several that harm a take-over together.
 func (s *Soak) draw(random *rand.Rand) []fault {
 	lasts := time.Duration(200+random.IntN(3300)) * time.Millisecond
-	switch random.IntN(23) {
+	switch random.IntN(26) {
 	case 14, 15:
 		return s.turnoverFaults(random)
 	case 16:
@@ -74,6 +74,8 @@
 		return []fault{s.registrationsLapse(random, lasts)}
 	case 21, 22:
 		return s.joinFaults(random)
+	case 23, 24, 25:
+		return []fault{s.unreadHandover(random)}
 	}
 	return []fault{s.drawOne(random, lasts)}
 }
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,7 @@
 	Seed uint64
 	// Duration is the time in which faults come; a calm time follows in which all accepted work must end.
 	Duration time.Duration
+	// Nodes is 4, 7 or 10 by the seed when not set.
 	Nodes    int
 	Machines int
 	// PerSecond is the rate of jobs.
@@ -52,6 +54,8 @@
 	workers []*proxy
 	// storeTurn counts the faults of the store.
 	storeTurn int
+	// hunting is true while new holders are being lost.
+	hunting atomic.Bool
 	// ended is true once the proxies were closed.
 	ended   bool
 	version int64
@@ -63,7 +67,7 @@
 // Default returns s with unset fields filled.
 func (s *Soak) Default() {
 	s.Duration = cmp.Or(s.Duration, 10*time.Second)
-	s.Nodes = cmp.Or(s.Nodes, 4)
+	s.Nodes = cmp.Or(s.Nodes, leastNodes+int(s.Seed%3)*moreNodes)
 	s.Machines = cmp.Or(s.Machines, 8)
 	s.PerSecond = cmp.Or(s.PerSecond, 10)
 }
@@ -77,6 +81,10 @@
 	// restartAfter is how long after its end a process is started again.
 	restartAfter = 300 * time.Millisecond
 	callTimeout  = 3500 * time.Millisecond
+	// A process that stops serves for 2.6 s: with few of them a series of stops leaves none that takes a duty, with more it
+	// moves on.
+	leastNodes = 4
+	moreNodes  = 3
 	// calmTime is the longest time after the last fault in which all accepted jobs must end: leases, suspicions of workers that
 	// double up to 16 s, and the work itself.
 	calmTime = 30 * time.Second
@@ -228,10 +236,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	outcome := "kept"
-	if err != nil {
+	if err != nil || s.Keep {
 		if failed := os.WriteFile(filepath.Join(s.dir, "events.log"), []byte(strings.Join(b.events, "\n")+"\n"), 0o600); failed != nil {
 			fmt.Fprintln(s.Out, "events not kept:", failed)
 		}
+	}
+	if err != nil {
 		outcome = err.Error() + "; logs in " + s.dir
 	}
 	fmt.Fprintf(s.Out, "seed %d: %d faults, %d jobs accepted, %d refused as not run, %d unknown, %d cancelled: %s\n",
--- a/verbenabench/soak/turnover.go
+++ b/verbenabench/soak/turnover.go
@@ -17,39 +17,79 @@
 
 // unanswered are the faults of a store that leaves calls without answer.
 var unanswered = []standin.Faults{
-	{LoseAnswers: 0.3}, {Late: 0.4}, {LoseReads: 0.3, LoseAnswers: 0.2}, {LoseReads: 0.2, LoseAnswers: 0.1, Late: 0.3},
+	{LoseAnswers: 0.3}, {Late: 0.5}, {LoseReads: 0.5}, {LoseReads: 0.5, LoseAnswers: 0.2}, {LoseReads: 0.2, LoseAnswers: 0.1, Late: 0.3},
 }
 
+// unread are the faults of a store at which a record can hardly be read, or not be deleted in time.
+var unread = []standin.Faults{{LoseReads: 0.8}, {Late: 0.8}}
+
 const (
 	// turnoverTime is longer than a planned stop, so that a process that was stopped is back before the fault ends.
-	turnoverTime = 3500 * time.Millisecond
-	// mostStopGap is the longest time between two planned stops in series.
-	mostStopGap = 900 * time.Millisecond
+	turnoverTime = 5 * time.Second
+	// Planned stops in series are leastStopGap to mostStopGap apart.
+	leastStopGap = 300 * time.Millisecond
+	mostStopGap  = 900 * time.Millisecond
+	// mostPause is longer than a lease, so that a holder that goes on may have lost its duty.
+	mostPause = 3500 * time.Millisecond
 	// holderEvery is how often the holder of the duty is looked up.
 	holderEvery = 10 * time.Millisecond
-	// mostHolding is the longest time that a new holder has before it is lost; it is less than the lease of 2.5 s.
-	mostHolding = 1200 * time.Millisecond
+	// mostHolding is the longest time that a new holder has before it is lost or leaves: two go within one lease of 2.5 s. A holder that reads
+	// in vain what was left to it begins its orders after 0.8 s.
+	mostHolding = 2400 * time.Millisecond
 	// mostUnregistered is the longest time after which a registration that lapsed while the store was away is back.
 	mostUnregistered = 2 * time.Second
 	// Up to mostJoins workers join while the duty moves, at most mostJoinGap after each other.
 	mostJoins   = 4
 	mostJoinGap = 400 * time.Millisecond
-	// slowWorkers is how many workers are harmed at a turnover.
-	slowWorkers = 2
+	// The connections of up to harmedWorkers workers are harmed when a new holder is lost.
+	harmedWorkers = 4
+	mostHarm      = 5 * time.Second
+	// The store fails at times for leastMoment to mostMoment; a holder tries to read what was left to it within 0.8 s.
+	leastMoment = 200 * time.Millisecond
+	mostMoment  = time.Second
+	// mostCalm is the longest time between two such moments.
+	mostCalm = 3 * time.Second
 )
 
-// turnoverFaults are planned stops in series at a store that leaves calls without answer, while new holders are lost and
-// some workers are heard late: a later holder finds what an earlier one left.
+// turnoverFaults are planned stops in series while the store leaves calls without answer for moments and new holders are lost
+// together with answers of workers: a later holder finds what an earlier one left.
 func (s *Soak) turnoverFaults(random *rand.Rand) []fault {
-	faults := []fault{
-		s.storeFails(unanswered[random.IntN(len(unanswered))], turnoverTime), s.stopsInSeries(random), s.holdersLost(random, turnoverTime),
-	}
-	for range slowWorkers {
-		faults = append(faults, connectionFault(s.workerProxy(random), mode(1+random.IntN(modes-1)), turnoverTime))
+	faults := []fault{s.storeFlaps(random), s.holdersLost(random, turnoverTime)}
+	if random.IntN(2) == 0 {
+		faults = append(faults, s.stopsInSeries(random))
 	}
 	return faults
 }
 
+// storeFlaps has the store fail for moments, most of which begin as soon as the duty has no holder: what one holder cannot read
+// of that left to it another one can.
+func (s *Soak) storeFlaps(random *rand.Rand) fault {
+	own := rand.New(rand.NewPCG(random.Uint64(), 1))
+	f := unanswered[own.IntN(len(unanswered))]
+	return fault{name: fmt.Sprintf("store at times %+v", f), lasts: turnoverTime, run: func(ctx context.Context) error {
+		for end := time.Now().Add(turnoverTime); time.Now().Before(end); {
+			for calm := time.Now().Add(between(own, leastMoment, mostCalm)); time.Now().Before(calm); {
+				if _, p := s.holder(); p == nil {
+					break
+				}
+				if err := sleep(ctx, holderEvery); err != nil {
+					return err
+				}
+			}
+			moment := s.storeFails(f, between(own, leastMoment, mostMoment))
+			moment.begin()
+			if err := moment.play(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	}}
+}
+
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
+
 // workerProxy returns the proxy of a worker that began lately.
 func (s *Soak) workerProxy(random *rand.Rand) *proxy {
 	s.mu.Lock()
@@ -60,7 +100,7 @@
 // stopsInSeries stops all processes in turn; each is started again once it has ended.
 func (s *Soak) stopsInSeries(random *rand.Rand) fault {
 	order := random.Perm(len(s.processes))
-	gap := time.Duration(random.Int64N(int64(mostStopGap)))
+	gap := between(random, leastStopGap, mostStopGap)
 	return fault{name: fmt.Sprintf("planned stops %v each %v", order, gap.Round(time.Millisecond)), run: func(ctx context.Context) error {
 		for _, i := range order {
 			s.processes[i].signal(syscall.SIGTERM)
@@ -72,11 +112,17 @@
 	}}
 }
 
-// holdersLost kills or pauses each holder soon after it took the duty.
+// holdersLost kills or pauses the present holder and each new one soon after it took the duty, or has it leave, so that what it hands
+// over is read by a holder that is lost in its turn. The connections of some workers are harmed at the same time: the next
+// holder hears them late.
 func (s *Soak) holdersLost(random *rand.Rand, lasts time.Duration) fault {
 	own := rand.New(rand.NewPCG(random.Uint64(), 0))
 	return fault{name: "new holders lost", lasts: lasts, run: func(ctx context.Context) error {
-		before, _ := s.holder()
+		if !s.hunting.CompareAndSwap(false, true) {
+			return nil
+		}
+		defer s.hunting.Store(false)
+		before := ""
 		var group errgroup.Group
 		for end := time.Now().Add(lasts); time.Now().Before(end); {
 			if sleep(ctx, holderEvery) != nil {
@@ -87,12 +133,18 @@
 				continue
 			}
 			before = life
-			if sleep(ctx, time.Duration(own.Int64N(int64(mostHolding)))) != nil {
+			if sleep(ctx, between(own, 0, mostHolding)) != nil {
 				break
 			}
+			s.harmWorkers(ctx, own, &group)
+			if own.IntN(2) == 0 {
+				s.book.note("holder leaves: "+p.settings.Node, nil)
+				p.signal(syscall.SIGTERM)
+				continue
+			}
 			pause := time.Duration(0)
 			if own.IntN(2) == 0 {
-				pause = time.Duration(own.Int64N(int64(turnoverTime)))
+				pause = between(own, 0, mostPause)
 			}
 			group.Go(func() error { return s.loseHolder(ctx, p, pause) })
 		}
@@ -107,7 +159,7 @@
 	machines = machines[:1+random.IntN(len(machines))]
 	delays := make([]time.Duration, len(machines))
 	for i := range delays {
-		delays[i] = time.Duration(random.Int64N(int64(mostUnregistered)))
+		delays[i] = between(random, 0, mostUnregistered)
 	}
 	away := s.storeFails(standin.Faults{Refuse: true}, lasts)
 	return fault{name: fmt.Sprintf("store away, registrations lapse %v", machines), lasts: lasts, run: func(ctx context.Context) error {
@@ -130,7 +182,7 @@
 
 // joinFaults have workers end and join under new ids, or begin anew under theirs, while the duty moves by a planned stop.
 func (s *Soak) joinFaults(random *rand.Rand) []fault {
-	gap := time.Duration(random.Int64N(int64(mostJoinGap)))
+	gap := between(random, 0, mostJoinGap)
 	machines := s.platform.Machines()
 	random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
 	machines = machines[:1+random.IntN(mostJoins)]
@@ -154,6 +206,70 @@
 	return []fault{joins, s.holdersLost(random, turnoverTime)}
 }
 
+// harmWorkers harms the connections of some workers for moments.
+func (s *Soak) harmWorkers(ctx context.Context, random *rand.Rand, group *errgroup.Group) {
+	for range 1 + random.IntN(harmedWorkers) {
+		harm := connectionFault(s.workerProxy(random), mode(1+random.IntN(modes-1)), between(random, 0, mostHarm))
+		s.book.note("fault "+harm.name+" at the loss of a holder", nil)
+		harm.begin()
+		group.Go(func() error { return harm.play(ctx) })
+	}
+}
+
+// unreadHandover has the holder leave; the next one is not answered when it reads what was left to it, works, and is lost, so that the
+// one after it finds the same.
+func (s *Soak) unreadHandover(random *rand.Rand) fault {
+	own := rand.New(rand.NewPCG(random.Uint64(), 2))
+	return fault{name: "handover not read", run: func(ctx context.Context) error {
+		if !s.hunting.CompareAndSwap(false, true) {
+			return nil
+		}
+		defer s.hunting.Store(false)
+		life, p := s.holder()
+		if p == nil {
+			return nil
+		}
+		p.signal(syscall.SIGTERM)
+		if _, err := s.awaitHolder(ctx, func(now string) bool { return now != life }); err != nil {
+			return err
+		}
+		moment := s.storeFails(unread[own.IntN(len(unread))], 0)
+		moment.begin()
+		p, err := s.awaitHolder(ctx, func(now string) bool { return now != "" && now != life })
+		if err == nil {
+			err = sleep(ctx, between(own, 0, mostMoment))
+		}
+		moment.end()
+		if err != nil || p == nil {
+			return err
+		}
+		if err := sleep(ctx, between(own, 0, mostHolding)); err != nil {
+			return err
+		}
+		var group errgroup.Group
+		s.harmWorkers(ctx, own, &group)
+		pause := time.Duration(0)
+		if own.IntN(2) == 0 {
+			pause = between(own, 0, mostPause)
+		}
+		group.Go(func() error { return s.loseHolder(ctx, p, pause) })
+		return group.Wait()
+	}}
+}
+
+// awaitHolder waits until the life of the holder is as wanted, at most for turnoverTime.
+func (s *Soak) awaitHolder(ctx context.Context, wanted func(life string) bool) (*process, error) {
+	for end := time.Now().Add(turnoverTime); ; {
+		life, p := s.holder()
+		if wanted(life) || time.Now().After(end) {
+			return p, nil
+		}
+		if err := sleep(ctx, time.Millisecond); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // loseHolder pauses a process, for less or more than a lease, or kills it where no time is given.
 func (s *Soak) loseHolder(ctx context.Context, p *process, pause time.Duration) error {
 	if pause == 0 {
