--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,7 @@
 	Seed uint64
 	// Duration is the time in which faults come; a calm time follows in which all accepted work must end.
 	Duration time.Duration
+	// Nodes is 4, 7 or 10 by the seed when not set.
 	Nodes    int
 	Machines int
 	// PerSecond is the rate of jobs.
@@ -48,6 +50,12 @@
 	processes []*process
 	mu        sync.Mutex
 	proxies   []*proxy
+	// workers are the proxies of workers, in the order of their beginning.
+	workers []*proxy
+	// storeTurn counts the faults of the store.
+	storeTurn int
+	// hunting is true while new holders are being lost.
+	hunting atomic.Bool
 	// ended is true once the proxies were closed.
 	ended   bool
 	version int64
@@ -59,7 +67,7 @@
 // Default returns s with unset fields filled.
 func (s *Soak) Default() {
 	s.Duration = cmp.Or(s.Duration, 10*time.Second)
-	s.Nodes = cmp.Or(s.Nodes, 4)
+	s.Nodes = cmp.Or(s.Nodes, leastNodes+int(s.Seed%3)*moreNodes)
 	s.Machines = cmp.Or(s.Machines, 8)
 	s.PerSecond = cmp.Or(s.PerSecond, 10)
 }
@@ -73,6 +81,10 @@
 	// restartAfter is how long after its end a process is started again.
 	restartAfter = 300 * time.Millisecond
 	callTimeout  = 3500 * time.Millisecond
+	// A process that stops serves for 2.6 s: with few of them a series of stops leaves none that takes a duty, with more it
+	// moves on.
+	leastNodes = 4
+	moreNodes  = 3
 	// calmTime is the longest time after the last fault in which all accepted jobs must end: leases, suspicions of workers that
 	// double up to 16 s, and the work itself.
 	calmTime = 30 * time.Second
@@ -140,6 +152,9 @@
 				return netip.AddrPort{}, err
 			}
 			s.addProxy(p)
+			s.mu.Lock()
+			s.workers = append(s.workers, p)
+			s.mu.Unlock()
 			return p.addr, nil
 		},
 	}
@@ -153,6 +168,7 @@
 			return err
 		}
 		s.addProxy(p.store)
+		s.addProxy(p.peer)
 		s.processes = append(s.processes, p)
 		group.Go(func() error { return p.run(ctx) })
 	}
@@ -173,7 +189,10 @@
 // settle ends all faults and checks that accepted work ends and that processes stop in an orderly way.
 func (s *Soak) settle(ctx context.Context) error {
 	s.calm()
-	if err := s.awaitJobs(ctx); err != nil {
+	jobs, jobsCtx := errgroup.WithContext(ctx)
+	jobs.Go(func() error { return s.awaitJobs(jobsCtx) })
+	jobs.Go(func() error { return s.awaitLasting(jobsCtx) })
+	if err := jobs.Wait(); err != nil {
 		return err
 	}
 	if err := s.awaitWaves(ctx); err != nil {
@@ -217,10 +236,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	outcome := "kept"
-	if err != nil {
+	if err != nil || s.Keep {
 		if failed := os.WriteFile(filepath.Join(s.dir, "events.log"), []byte(strings.Join(b.events, "\n")+"\n"), 0o600); failed != nil {
 			fmt.Fprintln(s.Out, "events not kept:", failed)
 		}
+	}
+	if err != nil {
 		outcome = err.Error() + "; logs in " + s.dir
 	}
 	fmt.Fprintf(s.Out, "seed %d: %d faults, %d jobs accepted, %d refused as not run, %d unknown, %d cancelled: %s\n",
