--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -32,8 +32,8 @@
 	workerPause = 150 * time.Millisecond
 	// planRest is how many times longer than a plan took the pause after it is, so that orders and reports get the processor.
 	planRest = 2
-	// orderLimit is how many orders of a pool may be on their way at once. At its peak a pool starts 700 tasks a second; when three in
-	// ten orders get no answer, some 200 are waited for, and fewer would hold back the others until their starts are refused as late.
+	// orderLimit is how many orders of a pool may be on their way at once. Unanswered ones are waited for up to a second, and must not
+	// hold back others until their starts are refused as late.
 	orderLimit = 512
 	// decisionLines is the budget of log lines a second for decisions of a pool.
 	decisionLines = 2000
