--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -149,8 +149,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.held[name]
+	if h == nil || h.fence != fence {
+		return false
+	}
 	now := t.Clock()
-	return h != nil && h.fence == fence && t.running(now) && now.Before(t.validUntil()) && now.Before(t.provenUntil(h))
+	return t.running(now) && now.Before(t.validUntil()) && now.Before(t.provenUntil(h))
 }
 
 // Lost tells that a newer holder of a duty was met, as by a worker that follows it.
