--- a/fleet/tenure/tenure_test.go
+++ b/fleet/tenure/tenure_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -260,6 +261,48 @@
 	}
 }
 
+// freezing is a store at which a node is frozen while it waits for the answer to a renewal.
+type freezing struct {
+	*memory
+	armed  atomic.Bool
+	frozen chan struct{}
+	freeze func()
+}
+
+func (f *freezing) Renew(ctx context.Context, id store.LeaseID) error {
+	err := f.memory.Renew(ctx, id)
+	if f.armed.CompareAndSwap(true, false) {
+		f.freeze()
+		defer close(f.frozen)
+	}
+	return err
+}
+
+// Guards against a holder that counts its lease from the answer to a renewal: it may be frozen between the two.
+func TestHolderFrozenAtARenewalGivesNoMoreOrders(t *testing.T) {
+	const ttl = 600 * time.Millisecond
+	n := newNodes(t)
+	a := n.build("a", ttl)
+	var ahead atomic.Int64
+	clock := a.Clock
+	a.Clock = func() time.Time { return clock().Add(time.Duration(ahead.Load())) }
+	s := &freezing{memory: n.store, frozen: make(chan struct{}), freeze: func() { ahead.Store(int64(ttl)) }}
+	a.Store = s
+	n.run(a)
+	first := await(t, "first holder", n.began)
+	s.armed.Store(true)
+	<-s.frozen
+	for range 20 {
+		if a.Valid("pool", first.fence) {
+			t.Fatalf("holder after the freeze: got valid, want not valid")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if end := await(t, "end of the spell", n.ended); !errors.Is(end.cause, tenure.ErrLost) {
+		t.Errorf("cause: got %v, want %v", end.cause, tenure.ErrLost)
+	}
+}
+
 // Guards against a holder that does not notice that its key was taken away.
 func TestHolderStopsWhenItsKeyIsGone(t *testing.T) {
 	n := newNodes(t)
