--- /dev/null
+++ b/fleet/tenure/guard_knownred_test.go
@@ -0,0 +1,37 @@
+//go:build knownred
+
+package tenure_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/tenure"
+)
+
+// unwatched is a store whose answers to watches are lost.
+type unwatched struct{ *memory }
+
+func (unwatched) Watch(ctx context.Context, _ string, _ store.Revision, _ time.Duration) (store.Batch, error) {
+	<-ctx.Done()
+	return store.Batch{}, store.ErrUnavailable
+}
+
+// Guards against a lost holder that gives orders for longer than its successor counts: its lease goes on when the duty was taken, and
+// only a watch or another node tells it.
+func TestKnownGapRenewalsGoOnAfterTheDutyWasTaken(t *testing.T) {
+	n := newNodes(t)
+	a := n.build("a", 600*time.Millisecond)
+	a.Store = unwatched{n.store}
+	n.run(a)
+	first := await(t, "first holder", n.began)
+	if _, _, err := n.store.Apply(n.ctx, store.Transaction{Put: []store.Write{{Key: tenure.Prefix + "pool", Value: []byte("{}")}}}); err != nil {
+		t.Fatalf("take the duty: got %v, want none", err)
+	}
+	time.Sleep(a.TTL)
+	if a.Valid("pool", first.fence) {
+		t.Errorf("lost holder: got valid a lease after its duty was taken, want not valid")
+	}
+}
