--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -1,8 +1,11 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"verbenalanding.example/fleet/workload"
 )
 
 // Guards against a job that two holders take for new: it is accepted while a lost holder still gives orders, which may have started
@@ -45,3 +48,47 @@
 		})
 	}
 }
+
+// Guards against a lost holder that starts a task of its successor's on a worker that joined after the loss: the worker has seen no fence, and
+// the successor could not wait for it.
+func TestWorkerThatJoinsGetsWorkAfterAProof(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Epoch = 100
+	for _, c := range []struct {
+		id         string
+		registered uint64
+		want       int
+	}{{"w1", 99, 1}, {"w2", 101, 0}} {
+		b.pool.SetWorker(workload.Worker{
+			ID: c.id, Pool: "cutting", Room: workload.Room{CPU: 32000, MemoryMB: 64000}, Born: 1, Registered: c.registered,
+		}, b.now)
+		b.present[c.id] = map[workload.TaskID]int{}
+		b.report()
+		b.addJob("j"+c.id, oneTask(32000))
+		starts, _ := b.orders()
+		wantCount(t, "starts on a worker registered at revision "+fmt.Sprint(c.registered), len(starts), c.want)
+	}
+	seals, changed := b.pool.Seals(b.now)
+	if !changed {
+		t.Fatalf("record: got no change, want one that proves the duty")
+	}
+	b.pool.Sealed(seals)
+	starts, _ := b.orders()
+	wantCount(t, "starts after the proof", len(starts), 1)
+}
+
+// Guards against the same on a worker whose end was proven and that comes back under its id and its old registration.
+func TestWorkerThatComesBackGetsWorkAfterAProof(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Terminated("w0", "its machine does not run it any more")
+	b.pool.SetWorker(workload.Worker{ID: "w0", Pool: "cutting", Room: workload.Room{CPU: 16000, MemoryMB: 64000}, Born: 2}, b.now)
+	b.present["w0"] = map[workload.TaskID]int{}
+	b.pool.Report("w0", workload.Report{Born: 2, Clock: time.Second}, b.now)
+	b.addJob("j", oneTask(16000))
+	starts, _ := b.orders()
+	wantCount(t, "starts before a proof", len(starts), 0)
+	seals, _ := b.pool.Seals(b.now)
+	b.pool.Sealed(seals)
+	starts, _ = b.orders()
+	wantCount(t, "starts after the proof", len(starts), 1)
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -24,13 +24,13 @@
 	stopping
 )
 
-// proof tells whether this holder has proven since a worker started again that it still holds the duty.
+// proof tells whether this holder has proven since a life of a worker began that it still holds the duty.
 type proof int
 
 const (
 	proven proof = iota
 	proofNeeded
-	// proofAsked means that a record was asked for after the worker started again, and is not known to be written.
+	// proofAsked means that a record was asked for after the life began, and is not known to be written.
 	proofAsked
 )
 
@@ -62,16 +62,21 @@
 
 type worker struct {
 	workload.Worker
+	// added is since when this holder knows of the present life.
 	added time.Time
 	// missing is since when the registration is gone; zero while it is there.
 	missing  time.Time
 	cordoned bool
 	synced   bool
+	// partial is true while no report has listed all ends of a worker: what is not listed may have ended.
+	partial bool
 	// clock is the worker's clock in the last report, heard the local time at which that report arrived.
 	clock time.Duration
 	heard time.Time
 	// leaseEnd is the latest local time at which the worker still runs what it was given.
-	leaseEnd  time.Time
+	leaseEnd time.Time
+	// longLease is until when a worker that started again may keep what it took by an order for the life before.
+	longLease time.Time
 	runs      map[runKey]*run
 	used      workload.Room
 	processed int64
@@ -86,7 +91,8 @@
 	doubted time.Time
 	// due workers are on machines whose upkeep is still to be done.
 	due bool
-	// proof is what is left to do before a worker that started again gets starts.
+	// proof is what is left to do before a new life gets starts: it has seen no fence and takes orders of a lost holder too, while a
+	// record that is written after its begin shows that this holder is not lost.
 	proof proof
 	// reborn workers started again while a holder before may give orders, and were not heard since.
 	reborn bool
@@ -107,7 +113,8 @@
 
 // SetWorker adds a worker or takes over a change of its registration.
 func (p *Pool) SetWorker(info workload.Worker, now time.Time) {
-	if e, ok := p.ended[info.ID]; ok {
+	e, ended := p.ended[info.ID]
+	if ended {
 		if info.Born <= e.Born && info.Addr == e.Addr {
 			// A registration outlives its worker by some heartbeats, and may change until then.
 			return
@@ -121,6 +128,10 @@
 		// A successor would take a sealed worker to run only what its record names.
 		_, sealed := p.recordedSeals[info.ID]
 		w = &worker{Worker: info, added: now, runs: map[runKey]*run{}, slowness: 1, sealed: sealed}
+		if ended || info.Registered > p.Epoch {
+			// A successor lists the lives that were registered when this holder took the duty, and waits for them.
+			w.sealed, w.proof = true, proofNeeded
+		}
 		p.addWorker(w)
 		p.note(Event{What: "worker added", Worker: info.ID})
 		return
@@ -149,7 +160,7 @@
 	p.note(gone)
 }
 
-// Terminated takes note of a proof that a worker's life has ended with all its runs.
+// Terminated takes note of a proof that a worker has ended with all its runs, whatever its life.
 func (p *Pool) Terminated(id, reason string) {
 	w := p.workers[id]
 	if w == nil {
@@ -163,26 +174,39 @@
 	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
 }
 
+// LifeEnded takes note of a proof that one life of a worker has ended; a later life under the same id goes on.
+func (p *Pool) LifeEnded(life workload.Worker, reason string) {
+	if w := p.workers[life.ID]; w != nil && w.Born == life.Born && w.Addr == life.Addr {
+		p.Terminated(life.ID, reason)
+	}
+}
+
+// SeenWorker is a worker and since when this holder knows of its present life.
+type SeenWorker struct {
+	workload.Worker
+	Since time.Time
+}
+
 // Unheard returns the workers that may run what a holder before started and have not reported to this one.
-func (p *Pool) Unheard(now time.Time) []workload.Worker {
+func (p *Pool) Unheard(now time.Time) []SeenWorker {
 	if now.After(p.unsureUntil) {
 		return nil
 	}
-	var list []workload.Worker
+	var list []SeenWorker
 	for _, w := range p.ordered() {
-		if !w.synced && w.heard.IsZero() {
-			list = append(list, w.Worker)
+		if p.unheard(w.ID) {
+			list = append(list, SeenWorker{w.Worker, w.added})
 		}
 	}
 	return list
 }
 
 // Silent returns the workers with runs that have not reported for a time.
-func (p *Pool) Silent(now time.Time, since time.Duration) []workload.Worker {
-	var list []workload.Worker
+func (p *Pool) Silent(now time.Time, since time.Duration) []SeenWorker {
+	var list []SeenWorker
 	for _, w := range p.ordered() {
 		if len(w.runs) > 0 && !w.heard.IsZero() && now.Sub(w.heard) >= since {
-			list = append(list, w.Worker)
+			list = append(list, SeenWorker{w.Worker, w.added})
 		}
 	}
 	return list
@@ -229,10 +253,13 @@
 		}
 		p.lose(r, "worker restarted")
 	}
-	w.Born, w.processed, w.recorded, w.clock, w.synced = born, 0, 0, 0, false
-	// The new life has seen no fence and takes orders of a lost holder too: a record that is written from now on proves that this
-	// one is not lost.
+	w.Born, w.added, w.processed, w.recorded, w.clock, w.synced = born, now, 0, 0, 0, false
 	w.sealed, w.proof = true, proofNeeded
+	// What was sent to the life before names a time of a clock that was further ahead.
+	w.longLease = now.Add(p.stretch(p.Settings.MaxLease))
+	if w.longLease.After(w.leaseEnd) {
+		w.leaseEnd = w.longLease
+	}
 	if now.Before(p.unsureUntil) {
 		// A holder before may have started tasks on it.
 		w.reborn = true
@@ -337,6 +364,11 @@
 	}
 }
 
+// Unproven reports whether a worker waits for a record that proves that this holder is not lost.
+func (p *Pool) Unproven() bool {
+	return slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.proof == proofNeeded })
+}
+
 func (p *Pool) usable(w *worker, now time.Time) bool {
 	return w.synced && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
 		!now.Before(w.fullUntil) && !now.Before(w.closedUntil) && (w.doubted.IsZero() || w.heard.After(w.doubted)) &&
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -90,7 +90,10 @@
 		answer = dispatch.RefusedUnhealthy
 	case platform.RefusedTicket:
 		answer = dispatch.RefusedTicket
-	case platform.RefusedFence, platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker:
+	case platform.RefusedFence:
+		answer = dispatch.Refused
+		p.lost()
+	case platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker:
 		answer = dispatch.Refused
 	case platform.Unanswered:
 	}
@@ -98,7 +101,7 @@
 	p.mu.Lock()
 	p.core.StartAnswered(s, answer, clock, now)
 	if outcome == platform.OtherWorker {
-		p.core.Terminated(s.Worker.ID, "another worker has its address")
+		p.core.LifeEnded(s.Worker, "another worker has its address")
 	}
 	p.mu.Unlock()
 	if answer == dispatch.Unknown {
@@ -239,11 +242,12 @@
 		return true
 	case platform.HoldOther:
 		p.mu.Lock()
-		p.core.Terminated(next.Worker.ID, "another worker has its address")
+		p.core.LifeEnded(next.Worker, "another worker has its address")
 		p.mu.Unlock()
 		p.kick()
 	case platform.HoldFenced:
 		p.log.Warn().Str("worker", next.Worker.ID).Msg("worker follows a newer holder")
+		p.lost()
 	case platform.HoldUnanswered:
 	}
 	return false
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -89,14 +89,17 @@
 	budget logs.Budget
 	// revisions are those of the records of jobs in the store.
 	revisions map[string]store.Revision
-	// silentRevision is that of the record of silent workers.
+	// silentRevision is that of the record of silent workers, silentTries the number of attempts since the last write that succeeded.
 	silentRevision store.Revision
+	silentTries    int
 	// tries counts the attempts at writing records since the last one that succeeded, and the present one.
 	tries   int
 	holding map[string]bool
 
-	wake    *ring.Ring[struct{}]
-	writes  *ring.Ring[struct{}]
+	wake   *ring.Ring[struct{}]
+	writes *ring.Ring[struct{}]
+	// seals asks for a record of silent workers at once.
+	seals   *ring.Ring[struct{}]
 	group   *errgroup.Group
 	orders  errgroup.Group
 	book    *machineBook
@@ -108,7 +111,7 @@
 	p := &pool{
 		node: n, name: name, fence: fence, began: n.Clock.Now(), log: n.Log.With().Str("pool", name).Uint64("fence", fence).Logger(),
 		revisions: map[string]store.Revision{}, holding: map[string]bool{},
-		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
+		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), seals: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(orderLimit)
 	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note, AwaitList: n.Settings.Machines.IsValid()}
@@ -218,6 +221,9 @@
 	return p.node.Tenure.Valid(p.name, p.fence) && p.node.pools.get(p.name) == p
 }
 
+// lost tells that a newer holder of the pool was met.
+func (p *pool) lost() { p.node.Tenure.Lost(p.name, p.fence) }
+
 func (p *pool) kick() { _ = p.wake.Offer(struct{}{}) }
 
 func (p *pool) configure(c *workload.Configuration) {
@@ -346,6 +352,7 @@
 			p.core.DropWorker(w.ID, now)
 			continue
 		}
+		w.Registered = uint64(e.Entry.Created)
 		p.core.SetWorker(w, now)
 		p.book.registered(w)
 		if !p.holding[w.ID] {
@@ -353,6 +360,9 @@
 			p.group.Go(func() error { return p.hold(ctx, w.ID) })
 		}
 	}
+	if p.core.Unproven() {
+		_ = p.seals.Offer(struct{}{})
+	}
 	p.kick()
 }
 
