--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/steady"
 	"verbenalanding.example/fleet/tenure"
 	"verbenalanding.example/platform"
@@ -264,10 +265,7 @@
 	n.Tenure.Leave(leaveCtx)
 	cancel()
 	grace := max(cmp.Or(n.Settings.Bounds.Grace, 6*time.Second)-killMargin, servingAfterSignal)
-	select {
-	case <-time.After(servingAfterSignal - time.Since(began)):
-	case <-ctx.Done():
-	}
+	interval.Wait(ctx, servingAfterSignal-time.Since(began))
 	endCtx, cancel := context.WithTimeout(ctx, grace-time.Since(began))
 	defer cancel()
 	for _, s := range servers {
@@ -282,16 +280,10 @@
 const settingsEvery = 10 * time.Second
 
 func (n *Node) watchSettings(ctx context.Context) error {
-	ticker := time.NewTicker(settingsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			n.reloadSettings("file")
-		}
+	for range interval.Each(ctx, settingsEvery) {
+		n.reloadSettings("file")
 	}
+	return nil
 }
 
 // reloadSettings checks a changed settings file; addresses of a running process do not change, so it only takes note.
