--- a/fleet/dispatch/scene_test.go
+++ b/fleet/dispatch/scene_test.go
@@ -137,6 +137,7 @@
 			h.pool.SetWorker(info, s.now)
 		}
 	}
+	h.pool.Listed()
 	if !s.unlisted {
 		s.at(s.now.Add(200*time.Millisecond), func() { h.pool.Expect(s.listed()) })
 	}
@@ -195,9 +196,6 @@
 }
 
 func (s *scene) register(w *sceneWorker) {
-	if _, there := s.registered[w.ID]; !there && s.newest != nil {
-		w.Registered = s.newest.fence + 1
-	}
 	s.registered[w.ID] = w.Worker
 	for _, h := range s.holders {
 		h.pool.SetWorker(w.Worker, s.now)
