fix(platform): an order is withheld once its holder has lost the duty, up to the moment at which it is sent

Cause: a holder that is suspended while an order waits for its turn or for a connection sends it after it wakes. The worker's present life refuses it as late, a new life does not: its clock began anew. The duty is looked at again once there is a connection, right before the call is written. What is left is a suspension between that look and the write; it stays listed.

--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -36,7 +36,7 @@
 	p.orders.Go(func() error {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		if !p.node.Tenure.Valid(p.name, p.fence) {
+		if !p.valid() {
 			p.unsent(a)
 			return nil
 		}
@@ -64,7 +64,7 @@
 }
 
 func (p *pool) order(w workload.Worker, task workload.TaskID, run int) platform.Order {
-	return platform.Order{Worker: w, Task: task, Run: run, Fence: p.fence}
+	return platform.Order{Worker: w, Task: task, Run: run, Fence: p.fence, Held: p.valid}
 }
 
 func (p *pool) sendStart(ctx context.Context, s dispatch.Start) {
@@ -94,7 +94,7 @@
 	case platform.RefusedFence:
 		answer = dispatch.Refused
 		p.lost()
-	case platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker:
+	case platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker, platform.Withheld:
 		answer = dispatch.Refused
 	case platform.Unanswered:
 	}
@@ -134,7 +134,7 @@
 
 // look asks a worker for its lists at once.
 func (p *pool) look(ctx context.Context, id string) {
-	if !p.node.Tenure.Valid(p.name, p.fence) {
+	if !p.valid() {
 		return
 	}
 	p.mu.Lock()
@@ -182,7 +182,7 @@
 	known := false
 	var doubted time.Time
 	for ctx.Err() == nil {
-		if !p.node.Tenure.Valid(p.name, p.fence) {
+		if !p.valid() {
 			pause(ctx, holdPause)
 			continue
 		}
@@ -225,7 +225,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReserve)
 	defer cancel()
 	outcome, report, err := p.node.Workers.Hold(ctx, platform.HoldOrder{
-		Worker: next.Worker, Fence: p.fence, LeaseEnd: next.LeaseEnd, Acknowledged: next.Acknowledged, Wait: wait,
+		Worker: next.Worker, Fence: p.fence, Held: p.valid, LeaseEnd: next.LeaseEnd, Acknowledged: next.Acknowledged, Wait: wait,
 	})
 	now := p.node.Clock.Now()
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -223,9 +223,12 @@
 	line.Msg(e.What)
 }
 
+// valid reports whether the duty is surely held.
+func (p *pool) valid() bool { return p.node.Tenure.Valid(p.name, p.fence) }
+
 // holds reports whether orders for the pool may be given: all jobs are known and the duty is surely held.
 func (p *pool) holds() bool {
-	return p.node.Tenure.Valid(p.name, p.fence) && p.node.pools.get(p.name) == p
+	return p.valid() && p.node.pools.get(p.name) == p
 }
 
 // lost tells that a newer holder of the pool was met.
@@ -387,7 +390,7 @@
 		case <-p.wake.Items():
 		case <-ticker.C:
 		}
-		if !p.node.Tenure.Valid(p.name, p.fence) {
+		if !p.valid() {
 			continue
 		}
 		pause(ctx, p.plan(ctx))
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -217,7 +217,7 @@
 func (p *pool) move(ctx context.Context, machine, worker, target string) {
 	outcome := platform.MachineUnanswered
 	fence, err := p.book.claim(ctx, machine, machineOrder{Node: p.node.Settings.Node, Pool: target, What: orderMove}, store.Transaction{})
-	if err == nil && p.node.Tenure.Valid(p.name, p.fence) {
+	if err == nil && p.valid() {
 		callCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
 		outcome, err = p.node.Machines.Move(callCtx, platform.Holder{Node: p.node.Settings.Node, Fence: fence}, machine, target)
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -46,7 +46,7 @@
 		case <-p.writes.Items():
 			changes = p.core.Ended
 		}
-		if !p.node.Tenure.Valid(p.name, p.fence) {
+		if !p.valid() {
 			continue
 		}
 		if err := p.writeOnce(ctx, changes); err != nil {
