fix(dispatch): a worker with runs of which its holder has none gets no starts; ends in parts are told to nobody

Cause: runs that are not wanted, or whose jobs are not known yet, take room and count for the spread of their step until they have ended, but the holder counted only its own. And a worker that had listed only a part of its ends counted as known once the lost holder's time was over, so that a handover, a record or a start could pass over a task that was done. Such workers get no starts, and nothing is said of them, until a list is whole and holds no other runs.

TestNoStartBesideARunThatIsNotWanted and TestWorkerThatListsOnlySomeEndsIsNotToldOf failed before.

--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -57,7 +57,7 @@
 // untold reports whether a worker has what a handover cannot tell: ends that were not taken over, or a longer lease than a successor counts.
 func (p *Pool) untold(now time.Time) bool {
 	return slices.ContainsFunc(p.ordered(), func(w *worker) bool {
-		return w.withheld || (len(w.runs) > 0 && now.Before(w.longLease))
+		return w.withheld || w.partial || (len(w.runs) > 0 && now.Before(w.longLease))
 	})
 }
 
@@ -98,7 +98,7 @@
 			w.proof, changed = proofAsked, true
 		}
 		lost := now.Sub(w.heard) > p.Settings.Silence || !w.missing.IsZero()
-		if !lost || !(w.synced || w.lapsed) || w.open() {
+		if !lost || !(w.synced || w.lapsed) || w.open() || w.partial {
 			continue
 		}
 		w.sealed = true
@@ -170,6 +170,7 @@
 	}
 	if now.After(p.unsureUntil) {
 		clear(p.gone)
+		u.everywhere = slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.partial })
 		return u
 	}
 	told := p.inherited
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -45,6 +45,7 @@
 		seen[runKey{a.Task, a.Run}] = true
 		p.observe(w, a, heard)
 	}
+	w.strays = slices.ContainsFunc(r.Active, func(a workload.ActiveRun) bool { return w.runs[runKey{a.Task, a.Run}] == nil })
 	if !r.Partial {
 		p.missing(w, r, seen)
 	}
--- a/fleet/dispatch/report_test.go
+++ b/fleet/dispatch/report_test.go
@@ -125,3 +125,46 @@
 	starts, _ = b.orders()
 	wantCount(t, "starts once all ends were listed", len(starts), 1)
 }
+
+// Guards against a start beside runs of which this holder has none: a run that it has stopped as not wanted takes room, and counts for the
+// spread of its step, until it has ended.
+func TestNoStartBesideARunThatIsNotWanted(t *testing.T) {
+	b := newBench(t, 1)
+	b.present["w0"][task("x", 0, 0)] = 1
+	b.silent["w0"] = false
+	b.pass(10 * time.Second)
+	b.present["w0"][task("x", 0, 0)] = 2
+	b.addJob("j", oneTask(16000))
+	b.report()
+	starts, stops := b.orders()
+	wantCount(t, "stops", len(stops), 1)
+	wantCount(t, "starts beside the run", len(starts), 0)
+	delete(b.present["w0"], task("x", 0, 0))
+	b.report()
+	starts, _ = b.orders()
+	wantCount(t, "starts after its end", len(starts), 1)
+}
+
+// Guards against a handover, or a record of silent workers, that leaves out a run whose end was not listed yet.
+func TestWorkerThatListsOnlySomeEndsIsNotToldOf(t *testing.T) {
+	b := newBench(t, 2)
+	b.takeOver()
+	b.addWorker("w0")
+	b.addWorker("w1")
+	b.pool.Report("w1", workload.Report{Born: 1, Clock: b.clock}, b.now)
+	b.pool.Report("w0", workload.Report{Born: 1, Clock: b.clock, Partial: true}, b.now)
+	b.now = b.now.Add(10 * time.Second)
+	if h, ok := b.pool.Handover(b.now); ok {
+		t.Errorf("handover: got %v, want none", h)
+	}
+	if seals, _ := b.pool.Seals(b.now); seals["w0"] != nil || len(seals) > 1 {
+		t.Errorf("record of silent workers: got %v, want one without w0", seals)
+	}
+	b.restored("j", oneTask(1000))
+	b.pool.Report("w1", workload.Report{Born: 1, Clock: b.clock + time.Second}, b.now)
+	starts, _ := b.orders()
+	wantCount(t, "starts of a task whose end may come", len(starts), 0)
+	b.pool.Report("w0", workload.Report{Born: 1, Clock: b.clock + time.Second}, b.now)
+	starts, _ = b.orders()
+	wantCount(t, "starts once all ends were listed", len(starts), 1)
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -79,6 +79,8 @@
 	// longLease is until when a worker that started again may keep what it took by an order for the life before.
 	longLease time.Time
 	runs      map[runKey]*run
+	// strays is true while the worker lists runs that are none of this holder's; they take room until they have ended.
+	strays bool
 	// early are the tasks of listed runs whose jobs are not known yet.
 	early map[workload.TaskID]bool
 	// withheld is true while ends are not taken over since the first of them is of a job that is not known yet.
@@ -397,7 +399,7 @@
 }
 
 func (p *Pool) usable(w *worker, now time.Time) bool {
-	return w.synced && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
+	return w.synced && !w.strays && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
 		!now.Before(w.fullUntil) && !now.Before(w.closedUntil) && (w.doubted.IsZero() || w.heard.After(w.doubted)) &&
 		!p.shunned(w, now)
 }
