fix(dispatch): a lease is over only once the duty is proven after its end

Cause: a holder that does not hear a worker counts the end of the lease that it granted last. When it was lost meanwhile, its successor may have heard the worker and prolonged that lease: the lost one, valid for up to 2.3 s more, gave the run up and started the task on a worker that had seen no newer fence. A holder that still holds its duty after the end of the lease is the only one that could have prolonged it. The tenure tells when the duty was last shown as held: by reads of its key, by acknowledged writes under its condition, by the answers of all other nodes. While none of these comes, tasks of a worker that is not heard wait; the list of machines proves its end as before.

TestLeaseIsOverOnlyOnceTheDutyIsProvenAfterIt: 2 starts without the condition, want 1.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -107,11 +107,15 @@
 	Epoch uint64
 	// AwaitList is set where Expect tells all workers that live; until then any of them may run what a lost holder started.
 	AwaitList bool
+	// AwaitProof is set where Proven tells when the duty was held; until then nothing that rests on time is given up.
+	AwaitProof bool
 	// Note is told each decision that touches a job or changes what is believed; unset drops them.
 	Note func(Event)
 
 	queues  map[string]workload.Queue
 	workers map[string]*worker
+	// provenAt is the latest time at which the duty was surely held.
+	provenAt time.Time
 	// listed is true once the first list of registrations was taken over.
 	listed bool
 	// ended holds the workers whose life has surely ended while their registrations may still be there.
@@ -180,6 +184,13 @@
 	return time.Duration(float64(d)/p.Settings.ClockRate) + leaseMargin
 }
 
+// Proven tells that the duty was held at a time, or later.
+func (p *Pool) Proven(at time.Time) {
+	if at.After(p.provenAt) {
+		p.provenAt = at
+	}
+}
+
 func (p *Pool) note(e Event) {
 	if p.Note != nil {
 		p.Note(e)
--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -152,3 +152,19 @@
 		wantCount(t, "stops of the run", len(b.stops), 1)
 	})
 }
+
+// Guards against a lost holder that gives up a run whose lease its successor has prolonged: the end that it counts is the one that it granted.
+func TestLeaseIsOverOnlyOnceTheDutyIsProvenAfterIt(t *testing.T) {
+	b := newBench(t, 2)
+	b.pool.AwaitProof = true
+	b.addJob("j", oneTask(16000))
+	b.plan()
+	b.silent[b.where(task("j", 0, 0))] = true
+	b.pass(3 * time.Second)
+	b.pool.Proven(b.now)
+	b.pass(7 * time.Second)
+	wantCount(t, "starts without a proof after the end of the lease", len(b.starts), 1)
+	b.pool.Proven(b.now)
+	b.plan()
+	wantCount(t, "starts after it", len(b.starts), 2)
+}
--- a/fleet/tenure/proof_test.go
+++ b/fleet/tenure/proof_test.go
@@ -52,3 +52,23 @@
 		t.Errorf("cause: got %v, want %v", end.cause, tenure.ErrLost)
 	}
 }
+
+// Guards against a time at which the duty was held that no call has shown.
+func TestHeldAtIsTheTimeOfAProof(t *testing.T) {
+	n := newNodes(t)
+	a := n.build("a", time.Minute)
+	n.run(a)
+	first := await(t, "first holder", n.began)
+	at := a.HeldAt("pool", first.fence)
+	if now := a.Clock(); at.IsZero() || at.After(now) || now.Sub(at) > 2*time.Second {
+		t.Errorf("after the taking: got %v at %v, want a moment ago", at, now)
+	}
+	later := a.Clock()
+	a.Proven("pool", first.fence, later)
+	if got := a.HeldAt("pool", first.fence); !got.Equal(later) {
+		t.Errorf("after a proof: got %v, want %v", got, later)
+	}
+	if got := a.HeldAt("pool", first.fence+1); !got.IsZero() {
+		t.Errorf("of another fence: got %v, want none", got)
+	}
+}
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -156,6 +156,26 @@
 	return t.running(now) && now.Before(t.validUntil()) && now.Before(t.provenUntil(h))
 }
 
+// HeldAt returns a time at which a duty was surely held, the latest that is known.
+func (t *Tenure) HeldAt(name string, fence uint64) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.held[name]
+	if h == nil || h.fence != fence {
+		return time.Time{}
+	}
+	return t.provenUntil(h).Add(safety - t.TTL)
+}
+
+// Proven tells that a call which was sent at a time showed a duty as held.
+func (t *Tenure) Proven(name string, fence uint64, sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.held[name]; h != nil && h.fence == fence && sent.After(h.proven) {
+		h.proven = sent
+	}
+}
+
 // Lost tells that a newer holder of a duty was met, as by a worker that follows it.
 func (t *Tenure) Lost(name string, fence uint64) {
 	t.mu.Lock()
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -117,7 +117,7 @@
 		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), seals: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(orderLimit)
-	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note, AwaitList: n.Settings.Machines.IsValid()}
+	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note, AwaitList: n.Settings.Machines.IsValid(), AwaitProof: true}
 	p.core.Begin(p.began)
 	p.book = newMachineBook(p)
 	p.upkeeps = newUpkeeps(p)
@@ -403,9 +403,11 @@
 	now := p.node.Clock.Now()
 	began := time.Now()
 	known := p.node.pools.get(p.name) == p
+	held := p.node.Tenure.HeldAt(p.name, p.fence)
 	p.mu.Lock()
 	var actions []dispatch.Action
 	if known {
+		p.core.Proven(held)
 		actions = p.core.Plan(now)
 	}
 	ended := p.core.HasEnded()
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -167,6 +167,7 @@
 	p.silentTries++
 	callCtx, cancel := context.WithTimeout(ctx, p.node.Patience.try(p.silentTries))
 	defer cancel()
+	sent := p.node.Clock.Now()
 	revision, current, err := p.node.Store.Apply(callCtx, store.Transaction{
 		If:  []store.Condition{p.dutyCondition(), {Key: p.silentKey(), Revision: p.silentRevision}},
 		Put: []store.Write{{Key: p.silentKey(), Value: value}},
@@ -186,6 +187,7 @@
 		return
 	}
 	p.silentRevision, p.silentTries = revision, 0
+	p.node.Tenure.Proven(p.name, p.fence, sent)
 	p.mu.Lock()
 	p.core.Sealed(seals)
 	p.mu.Unlock()
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -119,6 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.node.Patience.try(p.tries))
 	defer cancel()
+	sent := p.node.Clock.Now()
 	revision, current, err := p.node.Store.Apply(ctx, t)
 	if errors.Is(err, store.ErrConflict) {
 		return p.conflict(t, current)
@@ -126,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	p.node.Tenure.Proven(p.name, p.fence, sent)
 	for _, c := range changes {
 		p.revisions[c.Job] = revision
 		p.log.Debug().Str("job", c.Job).Str("state", string(c.Record.State)).Uint64("revision", uint64(revision)).Msg("record written")
