test(dispatch): the record of a handover is part of the model; files for holders and workers

The model passed a handover to the direct successor without the store between them. The store keeps the record now, its write, its read and its deletion may fail, and the part of verbenaentry/node that reads it once and goes on is modelled as it is.

Found on: - A handover that is not the direct predecessor's: a task runs twice.

--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -23,47 +22,26 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(rapidSource{t}, modelWorkers)
 		t.Repeat(map[string]func(*rapid.T){
-			"job":    func(*rapid.T) { m.addJob() },
-			"record": func(*rapid.T) { m.record() },
-			"holder": func(*rapid.T) { m.takeOver() },
-			"leave": func(*rapid.T) {
-				if m.t.pick("recorded", 0, 1) == 1 {
-					batch := m.pool.Batch()
-					m.keep(batch)
-					m.pool.Recorded(batch)
-				}
-				h, ok := m.pool.Handover(m.now)
-				m.takeOver()
-				m.old = nil
-				if ok {
-					m.pool.Follow(h, m.now)
-				}
-			},
+			"job":     func(*rapid.T) { m.addJob() },
+			"record":  func(*rapid.T) { m.record() },
+			"holder":  func(*rapid.T) { m.takeOver() },
+			"leave":   func(*rapid.T) { m.leave() },
 			"wait":    func(*rapid.T) { m.pass(time.Duration(m.t.pick("ms", 10, 2500)) * time.Millisecond) },
 			"reports": func(*rapid.T) { m.tick(4) },
 			"end":     func(*rapid.T) { m.endOne() },
 			"cut":     func(*rapid.T) { w := m.draw(); w.cut = !w.cut },
 			"restart": func(*rapid.T) { m.restart(m.draw()) },
-			"seen":    func(*rapid.T) { m.register(m.draw()) },
+			"seen":    func(*rapid.T) { m.register(m.present, m.draw()) },
 			"registration": func(*rapid.T) {
 				w := m.draw()
 				w.unregistered = !w.unregistered
 				if w.unregistered {
-					m.pool.DropWorker(w.id, m.now)
-				}
-				m.register(w)
-			},
-			"cancel": func(*rapid.T) {
-				if len(m.specs) == 0 {
-					return
-				}
-				id := fmt.Sprintf("j%d", rapid.IntRange(0, len(m.specs)-1).Draw(t, "job"))
-				if _, ok := m.cancelled[id]; !ok {
-					m.cancelled[id] = m.now
+					m.present.pool.DropWorker(w.id, m.now)
 				}
-				m.pool.Cancel(id, m.now)
+				m.register(m.present, w)
 			},
-			"": func(*rapid.T) {},
+			"cancel": func(*rapid.T) { m.cancel() },
+			"":       func(*rapid.T) {},
 		})
 	})
 }
--- /dev/null
+++ b/fleet/dispatch/model_holder_test.go
@@ -0,0 +1,197 @@
+package dispatch_test
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+// holder is a node that holds the duty, or believes so.
+type holder struct {
+	pool  *dispatch.Pool
+	fence uint64
+	// successor is the fence of the holder after a lost one.
+	successor uint64
+	// until is when a holder that lost the duty surely knows it.
+	until time.Time
+	// loaded is true once what the holders before left is known; no order is given and no worker is asked before.
+	loaded bool
+	// listed is true once the list of machines was read.
+	listed bool
+}
+
+// storedHandover is the store's record of what a leaving holder told, as it is encoded there.
+type storedHandover struct{ value []byte }
+
+// takeOver begins a new holder; the one before goes on until it knows.
+func (m *model) takeOver() {
+	if m.present != nil {
+		m.present.until, m.present.successor = m.now.Add(oldHolderGoesOn), m.revision+100
+		m.lost = append(m.lost, m.present)
+	}
+	m.forgetLost()
+	m.revision += 100
+	h := &holder{fence: m.revision, pool: &dispatch.Pool{Name: "cutting", Epoch: m.revision, AwaitList: true}}
+	h.pool.Begin(m.now)
+	h.pool.SetQueues([]workload.Queue{queue})
+	m.present = h
+}
+
+// forgetLost drops the holders that know by now that they lost the duty.
+func (m *model) forgetLost() {
+	m.lost = slices.DeleteFunc(m.lost, func(h *holder) bool { return m.now.After(h.until) })
+}
+
+// load reads what the holders before left, as the node does; it reports whether the holder goes on.
+func (m *model) load(h *holder) bool {
+	m.readHandover(h)
+	m.begin(h)
+	return true
+}
+
+// readHandover takes over what the holder before has left, once it is deleted. A call that fails is not repeated.
+func (m *model) readHandover(h *holder) {
+	if m.t.pick("read", 0, 3) == 0 || m.handover == nil {
+		return
+	}
+	stored := m.handover
+	fate := m.t.pick("delete", 0, 3)
+	if h != m.present || fate == 0 {
+		return
+	}
+	m.handover = nil
+	if fate != 1 {
+		m.follow(h, stored)
+	}
+}
+
+func (m *model) follow(h *holder, stored *storedHandover) {
+	var told dispatch.Handover
+	if err := json.Unmarshal(stored.value, &told); err != nil {
+		m.t.Fatalf("handover: got %v, want it to be read", err)
+	}
+	h.pool.Follow(told, m.now)
+}
+
+// begin gives a holder the records, the jobs and the registrations that the store has.
+func (m *model) begin(h *holder) {
+	h.loaded = true
+	if m.seals != nil {
+		h.pool.Inherit(m.seals)
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.specs)) {
+		if without("lost-holders-hear-jobs") && h != m.present && m.stored[id] > h.successor {
+			continue
+		}
+		var record *dispatch.Record
+		if r, ok := m.records[id]; ok {
+			record = &r
+		}
+		h.pool.AddJob(m.specs[id], record, m.stored[id] < h.fence, m.now)
+		if _, ok := m.cancelled[id]; ok {
+			h.pool.Cancel(id, m.now)
+		}
+	}
+	for _, w := range m.workers {
+		m.register(h, w)
+	}
+}
+
+// leave gives the duty back in an orderly way: what is known of runs is written under the condition of the duty before it ends.
+func (m *model) leave() {
+	h := m.present
+	if m.t.pick("recorded", 0, 1) == 1 {
+		batch := h.pool.Batch()
+		m.keep(batch)
+		h.pool.Recorded(batch)
+	}
+	told, ok := h.pool.Handover(m.now)
+	if ok && m.t.pick("handover", 0, 3) != 0 {
+		value, err := json.Marshal(told)
+		if err != nil {
+			m.t.Fatalf("handover: got %v, want it to be encoded", err)
+		}
+		m.handover = &storedHandover{value}
+	}
+	m.present = nil
+	m.takeOver()
+}
+
+// list has a holder read the list of machines: once for the workers that live, and as long as workers are not heard for those that
+// have ended.
+func (m *model) list(h *holder) {
+	unheard := append(h.pool.Unheard(m.now), h.pool.Silent(m.now, listedAfter)...)
+	if (h.listed && len(unheard) == 0) || m.t.pick("list", 0, 2) == 0 {
+		return
+	}
+	if !h.listed {
+		h.listed = true
+		var living []string
+		for _, w := range m.workers {
+			if !w.left {
+				living = append(living, w.id)
+			}
+		}
+		h.pool.Expect(living)
+	}
+	for _, w := range unheard {
+		if m.worker(w.ID).left {
+			h.pool.Terminated(w.ID, "its machine does not run it any more")
+		}
+	}
+}
+
+// listedAfter is the silence of a worker after which the node looks for its machine in the list.
+const listedAfter = 900 * time.Millisecond
+
+// record writes what is due, or loses the answer, or the write.
+func (m *model) record() {
+	batch := m.present.pool.Batch()
+	switch m.t.pick("write", 0, 3) {
+	case 0:
+		return
+	case 1:
+		m.keep(batch)
+	default:
+		m.keep(batch)
+		m.present.pool.Recorded(batch)
+	}
+}
+
+func (m *model) keep(b dispatch.Batch) {
+	for _, c := range b.Changes {
+		m.records[c.Job] = c.Record
+	}
+}
+
+// seal records silent workers, or loses the answer, or the write; only the present holder's writes take effect.
+func (m *model) seal(h *holder) {
+	seals, changed := h.pool.Seals(m.now)
+	if !changed || h != m.present {
+		return
+	}
+	switch m.t.pick("seal", 0, 3) {
+	case 0:
+		return
+	case 1:
+		m.seals = seals
+	default:
+		m.seals = seals
+		h.pool.Sealed(seals)
+	}
+}
+
+// holders returns the present holder and those that do not know yet that they lost the duty.
+func (m *model) holders() []*holder {
+	m.forgetLost()
+	return append([]*holder{m.present}, m.lost...)
+}
+
+func (m *model) drawHolder() *holder {
+	all := m.holders()
+	return all[m.t.pick("holder", 0, len(all)-1)]
+}
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -1,44 +1,21 @@
 package dispatch_test
 
 import (
+	"flag"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/workload"
 )
 
-// modelWorker is a worker as the platform has it, with its own clock and lease.
-type modelWorker struct {
-	id       string
-	born     int64
-	started  time.Time
-	fence    uint64
-	leaseEnd time.Duration
-	runs     map[workload.TaskID]int
-	ended    []modelEnd
-	number   int64
-	least    map[workload.TaskID]int
-	cut      bool
-	// unregistered workers live on though their registration is gone.
-	unregistered bool
-}
-
-type modelEnd struct {
-	workload.EndedRun
-	at     time.Time
-	lapsed bool
-}
+// modelWithout lets a run by hand go past faults that are known.
+var modelWithout = flag.String("model.without", "", "parts that the model leaves out: lost-holders-hear-jobs")
 
-// lateStart is a start without answer that may be carried out later.
-type lateStart struct {
-	order dispatch.Start
-	fence uint64
-	at    time.Time
-	// born is the life of the worker that the start was sent to.
-	born int64
-}
+// without reports whether a part of the model is left out.
+func without(part string) bool { return slices.Contains(strings.Split(*modelWithout, ","), part) }
 
 // source makes the choices of a model and takes its failures.
 type source interface {
@@ -49,22 +26,21 @@
 
 // model drives holders and workers as its source chooses and keeps the oracle's books.
 type model struct {
-	t     source
-	now   time.Time
-	fence uint64
-	pool  *dispatch.Pool
-	// old is the holder before, which does not know yet that it lost the duty; its writes have no effect.
-	old      *dispatch.Pool
-	oldFence uint64
-	oldUntil time.Time
-	// newest is the fence of the present holder.
-	newest  uint64
+	t   source
+	now time.Time
+	// revision is that of the store; fences are revisions.
+	revision uint64
+	// present is the holder of the duty, lost are holders before that do not know yet that they lost it; their writes have no effect.
+	present *holder
+	lost    []*holder
 	workers []*modelWorker
 	late    []lateStart
-	specs   map[string]workload.Job
-	records map[string]dispatch.Record
-	// seals is the store's record of silent workers.
-	seals dispatch.Seals
+	// The store's records: of jobs, in the order in which they were stored, of their progress, of silent workers, and the handover.
+	specs    map[string]workload.Job
+	stored   map[string]uint64
+	records  map[string]dispatch.Record
+	seals    dispatch.Seals
+	handover *storedHandover
 	// cancelled holds when a job's cancelling was told to the holder.
 	cancelled map[string]time.Time
 	noted     map[workload.TaskID]bool
@@ -84,74 +60,22 @@
 
 func newModel(t source, workers int) *model {
 	m := &model{
-		t: t, now: epoch, specs: map[string]workload.Job{}, records: map[string]dispatch.Record{}, cancelled: map[string]time.Time{},
-		noted: map[workload.TaskID]bool{}, lastStart: map[workload.TaskID]time.Time{}, failures: map[workload.TaskID]int{},
-		doneLost: map[workload.TaskID]bool{},
+		t: t, now: epoch, specs: map[string]workload.Job{}, stored: map[string]uint64{}, records: map[string]dispatch.Record{},
+		cancelled: map[string]time.Time{}, noted: map[workload.TaskID]bool{}, lastStart: map[workload.TaskID]time.Time{},
+		failures: map[workload.TaskID]int{}, doneLost: map[workload.TaskID]bool{},
 	}
-	for i := range workers {
-		m.workers = append(m.workers, &modelWorker{id: fmt.Sprintf("w%d", i), born: 1, started: epoch.Add(-time.Hour), runs: map[workload.TaskID]int{}, least: map[workload.TaskID]int{}})
+	for range workers {
+		m.join(epoch.Add(-time.Hour))
 	}
 	m.takeOver()
+	m.begin(m.present)
 	return m
 }
 
-func (m *model) clock(w *modelWorker) time.Duration {
-	return time.Duration(modelRate * float64(m.now.Sub(w.started)))
-}
-
-// takeOver begins a new holder from what the store has.
-func (m *model) takeOver() {
-	m.old, m.oldFence, m.oldUntil = m.pool, m.fence, m.now.Add(oldHolderGoesOn)
-	m.fence += 100
-	m.newest = m.fence
-	m.pool = &dispatch.Pool{Name: "cutting", Epoch: m.fence, AwaitList: true}
-	m.pool.Begin(m.now)
-	m.pool.SetQueues([]workload.Queue{queue})
-	if m.seals != nil {
-		m.pool.Inherit(m.seals)
-	}
-	ids := make([]string, 0, len(m.specs))
-	for id := range m.specs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		var record *dispatch.Record
-		if r, ok := m.records[id]; ok {
-			record = &r
-		}
-		m.pool.AddJob(m.specs[id], record, true, m.now)
-		if _, ok := m.cancelled[id]; ok {
-			m.pool.Cancel(id, m.now)
-		}
-	}
-	var living []string
-	for _, w := range m.workers {
-		living = append(living, w.id)
-		m.register(w)
-	}
-	m.pool.Expect(living)
-}
-
-func (m *model) register(w *modelWorker) {
-	if !w.unregistered {
-		m.pool.SetWorker(workload.Worker{ID: w.id, Pool: "cutting", Rack: "r", Room: workload.Room{CPU: modelCPU, MemoryMB: 1000}, Born: w.born}, m.now)
-	}
-}
-
 func (m *model) pass(d time.Duration) {
 	m.now = m.now.Add(d)
 	for _, w := range m.workers {
-		if m.clock(w) <= w.leaseEnd {
-			continue
-		}
-		for i := range w.ended {
-			w.ended[i].lapsed = true
-		}
-		for _, id := range sortedTasks(w.runs) {
-			m.end(w, id, workload.EndLapsed)
-			w.ended[len(w.ended)-1].lapsed = true
-		}
+		m.endLeases(w)
 	}
 	left := m.late[:0]
 	for _, l := range m.late {
@@ -160,233 +84,93 @@
 			continue
 		}
 		// A start that is carried out late ends with the life that it was sent to.
-		if l.born == m.worker(l.order.Worker.ID).born {
+		if w := m.worker(l.order.Worker.ID); l.born == w.born && !w.left {
 			m.carryOut(l.order, l.fence)
 		}
 	}
 	m.late = left
 }
 
-func sortedTasks(runs map[workload.TaskID]int) []workload.TaskID {
-	ids := make([]workload.TaskID, 0, len(runs))
-	for id := range runs {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b workload.TaskID) int {
-		return slices.Compare([]string{a.Job, fmt.Sprint(a.Step, a.Index)}, []string{b.Job, fmt.Sprint(b.Step, b.Index)})
-	})
-	return ids
-}
-
-func (m *model) worker(id string) *modelWorker {
-	for _, w := range m.workers {
-		if w.id == id {
-			return w
-		}
-	}
-	m.t.Fatalf("order for worker %s: got an unknown worker", id)
-	return nil
-}
-
-// carryOut is a start at the worker; it checks the oracle's rules.
-func (m *model) carryOut(s dispatch.Start, fence uint64) dispatch.Answer {
-	w := m.worker(s.Worker.ID)
-	if fence < w.fence || s.LeaseEnd < m.clock(w) || s.Run <= w.least[s.Task] {
-		return dispatch.Refused
-	}
-	w.fence = fence
-	w.leaseEnd = max(w.leaseEnd, s.LeaseEnd)
-	used := int64(0)
-	for id := range w.runs {
-		used += m.specs[id.Job].Steps[id.Step].Need.CPU
-	}
-	step := m.specs[s.Task.Job].Steps[s.Task.Step]
-	if used+step.Need.CPU > modelCPU {
-		return dispatch.RefusedRoom
-	}
-	for _, other := range m.workers {
-		if run, ok := other.runs[s.Task]; ok {
-			m.t.Fatalf("%v starts as run %d on %s: run %d is on %s", s.Task, s.Run, w.id, run, other.id)
-		}
-	}
-	if m.noted[s.Task] {
-		m.t.Fatalf("%v starts: its end was acknowledged", s.Task)
-	}
-	if m.failures[s.Task] >= queue.MaxAttempts {
-		m.t.Fatalf("%v starts: %d runs have failed, at most %d", s.Task, m.failures[s.Task], queue.MaxAttempts)
-	}
-	// The users' bound on cancelling is 3 s; a holder that is cut off and does not know of its loss is not bound by it.
-	if at, ok := m.cancelled[s.Task.Job]; ok && fence == m.newest && m.now.Sub(at) > 3*time.Second {
-		m.t.Fatalf("%v starts: its job was cancelled %v ago", s.Task, m.now.Sub(at))
-	}
-	same := 0
-	for id := range w.runs {
-		if id.Job == s.Task.Job && id.Step == s.Task.Step {
-			same++
-		}
-	}
-	if step.MaxPerWorker > 0 && same >= step.MaxPerWorker {
-		m.t.Fatalf("%v starts on %s: %d tasks of its step are there", s.Task, w.id, same)
+// act lets a holder go on: it reads what it does not know yet, hears some of the workers, records silent ones and plans.
+func (m *model) act(h *holder) {
+	if !h.loaded && !m.load(h) {
+		return
 	}
-	for _, before := range step.After {
-		for i := range m.specs[s.Task.Job].Steps[before].Tasks {
-			if !m.wasDone(workload.TaskID{Job: s.Task.Job, Step: before, Index: i}) {
-				m.t.Fatalf("%v starts: task %d of step %d is not done", s.Task, i, before)
-			}
+	m.list(h)
+	heard := m.t.pick("heard", 0, 1<<len(m.workers)-1)
+	for i, w := range m.workers {
+		if heard&(1<<i) != 0 {
+			m.report(h, w)
 		}
 	}
-	w.least[s.Task], w.runs[s.Task] = s.Run, s.Run
-	m.lastStart[s.Task] = m.now
-	return dispatch.Present
+	m.seal(h)
+	m.plan(h)
 }
 
-func (m *model) wasDone(id workload.TaskID) bool {
-	if m.noted[id] {
-		return true
+// lostAct lets the holders act that do not know yet that they lost the duty.
+func (m *model) lostAct() {
+	m.forgetLost()
+	for _, h := range m.lost {
+		m.act(h)
 	}
-	for _, w := range m.workers {
-		for _, e := range w.ended {
-			if e.Task == id && e.How == workload.EndDone {
-				return true
-			}
-		}
-	}
-	return m.doneLost[id]
-}
-
-func (m *model) end(w *modelWorker, id workload.TaskID, how workload.RunEnd) {
-	run := w.runs[id]
-	delete(w.runs, id)
-	w.number++
-	w.ended = append(w.ended, modelEnd{EndedRun: workload.EndedRun{Number: w.number, Task: id, Run: run, How: how}, at: m.now})
 }
 
-func (m *model) report(w *modelWorker) {
-	h := m.pool.NextHold(w.id, m.now)
-	if !h.Known || w.cut || m.fence < w.fence {
-		return
-	}
-	w.fence = m.fence
-	w.leaseEnd = max(w.leaseEnd, h.LeaseEnd)
-	if h.Worker.Born == w.born {
-		m.acknowledge(w, h.Acknowledged)
-	}
-	r := workload.Report{Born: w.born, Clock: m.clock(w)}
-	for _, e := range w.ended {
-		r.Ended = append(r.Ended, e.EndedRun)
-	}
-	for _, id := range sortedTasks(w.runs) {
-		r.Active = append(r.Active, workload.ActiveRun{Task: id, Run: w.runs[id], Percent: 50})
-	}
-	m.pool.Report(w.id, r, m.now)
-}
-
-func (m *model) acknowledge(w *modelWorker, until int64) {
-	left := w.ended[:0]
-	for _, e := range w.ended {
-		if e.Number > until {
-			left = append(left, e)
-			continue
-		}
-		if e.How == workload.EndFailed && !e.lapsed {
-			m.failures[e.Task]++
-		}
-		if e.How == workload.EndDone {
-			m.doneLost[e.Task] = true
-		}
-		if e.How == workload.EndDone && !e.lapsed {
-			if m.lastStart[e.Task].After(e.at) {
-				m.t.Fatalf("%v was started again after the run that was done, and its end is acknowledged", e.Task)
-			}
-			m.noted[e.Task] = true
-		}
+// tick lets reports and plans go on for some short steps.
+func (m *model) tick(n int) {
+	for range n {
+		m.pass(100 * time.Millisecond)
+		m.act(m.present)
+		m.lostAct()
 	}
-	w.ended = left
 }
 
-func (m *model) plan() {
-	for _, a := range m.pool.Plan(m.now) {
+func (m *model) plan(h *holder) {
+	for _, a := range h.pool.Plan(m.now) {
 		switch a := a.(type) {
 		case dispatch.Start:
-			m.start(a)
+			m.start(h, a)
 		case dispatch.Stop:
-			m.stop(a)
+			m.stop(h, a)
 		case dispatch.Pace, dispatch.Ask:
 		}
 	}
 }
 
 // stop has a worker take a stop, or loses the order or its answer.
-func (m *model) stop(a dispatch.Stop) {
+func (m *model) stop(h *holder, a dispatch.Stop) {
 	w := m.worker(a.Worker.ID)
 	fate := m.t.pick("stop", 0, 4)
-	if w.cut || m.fence < w.fence || fate == 0 {
+	if !w.takes(h.fence) || fate == 0 {
 		return
 	}
-	w.fence = m.fence
+	w.fence = h.fence
 	w.least[a.Task] = max(w.least[a.Task], a.Run)
 	if run, ok := w.runs[a.Task]; ok && run == a.Run {
 		m.end(w, a.Task, workload.EndStopped)
 	}
 	if fate != 1 {
-		m.pool.StopAnswered(a, m.clock(w))
+		h.pool.StopAnswered(a, m.clock(w))
 	}
 }
 
-func (m *model) start(s dispatch.Start) {
+func (m *model) start(h *holder, s dispatch.Start) {
 	w := m.worker(s.Worker.ID)
 	fate := m.t.pick("fate", 0, 9)
 	switch {
-	case w.cut || fate == 0:
-		m.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
+	case w.cut || w.left || fate == 0:
+		h.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
 	case fate == 1:
-		m.late = append(m.late, lateStart{s, m.fence, m.now.Add(time.Duration(m.t.pick("late", 500, 9000)) * time.Millisecond), w.born})
-		m.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
+		m.late = append(m.late, lateStart{s, h.fence, m.now.Add(time.Duration(m.t.pick("late", 500, 9000)) * time.Millisecond), w.born})
+		h.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
 	case fate == 2:
-		m.carryOut(s, m.fence)
-		m.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
-	default:
-		m.pool.StartAnswered(s, m.carryOut(s, m.fence), m.clock(w), m.now)
-	}
-}
-
-// record writes what is due, or loses the answer, or the write.
-func (m *model) record() {
-	batch := m.pool.Batch()
-	switch m.t.pick("write", 0, 3) {
-	case 0:
-		return
-	case 1:
-		m.keep(batch)
-	default:
-		m.keep(batch)
-		m.pool.Recorded(batch)
-	}
-}
-
-// seal records silent workers, or loses the answer, or the write; only the present holder's writes take effect.
-func (m *model) seal() {
-	seals, changed := m.pool.Seals(m.now)
-	if !changed || m.fence != m.newest {
-		return
-	}
-	switch m.t.pick("seal", 0, 3) {
-	case 0:
-		return
-	case 1:
-		m.seals = seals
+		m.carryOut(s, h.fence)
+		h.pool.StartAnswered(s, dispatch.Unknown, 0, m.now)
 	default:
-		m.seals = seals
-		m.pool.Sealed(seals)
-	}
-}
-
-func (m *model) keep(b dispatch.Batch) {
-	for _, c := range b.Changes {
-		m.records[c.Job] = c.Record
+		h.pool.StartAnswered(s, m.carryOut(s, h.fence), m.clock(w), m.now)
 	}
 }
 
+// addJob stores a job; holders hear of it by their watches, or are told.
 func (m *model) addJob() {
 	id := fmt.Sprintf("j%d", len(m.specs))
 	j := workload.Job{ID: id, Queue: queue.Name, Pool: "cutting", Terms: queue, Accepted: m.now}
@@ -400,69 +184,23 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
-	m.specs[id] = j
-	m.pool.AddJob(j, nil, false, m.now)
-}
-
-// restart begins a new life of a worker under its id, which knows nothing of before; the holder hears of it by a report or by its
-// registration.
-func (m *model) restart(w *modelWorker) {
-	for _, e := range w.ended {
-		if e.How == workload.EndDone {
-			m.doneLost[e.Task] = true
-		}
-	}
-	w.born++
-	w.started, w.fence, w.leaseEnd, w.number, w.ended = m.now, 0, 0, 0, nil
-	clear(w.runs)
-	clear(w.least)
+	m.store(j)
 }
 
-func (m *model) draw() *modelWorker {
-	return m.workers[m.t.pick("worker", 0, len(m.workers)-1)]
-}
-
-// tick lets reports and plans go on for some short steps.
-func (m *model) tick(n int) {
-	for range n {
-		m.pass(100 * time.Millisecond)
-		m.act()
-		m.oldActs()
-	}
-}
-
-// oldActs lets the holder before act, which does not know yet that it lost the duty.
-func (m *model) oldActs() {
-	if m.old == nil || m.now.After(m.oldUntil) {
-		return
-	}
-	pool, fence := m.pool, m.fence
-	m.pool, m.fence = m.old, m.oldFence
-	m.act()
-	m.pool, m.fence = pool, fence
-}
-
-// act lets the holder hear some of the workers and plan.
-func (m *model) act() {
-	heard := m.t.pick("heard", 0, 1<<len(m.workers)-1)
-	for i, w := range m.workers {
-		if heard&(1<<i) != 0 {
-			m.report(w)
-		}
-	}
-	m.seal()
-	m.plan()
+func (m *model) store(j workload.Job) {
+	m.revision++
+	m.specs[j.ID], m.stored[j.ID] = j, m.revision
+	m.present.pool.AddJob(j, nil, m.stored[j.ID] < m.present.fence, m.now)
 }
 
-func (m *model) endOne() {
-	w := m.draw()
-	ids := sortedTasks(w.runs)
-	if len(ids) == 0 {
+// cancel stores the wish of a job's caller and tells the holder.
+func (m *model) cancel() {
+	if len(m.specs) == 0 {
 		return
 	}
-	how := workload.EndDone
-	if m.t.pick("fails", 0, 1) == 1 {
-		how = workload.EndFailed
+	id := fmt.Sprintf("j%d", m.t.pick("job", 0, len(m.specs)-1))
+	if _, ok := m.cancelled[id]; !ok {
+		m.cancelled[id] = m.now
 	}
-	m.end(w, ids[m.t.pick("run", 0, len(ids)-1)], how)
+	m.present.pool.Cancel(id, m.now)
 }
--- /dev/null
+++ b/fleet/dispatch/model_worker_test.go
@@ -0,0 +1,257 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+// modelWorker is a worker as the platform has it, with its own clock and lease.
+type modelWorker struct {
+	id       string
+	born     int64
+	started  time.Time
+	fence    uint64
+	leaseEnd time.Duration
+	runs     map[workload.TaskID]int
+	ended    []modelEnd
+	number   int64
+	least    map[workload.TaskID]int
+	cut      bool
+	// unregistered workers live on though their registration is gone.
+	unregistered bool
+	// left workers have ended for good.
+	left bool
+}
+
+type modelEnd struct {
+	workload.EndedRun
+	at     time.Time
+	lapsed bool
+}
+
+// lateStart is a start without answer that may be carried out later.
+type lateStart struct {
+	order dispatch.Start
+	fence uint64
+	at    time.Time
+	// born is the life of the worker that the start was sent to.
+	born int64
+}
+
+// join begins a worker under an id that was not there before; holders hear of it by its registration.
+func (m *model) join(started time.Time) {
+	m.workers = append(m.workers, &modelWorker{
+		id: fmt.Sprintf("w%d", len(m.workers)), born: 1, started: started, runs: map[workload.TaskID]int{}, least: map[workload.TaskID]int{},
+	})
+}
+
+func (m *model) clock(w *modelWorker) time.Duration {
+	return time.Duration(modelRate * float64(m.now.Sub(w.started)))
+}
+
+// takes reports whether a worker does what an order of a fence says.
+func (w *modelWorker) takes(fence uint64) bool { return !w.cut && !w.left && fence >= w.fence }
+
+// register lets a holder hear a worker's registration.
+func (m *model) register(h *holder, w *modelWorker) {
+	if !w.unregistered {
+		h.pool.SetWorker(workload.Worker{ID: w.id, Pool: "cutting", Rack: "r", Room: workload.Room{CPU: modelCPU, MemoryMB: 1000}, Born: w.born}, m.now)
+	}
+}
+
+// endLeases ends what a worker runs once its lease has ended.
+func (m *model) endLeases(w *modelWorker) {
+	if m.clock(w) <= w.leaseEnd {
+		return
+	}
+	for i := range w.ended {
+		w.ended[i].lapsed = true
+	}
+	for _, id := range sortedTasks(w.runs) {
+		m.end(w, id, workload.EndLapsed)
+		w.ended[len(w.ended)-1].lapsed = true
+	}
+}
+
+func sortedTasks(runs map[workload.TaskID]int) []workload.TaskID {
+	ids := make([]workload.TaskID, 0, len(runs))
+	for id := range runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b workload.TaskID) int {
+		return slices.Compare([]string{a.Job, fmt.Sprint(a.Step, a.Index)}, []string{b.Job, fmt.Sprint(b.Step, b.Index)})
+	})
+	return ids
+}
+
+func (m *model) worker(id string) *modelWorker {
+	for _, w := range m.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	m.t.Fatalf("order for worker %s: got an unknown worker", id)
+	return nil
+}
+
+// carryOut is a start at the worker; it checks the oracle's rules.
+func (m *model) carryOut(s dispatch.Start, fence uint64) dispatch.Answer {
+	w := m.worker(s.Worker.ID)
+	if fence < w.fence || s.LeaseEnd < m.clock(w) || s.Run <= w.least[s.Task] {
+		return dispatch.Refused
+	}
+	w.fence = fence
+	w.leaseEnd = max(w.leaseEnd, s.LeaseEnd)
+	used := int64(0)
+	for id := range w.runs {
+		used += m.specs[id.Job].Steps[id.Step].Need.CPU
+	}
+	step := m.specs[s.Task.Job].Steps[s.Task.Step]
+	if used+step.Need.CPU > modelCPU {
+		return dispatch.RefusedRoom
+	}
+	for _, other := range m.workers {
+		if run, ok := other.runs[s.Task]; ok {
+			m.t.Fatalf("%v starts as run %d on %s: run %d is on %s", s.Task, s.Run, w.id, run, other.id)
+		}
+	}
+	if m.noted[s.Task] {
+		m.t.Fatalf("%v starts: its end was acknowledged", s.Task)
+	}
+	if m.failures[s.Task] >= queue.MaxAttempts {
+		m.t.Fatalf("%v starts: %d runs have failed, at most %d", s.Task, m.failures[s.Task], queue.MaxAttempts)
+	}
+	// The users' bound on cancelling is 3 s; a holder that is cut off and does not know of its loss is not bound by it.
+	if at, ok := m.cancelled[s.Task.Job]; ok && fence == m.present.fence && m.now.Sub(at) > 3*time.Second {
+		m.t.Fatalf("%v starts: its job was cancelled %v ago", s.Task, m.now.Sub(at))
+	}
+	same := 0
+	for id := range w.runs {
+		if id.Job == s.Task.Job && id.Step == s.Task.Step {
+			same++
+		}
+	}
+	if step.MaxPerWorker > 0 && same >= step.MaxPerWorker {
+		m.t.Fatalf("%v starts on %s: %d tasks of its step are there", s.Task, w.id, same)
+	}
+	for _, before := range step.After {
+		for i := range m.specs[s.Task.Job].Steps[before].Tasks {
+			if !m.wasDone(workload.TaskID{Job: s.Task.Job, Step: before, Index: i}) {
+				m.t.Fatalf("%v starts: task %d of step %d is not done", s.Task, i, before)
+			}
+		}
+	}
+	w.least[s.Task], w.runs[s.Task] = s.Run, s.Run
+	m.lastStart[s.Task] = m.now
+	return dispatch.Present
+}
+
+func (m *model) wasDone(id workload.TaskID) bool {
+	if m.noted[id] {
+		return true
+	}
+	for _, w := range m.workers {
+		for _, e := range w.ended {
+			if e.Task == id && e.How == workload.EndDone {
+				return true
+			}
+		}
+	}
+	return m.doneLost[id]
+}
+
+func (m *model) end(w *modelWorker, id workload.TaskID, how workload.RunEnd) {
+	run := w.runs[id]
+	delete(w.runs, id)
+	w.number++
+	w.ended = append(w.ended, modelEnd{EndedRun: workload.EndedRun{Number: w.number, Task: id, Run: run, How: how}, at: m.now})
+}
+
+// report is a hold that a worker answers with its lists.
+func (m *model) report(h *holder, w *modelWorker) {
+	hold := h.pool.NextHold(w.id, m.now)
+	if !hold.Known || !w.takes(h.fence) {
+		return
+	}
+	w.fence = h.fence
+	w.leaseEnd = max(w.leaseEnd, hold.LeaseEnd)
+	if hold.Worker.Born == w.born {
+		m.acknowledge(w, hold.Acknowledged)
+	}
+	r := workload.Report{Born: w.born, Clock: m.clock(w)}
+	for _, e := range w.ended {
+		r.Ended = append(r.Ended, e.EndedRun)
+	}
+	for _, id := range sortedTasks(w.runs) {
+		r.Active = append(r.Active, workload.ActiveRun{Task: id, Run: w.runs[id], Percent: 50})
+	}
+	h.pool.Report(w.id, r, m.now)
+}
+
+func (m *model) acknowledge(w *modelWorker, until int64) {
+	left := w.ended[:0]
+	for _, e := range w.ended {
+		if e.Number > until {
+			left = append(left, e)
+			continue
+		}
+		if e.How == workload.EndFailed && !e.lapsed {
+			m.failures[e.Task]++
+		}
+		if e.How == workload.EndDone {
+			m.doneLost[e.Task] = true
+		}
+		if e.How == workload.EndDone && !e.lapsed {
+			if m.lastStart[e.Task].After(e.at) {
+				m.t.Fatalf("%v was started again after the run that was done, and its end is acknowledged", e.Task)
+			}
+			m.noted[e.Task] = true
+		}
+	}
+	w.ended = left
+}
+
+// restart begins a new life of a worker under its id, which knows nothing of before; the holder hears of it by a report or by its
+// registration.
+func (m *model) restart(w *modelWorker) {
+	if w.left {
+		return
+	}
+	m.forget(w)
+	w.born++
+	w.started, w.fence, w.leaseEnd, w.number = m.now, 0, 0, 0
+	clear(w.least)
+}
+
+// forget ends all that a worker runs and lists.
+func (m *model) forget(w *modelWorker) {
+	for _, e := range w.ended {
+		if e.How == workload.EndDone {
+			m.doneLost[e.Task] = true
+		}
+	}
+	w.ended = nil
+	clear(w.runs)
+}
+
+func (m *model) draw() *modelWorker {
+	return m.workers[m.t.pick("worker", 0, len(m.workers)-1)]
+}
+
+// endOne ends a run as done or failed.
+func (m *model) endOne() {
+	w := m.draw()
+	ids := sortedTasks(w.runs)
+	if len(ids) == 0 {
+		return
+	}
+	how := workload.EndDone
+	if m.t.pick("fails", 0, 1) == 1 {
+		how = workload.EndFailed
+	}
+	m.end(w, ids[m.t.pick("run", 0, len(ids)-1)], how)
+}
