test(dispatch): the model knows no earlier handover before its first start

Modelled is the mended reading of the handover: read until it is answered, deleted under the condition of the duty, a record that was seen and is gone counts as taken, and all of it counts only while the duty is held, which the holder proves by reading the key of the duty last.

--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -20,6 +20,8 @@
 	until time.Time
 	// loaded is true once what the holders before left is known; no order is given and no worker is asked before.
 	loaded bool
+	// seen is the handover that was read and may be deleted.
+	seen *storedHandover
 	// listed is true once the list of machines was read.
 	listed bool
 }
@@ -48,25 +50,40 @@
 
 // load reads what the holders before left, as the node does; it reports whether the holder goes on.
 func (m *model) load(h *holder) bool {
-	m.readHandover(h)
+	if !m.readHandover(h) {
+		return false
+	}
 	m.begin(h)
 	return true
 }
 
-// readHandover takes over what the holder before has left, once it is deleted. A call that fails is not repeated.
-func (m *model) readHandover(h *holder) {
-	if m.t.pick("read", 0, 3) == 0 || m.handover == nil {
-		return
+// readHandover takes over what the holder before has left, once it is deleted, and reports whether the holder knows that no handover
+// of an earlier holder is in the store. What got no answer is read again later.
+func (m *model) readHandover(h *holder) bool {
+	if m.t.pick("read", 0, 3) == 0 {
+		return false
 	}
-	stored := m.handover
+	if h != m.present {
+		// The holder reads the duty's key after the handover: a successor may have taken the handover before that read.
+		return false
+	}
+	if m.handover == nil {
+		if h.seen != nil {
+			m.follow(h, h.seen)
+		}
+		return true
+	}
+	h.seen = m.handover
 	fate := m.t.pick("delete", 0, 3)
-	if h != m.present || fate == 0 {
-		return
+	if fate == 0 {
+		return false
 	}
 	m.handover = nil
-	if fate != 1 {
-		m.follow(h, stored)
+	if fate == 1 {
+		return false
 	}
+	m.follow(h, h.seen)
+	return true
 }
 
 func (m *model) follow(h *holder, stored *storedHandover) {
