--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -31,13 +31,17 @@
 			"end":     func(*rapid.T) { m.endOne() },
 			"cut":     func(*rapid.T) { w := m.draw(); w.cut = !w.cut },
 			"restart": func(*rapid.T) { m.restart(m.draw()) },
-			"seen":    func(*rapid.T) { m.register(m.present, m.draw()) },
+			"seen":    func(*rapid.T) { m.register(m.drawHolder(), m.draw()) },
+			"join": func(*rapid.T) {
+				if len(m.workers) < modelMost {
+					m.join(m.now)
+				}
+			},
+			"leave for good": func(*rapid.T) { m.leaveForGood(m.draw()) },
+			"lapse":          func(*rapid.T) { m.lapse() },
 			"registration": func(*rapid.T) {
 				w := m.draw()
-				w.unregistered = !w.unregistered
-				if w.unregistered {
-					m.present.pool.DropWorker(w.id, m.now)
-				}
+				w.unregistered, w.backAt = w.left || !w.unregistered, time.Time{}
 				m.register(m.present, w)
 			},
 			"cancel": func(*rapid.T) { m.cancel() },
--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -109,8 +109,8 @@
 			record = &r
 		}
 		h.pool.AddJob(m.specs[id], record, m.stored[id] < h.fence, m.now)
-		if _, ok := m.cancelled[id]; ok {
-			h.pool.Cancel(id, m.now)
+		if m.cancelled[id] {
+			m.hearCancel(h, id)
 		}
 	}
 	for _, w := range m.workers {
@@ -138,6 +138,27 @@
 	m.takeOver()
 }
 
+// watch lets a holder hear all registrations and jobs, or nothing yet.
+func (m *model) watch(h *holder) {
+	if m.t.pick("watch", 0, 2) == 0 {
+		return
+	}
+	for _, w := range m.workers {
+		m.register(h, w)
+	}
+	m.hearJobs(h)
+}
+
+// hearJobs lets a holder hear of the jobs and their cancelling that it was not told of.
+func (m *model) hearJobs(h *holder) {
+	for _, id := range slices.Sorted(maps.Keys(m.specs)) {
+		m.hearJob(h, id)
+		if m.cancelled[id] {
+			m.hearCancel(h, id)
+		}
+	}
+}
+
 // list has a holder read the list of machines: once for the workers that live, and as long as workers are not heard for those that
 // have ended.
 func (m *model) list(h *holder) {
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -12,7 +12,7 @@
 )
 
 // modelWithout lets a run by hand go past faults that are known.
-var modelWithout = flag.String("model.without", "", "parts that the model leaves out: lost-holders-hear-jobs")
+var modelWithout = flag.String("model.without", "", "parts that the model leaves out: lost-holders-hear-jobs, lost-holders-hear-joins")
 
 // without reports whether a part of the model is left out.
 func without(part string) bool { return slices.Contains(strings.Split(*modelWithout, ","), part) }
@@ -41,19 +41,22 @@
 	records  map[string]dispatch.Record
 	seals    dispatch.Seals
 	handover *storedHandover
-	// cancelled holds when a job's cancelling was told to the holder.
-	cancelled map[string]time.Time
-	noted     map[workload.TaskID]bool
-	lastStart map[workload.TaskID]time.Time
-	failures  map[workload.TaskID]int
+	// cancelled are the jobs whose callers have cancelled them, cancelHeard is when a holder of the duty first heard of it.
+	cancelled   map[string]bool
+	cancelHeard map[string]time.Time
+	noted       map[workload.TaskID]bool
+	lastStart   map[workload.TaskID]time.Time
+	failures    map[workload.TaskID]int
 	// doneLost are the tasks of which a run was done that is not listed any more.
 	doneLost map[workload.TaskID]bool
 }
 
 const (
 	modelWorkers = 3
-	modelCPU     = 4000
-	modelRate    = 0.985
+	// modelMost bounds the workers of one history.
+	modelMost = 5
+	modelCPU  = 4000
+	modelRate = 0.985
 	// oldHolderGoesOn is shorter than the bound that a new holder counts with.
 	oldHolderGoesOn = 2300 * time.Millisecond
 )
@@ -61,7 +64,7 @@
 func newModel(t source, workers int) *model {
 	m := &model{
 		t: t, now: epoch, specs: map[string]workload.Job{}, stored: map[string]uint64{}, records: map[string]dispatch.Record{},
-		cancelled: map[string]time.Time{}, noted: map[workload.TaskID]bool{}, lastStart: map[workload.TaskID]time.Time{},
+		cancelled: map[string]bool{}, cancelHeard: map[string]time.Time{}, noted: map[workload.TaskID]bool{}, lastStart: map[workload.TaskID]time.Time{},
 		failures: map[workload.TaskID]int{}, doneLost: map[workload.TaskID]bool{},
 	}
 	for range workers {
@@ -76,6 +79,9 @@
 	m.now = m.now.Add(d)
 	for _, w := range m.workers {
 		m.endLeases(w)
+		if !w.backAt.IsZero() && !m.now.Before(w.backAt) {
+			w.unregistered, w.backAt = w.left, time.Time{}
+		}
 	}
 	left := m.late[:0]
 	for _, l := range m.late {
@@ -96,6 +102,7 @@
 	if !h.loaded && !m.load(h) {
 		return
 	}
+	m.watch(h)
 	m.list(h)
 	heard := m.t.pick("heard", 0, 1<<len(m.workers)-1)
 	for i, w := range m.workers {
@@ -187,20 +194,45 @@
 	m.store(j)
 }
 
+// store accepts a job. Each holder is told of it, or hears of it later by its watch.
 func (m *model) store(j workload.Job) {
 	m.revision++
 	m.specs[j.ID], m.stored[j.ID] = j, m.revision
-	m.present.pool.AddJob(j, nil, m.stored[j.ID] < m.present.fence, m.now)
+	for _, h := range m.holders() {
+		if m.t.pick("told", 0, 2) != 0 {
+			m.hearJob(h, j.ID)
+		}
+	}
+}
+
+// hearJob lets a holder hear of a stored job.
+func (m *model) hearJob(h *holder, id string) {
+	if without("lost-holders-hear-jobs") && h != m.present && m.stored[id] > h.successor {
+		return
+	}
+	// What was stored before the duty was taken comes with the list of jobs and their records.
+	if h.loaded || m.stored[id] > h.fence {
+		h.pool.AddJob(m.specs[id], nil, m.stored[id] < h.fence, m.now)
+	}
 }
 
-// cancel stores the wish of a job's caller and tells the holder.
+// cancel stores the wish of a job's caller. Each holder is told of it, or hears of it later by its watch.
 func (m *model) cancel() {
 	if len(m.specs) == 0 {
 		return
 	}
 	id := fmt.Sprintf("j%d", m.t.pick("job", 0, len(m.specs)-1))
-	if _, ok := m.cancelled[id]; !ok {
-		m.cancelled[id] = m.now
+	m.cancelled[id] = true
+	for _, h := range m.holders() {
+		if m.t.pick("told", 0, 2) != 0 {
+			m.hearCancel(h, id)
+		}
+	}
+}
+
+func (m *model) hearCancel(h *holder, id string) {
+	known := h.pool.Cancel(id, m.now)
+	if _, before := m.cancelHeard[id]; known && !before && h == m.present {
+		m.cancelHeard[id] = m.now
 	}
-	m.present.pool.Cancel(id, m.now)
 }
--- a/fleet/dispatch/model_worker_test.go
+++ b/fleet/dispatch/model_worker_test.go
@@ -21,8 +21,11 @@
 	number   int64
 	least    map[workload.TaskID]int
 	cut      bool
-	// unregistered workers live on though their registration is gone.
+	// unregistered workers live on though their registration is gone; one that lapsed while the store was away is back at a time.
 	unregistered bool
+	backAt       time.Time
+	// joined is the store's revision at which the worker was first registered.
+	joined uint64
 	// left workers have ended for good.
 	left bool
 }
@@ -44,8 +47,9 @@
 
 // join begins a worker under an id that was not there before; holders hear of it by its registration.
 func (m *model) join(started time.Time) {
+	m.revision++
 	m.workers = append(m.workers, &modelWorker{
-		id: fmt.Sprintf("w%d", len(m.workers)), born: 1, started: started, runs: map[workload.TaskID]int{}, least: map[workload.TaskID]int{},
+		id: fmt.Sprintf("w%d", len(m.workers)), born: 1, started: started, joined: m.revision, runs: map[workload.TaskID]int{}, least: map[workload.TaskID]int{},
 	})
 }
 
@@ -56,13 +60,27 @@
 // takes reports whether a worker does what an order of a fence says.
 func (w *modelWorker) takes(fence uint64) bool { return !w.cut && !w.left && fence >= w.fence }
 
-// register lets a holder hear a worker's registration.
+// register lets a holder hear a worker's registration, or that it is gone.
 func (m *model) register(h *holder, w *modelWorker) {
-	if !w.unregistered {
+	switch {
+	case w.unregistered:
+		h.pool.DropWorker(w.id, m.now)
+	case without("lost-holders-hear-joins") && h != m.present && w.joined > h.successor:
+	default:
 		h.pool.SetWorker(workload.Worker{ID: w.id, Pool: "cutting", Rack: "r", Room: workload.Room{CPU: modelCPU, MemoryMB: 1000}, Born: w.born}, m.now)
 	}
 }
 
+// lapse ends registrations while their workers live on; the store had been away, so that they come back.
+func (m *model) lapse() {
+	which := m.t.pick("lapsed", 1, 1<<len(m.workers)-1)
+	for i, w := range m.workers {
+		if which&(1<<i) != 0 && !w.unregistered {
+			w.unregistered, w.backAt = true, m.now.Add(time.Duration(m.t.pick("back", 10, 2000))*time.Millisecond)
+		}
+	}
+}
+
 // endLeases ends what a worker runs once its lease has ended.
 func (m *model) endLeases(w *modelWorker) {
 	if m.clock(w) <= w.leaseEnd {
@@ -126,8 +144,8 @@
 		m.t.Fatalf("%v starts: %d runs have failed, at most %d", s.Task, m.failures[s.Task], queue.MaxAttempts)
 	}
 	// The users' bound on cancelling is 3 s; a holder that is cut off and does not know of its loss is not bound by it.
-	if at, ok := m.cancelled[s.Task.Job]; ok && fence == m.present.fence && m.now.Sub(at) > 3*time.Second {
-		m.t.Fatalf("%v starts: its job was cancelled %v ago", s.Task, m.now.Sub(at))
+	if at, ok := m.cancelHeard[s.Task.Job]; ok && fence == m.present.fence && m.now.Sub(at) > 3*time.Second {
+		m.t.Fatalf("%v starts: its holder was told %v ago that its job is cancelled", s.Task, m.now.Sub(at))
 	}
 	same := 0
 	for id := range w.runs {
@@ -227,6 +245,12 @@
 	clear(w.least)
 }
 
+// leaveForGood ends a worker; its registration goes later.
+func (m *model) leaveForGood(w *modelWorker) {
+	m.forget(w)
+	w.left = true
+}
+
 // forget ends all that a worker runs and lists.
 func (m *model) forget(w *modelWorker) {
 	for _, e := range w.ended {
