test(dispatch): exploration of joining and leaving workers, of new jobs and of several lost holders

Each state expanded all combinations of faults of an action at once, so that 3,000 states reached three actions. Histories are ordered by their actions and faults together now, and the exploration begins from four situations.

--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -18,23 +18,30 @@
 	exploredFaults = flag.Int("explore.faults", 3, "faults in one history of the exhaustive exploration")
 )
 
+// exploredWorkers are the workers at the beginning; one more may join.
+const exploredWorkers = 2
+
 // choices are the values that each choice of the model has in the exploration, what goes well first; others have their whole range.
 var choices = map[string][]int{
-	"stop":     {2, 0, 1},
-	"fate":     {3, 0, 1, 2},
-	"late":     {700, 3000},
-	"write":    {2, 0, 1},
-	"seal":     {2, 0, 1},
-	"heard":    {3, 1, 2},
+	"stop":  {2, 0, 1},
+	"fate":  {3, 0, 1, 2},
+	"late":  {700, 3000},
+	"write": {2, 0, 1},
+	"seal":  {2, 0, 1},
+	// Registrations are heard by an action of their own.
+	"watch":    {0},
+	"ms":       {800, 2400},
+	"back":     {1500},
 	"list":     {1, 0},
 	"read":     {1, 0},
+	"told":     {1, 0},
 	"delete":   {2, 0, 1},
 	"handover": {1, 0},
 	"recorded": {1, 0},
 }
 
 // faulty are the choices whose other values are faults.
-var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "read": true, "delete": true, "handover": true}
+var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "list": true, "told": true, "read": true, "delete": true, "handover": true}
 
 // script makes the choices of a model from a list, and the first of each further one.
 type script struct {
@@ -43,12 +50,25 @@
 	names []string
 	// options holds how many values each choice that was made had.
 	options []int
+	actions int
 	faults  int
+	// most is how many faults the script may have; one with more is not played to its end.
+	most int
 	// state and violation are what the script led to.
 	state     [sha256.Size]byte
 	violation string
 }
 
+// tooMany is the panic of a script that has more faults than it may.
+type tooMany struct{}
+
+// fault counts faults.
+func (s *script) fault(n int) {
+	if s.faults += n; s.faults > s.most {
+		panic(tooMany{})
+	}
+}
+
 // broken is the panic of a promise that was seen broken.
 type broken string
 
@@ -56,7 +76,14 @@
 
 func (s *script) pick(name string, low, high int) int {
 	values := choices[name]
-	if values == nil {
+	switch {
+	case name == "heard" || name == "lapsed":
+		// All workers, or one of them.
+		values = append(values, high)
+		for v := 1; v < high; v *= 2 {
+			values = append(values, v)
+		}
+	case values == nil:
 		for v := low; v <= high; v++ {
 			values = append(values, v)
 		}
@@ -68,7 +95,7 @@
 		s.list = append(s.list, 0)
 	}
 	if s.list[at] > 0 && faulty[name] {
-		s.faults++
+		s.fault(1)
 	}
 	return values[s.list[at]]
 }
@@ -97,15 +124,30 @@
 	{"lost holders act", 0, (*model).lostAct},
 	{"records are written", 0, (*model).record},
 	{"a run ends", 0, (*model).endOne},
-	{"a registration is heard", 0, func(m *model) { m.register(m.present, m.draw()) }},
-	{"time passes", 0, func(m *model) { m.pass(1200 * time.Millisecond) }},
+	{"a registration is heard", 0, func(m *model) { m.register(m.drawHolder(), m.draw()) }},
+	{"jobs are heard", 0, func(m *model) { m.hearJobs(m.drawHolder()) }},
+	{"a job is accepted", 0, func(m *model) {
+		if len(m.specs) == 1 {
+			m.store(workload.Job{ID: "k", Queue: queue.Name, Pool: "cutting", Terms: queue, Accepted: m.now, Steps: []workload.Step{
+				{Tasks: 1, Need: workload.Room{CPU: 2000}, Estimate: time.Second},
+			}})
+		}
+	}},
+	{"time passes", 0, func(m *model) { m.pass(time.Duration(m.t.pick("ms", 800, 2400)) * time.Millisecond) }},
 	{"another holder takes over", 1, (*model).takeOver},
 	{"the holder leaves", 0, (*model).leave},
 	{"a worker is cut off", 1, func(m *model) { w := m.draw(); w.cut = !w.cut }},
 	{"a worker starts again", 1, func(m *model) { m.restart(m.draw()) }},
+	{"a worker joins", 1, func(m *model) {
+		if len(m.workers) == exploredWorkers {
+			m.join(m.now)
+		}
+	}},
+	{"a worker leaves for good", 1, func(m *model) { m.leaveForGood(m.draw()) }},
+	{"registrations lapse", 1, (*model).lapse},
 }
 
-// exploredRoots are the situations from which the exploration begins. The job's tasks are not started in any of them.
+// exploredRoots are the situations from which the exploration begins.
 var exploredRoots = []struct {
 	name  string
 	begin func(*model)
@@ -121,6 +163,12 @@
 		m.store(exploredJob(m))
 		m.takeOver()
 	}},
+	{"worker that joined after a loss", func(m *model) {
+		m.store(exploredJob(m))
+		m.takeOver()
+		m.act(m.present)
+		m.join(m.now)
+	}},
 }
 
 func exploredJob(m *model) workload.Job {
@@ -133,33 +181,37 @@
 // play runs a script from a root on, sets the fingerprint of the state that it leads to, and the promise that was broken, if any.
 func (s *script) play(root func(*model)) {
 	defer func() {
-		if r := recover(); r != nil {
-			b, ok := r.(broken)
-			if !ok {
-				panic(r)
-			}
-			s.violation = string(b)
+		switch r := recover().(type) {
+		case nil, tooMany:
+		case broken:
+			s.violation = string(r)
+		default:
+			panic(r)
 		}
 	}()
-	m := newModel(&script{}, 2)
+	m := newModel(&script{}, exploredWorkers)
 	root(m)
 	m.t = s
 	for planned := len(s.list); len(s.options) < planned; {
 		a := exploredActions[s.pick("action", 0, len(exploredActions)-1)]
-		s.faults += a.faults
+		s.actions++
+		s.fault(a.faults)
 		a.do(m)
 	}
+	if s.faults < s.most {
+		return
+	}
 	s.state = sha256.Sum256([]byte(m.fingerprint()))
 }
 
 // fingerprint describes the state of holders, workers and store, with times relative to now.
 func (m *model) fingerprint() string {
-	out := fmt.Sprintln(m.records, m.seals, m.handover, len(m.cancelled), m.noted, m.failures, m.doneLost)
+	out := fmt.Sprintln(m.records, m.seals, m.handover, m.cancelled, m.noted, m.failures, m.doneLost)
 	for _, h := range m.holders() {
 		out += fmt.Sprintln(h.fence, h.loaded, h.seen, h.listed, h.until.Sub(m.now), h.pool.Fingerprint(m.now))
 	}
 	for _, w := range m.workers {
-		out += fmt.Sprintln(w.id, w.born, w.fence, max(w.leaseEnd-m.clock(w), 0), w.runs, w.number, w.least, w.cut, w.unregistered, w.left)
+		out += fmt.Sprintln(w.id, w.born, w.fence, max(w.leaseEnd-m.clock(w), 0), w.runs, w.number, w.least, w.cut, w.unregistered, age(m.now, w.backAt), w.left)
 		for _, e := range w.ended {
 			out += fmt.Sprintln(e.EndedRun, e.lapsed, m.now.Sub(e.at))
 		}
@@ -170,15 +222,25 @@
 	return out
 }
 
-// successors returns the scripts of everything that can happen after a script, played.
-func successors(root func(*model), list []int) []*script {
+// age is how far a time lies back; no time is far back.
+func age(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return time.Hour
+	}
+	return now.Sub(t)
+}
+
+// successors returns the scripts of all that can happen after a script with so many faults, played.
+func successors(root func(*model), list []int, faults int) []*script {
 	var out []*script
 	for a := range exploredActions {
 		next := append(slices.Clone(list), a)
 		for next != nil {
-			s := &script{list: next}
+			s := &script{list: next, most: faults}
 			s.play(root)
-			out = append(out, s)
+			if s.faults == faults {
+				out = append(out, s)
+			}
 			next = advanceScript(s, len(list)+1)
 		}
 	}
@@ -196,34 +258,56 @@
 }
 
 // Guards against an unsafe order of events that random runs miss: several holders, two workers and three tasks, with all lost, late and
-// repeated calls, are explored breadth first with the product's decisions.
+// repeated calls, are explored with the product's decisions; histories with few actions and faults come first.
 func TestAllOrdersOfEventsKeepThePromises(t *testing.T) {
 	for _, root := range exploredRoots {
 		t.Run(root.name, func(t *testing.T) { explore(t, root.begin) })
 	}
 }
 
+// opened is a script to go on from with a number of further faults in the next action.
+type opened struct {
+	list            []int
+	faults, further int
+}
+
 func explore(t *testing.T, root func(*model)) {
 	seen := map[[sha256.Size]byte]bool{}
-	queue := [][]int{nil}
-	expanded, depth := 0, 0
-	for len(queue) > 0 && expanded < *exploredStates/len(exploredRoots) {
-		list := queue[0]
-		queue = queue[1:]
+	// open holds the scripts to go on from, by the actions and faults that they and their next action have.
+	open := [][]opened{{{}}}
+	put := func(cost int, o opened) {
+		for len(open) <= cost {
+			open = append(open, nil)
+		}
+		open[cost] = append(open[cost], o)
+	}
+	expanded, deepest := 0, 0
+	for cost := 0; cost < len(open) && expanded < *exploredStates/len(exploredRoots); {
+		if len(open[cost]) == 0 {
+			cost++
+			continue
+		}
+		from := open[cost][0]
+		open[cost] = open[cost][1:]
 		expanded++
-		for _, s := range successors(root, list) {
-			if s.faults > *exploredFaults {
-				continue
-			}
+		faults := from.faults + from.further
+		for _, s := range successors(root, from.list, faults) {
 			if s.violation != "" {
-				t.Fatalf("%d states expanded, after %v: %s", expanded, s.tell(), s.violation)
+				t.Fatalf("%d states expanded, %d seen, after %v: %s", expanded, len(seen), s.tell(), s.violation)
 			}
 			if !seen[s.state] {
 				seen[s.state] = true
-				queue = append(queue, s.list)
-				depth = max(depth, len(s.list))
+				put(cost+1, opened{list: s.list, faults: faults})
+				deepest = max(deepest, s.actions)
 			}
 		}
+		if faults < *exploredFaults {
+			put(cost+1, opened{from.list, from.faults, from.further + 1})
+		}
+	}
+	left := 0
+	for _, list := range open {
+		left += len(list)
 	}
-	t.Logf("%d states expanded, %d seen, scripts of up to %d choices, %d left", expanded, len(seen), depth, len(queue))
+	t.Logf("%d states expanded, %d seen, up to %d actions, %d left", expanded, len(seen), deepest, left)
 }
