--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -41,6 +41,7 @@
 	h.pool.Begin(m.now)
 	h.pool.SetQueues([]workload.Queue{queue})
 	m.present = h
+	m.t.Logf("%v: holder %d takes over", m.now.Sub(epoch), h.fence)
 }
 
 // forgetLost drops the holders that know by now that they lost the duty.
@@ -92,11 +93,13 @@
 		m.t.Fatalf("handover: got %v, want it to be read", err)
 	}
 	h.pool.Follow(told, m.now)
+	m.t.Logf("%v: holder %d follows %s", m.now.Sub(epoch), h.fence, stored.value)
 }
 
 // begin gives a holder the records, the jobs and the registrations that the store has.
 func (m *model) begin(h *holder) {
 	h.loaded = true
+	m.t.Logf("%v: holder %d begins, present %v", m.now.Sub(epoch), h.fence, h == m.present)
 	if m.seals != nil {
 		h.pool.Inherit(m.seals)
 	}
@@ -113,8 +116,11 @@
 			m.hearCancel(h, id)
 		}
 	}
-	for _, w := range m.workers {
-		m.register(h, w)
+	// The list of registrations may have been read by then, or comes later.
+	if m.t.pick("listing", 0, 3) != 0 {
+		for _, w := range m.workers {
+			m.register(h, w)
+		}
 	}
 }
 
@@ -133,6 +139,7 @@
 			m.t.Fatalf("handover: got %v, want it to be encoded", err)
 		}
 		m.handover = &storedHandover{value}
+		m.t.Logf("%v: holder %d leaves %s", m.now.Sub(epoch), h.fence, value)
 	}
 	m.present = nil
 	m.takeOver()
@@ -175,9 +182,11 @@
 			}
 		}
 		h.pool.Expect(living)
+		m.t.Logf("%v: holder %d expects %v", m.now.Sub(epoch), h.fence, living)
 	}
 	for _, w := range unheard {
 		if m.worker(w.ID).left {
+			m.t.Logf("%v: holder %d knows that %s ended", m.now.Sub(epoch), h.fence, w.ID)
 			h.pool.Terminated(w.ID, "its machine does not run it any more")
 		}
 	}
@@ -218,6 +227,7 @@
 	case 1:
 		m.seals = seals
 	default:
+		m.t.Logf("%v: holder %d records %v", m.now.Sub(epoch), h.fence, seals)
 		m.seals = seals
 		h.pool.Sealed(seals)
 	}
