test(dispatch): the model has reports that list some ends only, and leases that orders for an earlier life prolong

A worker lists two ends at a time in the model and cuts leases to 6 s, as workers do; both were unbounded.

--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -61,7 +61,7 @@
 		},
 		"cancel": func(*rapid.T) { m.cancel() },
 		// Most histories that break a promise need holders that act between all else.
-		"":       func(*rapid.T) { m.tick(m.t.pick("ticks", 0, 2)) },
+		"": func(*rapid.T) { m.tick(m.t.pick("ticks", 0, 2)) },
 	}
 }
 
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -61,6 +61,9 @@
 	modelMost = 5
 	modelCPU  = 4000
 	modelRate = 0.985
+	// modelMaxLease is the longest lease that a worker grants, modelEnds how many ends it lists at a time.
+	modelMaxLease = 6 * time.Second
+	modelEnds     = 2
 	// oldHolderGoesOn is shorter than the bound that a new holder counts with.
 	oldHolderGoesOn = 2300 * time.Millisecond
 )
--- a/fleet/dispatch/model_worker_test.go
+++ b/fleet/dispatch/model_worker_test.go
@@ -60,6 +60,11 @@
 // takes reports whether a worker does what an order of a fence says.
 func (w *modelWorker) takes(fence uint64) bool { return !w.cut && !w.left && fence >= w.fence }
 
+// grant prolongs the lease of all that a worker runs; a time of an earlier life's clock may be far ahead of its own.
+func (m *model) grant(w *modelWorker, until time.Duration) {
+	w.leaseEnd = max(w.leaseEnd, min(until, m.clock(w)+modelMaxLease))
+}
+
 // register lets a holder hear a worker's registration, or that it is gone.
 func (m *model) register(h *holder, w *modelWorker) {
 	switch {
@@ -142,7 +147,7 @@
 		return dispatch.Refused
 	}
 	w.fence = fence
-	w.leaseEnd = max(w.leaseEnd, s.LeaseEnd)
+	m.grant(w, s.LeaseEnd)
 	used := int64(0)
 	for id := range w.runs {
 		used += m.specs[id.Job].Steps[id.Step].Need.CPU
@@ -216,14 +221,15 @@
 		return
 	}
 	w.fence = h.fence
-	w.leaseEnd = max(w.leaseEnd, hold.LeaseEnd)
+	m.grant(w, hold.LeaseEnd)
 	if hold.Worker.Born == w.born {
 		m.acknowledge(w, hold.Acknowledged)
 	}
 	r := workload.Report{Born: w.born, Clock: m.clock(w)}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), modelEnds)] {
 		r.Ended = append(r.Ended, e.EndedRun)
 	}
+	r.Partial = len(w.ended) > modelEnds
 	percent := 50
 	if m.calm {
 		percent = int(m.now.Sub(epoch)/calmStep) % 100
