--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -183,7 +183,7 @@
 	for _, w := range unheard {
 		if m.worker(w.ID).left {
 			m.t.Logf("%v: holder %d knows that %s ended", m.now.Sub(epoch), h.fence, w.ID)
-			h.pool.LifeEnded(w, "its machine does not run it any more")
+			h.pool.LifeEnded(w.Worker, "its machine does not run it any more")
 		}
 	}
 }
