--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -222,7 +222,7 @@
 func (m *model) fingerprint() string {
 	out := fmt.Sprintln(m.records, m.seals, m.handover, m.cancelled, m.noted, m.failures, m.doneLost)
 	for _, h := range m.holders() {
-		out += fmt.Sprintln(h.fence, h.loaded, h.seen, h.listed, h.until.Sub(m.now), h.pool.Fingerprint(m.now))
+		out += fmt.Sprintln(h.fence, h.loaded, h.registered, h.seen, h.listed, h.until.Sub(m.now), h.pool.Fingerprint(m.now))
 	}
 	for _, w := range m.workers {
 		out += fmt.Sprintln(w.id, w.born, w.fence, max(w.leaseEnd-m.clock(w), 0), w.runs, w.number, w.least, w.cut, w.unregistered, age(m.now, w.backAt), w.left)
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -46,7 +46,7 @@
 		"end":     func(*rapid.T) { m.endOne() },
 		"cut":     func(*rapid.T) { w := m.draw(); w.cut = !w.cut },
 		"restart": func(*rapid.T) { m.restart(m.draw()) },
-		"seen":    func(*rapid.T) { m.register(m.drawHolder(), m.draw()) },
+		"seen":    func(*rapid.T) { m.see(m.drawHolder(), m.draw()) },
 		"join": func(*rapid.T) {
 			if len(m.workers) < modelMost {
 				m.join(m.now)
@@ -57,7 +57,7 @@
 		"registration": func(*rapid.T) {
 			w := m.draw()
 			m.setRegistered(w, w.unregistered && !w.left)
-			m.register(m.present, w)
+			m.see(m.present, w)
 		},
 		"cancel": func(*rapid.T) { m.cancel() },
 		// Most histories that break a promise need holders that act between all else.
--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -20,6 +20,8 @@
 	until time.Time
 	// loaded is true once what the holders before left is known; no order is given and no worker is asked before.
 	loaded bool
+	// registered is true once the first list of registrations was taken over.
+	registered bool
 	// seen is the handover that was read and may be deleted.
 	seen *storedHandover
 	// listed is true once the list of machines was read.
@@ -49,6 +51,9 @@
 	m.lost = slices.DeleteFunc(m.lost, func(h *holder) bool { return m.now.After(h.until) })
 }
 
+// learnLoss ends a holder that reads that it lost the duty.
+func (m *model) learnLoss(h *holder) { h.until = m.now.Add(-1) }
+
 // load reads what the holders before left, as the node does; it reports whether the holder goes on.
 func (m *model) load(h *holder) bool {
 	if !m.readHandover(h) {
@@ -70,6 +75,7 @@
 	}
 	if h != m.present {
 		// The holder reads the duty's key after the handover: a successor may have taken the handover before that read.
+		m.learnLoss(h)
 		return false
 	}
 	if m.handover == nil {
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -111,6 +111,9 @@
 		return
 	}
 	m.watch(h)
+	if h != m.present && m.now.After(h.until) {
+		return
+	}
 	m.list(h)
 	heard := m.t.pick("heard", 0, 1<<len(m.workers)-1)
 	for i, w := range m.workers {
--- a/fleet/dispatch/model_worker_test.go
+++ b/fleet/dispatch/model_worker_test.go
@@ -24,8 +24,8 @@
 	// unregistered workers live on though their registration is gone; one that lapsed while the store was away is back at a time.
 	unregistered bool
 	backAt       time.Time
-	// joined is the store's revision at which the worker was first registered, registered the one at which its registration was created.
-	joined, registered uint64
+	// joined is the store's revision at which the worker was first registered.
+	joined uint64
 	// left workers have ended for good.
 	left bool
 }
@@ -49,7 +49,7 @@
 func (m *model) join(started time.Time) {
 	m.revision++
 	m.workers = append(m.workers, &modelWorker{
-		id: fmt.Sprintf("w%d", len(m.workers)), born: 1, started: started, joined: m.revision, registered: m.revision, runs: map[workload.TaskID]int{}, least: map[workload.TaskID]int{},
+		id: fmt.Sprintf("w%d", len(m.workers)), born: 1, started: started, joined: m.revision, runs: map[workload.TaskID]int{}, least: map[workload.TaskID]int{},
 	})
 }
 
@@ -73,9 +73,9 @@
 		h.pool.DropWorker(w.id, m.now)
 	case without("lost-holders-hear-joins") && h != m.present && w.joined > h.successor:
 	default:
-		m.t.Logf("%v: holder %d hears the registration %d of %s, life %d", m.now.Sub(epoch), h.fence, w.registered, w.id, w.born)
+		m.t.Logf("%v: holder %d hears the registration of %s, life %d", m.now.Sub(epoch), h.fence, w.id, w.born)
 		h.pool.SetWorker(workload.Worker{
-			ID: w.id, Pool: "cutting", Rack: "r", Room: workload.Room{CPU: modelCPU, MemoryMB: 1000}, Born: w.born, Registered: w.registered,
+			ID: w.id, Pool: "cutting", Rack: "r", Room: workload.Room{CPU: modelCPU, MemoryMB: 1000}, Born: w.born,
 		}, m.now)
 	}
 }
@@ -90,18 +90,31 @@
 	}
 }
 
+// see lets a holder that has the first list of registrations hear a change of one of them.
+func (m *model) see(h *holder, w *modelWorker) {
+	if h.registered {
+		m.register(h, w)
+	}
+}
+
+// registerAll lets a holder hear all registrations. The first list counts only once the duty is proven by a read that was sent after the list
+// had arrived.
 func (m *model) registerAll(h *holder) {
+	if !h.registered && h != m.present {
+		m.learnLoss(h)
+		return
+	}
 	for _, w := range m.workers {
 		m.register(h, w)
 	}
+	if !h.registered {
+		h.registered = true
+		h.pool.Listed()
+	}
 }
 
 // setRegistered ends or creates a worker's registration.
 func (m *model) setRegistered(w *modelWorker, there bool) {
-	if there && w.unregistered {
-		m.revision++
-		w.registered = m.revision
-	}
 	w.unregistered, w.backAt = !there, time.Time{}
 }
 
