test(dispatch): answers of holds are lost in the model, workers come back under their id, and jobs are heard late

Each hold that a worker carried out was answered, workers that had left never came back, and a watch could be late for any time; it is late by 2.9 s at most now. The exploration begins with a holder that has waited for what others may have started, as half of the random histories do.

--- a/fleet/dispatch/calm_test.go
+++ b/fleet/dispatch/calm_test.go
@@ -79,7 +79,7 @@
 func TestEachWorkerGetsWorkOnceFaultsEnd(t *testing.T) {
 	checksAtLeast(t, "1000")
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(rapidSource{t}, modelWorkers)
+		m := randomModel(t)
 		t.Repeat(m.actions())
 		m.settle()
 		m.checkWork()
--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -35,6 +35,7 @@
 	"list":     {1, 0},
 	"read":     {1, 0},
 	"told":     {1, 0},
+	"hold":     {1, 0},
 	"listing":  {1, 0},
 	"delete":   {2, 0, 1},
 	"handover": {1, 0},
@@ -42,7 +43,7 @@
 }
 
 // faulty are the choices whose other values are faults.
-var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "list": true, "told": true, "listing": true, "read": true, "delete": true, "handover": true}
+var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "list": true, "told": true, "hold": true, "listing": true, "read": true, "delete": true, "handover": true}
 
 // script makes the choices of a model from a list, and the first of each further one.
 type script struct {
@@ -129,7 +130,7 @@
 	{"records are written", 0, (*model).record},
 	{"a run ends", 0, (*model).endOne},
 	{"registrations are heard", 0, func(m *model) { m.registerAll(m.drawHolder()) }},
-	{"jobs are heard", 0, func(m *model) { m.hearJobs(m.drawHolder()) }},
+	{"jobs are heard", 0, func(m *model) { m.hearJobs(m.drawHolder(), m.now) }},
 	{"a job is accepted", 0, func(m *model) {
 		if len(m.specs) == 1 {
 			m.store(workload.Job{ID: "k", Queue: queue.Name, Pool: "cutting", Terms: queue, Accepted: m.now, Steps: []workload.Step{
@@ -147,7 +148,7 @@
 			m.join(m.now)
 		}
 	}},
-	{"a worker leaves for good", 1, func(m *model) { m.leaveForGood(m.draw()) }},
+	{"a worker leaves", 1, func(m *model) { m.depart(m.draw()) }},
 	{"registrations lapse", 1, (*model).lapse},
 }
 
@@ -204,6 +205,7 @@
 		}
 	}()
 	m := newModel(&script{}, exploredWorkers)
+	m.pass(modelSettled)
 	root(m)
 	m.t = s
 	for planned := len(s.list); len(s.options) < planned; {
--- a/fleet/dispatch/fuzz_test.go
+++ b/fleet/dispatch/fuzz_test.go
@@ -52,8 +52,8 @@
 				m.join(m.now)
 			}
 		},
-		"leave for good": func(*rapid.T) { m.leaveForGood(m.draw()) },
-		"lapse":          func(*rapid.T) { m.lapse() },
+		"depart": func(*rapid.T) { m.depart(m.draw()) },
+		"lapse":  func(*rapid.T) { m.lapse() },
 		"registration": func(*rapid.T) {
 			w := m.draw()
 			m.setRegistered(w, w.unregistered && !w.left)
@@ -65,11 +65,18 @@
 	}
 }
 
+// randomModel begins with a holder that has waited for what holders before may have started, or has just begun.
+func randomModel(t *rapid.T) *model {
+	m := newModel(rapidSource{t}, modelWorkers)
+	m.pass(time.Duration(m.t.pick("settled", 0, 1)) * modelSettled)
+	return m
+}
+
 // Guards the promises of a pool's decisions under lost and late starts, silent and restarted workers, lost writes and changes
 // of the holder: one run of a task at a time, none after its end is acknowledged, room, order, spread, attempts, cancelling.
 func TestDecisionsKeepThePromises(t *testing.T) {
 	checksAtLeast(t, "10000")
 	rapid.Check(t, func(t *rapid.T) {
-		t.Repeat(newModel(rapidSource{t}, modelWorkers).actions())
+		t.Repeat(randomModel(t).actions())
 	})
 }
--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -155,12 +155,15 @@
 		return
 	}
 	m.registerAll(h)
-	m.hearJobs(h)
+	m.hearJobs(h, m.now)
 }
 
-// hearJobs lets a holder hear of the jobs and their cancelling that it was not told of.
-func (m *model) hearJobs(h *holder) {
+// hearJobs lets a holder hear of the jobs accepted until a time that it was not told of, and of their cancelling.
+func (m *model) hearJobs(h *holder, until time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(m.specs)) {
+		if m.specs[id].Accepted.After(until) {
+			continue
+		}
 		m.hearJob(h, id)
 		if m.cancelled[id] {
 			m.hearCancel(h, id)
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -64,6 +64,10 @@
 	// modelMaxLease is the longest lease that a worker grants, modelEnds how many ends it lists at a time.
 	modelMaxLease = 6 * time.Second
 	modelEnds     = 2
+	// modelSettled is longer than anything that a lost holder started may be present.
+	modelSettled = 10 * time.Second
+	// modelWatch is how late a watch brings a job.
+	modelWatch = 2900 * time.Millisecond
 	// oldHolderGoesOn is shorter than the bound that a new holder counts with.
 	oldHolderGoesOn = 2300 * time.Millisecond
 )
@@ -114,6 +118,7 @@
 	if h != m.present && m.now.After(h.until) {
 		return
 	}
+	m.hearJobs(h, m.now.Add(-modelWatch))
 	m.list(h)
 	heard := m.t.pick("heard", 0, 1<<len(m.workers)-1)
 	for i, w := range m.workers {
--- a/fleet/dispatch/model_worker_test.go
+++ b/fleet/dispatch/model_worker_test.go
@@ -26,7 +26,7 @@
 	backAt       time.Time
 	// joined is the store's revision at which the worker was first registered.
 	joined uint64
-	// left workers have ended for good.
+	// left workers have ended; they may come back under their id later.
 	left bool
 }
 
@@ -227,7 +227,7 @@
 	w.ended = append(w.ended, modelEnd{EndedRun: workload.EndedRun{Number: w.number, Task: id, Run: run, How: how}, at: m.now})
 }
 
-// report is a hold that a worker answers with its lists.
+// report is a hold that a worker answers with its lists; the answer may be lost.
 func (m *model) report(h *holder, w *modelWorker) {
 	hold := h.pool.NextHold(w.id, m.now)
 	if !hold.Known || !w.takes(h.fence) {
@@ -250,6 +250,9 @@
 	for _, id := range sortedTasks(w.runs) {
 		r.Active = append(r.Active, workload.ActiveRun{Task: id, Run: w.runs[id], Percent: percent})
 	}
+	if m.t.pick("hold", 0, 7) == 0 {
+		return
+	}
 	m.t.Logf("%v: holder %d hears %s, life %d: %v", m.now.Sub(epoch), h.fence, w.id, w.born, r.Active)
 	h.pool.Report(w.id, r, m.now)
 }
@@ -280,21 +283,22 @@
 // restart begins a new life of a worker under its id, which knows nothing of before; the holder hears of it by a report or by its
 // registration.
 func (m *model) restart(w *modelWorker) {
-	if w.left {
-		return
-	}
 	m.forget(w)
 	w.born++
+	if w.left {
+		w.left = false
+		m.setRegistered(w, true)
+	}
 	m.t.Logf("%v: %s starts again as life %d", m.now.Sub(epoch), w.id, w.born)
 	w.started, w.fence, w.leaseEnd, w.number = m.now, 0, 0, 0
 	clear(w.least)
 }
 
-// leaveForGood ends a worker; its registration goes later.
-func (m *model) leaveForGood(w *modelWorker) {
+// depart ends a worker; its registration goes later.
+func (m *model) depart(w *modelWorker) {
 	m.forget(w)
 	w.left = true
-	m.t.Logf("%v: %s leaves for good", m.now.Sub(epoch), w.id)
+	m.t.Logf("%v: %s has left", m.now.Sub(epoch), w.id)
 }
 
 // forget ends all that a worker runs and lists.
