test(dispatch): a start of the holder that has heard a worker must fit there

The model took a start that does not fit as refused, which hid starts beyond the room of workers that do not guard it.

--- a/fleet/dispatch/model_worker_test.go
+++ b/fleet/dispatch/model_worker_test.go
@@ -159,6 +159,7 @@
 	if fence < w.fence || s.LeaseEnd < m.clock(w) || s.Run <= w.least[s.Task] {
 		return dispatch.Refused
 	}
+	heard := w.fence == fence && fence == m.present.fence && s.Worker.Born == w.born
 	w.fence = fence
 	m.grant(w, s.LeaseEnd)
 	used := int64(0)
@@ -167,6 +168,9 @@
 	}
 	step := m.specs[s.Task.Job].Steps[s.Task.Step]
 	if used+step.Need.CPU > modelCPU {
+		if heard {
+			m.t.Fatalf("%v starts on %s: %d of %d are in use, and the holder has heard all that runs there", s.Task, w.id, used, modelCPU)
+		}
 		return dispatch.RefusedRoom
 	}
 	for _, other := range m.workers {
