--- a/fleet/dispatch/model_worker_test.go
+++ b/fleet/dispatch/model_worker_test.go
@@ -257,7 +257,7 @@
 	if m.t.pick("hold", 0, 7) == 0 {
 		return
 	}
-	m.t.Logf("%v: holder %d hears %s, life %d: %v", m.now.Sub(epoch), h.fence, w.id, w.born, r.Active)
+	m.t.Logf("%v: holder %d hears %s, life %d: %v, ended %v", m.now.Sub(epoch), h.fence, w.id, w.born, r.Active, r.Ended)
 	h.pool.Report(w.id, r, m.now)
 }
 
