--- /dev/null
+++ b/fleet/dispatch/stray_test.go
@@ -0,0 +1,58 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// Guards against starts beyond the room of a worker that runs what this holder has not taken over: a cancelled job's task, or one of a job that
+// it does not know yet.
+func TestRunsThatAreNotTakenOverTakeRoom(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		hear func(b *bench)
+	}{
+		{"cancelled job", func(b *bench) {
+			b.addJob("j", oneTask(16000))
+			b.pool.Cancel("j", b.now)
+		}},
+		{"unknown job", func(*bench) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 1)
+			b.takeOver()
+			c.hear(b)
+			b.present["w0"][task("j", 0, 0)] = 1
+			b.addWorker("w0")
+			b.report()
+			b.addJob("k", oneTask(16000))
+			starts, _ := b.orders()
+			wantCount(t, "starts beside a run that takes all room", len(starts), 0)
+			delete(b.present["w0"], task("j", 0, 0))
+			b.step()
+			b.report()
+			starts, _ = b.orders()
+			wantCount(t, "starts once it has ended", len(starts), 1)
+		})
+	}
+}
+
+// Guards against a handover that hides ends: a worker that lists them in parts may list a done one last.
+func TestNoHandoverBesideAWorkerThatListsSomeEndsOnly(t *testing.T) {
+	b := newBench(t, 1)
+	b.takeOver()
+	b.addWorker("w0")
+	// afterwards is later than anything that a lost holder started may be present.
+	const afterwards = 12 * time.Second
+	for part := range 2 {
+		b.now, b.clock = b.now.Add(time.Duration(part)*afterwards), b.clock+time.Duration(part)*afterwards
+		b.pool.Report("w0", workload.Report{Born: 1, Clock: b.clock, Partial: true, Ended: []workload.EndedRun{
+			{Number: 1, Task: task("k", 0, 0), Run: 1, How: workload.EndStopped},
+		}}, b.now)
+	}
+	if h, ok := b.pool.Handover(b.now); ok {
+		t.Errorf("handover: got %v, want none", h)
+	}
+}
