--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -35,6 +35,7 @@
 	"list":     {1, 0},
 	"read":     {1, 0},
 	"told":     {1, 0},
+	"proof":    {1, 0},
 	"hold":     {1, 0},
 	"listing":  {1, 0},
 	"delete":   {2, 0, 1},
@@ -43,7 +44,7 @@
 }
 
 // faulty are the choices whose other values are faults.
-var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "list": true, "told": true, "hold": true, "listing": true, "read": true, "delete": true, "handover": true}
+var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "list": true, "told": true, "proof": true, "hold": true, "listing": true, "read": true, "delete": true, "handover": true}
 
 // script makes the choices of a model from a list, and the first of each further one.
 type script struct {
--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -39,7 +39,7 @@
 	}
 	m.forgetLost()
 	m.revision += 100
-	h := &holder{fence: m.revision, pool: &dispatch.Pool{Name: "cutting", Epoch: m.revision, AwaitList: true}}
+	h := &holder{fence: m.revision, pool: &dispatch.Pool{Name: "cutting", Epoch: m.revision, AwaitList: true, AwaitProof: true}}
 	h.pool.Begin(m.now)
 	h.pool.SetQueues([]workload.Queue{queue})
 	m.present = h
@@ -54,6 +54,13 @@
 // learnLoss ends a holder that reads that it lost the duty.
 func (m *model) learnLoss(h *holder) { h.until = m.now.Add(-1) }
 
+// prove reads that the present holder still holds the duty, or gets no answer.
+func (m *model) prove(h *holder) {
+	if h == m.present && m.t.pick("proof", 0, 3) != 0 {
+		h.pool.Proven(m.now)
+	}
+}
+
 // load reads what the holders before left, as the node does; it reports whether the holder goes on.
 func (m *model) load(h *holder) bool {
 	if !m.readHandover(h) {
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -118,6 +118,7 @@
 	if h != m.present && m.now.After(h.until) {
 		return
 	}
+	m.prove(h)
 	m.hearJobs(h, m.now.Add(-modelWatch))
 	m.list(h)
 	heard := m.t.pick("heard", 0, 1<<len(m.workers)-1)
