fix(node): each written piece of a batch of records counts

Cause: the records of a pool are written in pieces of 15, and none counted until all pieces of a batch were answered in one pass; a piece without answer had all of them written again. While the store loses answers, a batch of some hundred records never came through, and ended jobs were shown as running.

Change: a piece is taken note of once it is written; ends are still acknowledged only after the whole batch. TestWrittenPiecesOfABatchCount fails without it: 31 records left for 16.

--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -88,10 +88,21 @@
 	p.mu.Lock()
 	batch := changes()
 	p.mu.Unlock()
+	return p.writeBatch(ctx, batch, p.writeRecords)
+}
+
+// writeBatch writes a batch in pieces. Each piece counts once it is written: while the store loses answers, hardly a pass through a
+// large batch has none that fails.
+func (p *pool) writeBatch(ctx context.Context, batch dispatch.Batch, write func(context.Context, []dispatch.Change) error) error {
 	for from := 0; from < len(batch.Changes); from += recordsPerWrite {
-		if err := p.writeRecords(ctx, batch.Changes[from:min(from+recordsPerWrite, len(batch.Changes))]); err != nil {
+		piece := batch.Changes[from:min(from+recordsPerWrite, len(batch.Changes))]
+		if err := write(ctx, piece); err != nil {
 			return err
 		}
+		p.tries = 1
+		p.mu.Lock()
+		p.core.Recorded(dispatch.Batch{Changes: piece})
+		p.mu.Unlock()
 	}
 	p.mu.Lock()
 	p.core.Recorded(batch)
--- a/verbenaentry/node/write_test.go
+++ b/verbenaentry/node/write_test.go
@@ -1,11 +1,15 @@
 package node
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"testing"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/tenure"
+	"verbenalanding.example/fleet/workload"
 )
 
 // Guards against records that are written again, and a job that is shown as completed late, after a write that took effect
@@ -44,3 +48,35 @@
 		})
 	}
 }
+
+// Guards against ended jobs that are shown as completed seconds late while the store loses answers: one piece of a batch without answer
+// had all of its pieces written again.
+func TestWrittenPiecesOfABatchCount(t *testing.T) {
+	const jobs = 2*recordsPerWrite + 1
+	p := lockedPool()
+	now := p.node.Clock.Now()
+	for i := range jobs {
+		id := fmt.Sprintf("job%d", i)
+		p.core.AddJob(workload.Job{ID: id, Pool: p.name, Accepted: now, Steps: []workload.Step{{Tasks: 1}}}, nil, false, now)
+		p.core.Cancel(id, now)
+	}
+	pieces := 0
+	write := func(context.Context, []dispatch.Change) error {
+		if pieces++; pieces == 2 {
+			return store.ErrUnavailable
+		}
+		return nil
+	}
+	if err := p.writeBatch(context.Background(), p.core.Ended(), write); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("first pass: got %v, want %v", err, store.ErrUnavailable)
+	}
+	if got, want := len(p.core.Ended().Changes), jobs-recordsPerWrite; got != want {
+		t.Errorf("records left after the first pass: got %d, want %d", got, want)
+	}
+	if err := p.writeBatch(context.Background(), p.core.Ended(), write); err != nil {
+		t.Errorf("second pass: got %v, want none", err)
+	}
+	if got := len(p.core.Ended().Changes); got != 0 {
+		t.Errorf("records left after the second pass: got %d, want 0", got)
+	}
+}
