fix(dispatch): restored jobs wait neither for a cut worker's missing ends nor again for a worker that has ended

A worker that had listed only some of its ends and was cut off since held back all restored tasks and each handover for as long as it was registered; once its lease is over, ends that were not acknowledged do not count. And the proof of a worker's end was forgotten when its registration lapsed, since the list of living workers still named it.

--- a/fleet/dispatch/unheard_test.go
+++ b/fleet/dispatch/unheard_test.go
@@ -40,3 +40,44 @@
 	b.plan()
 	wantCount(t, "starts after it", len(b.starts), 1)
 }
+
+// Guards against a pool whose jobs of before wait for as long as a worker is registered that listed some ends only and is cut since.
+func TestPartialReportOfAWorkerThatIsCutSince(t *testing.T) {
+	b := newBench(t, 2)
+	b.takeOver()
+	b.pool.AddJob(workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(1000)}, Accepted: b.now}, nil, true, b.now)
+	b.addWorker("w0")
+	b.addWorker("w1")
+	b.present["w1"][task("unknown", 0, 0)] = 5
+	b.end("w1", task("unknown", 0, 0), workload.EndDone)
+	b.report()
+	b.silent["w1"] = true
+	b.starts = nil
+	b.pass(30 * time.Second)
+	wantCount(t, "starts 30 s after the worker was cut", len(b.starts), 1)
+	if _, ok := b.pool.Handover(b.now); !ok {
+		t.Errorf("handover 30 s after the worker was cut: got none, want one")
+	}
+}
+
+// Guards against jobs of before that wait again for a worker whose end was proven, once its registration lapses as well.
+func TestRegistrationOfAnEndedWorkerLapses(t *testing.T) {
+	for _, lapses := range []bool{false, true} {
+		b := newBench(t, 2)
+		b.takeOver()
+		b.pool.AwaitList = true
+		b.pool.AddJob(workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(1000)}, Accepted: b.now}, nil, true, b.now)
+		b.addWorker("w0")
+		b.addWorker("w1")
+		b.silent["w1"] = true
+		b.pool.Expect([]string{"w0", "w1"})
+		b.pass(time.Second)
+		wantCount(t, "starts while a worker was not heard", len(b.starts), 0)
+		b.pool.Terminated("w1", "another worker has its address")
+		if lapses {
+			b.pool.DropWorker("w1", b.now)
+		}
+		b.pass(time.Second)
+		wantCount(t, "starts once its end is proven", len(b.starts), 1)
+	}
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -181,6 +181,7 @@
 	}
 	p.removeWorker(id)
 	p.ended[id], p.gone[id] = w.Worker, true
+	delete(p.living, id)
 	p.note(Event{What: "worker ended", Worker: id, Reason: reason})
 }
 
@@ -373,14 +374,15 @@
 func (p *Pool) checkLeases(now time.Time) {
 	for _, w := range p.ordered() {
 		silent := now.Sub(w.heard) > p.Settings.Silence
-		if (len(w.runs) > 0 || len(w.early) > 0) && p.over(w.leaseEnd, now) && (silent || p.abandoned(w, now)) {
+		if (len(w.runs) > 0 || len(w.early) > 0 || w.partial || w.withheld) && p.over(w.leaseEnd, now) && (silent || p.abandoned(w, now)) {
 			p.note(Event{What: "worker lease ended", Worker: w.ID, Age: now.Sub(w.heard)})
 			for _, r := range w.sorted() {
 				if !r.uncertain {
 					p.lose(r, "lease ended")
 				}
 			}
-			w.early = nil
+			// Ends that were listed before the lease ended, and not acknowledged, do not count.
+			w.early, w.partial, w.withheld = nil, false, false
 			// What runs here from now on was not ordered after the last report.
 			w.synced, w.lapsed = false, true
 		}
