--- a/fleet/tenure/proof.go
+++ b/fleet/tenure/proof.go
@@ -6,12 +6,14 @@
 	"maps"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
 // proofs is how many reads of a held duty's key fit into a lease.
-const proofs = 3
+const proofs = 5
 
 // provenUntil is when orders for a duty end that the store has not shown as held since, by its key or by the other nodes' answers; the lock
 // must be held. The lease alone does not show it: a guard takes the key of a holder whose lease still lasts and is renewed.
@@ -41,28 +43,35 @@
 	return len(others) > 0 && t.confirm(ctx, q, others)
 }
 
-// readDuties reads the keys of the held duties and drops those that are another node's; it reports false when the store did not answer.
+// readDuties reads the keys of the held duties and drops those that are another node's; it reports false when the store did not answer
+// for each of them.
 func (t *Tenure) readDuties(ctx context.Context) bool {
 	t.mu.Lock()
 	holdings := maps.Clone(t.held)
 	t.mu.Unlock()
+	var group errgroup.Group
 	for name, h := range holdings {
-		sent := t.Clock()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		entry, err := t.Store.Get(callCtx, Prefix+name)
-		cancel()
-		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			return false
-		}
-		t.mu.Lock()
-		switch {
-		case t.held[name] != h:
-		case err == nil && uint64(entry.Revision) == h.fence:
-			h.proven = sent
-		default:
-			t.drop(name, "duty taken away")
-		}
-		t.mu.Unlock()
+		group.Go(func() error { return t.readDuty(ctx, name, h) })
+	}
+	return group.Wait() == nil
+}
+
+func (t *Tenure) readDuty(ctx context.Context, name string, h *holding) error {
+	sent := t.Clock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := t.Store.Get(ctx, Prefix+name)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
 	}
-	return true
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.held[name] != h:
+	case err == nil && uint64(entry.Revision) == h.fence:
+		h.proven = sent
+	default:
+		t.drop(name, "duty taken away")
+	}
+	return nil
 }
