test(jobs): calls of the tests' holders have 20 ms

Traced: a call to a worker was bounded by 1 ms of real time, and a process that does not run for so long takes it for unanswered, so that the paused holder hears nothing of the newer epoch. What is checked is the same.

--- a/fleet/jobs/world_test.go
+++ b/fleet/jobs/world_test.go
@@ -97,7 +97,7 @@
 	w.holder = &Holder{
 		Store: w.store, Workers: w.workers, Epoch: w.epoch, Shards: 1, Configuration: w.configuration, Members: w.list,
 		writers: 1, callers: 1,
-		Timing: Timing{CallTimeout: time.Millisecond, UsageLag: 2 * time.Second},
+		Timing: Timing{CallTimeout: 20 * time.Millisecond, UsageLag: 2 * time.Second},
 	}
 }
 
