--- a/fleet/tenure/tenure_test.go
+++ b/fleet/tenure/tenure_test.go
@@ -210,6 +210,8 @@
 	x := &tenure.Tenure{
 		Store: n.store, Self: tenure.Member{Node: name, Session: name, Cores: 1}, TTL: cmp.Or(n.ttl, ttl),
 		Clock: func() time.Time { return clock.Now().Add(time.Duration(n.skipped.Load())) },
+		// A failure shows what each node took note of, and when.
+		Note: func(what, duty string, err error) { n.t.Log(time.Now().Format("05.000"), name, what, duty, err) },
 	}
 	x.Gained = func(ctx context.Context, _ string, fence uint64) error {
 		n.began <- spell{node: name, fence: fence}
