--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -9,22 +9,6 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-type runKey struct {
-	task workload.TaskID
-	run  int
-}
-
-type phase int
-
-const (
-	// ordered runs have a start on its way.
-	ordered phase = iota
-	// unanswered runs may be present, now or until the start's lease ends.
-	unanswered
-	present
-	stopping
-)
-
 // proof tells whether this holder has proven since a life of a worker began that it still holds the duty.
 type proof int
 
@@ -35,32 +19,6 @@
 	proofAsked
 )
 
-type run struct {
-	task   *task
-	number int
-	worker *worker
-	phase  phase
-	// startEnd is the worker's clock at which a start on its way is refused, startClock the one at which it was present.
-	startEnd   time.Duration
-	startClock time.Duration
-	// stopClock is the worker's clock at which it took a stop of the run.
-	stopClock time.Duration
-	orderedAt time.Time
-	// adopted runs were started by a holder before.
-	adopted    bool
-	presentAt  time.Time
-	stopSent   time.Time
-	stopReason string
-	percent    int
-	// progressAt is when the percentage was last seen to change.
-	progressAt time.Time
-	figure     float64
-	pace       int
-	pacedAt    time.Time
-	// uncertain runs may be carried out by a later life of the worker than they were ordered from, whatever the end of their lease.
-	uncertain bool
-}
-
 type worker struct {
 	workload.Worker
 	// added is since when this holder knows of the present life.
@@ -223,15 +181,6 @@
 	return list
 }
 
-// attach adds a run to its worker and its task.
-func (x *run) attach() {
-	x.worker.runs[runKey{x.task.id, x.number}] = x
-	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
-	x.task.runs = append(x.task.runs, x)
-	x.task.lastRun = max(x.task.lastRun, x.number)
-	x.task.job.started = true
-}
-
 // has reports whether a run of the worker has a property.
 func (w *worker) has(property func(*run) bool) bool {
 	for _, x := range w.runs {
@@ -295,44 +244,6 @@
 	}
 }
 
-// Hold is what to send to a worker next.
-type Hold struct {
-	// LeaseEnd is a time of the worker's clock; 0 leaves the lease as it is.
-	LeaseEnd     time.Duration
-	Acknowledged int64
-	// Known is false for a worker that is not in the pool any more.
-	Known  bool
-	Worker workload.Worker
-}
-
-// NextHold returns the hold to send to a worker; the lease that it grants is counted from now on.
-func (p *Pool) NextHold(id string, now time.Time) Hold {
-	w := p.workers[id]
-	if w == nil {
-		return Hold{}
-	}
-	h := Hold{Acknowledged: w.recorded, Known: true, Worker: w.Worker}
-	if !w.synced || now.Sub(w.heard) > p.Settings.Silence || p.abandoned(w, now) {
-		return h
-	}
-	h.LeaseEnd = w.clockAt(now) + p.Settings.Lease
-	p.extend(w, now, p.Settings.Lease)
-	return h
-}
-
-// abandoned reports whether a worker has been without registration for so long that its lease may end.
-func (p *Pool) abandoned(w *worker, now time.Time) bool {
-	return !w.missing.IsZero() && now.Sub(w.missing) > p.Settings.MissingEntry
-}
-
-// extend moves the latest end of the worker's lease, by the local clock.
-func (p *Pool) extend(w *worker, now time.Time, lease time.Duration) {
-	end := w.heard.Add(p.stretch(now.Sub(w.heard) + lease))
-	if end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
-}
-
 // WorkerIDs returns the ids of the workers of the pool, in order.
 func (p *Pool) WorkerIDs() []string {
 	ids := make([]string, 0, len(p.workers))
@@ -367,34 +278,6 @@
 	p.order = nil
 }
 
-// quietFor is how long a successor is told of a worker that is gone; the platform may list its machine for longer than it lives.
-const quietFor = time.Minute
-
-// checkLeases declares the runs of workers lost whose lease has ended unheard, and forgets workers that left.
-func (p *Pool) checkLeases(now time.Time) {
-	for _, w := range p.ordered() {
-		silent := now.Sub(w.heard) > p.Settings.Silence
-		if (len(w.runs) > 0 || len(w.early) > 0 || w.partial || w.withheld) && p.over(w.leaseEnd, now) && (silent || p.abandoned(w, now)) {
-			p.note(Event{What: "worker lease ended", Worker: w.ID, Age: now.Sub(w.heard)})
-			for _, r := range w.sorted() {
-				if !r.uncertain {
-					p.lose(r, "lease ended")
-				}
-			}
-			// Ends that were listed before the lease ended, and not acknowledged, do not count.
-			w.early, w.partial, w.withheld = nil, false, false
-			// What runs here from now on was not ordered after the last report.
-			w.synced, w.lapsed = false, true
-		}
-		if len(w.runs) == 0 && len(w.early) == 0 && p.abandoned(w, now) && silent {
-			if w.synced || w.lapsed {
-				p.quiet[w.ID] = now.Add(quietFor)
-			}
-			p.removeWorker(w.ID)
-		}
-	}
-}
-
 // Unproven reports whether a worker waits for a record that proves that this holder is not lost.
 func (p *Pool) Unproven() bool {
 	return slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.proof == proofNeeded })
--- /dev/null
+++ b/verbenaentry/node/follower.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
+)
+
+// jobFollower passes accepted and cancelled jobs on to the pool.
+type jobFollower struct {
+	pool    *pool
+	records map[string]dispatch.Record
+	begun   bool
+	// loaded is closed once the records and what the holder before left are read, ready once all jobs of before are known.
+	loaded, ready chan struct{}
+}
+
+// load reads what the holders before left; all is read at once, since each call may take long at a slow store.
+func (f *jobFollower) load(ctx context.Context) error {
+	p := f.pool
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		var err error
+		f.records, err = p.loadRecords(groupCtx)
+		return err
+	})
+	group.Go(func() error { return p.readHandover(groupCtx) })
+	group.Go(func() error { return p.readSilent(groupCtx) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	close(f.loaded)
+	return nil
+}
+
+func (f *jobFollower) await(ctx context.Context, c <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c:
+		return true
+	}
+}
+
+func (f *jobFollower) apply(ctx context.Context, events []store.Event) {
+	if !f.await(ctx, f.loaded) {
+		return
+	}
+	p := f.pool
+	now := p.node.Clock.Now()
+	p.mu.Lock()
+	var cancelled []string
+	for _, e := range events {
+		id := strings.TrimPrefix(e.Entry.Key, "job/"+p.name+"/")
+		if e.Deleted {
+			continue
+		}
+		if strings.HasSuffix(id, cancelSuffix) {
+			cancelled = append(cancelled, strings.TrimSuffix(id, cancelSuffix))
+			continue
+		}
+		var j workload.Job
+		if err := json.Unmarshal(e.Entry.Value, &j); err != nil {
+			p.log.Error().Err(err).Str("job", id).Msg("stored job cannot be read")
+			continue
+		}
+		var record *dispatch.Record
+		if r, ok := f.records[id]; ok {
+			record = &r
+		}
+		p.log.Debug().Str("job", id).Interface("record", record).Msg("job read")
+		p.core.AddJob(j, record, uint64(e.Entry.Revision) < p.fence, now)
+	}
+	for _, id := range cancelled {
+		p.core.Cancel(id, now)
+	}
+	p.mu.Unlock()
+	if !f.begun {
+		f.begun, f.records = true, nil
+		close(f.ready)
+		p.node.pools.set(p.name, p)
+		p.log.Info().Dur("took", now.Sub(p.began)).Int("jobs", len(events)).Msg("pool taken over")
+	}
+	p.kick()
+}
+
+func (p *pool) applyWorkers(ctx context.Context, events []store.Event) {
+	now := p.node.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range events {
+		if e.Deleted {
+			p.core.DropWorker(strings.TrimPrefix(e.Entry.Key, platform.WorkerPrefix), now)
+			continue
+		}
+		w, err := platform.DecodeWorker(e.Entry.Key, e.Entry.Value)
+		if err != nil {
+			p.log.Warn().Err(err).Msg("registration ignored")
+			p.core.DropWorker(strings.TrimPrefix(e.Entry.Key, platform.WorkerPrefix), now)
+			continue
+		}
+		if w.Pool != p.name {
+			p.core.DropWorker(w.ID, now)
+			continue
+		}
+		p.core.SetWorker(w, now)
+		p.book.registered(w)
+		if !p.holding[w.ID] {
+			p.holding[w.ID] = true
+			p.group.Go(func() error { return p.hold(ctx, w.ID) })
+		}
+	}
+	if !p.listed {
+		p.listed = true
+		p.core.Listed()
+	}
+	if p.core.Unproven() {
+		_ = p.seals.Offer(struct{}{})
+	}
+	p.kick()
+}
