fix(entry): an order for a machine is withheld once its node has claimed a newer one

The node keeps the newest claim of each machine, over all its pools, and the last look before a call is sent asks it too.

--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -213,6 +213,7 @@
 	if err != nil {
 		return 0, err
 	}
+	b.pool.node.newest.claimed(id, uint64(revision))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.orders[id].revision < revision {
--- /dev/null
+++ b/verbenaentry/node/newest_test.go
@@ -0,0 +1,19 @@
+package node
+
+import "testing"
+
+// Guards against two orders of one node for a machine that cross on their way: the older fencing token would arrive after the newer one.
+func TestOlderOrderOfTheNodeIsSuperseded(t *testing.T) {
+	p := lockedPool()
+	p.node.newest.claimed("m0", 9)
+	p.node.newest.claimed("m0", 7)
+	for _, c := range []struct {
+		machine string
+		fence   uint64
+		want    bool
+	}{{"m0", 7, true}, {"m0", 9, false}, {"m0", 11, false}, {"m1", 1, false}} {
+		if got := p.node.newest.superseded(c.machine, c.fence); got != c.want {
+			t.Errorf("order for %s with fence %d superseded: got %v, want %v", c.machine, c.fence, got, c.want)
+		}
+	}
+}
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -77,6 +77,7 @@
 	Patience     *patience
 
 	pools   pools
+	newest  newestOrders
 	leaving atomic.Bool
 	// tells are the calls that tell holders of stored requests; nobody waits for them, they end with their time.
 	tells errgroup.Group
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -220,7 +220,7 @@
 	if err == nil && p.valid() {
 		callCtx, cancel := context.WithTimeout(ctx, moveTimeout)
 		defer cancel()
-		outcome, err = p.node.Machines.Move(callCtx, platform.Holder{Node: p.node.Settings.Node, Fence: fence, Held: p.valid}, machine, target)
+		outcome, err = p.node.Machines.Move(callCtx, platform.Holder{Node: p.node.Settings.Node, Fence: fence, Held: p.maySend(machine, fence)}, machine, target)
 	}
 	p.log.Info().Err(err).Str("machine", machine).Str("worker", worker).Str("target", target).Str("outcome", string(outcome)).Msg("move ordered")
 	count(p.node.Registry, "moves."+string(outcome))
--- a/verbenaentry/node/upkeep.go
+++ b/verbenaentry/node/upkeep.go
@@ -144,7 +144,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
 	defer cancel()
-	outcome, err := u.pool.node.Machines.Upkeep(callCtx, platform.Holder{Node: u.pool.node.Settings.Node, Fence: fence, Held: u.pool.valid}, s.Machine, w.ID)
+	outcome, err := u.pool.node.Machines.Upkeep(callCtx, platform.Holder{Node: u.pool.node.Settings.Node, Fence: fence, Held: u.pool.maySend(s.Machine, fence)}, s.Machine, w.ID)
 	u.pool.log.Info().Err(err).Str("wave", w.ID).Str("machine", s.Machine).Str("worker", s.Worker).Str("outcome", string(outcome)).
 		Bool("idle", load.Idle).Dur("lost", load.Lost).Int("lasting", load.Lasting).Msg("upkeep ordered")
 	count(u.pool.node.Registry, "upkeeps."+string(outcome))
