test(bench): growth of planning steps is compared within rounds and over equal memory

The sizes were measured one after the other, each by the least of 25 calls: 2 ms of calls for the small one, 100 ms for the large one. Other work on the machine slows a thread for longer than that, and a fleet of 4,300 misses the shared caches where one of 50 does not. Change: each round calls the step on as many fleets of each size as make up the largest, one after the other, and the growth is the median of the rounds' ratios. The bound is unchanged. A test holds that the measurement tells linear from a power of 1.3 and from quadratic growth.

--- a/verbenabench/moves/moves.go
+++ b/verbenabench/moves/moves.go
@@ -56,11 +56,11 @@
 }
 
 type report struct {
-	Deployment string          `json:"deployment"`
-	Seed       int64           `json:"seed"`
-	Outcomes   []outcome       `json:"outcomes"`
-	Steps      []target.Step   `json:"steps"`
-	Verdicts   target.Verdicts `json:"verdicts"`
+	Deployment string    `json:"deployment"`
+	Seed       int64     `json:"seed"`
+	Outcomes   []outcome `json:"outcomes"`
+	target.Measurement
+	Verdicts target.Verdicts `json:"verdicts"`
 }
 
 // Run runs the policies and prints the results; the context ends it early.
@@ -81,12 +81,8 @@
 		o.Policy = p.name
 		r.Outcomes = append(r.Outcomes, o)
 	}
-	for _, n := range []int{8, 50, 500, 4300} {
-		step, err := measureStep(n)
-		if err != nil {
-			return err
-		}
-		r.Steps = append(r.Steps, target.Step{Workers: n, Step: step})
+	if r.Measurement, err = target.Measure([]int{8, 50, 500, 4300}, prepareStep); err != nil {
+		return err
 	}
 	r.judge()
 	return b.print(r)
@@ -186,11 +182,8 @@
 	}
 }
 
-// stepsMeasured is how many planning steps are measured, of which the quickest counts.
-const stepsMeasured = 25
-
-// measureStep returns the least time of one planning step of many, because other load on the machine only adds to it.
-func measureStep(workers int) (time.Duration, error) {
+// prepareStep returns a planning step.
+func prepareStep(workers int) func(int) {
 	n := max(2, workers*197/4300)
 	f := fleet{dataCentres: min(11, n), racks: max(4, workers/4/11)}
 	for k := range n {
@@ -204,7 +197,7 @@
 			p.observe(move.Sample{Pool: q.Declared.Name, At: start.Add(time.Duration(m) * interval), Slots: float64(len(q.Members)*slots) * float64((k+3)%4) / 3})
 		}
 	}
-	return target.LeastTime(stepsMeasured, func(k int) { p.plan(start.Add(2*time.Hour+time.Duration(k)*planEvery), pools) })
+	return func(k int) { p.plan(start.Add(2*time.Hour+time.Duration(k)*planEvery), pools) }
 }
 
 func (r *report) judge() {
@@ -213,7 +206,7 @@
 	r.Verdicts.Add("30% less buffer cost than static peak sizing", planned.Idle <= bufferTarget*static.Idle, fmt.Sprintf("%.2f", planned.Idle/static.Idle))
 	r.Verdicts.Add("at most a quarter of the moves of the threshold rule", planned.MovesPerDay <= movesTarget*threshold.MovesPerDay, fmt.Sprintf("%.3f", planned.MovesPerDay/threshold.MovesPerDay))
 	r.Verdicts.Add("the loss of a rack is covered as often as with static peak sizing", planned.Uncovered <= static.Uncovered, fmt.Sprintf("%.4f of %.4f uncovered", planned.Uncovered, static.Uncovered))
-	r.Verdicts.AddSteps(r.Steps)
+	r.Verdicts.AddSteps(r.Measurement)
 }
 
 func (b *Benchmark) print(r report) error {
--- a/verbenabench/rollout/rollout.go
+++ b/verbenabench/rollout/rollout.go
@@ -38,11 +38,11 @@
 }
 
 type report struct {
-	Deployment string          `json:"deployment"`
-	Seed       int64           `json:"seed"`
-	Results    []result        `json:"results"`
-	Steps      []target.Step   `json:"steps"`
-	Verdicts   target.Verdicts `json:"verdicts"`
+	Deployment string   `json:"deployment"`
+	Seed       int64    `json:"seed"`
+	Results    []result `json:"results"`
+	target.Measurement
+	Verdicts target.Verdicts `json:"verdicts"`
 }
 
 func scenarios() []scenario {
@@ -81,12 +81,8 @@
 		serial.serial = true
 		r.Results = append(r.Results, result{Scenario: sc.name, Bound: lowerBound(policy), Policy: policy.run(), Serial: serial.run()})
 	}
-	for _, n := range []int{8, 50, 500, 4300} {
-		step, err := measureStep(n)
-		if err != nil {
-			return err
-		}
-		r.Steps = append(r.Steps, target.Step{Workers: n, Step: step})
+	if r.Measurement, err = target.Measure([]int{8, 50, 500, 4300}, prepareStep); err != nil {
+		return err
 	}
 	r.judge()
 	return b.print(r)
@@ -129,12 +125,8 @@
 	return time.Duration(batches) * shortest
 }
 
-// stepsMeasured is how many planning steps are measured, of which the quickest counts.
-const stepsMeasured = 25
-
-// measureStep returns the least time of one planning step in the middle of a wave, because other load on the machine only
-// adds to it.
-func measureStep(workers int) (time.Duration, error) {
+// prepareStep returns a planning step in the middle of a wave.
+func prepareStep(workers int) func(int) {
 	pools := evenly(max(1, workers*197/4300), workers)
 	set := declare(pools, min(11, max(1, workers/4)))
 	s := newSimulation(set, place(pools, min(11, max(1, workers/4)), rand.New(rand.NewPCG(1, 2))), scenario{}, 1)
@@ -145,7 +137,7 @@
 		}
 	}
 	s.now = s.start.Add(2 * time.Hour)
-	return target.LeastTime(stepsMeasured, func(int) { s.planner.Plan(s.tick()) })
+	return func(int) { s.planner.Plan(s.tick()) }
 }
 
 func (r *report) judge() {
@@ -160,7 +152,7 @@
 	}
 	r.Verdicts.Add("0 budget violations in every scenario", violations == 0, fmt.Sprint(violations))
 	r.Verdicts.Add("0 requests cut in every scenario", cut == 0, fmt.Sprint(cut))
-	r.Verdicts.AddSteps(r.Steps)
+	r.Verdicts.AddSteps(r.Measurement)
 }
 
 func (b *Benchmark) print(r report) error {
--- a/verbenabench/target/target.go
+++ b/verbenabench/target/target.go
@@ -31,14 +31,23 @@
 	*v = append(*v, Verdict{Target: target, Met: met, Figure: figure})
 }
 
-// AddSteps judges planning steps, of which the first is too short to compare, the second is at 50 workers and the last at
-// 4,300.
-func (v *Verdicts) AddSteps(steps []Step) {
-	small, large := steps[1], steps[len(steps)-1]
+// compared is the index of the size whose step is compared with that of the largest; steps at smaller sizes are too short.
+const compared = 1
+
+// Measurement is the times of one planning step at several sizes.
+type Measurement struct {
+	// Steps are the least times of all rounds.
+	Steps []Step `json:"steps"`
+	// Growth is the time of the last step divided by that of the second.
+	Growth float64 `json:"growth"`
+}
+
+// AddSteps judges planning steps, of which the second is at 50 workers and the last at 4,300.
+func (v *Verdicts) AddSteps(m Measurement) {
+	small, large := m.Steps[compared], m.Steps[len(m.Steps)-1]
 	v.Add("planning step at 4,300 workers under 50 ms", large.Step < stepLimit, large.Step.String())
-	growth := float64(large.Step) / float64(small.Step)
 	allowed := nLogN(large.Workers) / nLogN(small.Workers)
-	v.Add("planning step grows no faster than n log n from 50 to 4,300 workers", growth <= allowed, fmt.Sprintf("%.0f of %.0f", growth, allowed))
+	v.Add("planning step grows no faster than n log n from 50 to 4,300 workers", m.Growth <= allowed, fmt.Sprintf("%.0f of %.0f", m.Growth, allowed))
 }
 
 func nLogN(n int) float64 { return float64(n) * math.Log2(float64(n)) }
--- /dev/null
+++ b/verbenabench/target/target_test.go
@@ -0,0 +1,51 @@
+package target_test
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"verbenalanding.example/verbenabench/target"
+)
+
+// work returns a step that takes a number of basic operations for a number of workers.
+func work(operations func(workers float64) float64) func(workers int) func(int) {
+	return func(workers int) func(int) {
+		n := int(operations(float64(workers)))
+		numbers := make([]float64, workers)
+		return func(int) {
+			for k := range n {
+				numbers[k%workers] += math.Sqrt(float64(k))
+			}
+		}
+	}
+}
+
+// Guards against a measurement that cannot tell a step that grows too fast from one that does not, and against verdicts that depend on what
+// else the machine does.
+func TestMeasureTellsGrowth(t *testing.T) {
+	cases := []struct {
+		name       string
+		operations func(n float64) float64
+		met        bool
+	}{
+		{"linear", func(n float64) float64 { return 20 * n }, true},
+		{"power of 1.3", func(n float64) float64 { return 20 * math.Pow(n, 1.3) }, false},
+		{"quadratic", func(n float64) float64 { return n * n }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m, err := target.Measure([]int{8, 50, 500, 4300}, work(c.operations))
+			if err != nil {
+				t.Fatalf("error: got %v, want none", err)
+			}
+			var verdicts target.Verdicts
+			verdicts.AddSteps(m)
+			for _, v := range verdicts {
+				if strings.Contains(v.Target, "n log n") && v.Met != c.met {
+					t.Errorf("%s: got met %v (%s), want %v", v.Target, v.Met, v.Figure, c.met)
+				}
+			}
+		})
+	}
+}
--- a/verbenabench/target/time.go
+++ b/verbenabench/target/time.go
@@ -4,30 +4,66 @@
 	"fmt"
 	"math"
 	"runtime"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// LeastTime returns the least processor time of several calls, of the calling thread alone: other processes on the machine do not add
-// to it, as they do to the time that passes.
-func LeastTime(calls int, call func(k int)) (time.Duration, error) {
+// rounds is how often the step of each size is measured.
+const rounds = 25
+
+// Measure measures planning steps at several sizes by the processor time of the calling thread. prepare returns the step of a new fleet of
+// a size, which is called with the number of the round.
+//
+// Other work on the machine slows a thread down, through shared caches and cores, for milliseconds to seconds. Sizes are therefore
+// compared within a round and over as many fleets as make up the largest one, so that all use the same amount of memory, and the growth is
+// the median of all rounds.
+func Measure(sizes []int, prepare func(workers int) func(round int)) (Measurement, error) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	least := time.Duration(math.MaxInt64)
-	for k := range calls {
-		before, err := threadTime()
-		if err != nil {
-			return 0, err
+	largest := len(sizes) - 1
+	fleets := make([][]func(int), len(sizes))
+	m := Measurement{Steps: make([]Step, len(sizes))}
+	for i, n := range sizes {
+		m.Steps[i] = Step{Workers: n, Step: math.MaxInt64}
+		for range max(1, sizes[largest]/n) {
+			fleets[i] = append(fleets[i], prepare(n))
 		}
-		call(k)
-		after, err := threadTime()
-		if err != nil {
-			return 0, err
+	}
+	growths := make([]float64, rounds)
+	for k := range rounds {
+		times := make([]time.Duration, len(sizes))
+		for i, steps := range fleets {
+			t, err := meanTime(steps, k)
+			if err != nil {
+				return Measurement{}, err
+			}
+			times[i] = t
+			m.Steps[i].Step = min(m.Steps[i].Step, t)
 		}
-		least = min(least, after-before)
+		growths[k] = float64(times[largest]) / float64(times[compared])
+	}
+	slices.Sort(growths)
+	m.Growth = growths[rounds/2]
+	return m, nil
+}
+
+// meanTime returns the processor time of a step, of the calling thread alone: work of other processes does not count, as it does in the
+// time that passes.
+func meanTime(steps []func(int), round int) (time.Duration, error) {
+	before, err := threadTime()
+	if err != nil {
+		return 0, err
+	}
+	for _, step := range steps {
+		step(round)
+	}
+	after, err := threadTime()
+	if err != nil {
+		return 0, err
 	}
-	return least, nil
+	return (after - before) / time.Duration(len(steps)), nil
 }
 
 func threadTime() (time.Duration, error) {
