fix(dispatch): where no list of machines exists, a holder names its workers in the store before their first start

Cause: a successor learns from the registrations and from the list of machines which workers may run what a lost holder started. Change: without a list, the record of silent workers also names all workers of the holder. A worker gets starts once a record names it, and not while an unanswered write may have taken it out. A successor takes tasks of before to be unsure until the named workers were heard or their leases have ended. With a list of machines nothing changes but the record's form; an old record that cannot be read so is taken as empty, which has all workers waited for. TestWorkerThatMayBeOutOfTheRecordIsNamedAgain fails when the unanswered write is not accounted for (tried).

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -107,6 +107,9 @@
 	Epoch uint64
 	// AwaitList is set where Expect tells all workers that live; until then any of them may run what a lost holder started.
 	AwaitList bool
+	// NameWorkers is set where no list of machines tells of workers without registration: a worker gets starts once a record in the store
+	// names it.
+	NameWorkers bool
 	// AwaitProof is set where Proven tells when the duty was held; until then nothing that rests on time is given up.
 	AwaitProof bool
 	// Note is told each decision that touches a job or changes what is believed; unset drops them.
@@ -148,8 +151,13 @@
 	// inherited are the silent workers of which the holder before told, recordedSeals those that the store's record names.
 	inherited     Seals
 	recordedSeals Seals
-	actions       []Action
-	dirty         map[string]*job
+	// inheritedKnown are the workers that the holder before knew, named those that each record names which may be in the store.
+	inheritedKnown map[string]bool
+	named          map[string]bool
+	// obsolete is true while a record in the store may name workers that are gone.
+	obsolete bool
+	actions  []Action
+	dirty    map[string]*job
 }
 
 // Event tells a decision for the log.
--- /dev/null
+++ b/fleet/dispatch/known_test.go
@@ -0,0 +1,88 @@
+package dispatch_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against a worker that nobody knows: it lives, its registration has lapsed after the last record, and there is no list of machines.
+func TestRegistrationLapsesWithoutAListOfMachines(t *testing.T) {
+	for _, l := range losses {
+		if l.tells {
+			continue
+		}
+		t.Run(l.name+"/registration lapsed", func(t *testing.T) {
+			s := newUnlistedScene(t, "started before")
+			s.told = true
+			l.happen[0](s)
+			at := beforeLast(s)
+			if s.lostUntil.After(lossAt) {
+				at = s.secondBegan().Add(-20 * time.Millisecond)
+			}
+			lapseRegistration(s, at)
+			origins[0].offer(s, workerState{}, l)
+			s.run(afterLoss(14 * time.Second))
+		})
+	}
+}
+
+// namingBench returns a pool that names its workers, with one worker and one job.
+func namingBench(t *testing.T) *bench {
+	b := newBench(t, 1)
+	b.pool.NameWorkers = true
+	b.addWorker("w0")
+	b.addJob("j", oneTask(1000))
+	b.plan()
+	wantCount(t, "starts before a record names the worker", len(b.starts), 0)
+	return b
+}
+
+func (b *bench) name(want ...string) {
+	b.t.Helper()
+	known, changed := b.pool.Known(b.now)
+	if !changed || !slices.Equal(known, want) {
+		b.t.Errorf("known workers: got %v, changed %v, want %v to be written", known, changed, want)
+	}
+	b.pool.Named(known)
+}
+
+// Guards against a start on a worker of which a successor without a list of machines would not know.
+func TestNoStartBeforeTheWorkerIsNamed(t *testing.T) {
+	b := namingBench(t)
+	b.name("w0")
+	b.plan()
+	wantCount(t, "starts", len(b.starts), 1)
+	if known, changed := b.pool.Known(b.now); changed {
+		t.Errorf("known workers: got a change to %v, want none", known)
+	}
+}
+
+// Guards against a start on a worker that comes back while an unanswered write may have taken it out of the record.
+func TestWorkerThatMayBeOutOfTheRecordIsNamedAgain(t *testing.T) {
+	b := namingBench(t)
+	b.name("w0")
+	b.pool.Terminated("w0", "its machine does not run it any more")
+	if known, changed := b.pool.Known(b.now); !changed || len(known) > 0 {
+		t.Errorf("known workers: got %v, changed %v, want none to be written", known, changed)
+	}
+	b.pool.DropWorker("w0", b.now)
+	b.addWorker("w0")
+	b.report()
+	b.plan()
+	wantCount(t, "starts before the worker is named again", len(b.starts), 0)
+	b.name("w0")
+	b.plan()
+	wantCount(t, "starts once the worker is named", len(b.starts), 1)
+}
+
+// Guards against a successor's successor that does not know of a worker which the first one knew.
+func TestKnownWorkersAreNamedUntilTheirLeasesHaveEnded(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.NameWorkers = true
+	b.pool.InheritKnown([]string{"w9"})
+	b.addWorker("w0")
+	b.name("w0", "w9")
+	b.pass(7 * time.Second)
+	b.name("w0")
+}
--- a/fleet/dispatch/proof_knownred_test.go
+++ b/fleet/dispatch/proof_knownred_test.go
@@ -61,24 +61,3 @@
 		s.at(restarted, func() { s.restart(s.suspect) })
 	})
 }
-
-// Guards against a worker that nobody knows: it lives, its registration has lapsed after the last record, and there is no list of machines.
-func TestKnownGapNoListOfMachines(t *testing.T) {
-	for _, l := range losses {
-		if l.tells {
-			continue
-		}
-		t.Run(l.name+"/registration lapsed", func(t *testing.T) {
-			s := newScene(t, "started before")
-			s.told, s.unlisted = true, true
-			l.happen[0](s)
-			at := beforeLast(s)
-			if s.lostUntil.After(lossAt) {
-				at = s.secondBegan().Add(-20 * time.Millisecond)
-			}
-			lapseRegistration(s, at)
-			origins[0].offer(s, workerState{}, l)
-			s.run(afterLoss(14 * time.Second))
-		})
-	}
-}
--- a/fleet/dispatch/scene_test.go
+++ b/fleet/dispatch/scene_test.go
@@ -80,6 +80,7 @@
 	job      *workload.Job
 	record   *dispatch.Record
 	seals    dispatch.Seals
+	known    []string
 	handover *dispatch.Handover
 	// late is true where starts of the first holder arrive at the last moment, and its stops are lost.
 	late bool
@@ -92,12 +93,25 @@
 func newScene(t *testing.T, name string) *scene {
 	t.Helper()
 	s := &scene{t: t, name: name, now: epoch, registered: map[string]workload.Worker{}, lostUntil: lossAt}
+	s.open()
+	return s
+}
+
+// newUnlistedScene returns a scene without a list of machines.
+func newUnlistedScene(t *testing.T, name string) *scene {
+	t.Helper()
+	s := &scene{t: t, name: name, now: epoch, registered: map[string]workload.Worker{}, lostUntil: lossAt, unlisted: true}
+	s.open()
+	return s
+}
+
+// open adds the workers and has the first holder begin.
+func (s *scene) open() {
 	s.suspect, s.spare = s.addWorker("x"), s.addWorker("w")
 	s.handover = &dispatch.Handover{}
 	s.begin()
 	s.first = s.newest
 	s.first.pool.Cordon(s.spare.ID, true)
-	return s
 }
 
 func (s *scene) addWorker(id string) *sceneWorker {
@@ -118,7 +132,7 @@
 // begin has a new holder begin from what is in the store.
 func (s *scene) begin() {
 	fence := uint64(100 * (len(s.holders) + 1))
-	h := &sceneHolder{pool: &dispatch.Pool{Name: "cutting", Epoch: fence, AwaitList: !s.unlisted}, fence: fence}
+	h := &sceneHolder{pool: &dispatch.Pool{Name: "cutting", Epoch: fence, AwaitList: !s.unlisted, NameWorkers: s.unlisted}, fence: fence}
 	h.pool.Begin(s.now)
 	h.pool.SetQueues([]workload.Queue{queue})
 	if s.handover != nil {
@@ -128,6 +142,9 @@
 	if s.seals != nil {
 		h.pool.Inherit(s.seals)
 	}
+	if s.known != nil {
+		h.pool.InheritKnown(s.known)
+	}
 	s.holders, s.newest = append(s.holders, h), h
 	if s.job != nil {
 		h.pool.AddJob(*s.job, s.record, true, s.now)
@@ -289,6 +306,10 @@
 			s.seals = seals
 			h.pool.Sealed(seals)
 		}
+		if known, changed := h.pool.Known(s.now); changed {
+			s.known = known
+			h.pool.Named(known)
+		}
 	}
 	for _, a := range h.pool.Plan(s.now) {
 		switch a := a.(type) {
--- a/fleet/dispatch/uncertain.go
+++ b/fleet/dispatch/uncertain.go
@@ -66,6 +66,11 @@
 			return true
 		}
 	}
+	for id := range p.inheritedKnown {
+		if p.workers[id] == nil && p.unheard(id) && !p.accounted(id, 0, told) {
+			return true
+		}
+	}
 	return false
 }
 
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -278,13 +278,13 @@
 	p.order = nil
 }
 
-// Unproven reports whether a worker waits for a record that proves that this holder is not lost.
-func (p *Pool) Unproven() bool {
-	return slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.proof == proofNeeded })
+// Unrecorded reports whether a worker waits for a record that proves that this holder is not lost, or that names the worker.
+func (p *Pool) Unrecorded() bool {
+	return slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.proof == proofNeeded || (p.NameWorkers && !p.named[w.ID]) })
 }
 
 func (p *Pool) usable(w *worker, now time.Time) bool {
-	return w.synced && !w.strays && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
+	return w.synced && (!p.NameWorkers || p.named[w.ID]) && !w.strays && !w.Draining && !w.cordoned && !w.sealed && w.missing.IsZero() && now.Sub(w.heard) <= p.Settings.Silence &&
 		!now.Before(w.fullUntil) && !now.Before(w.closedUntil) && (w.doubted.IsZero() || w.heard.After(w.doubted)) &&
 		!p.shunned(w, now)
 }
--- a/verbenaentry/node/follower.go
+++ b/verbenaentry/node/follower.go
@@ -121,7 +121,7 @@
 		p.listed = true
 		p.core.Listed()
 	}
-	if p.core.Unproven() {
+	if p.core.Unrecorded() {
 		_ = p.seals.Offer(struct{}{})
 	}
 	p.kick()
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -117,7 +117,9 @@
 		wake: ring.New[struct{}](1), writes: ring.New[struct{}](1), seals: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(orderLimit)
-	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note, AwaitList: n.Settings.Machines.IsValid(), AwaitProof: true}
+	p.core = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), Note: p.note, AwaitProof: true}
+	p.core.AwaitList = n.Settings.Machines.IsValid()
+	p.core.NameWorkers = !p.core.AwaitList
 	p.core.Begin(p.began)
 	p.book = newMachineBook(p)
 	p.upkeeps = newUpkeeps(p)
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -126,7 +126,15 @@
 	}
 }
 
-// silentKey names the record of a pool's silent workers and of what may run on them.
+// workerRecord is what a holder leaves about workers to one that replaces it without a handover.
+type workerRecord struct {
+	// Silent names what may run on silent workers.
+	Silent dispatch.Seals `json:"silent"`
+	// Known are all workers with what the holder started, where no list of machines tells of them.
+	Known []string `json:"known,omitempty"`
+}
+
+// silentKey names the record of a pool's silent workers.
 func (p *pool) silentKey() string { return "silent/" + p.name }
 
 // sealEvery is how often silent workers are looked for.
@@ -149,19 +157,20 @@
 			continue
 		}
 		p.mu.Lock()
-		seals, changed := p.core.Seals(now)
+		seals, sealsChanged := p.core.Seals(now)
+		known, knownChanged := p.core.Known(now)
 		p.mu.Unlock()
-		if changed {
-			p.writeSilent(ctx, seals)
+		if sealsChanged || knownChanged {
+			p.writeSilent(ctx, workerRecord{Silent: seals, Known: known})
 		}
 	}
 }
 
 // writeSilent writes the record under the condition of its last revision, so that a write that takes effect late changes nothing.
-func (p *pool) writeSilent(ctx context.Context, seals dispatch.Seals) {
-	value, err := json.Marshal(seals)
+func (p *pool) writeSilent(ctx context.Context, record workerRecord) {
+	value, err := json.Marshal(record)
 	if err != nil {
-		p.log.Error().Err(err).Msg("silent workers not encoded")
+		p.log.Error().Err(err).Msg("record of silent workers not encoded")
 		return
 	}
 	p.silentTries++
@@ -182,14 +191,15 @@
 			revision, err = stored.Revision, nil
 		}
 	}
-	p.log.Info().Err(err).Int("workers", len(seals)).Msg("silent workers recorded")
+	p.log.Info().Err(err).Int("workers", len(record.Silent)).Int("known", len(record.Known)).Msg("silent workers recorded")
 	if err != nil {
 		return
 	}
 	p.silentRevision, p.silentTries = revision, 0
 	p.node.Tenure.Proven(p.name, p.fence, sent)
 	p.mu.Lock()
-	p.core.Sealed(seals)
+	p.core.Sealed(record.Silent)
+	p.core.Named(record.Known)
 	p.mu.Unlock()
 	p.kick()
 }
@@ -221,13 +231,14 @@
 
 func (p *pool) inherit(entry store.Entry) {
 	p.silentRevision = entry.Revision
-	var seals dispatch.Seals
-	if err := json.Unmarshal(entry.Value, &seals); err != nil {
+	var record workerRecord
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
 		p.log.Error().Err(err).Msg("record of silent workers cannot be read, all workers are waited for")
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.core.Inherit(seals)
-	p.log.Info().Int("workers", len(seals)).Msg("silent workers taken over")
+	p.core.Inherit(record.Silent)
+	p.core.InheritKnown(record.Known)
+	p.log.Info().Int("workers", len(record.Silent)).Int("known", len(record.Known)).Msg("silent workers taken over")
 }
--- a/verbenaentry/node/successor_test.go
+++ b/verbenaentry/node/successor_test.go
@@ -161,10 +161,10 @@
 func TestUnansweredRecordOfSilentWorkersIsFound(t *testing.T) {
 	s := newSuccession(t)
 	s.loseAnswers(wire.PathTransaction, 1)
-	seals := dispatch.Seals{"w0": nil}
-	s.pool.writeSilent(s.ctx, seals)
+	record := workerRecord{Silent: dispatch.Seals{"w0": nil}}
+	s.pool.writeSilent(s.ctx, record)
 	before := s.pool.silentRevision
-	s.pool.writeSilent(s.ctx, seals)
+	s.pool.writeSilent(s.ctx, record)
 	entry, err := s.pool.node.Store.Get(s.ctx, s.pool.silentKey())
 	if err != nil {
 		t.Fatalf("record: got %v, want one", err)
@@ -175,7 +175,7 @@
 	fence := s.pool.fence
 	s.takeDuty()
 	s.pool.fence, s.pool.silentRevision = fence, 0
-	s.pool.writeSilent(s.ctx, seals)
+	s.pool.writeSilent(s.ctx, record)
 	if s.pool.silentTries == 0 {
 		t.Errorf("write after the duty was lost: got it taken for written, want not")
 	}
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -31,6 +31,8 @@
 	Platform *standin.Platform
 	Nodes    int
 	Flags    node.Flags
+	// Unlisted fleets have no list of machines.
+	Unlisted bool
 	// Log takes the instances' log lines; unset drops them.
 	Log io.Writer
 
@@ -133,6 +135,9 @@
 		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: gate.Addr, Machines: f.Platform.CloudAddr,
 		Bounds: Bounds(), MinLeaseTTL: 500 * time.Millisecond,
 	}
+	if f.Unlisted {
+		s.Machines = netip.AddrPort{}
+	}
 	nodeCtx, cancel := context.WithCancel(f.ctx)
 	n := &instance{settings: s, gate: gate, cancel: cancel, signals: make(chan os.Signal, 4), done: make(chan struct{})}
 	f.group.Go(func() error {
--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -30,16 +30,21 @@
 
 func startFleetWith(t *testing.T, nodes int, flags node.Flags) (*trial.Fleet, context.Context) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
-	t.Cleanup(cancel)
-	f := &trial.Fleet{
+	return open(t, &trial.Fleet{
 		Nodes: nodes, Flags: flags,
 		Platform: &standin.Platform{
 			Seed: 1, Pools: map[string]int{"cutting": 4, "fitting": 4, "spare": 2}, Standby: "spare",
 			Room: wire.Room{CPU: 16000, MemMb: 64000}, Tick: 5 * time.Millisecond,
 			UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond,
 		},
-	}
+	})
+}
+
+// open starts a fleet that lives until the test ends.
+func open(t *testing.T, f *trial.Fleet) (*trial.Fleet, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	t.Cleanup(cancel)
 	if err := f.Start(ctx); err != nil {
 		t.Fatalf("start fleet: got %v, want none", err)
 	}
--- /dev/null
+++ b/verbenaentry/trial/unlisted_test.go
@@ -0,0 +1,36 @@
+package trial_test
+
+import (
+	"testing"
+	"time"
+
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
+	"verbenalanding.example/verbenaentry/node"
+	"verbenalanding.example/verbenaentry/trial"
+)
+
+// Guards against a task that runs twice where no list of machines tells the next holder of workers whose registrations lapsed.
+func TestHolderIsKilledAsRegistrationsLapseWithoutAListOfMachines(t *testing.T) {
+	f, ctx := open(t, &trial.Fleet{
+		Nodes: 3, Unlisted: true, Flags: node.Flags{DutyTTL: 800 * time.Millisecond, WorkerLease: 1500 * time.Millisecond, LogLevel: "info"},
+		Platform: &standin.Platform{Seed: 1, Pools: map[string]int{"cutting": 4}, Room: wire.Room{CPU: 16000, MemMb: 64000}, Tick: 5 * time.Millisecond},
+	})
+	j := job(int(jobs.Add(1)))
+	j.Took = 3 * time.Second
+	submit(ctx, t, f, j)
+	err := atHolder(f, func(i int) error {
+		f.Kill(i)
+		for _, machine := range f.Platform.Busy() {
+			f.Platform.Lapse(machine)
+		}
+		return nil
+	})()
+	if err != nil {
+		t.Fatalf("kill: got %v, want none", err)
+	}
+	if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
+		t.Errorf("job: got %v, want it completed", err)
+	}
+	wantKept(t, f)
+}
