refactor(entry): a conflict is settled by the look-up that other answers of the store use

conflict built a map of the entries that the store answered with and compared the duty's revision itself; find and ownsDuty do both. An answer has at most store.MaxTransaction (32) entries.

--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -149,19 +149,15 @@
 // conflict takes over the revisions that the store has. An earlier write of this holder may have taken effect unheard: records that the
 // store has as they should be are written.
 func (p *pool) conflict(t store.Transaction, current []store.Entry) error {
-	found := map[string]store.Entry{}
-	for _, e := range current {
-		found[e.Key] = e
-	}
 	missing := 0
 	for _, w := range t.Put {
-		e := found[w.Key]
+		e := find(current, w.Key)
 		p.revisions[strings.TrimPrefix(w.Key, stateKey(p.name, ""))] = e.Revision
 		if !bytes.Equal(e.Value, w.Value) {
 			missing++
 		}
 	}
-	if uint64(found[tenure.Prefix+p.name].Revision) != p.fence {
+	if !p.ownsDuty(current) {
 		return errLost
 	}
 	if missing > 0 {
