--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/workload"
 )
 
@@ -23,7 +24,7 @@
 // dropAbsent compares workers that are not heard with the platform's list of machines, so that nothing waits for one whose machine
 // does not run it any more. After a take-over the holder also waits for workers that live without registration.
 func (p *pool) dropAbsent(ctx context.Context) error {
-	for told := false; ctx.Err() == nil; pause(ctx, absentEvery) {
+	for told := false; ctx.Err() == nil; interval.Wait(ctx, absentEvery) {
 		now := p.node.Clock.Now()
 		p.mu.Lock()
 		unheard := append(p.core.Unheard(now), p.core.Silent(now, absentAfter)...)
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -183,7 +183,7 @@
 	var doubted time.Time
 	for ctx.Err() == nil {
 		if !p.valid() {
-			pause(ctx, holdPause)
+			interval.Wait(ctx, holdPause)
 			continue
 		}
 		p.mu.Lock()
@@ -202,7 +202,7 @@
 		known = p.holdOnce(ctx, next, wait)
 		if !known {
 			doubted = p.node.Clock.Now().Add(doubtedFor)
-			pause(ctx, holdPause)
+			interval.Wait(ctx, holdPause)
 			continue
 		}
 		p.mu.Lock()
@@ -210,16 +210,12 @@
 		p.mu.Unlock()
 		if open {
 			// A worker answers at once while it lists ends that are not acknowledged.
-			pause(ctx, lookPause*time.Duration(max(lookWorkers, workers))/lookWorkers)
+			interval.Wait(ctx, lookPause*time.Duration(max(lookWorkers, workers))/lookWorkers)
 		}
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	interval.Wait(ctx, d)
-}
-
 // holdOnce reports whether the worker answered with its lists.
 func (p *pool) holdOnce(ctx context.Context, next dispatch.Hold, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReserve)
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -16,6 +16,7 @@
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/follow"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
@@ -279,7 +280,7 @@
 		if !p.valid() {
 			continue
 		}
-		pause(ctx, p.plan(ctx))
+		interval.Wait(ctx, p.plan(ctx))
 	}
 }
 
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/tenure"
 )
@@ -54,10 +55,10 @@
 			p.tries++
 			if errors.Is(err, errLost) {
 				p.lost()
-				pause(ctx, writeEvery)
+				interval.Wait(ctx, writeEvery)
 			}
 			if !errors.Is(err, store.ErrConflict) {
-				pause(ctx, min(storePause<<min(p.tries, maxShift), writeEvery))
+				interval.Wait(ctx, min(storePause<<min(p.tries, maxShift), writeEvery))
 			}
 			_ = p.writes.Offer(struct{}{})
 		} else {
@@ -81,7 +82,7 @@
 		}
 		p.log.Warn().Err(err).Int("tries", p.tries).Msg("last records not written yet")
 		p.tries++
-		pause(ctx, storePause)
+		nextTry(ctx)
 	}
 }
 
