refactor(entry): a pool's loops that wait for an interval or to be woken share interval.EachOr

decide, write and sealSilent each had a ticker and a select of the context, the ticker and a ring. EachOr is that select; Each and FromNow use it too. The first end of an interval still comes one interval after the beginning, and an item does not put it off.

--- a/fleet/interval/interval.go
+++ b/fleet/interval/interval.go
@@ -12,7 +12,17 @@
 	return func(yield func(time.Time) bool) {
 		ticker := time.NewTicker(d)
 		defer ticker.Stop()
-		each(ctx, ticker, yield)
+		each(ctx, ticker, nil, func(now time.Time, _ bool) bool { return yield(now) })
+	}
+}
+
+// EachOr yields false at the end of each interval, as Each does, and true for each item of wake, until the context ends. The interval goes
+// on at an item.
+func EachOr(ctx context.Context, d time.Duration, wake <-chan struct{}) iter.Seq[bool] {
+	return func(yield func(bool) bool) {
+		ticker := time.NewTicker(d)
+		defer ticker.Stop()
+		each(ctx, ticker, wake, func(_ time.Time, woken bool) bool { return yield(woken) })
 	}
 }
 
@@ -22,7 +32,7 @@
 		ticker := time.NewTicker(d)
 		defer ticker.Stop()
 		if yield(time.Now()) {
-			each(ctx, ticker, yield)
+			each(ctx, ticker, nil, func(now time.Time, _ bool) bool { return yield(now) })
 		}
 	}
 }
@@ -39,15 +49,20 @@
 	}
 }
 
-func each(ctx context.Context, ticker *time.Ticker, yield func(time.Time) bool) {
+// each yields the time at the end of each interval, and true for each item of wake, which may be nil.
+func each(ctx context.Context, ticker *time.Ticker, wake <-chan struct{}, yield func(now time.Time, woken bool) bool) {
 	for {
+		var now time.Time
+		woken := false
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			if !yield(now) {
-				return
-			}
+		case now = <-ticker.C:
+		case <-wake:
+			woken = true
+		}
+		if !yield(now, woken) {
+			return
 		}
 	}
 }
--- a/fleet/interval/interval_test.go
+++ b/fleet/interval/interval_test.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// Guards against an item that is missed, taken for the end of an interval, or that puts the end of the interval off.
+func TestEachOr(t *testing.T) {
+	type step struct {
+		after time.Duration
+		woken bool
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		wake := make(chan struct{}, 1)
+		wake <- struct{}{}
+		time.AfterFunc(1500*time.Millisecond, func() { wake <- struct{}{} })
+		began := time.Now()
+		var got []step
+		for woken := range interval.EachOr(ctx, time.Second, wake) {
+			got = append(got, step{time.Since(began), woken})
+		}
+		check.Equal(t, "steps", got, []step{{0, true}, {time.Second, false}, {1500 * time.Millisecond, true}, {2 * time.Second, false}})
+		check.Equal(t, "end", time.Since(began), 2500*time.Millisecond)
+	})
+}
+
 // Guards against a loop that goes on after its body has left it.
 func TestLeftLoop(t *testing.T) {
 	for _, steps := range []iter.Seq[time.Time]{
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -268,20 +268,12 @@
 
 // decide plans after each event and sends the orders.
 func (p *pool) decide(ctx context.Context) error {
-	ticker := time.NewTicker(planEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-p.wake.Items():
-		case <-ticker.C:
+	for range interval.EachOr(ctx, planEvery, p.wake.Items()) {
+		if p.valid() {
+			interval.Wait(ctx, p.plan(ctx))
 		}
-		if !p.valid() {
-			continue
-		}
-		interval.Wait(ctx, p.plan(ctx))
 	}
+	return nil
 }
 
 // plan plans once, sends the orders and returns how long the next plan has to wait. What the orders wait for their turn does not
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -143,15 +144,7 @@
 // sealSilent records what may run on workers that became silent, so that a successor that does not hear them either waits for
 // those tasks only.
 func (p *pool) sealSilent(ctx context.Context) error {
-	ticker := time.NewTicker(sealEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-p.seals.Items():
-		}
+	for range interval.EachOr(ctx, sealEvery, p.seals.Items()) {
 		now := p.node.Clock.Now()
 		if !p.holds() {
 			continue
@@ -163,6 +156,7 @@
 			p.writeSilent(ctx, seals)
 		}
 	}
+	return nil
 }
 
 // writeSilent writes the record under the condition of its last revision, so that a write that takes effect late changes nothing.
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -34,22 +34,16 @@
 
 // write records changes in the store: at once when a job has ended, else gathered.
 func (p *pool) write(ctx context.Context) error {
-	ticker := time.NewTicker(writeEvery)
-	defer ticker.Stop()
 	expired := p.began
 	p.tries = 1
-	for {
-		changes := p.core.Batch
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-p.writes.Items():
-			changes = p.core.Ended
-		}
+	for woken := range interval.EachOr(ctx, writeEvery, p.writes.Items()) {
 		if !p.valid() {
 			continue
 		}
+		changes := p.core.Batch
+		if woken {
+			changes = p.core.Ended
+		}
 		if err := p.writeOnce(ctx, changes); err != nil {
 			p.log.Warn().Err(err).Int("tries", p.tries).Msg("records not written yet")
 			p.tries++
@@ -69,6 +63,7 @@
 			p.expire(ctx, now)
 		}
 	}
+	return nil
 }
 
 // writeLast records what is left when the duty is given back.
