refactor(bench): pauses of the soak are interval.Wait

sleep and the pause before a process is started again each selected on the context and time.After. sleep still returns the context's cause, which its callers pass on.

--- a/verbenabench/soak/process.go
+++ b/verbenabench/soak/process.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/standin"
 )
@@ -167,10 +168,7 @@
 		if errors.As(err, &exit) && exit.Exited() && ctx.Err() == nil {
 			return fmt.Errorf("%s ended by itself: %w", p.settings.Node, err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(restartAfter):
-		}
+		interval.Wait(ctx, restartAfter)
 	}
 	return nil
 }
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/standin"
 	"verbenalanding.example/platform/wire"
@@ -248,11 +249,10 @@
 		s.Seed, b.faults, len(b.accepted), b.refused, b.unknown, b.cancelled, outcome)
 }
 
+// sleep waits for d; it returns the context's cause when the context ends before.
 func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
+	if !interval.Wait(ctx, d) {
 		return context.Cause(ctx)
-	case <-time.After(d):
-		return nil
 	}
+	return nil
 }
