--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -111,16 +112,24 @@
 
 // untilAnswered repeats a read of what the holders before left until the store has answered it or the duty is lost.
 func (p *pool) untilAnswered(ctx context.Context, failed string, read func(context.Context) error) error {
-	for tries := 1; ; tries++ {
+	return p.repeat(ctx, failed, func(tries int) (bool, error) {
 		callCtx, cancel := context.WithTimeout(ctx, p.node.Patience.try(tries))
+		defer cancel()
 		err := read(callCtx)
-		cancel()
-		if err == nil || errors.Is(err, errLost) {
+		return err == nil || errors.Is(err, errLost), err
+	})
+}
+
+// repeat makes attempts, which count from 1, until one is final or the context ends; it returns the error of the final one or the
+// context's cause.
+func (p *pool) repeat(ctx context.Context, failed string, attempt func(tries int) (final bool, err error)) error {
+	for tries := 1; ; tries++ {
+		final, err := attempt(tries)
+		if final {
 			return err
 		}
 		p.log.Warn().Err(err).Int("tries", tries).Msg(failed)
-		pause(ctx, storePause)
-		if ctx.Err() != nil {
+		if !nextTry(ctx) {
 			return context.Cause(ctx)
 		}
 	}
@@ -143,15 +152,7 @@
 // sealSilent records what may run on workers that became silent, so that a successor that does not hear them either waits for
 // those tasks only.
 func (p *pool) sealSilent(ctx context.Context) error {
-	ticker := time.NewTicker(sealEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-p.seals.Items():
-		}
+	for range interval.EachOr(ctx, sealEvery, p.seals.Items()) {
 		now := p.node.Clock.Now()
 		if !p.holds() {
 			continue
@@ -164,6 +165,7 @@
 			p.writeSilent(ctx, workerRecord{Silent: seals, Known: known})
 		}
 	}
+	return nil
 }
 
 // writeSilent writes the record under the condition of its last revision, so that a write that takes effect late changes nothing.
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/tenure"
 )
@@ -33,31 +34,25 @@
 
 // write records changes in the store: at once when a job has ended, else gathered.
 func (p *pool) write(ctx context.Context) error {
-	ticker := time.NewTicker(writeEvery)
-	defer ticker.Stop()
 	expired := p.began
 	p.tries = 1
-	for {
-		changes := p.core.Batch
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-p.writes.Items():
-			changes = p.core.Ended
-		}
+	for woken := range interval.EachOr(ctx, writeEvery, p.writes.Items()) {
 		if !p.valid() {
 			continue
 		}
+		changes := p.core.Batch
+		if woken {
+			changes = p.core.Ended
+		}
 		if err := p.writeOnce(ctx, changes); err != nil {
 			p.log.Warn().Err(err).Int("tries", p.tries).Msg("records not written yet")
 			p.tries++
 			if errors.Is(err, errLost) {
 				p.lost()
-				pause(ctx, writeEvery)
+				interval.Wait(ctx, writeEvery)
 			}
 			if !errors.Is(err, store.ErrConflict) {
-				pause(ctx, min(storePause<<min(p.tries, maxShift), writeEvery))
+				interval.Wait(ctx, min(storePause<<min(p.tries, maxShift), writeEvery))
 			}
 			_ = p.writes.Offer(struct{}{})
 		} else {
@@ -68,6 +63,7 @@
 			p.expire(ctx, now)
 		}
 	}
+	return nil
 }
 
 // writeLast records what is left when the duty is given back.
@@ -81,7 +77,7 @@
 		}
 		p.log.Warn().Err(err).Int("tries", p.tries).Msg("last records not written yet")
 		p.tries++
-		pause(ctx, storePause)
+		nextTry(ctx)
 	}
 }
 
@@ -149,19 +145,15 @@
 // conflict takes over the revisions that the store has. An earlier write of this holder may have taken effect unheard: records that the
 // store has as they should be are written.
 func (p *pool) conflict(t store.Transaction, current []store.Entry) error {
-	found := map[string]store.Entry{}
-	for _, e := range current {
-		found[e.Key] = e
-	}
 	missing := 0
 	for _, w := range t.Put {
-		e := found[w.Key]
+		e := find(current, w.Key)
 		p.revisions[strings.TrimPrefix(w.Key, stateKey(p.name, ""))] = e.Revision
 		if !bytes.Equal(e.Value, w.Value) {
 			missing++
 		}
 	}
-	if uint64(found[tenure.Prefix+p.name].Revision) != p.fence {
+	if !p.ownsDuty(current) {
 		return errLost
 	}
 	if missing > 0 {
