--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -21,6 +21,8 @@
 type Client struct {
 	Addr      netip.AddrPort
 	Sentinels Sentinels
+	// Dial opens a connection; unset opens one of TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -87,8 +89,11 @@
 }
 
 func (c *Client) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", c.Addr.String())
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	raw, err := dial(ctx, "tcp", c.Addr.String())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.dialing)
--- a/fleet/steady/steady.go
+++ b/fleet/steady/steady.go
@@ -10,16 +10,20 @@
 type Clock struct {
 	base  time.Time
 	began time.Duration
+	since func() time.Duration
 }
 
 // New returns a clock that agrees with the time of day now.
-func New() *Clock {
-	return &Clock{base: time.Now().Round(0), began: sinceBoot()}
+func New() *Clock { return From(sinceBoot) }
+
+// From returns a clock that agrees with the time of day now and goes on with a count of its own, as under simulated time.
+func From(since func() time.Duration) *Clock {
+	return &Clock{base: time.Now().Round(0), began: since(), since: since}
 }
 
 // Now returns the clock's time; it has no monotonic reading, so that differences count suspensions.
 func (c *Clock) Now() time.Time {
-	return c.base.Add(sinceBoot() - c.began)
+	return c.base.Add(c.since() - c.began)
 }
 
 func sinceBoot() time.Duration {
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -79,6 +79,8 @@
 	pools   pools
 	newest  newestOrders
 	leaving atomic.Bool
+	// listenAt opens the node's listeners.
+	listenAt func(addr netip.AddrPort) (net.Listener, error)
 	// tells are the calls that tell holders of stored requests; nobody waits for them, they end with their time.
 	tells errgroup.Group
 }
@@ -93,6 +95,11 @@
 
 // RunWith runs an entry instance until a signal to stop arrives on signals; the end of the context ends it at once, as a kill does.
 func RunWith(ctx context.Context, settings platform.Settings, settingsPath string, flags Flags, out io.Writer, signals <-chan os.Signal) error {
+	return RunIn(ctx, Surroundings{}, settings, settingsPath, flags, out, signals)
+}
+
+// RunIn runs an entry instance as RunWith does, in other surroundings than those of its process.
+func RunIn(ctx context.Context, around Surroundings, settings platform.Settings, settingsPath string, flags Flags, out io.Writer, signals <-chan os.Signal) error {
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(settings.MemoryMB << 20 * memoryShare / 100)
 	}
@@ -108,8 +115,9 @@
 	for _, constructor := range []any{
 		func() platform.Settings { return settings },
 		func() Flags { return flags },
+		func() Surroundings { return around },
 		func() zerolog.Logger { return newLogger(lines, flags, settings) },
-		steady.New, platform.NewClient, metrics.NewRegistry, func() *patience { return &patience{} }, newStore, newWorkers, newMachines, newAdvice, newTenure, newView, newPeers,
+		Surroundings.clock, Surroundings.client, metrics.NewRegistry, func() *patience { return &patience{} }, newStore, newWorkers, newMachines, newAdvice, newTenure, newView, newPeers,
 		newNode,
 	} {
 		if err := container.Provide(constructor); err != nil {
@@ -119,6 +127,7 @@
 	var failed error
 	err := container.Invoke(func(n *Node) {
 		n.SettingsPath = settingsPath
+		n.listenAt = around.listen
 		failed = n.run(ctx, signals)
 	})
 	return cmp.Or(failed, err)
@@ -233,7 +242,7 @@
 		addr netip.AddrPort
 		to   *net.Listener
 	}{{n.Settings.Entry, &l.entry}, {n.Settings.Readiness, &l.readiness}, {n.Tenure.Self.Peer, &l.peer}} {
-		opened, err := net.Listen("tcp", x.addr.String())
+		opened, err := n.listenAt(x.addr)
 		if err != nil {
 			return l, fmt.Errorf("%w: %w", ErrListen, err)
 		}
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -56,6 +56,8 @@
 	Tenure *tenure.Tenure
 	// Answer runs a call of another node.
 	Answer rpc.Handler
+	// Dial opens connections to other nodes; unset opens those of TCP.
+	Dial Dial
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*rpc.Client
@@ -63,8 +65,8 @@
 
 var peerSentinels = rpc.Sentinels{ErrNotHolder, errCutOff, store.ErrNotFound, store.ErrConflict, store.ErrRefused, store.ErrUnavailable}
 
-func newPeers(t *tenure.Tenure) *Peers {
-	return &Peers{Tenure: t, clients: map[netip.AddrPort]*rpc.Client{}}
+func newPeers(t *tenure.Tenure, s Surroundings) *Peers {
+	return &Peers{Tenure: t, Dial: s.Dial, clients: map[netip.AddrPort]*rpc.Client{}}
 }
 
 // Serve answers the calls of other nodes until the context ends.
@@ -112,7 +114,7 @@
 	defer p.mu.Unlock()
 	c := p.clients[addr]
 	if c == nil {
-		c = &rpc.Client{Addr: addr, Sentinels: peerSentinels}
+		c = &rpc.Client{Addr: addr, Sentinels: peerSentinels, Dial: p.Dial}
 		p.clients[addr] = c
 	}
 	return c
