fix(node): a list of records whose answer is lost is asked for again

A holder read the records of its pool's jobs without a time bound. When the store left the list unanswered, the read waited for ever: the pool was not taken over, and no other node took its duty, since its holder lived and renewed its lease. Each page is now read as a handover is, with a bound that grows from attempt to attempt. TestRecordsAreReadWhenAnswersAreLost failed before (context deadline exceeded after 10 s) and passes.

--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -162,28 +162,32 @@
 	return err
 }
 
-// loadRecords reads the progress of the pool's jobs; the duty is held, so no other node writes it any more.
+// loadRecords reads the progress of the pool's jobs; the duty is held, so no other node writes it any more. An answer may be lost, so that
+// each page is asked for again.
 func (p *pool) loadRecords(ctx context.Context) (map[string]dispatch.Record, error) {
 	prefix := stateKey(p.name, "")
 	records := map[string]dispatch.Record{}
-	for {
-		entries, _, err := store.ListAll(ctx, p.node.Store, prefix)
-		if err == nil {
-			for _, e := range entries {
-				id := strings.TrimPrefix(e.Key, prefix)
-				var r dispatch.Record
-				if err := json.Unmarshal(e.Value, &r); err != nil {
-					return nil, fmt.Errorf("read record of job %s: %w", id, err)
-				}
-				records[id], p.revisions[id] = r, e.Revision
+	for from := ""; ; {
+		var page store.Page
+		err := p.untilAnswered(ctx, "records of jobs not read yet", func(ctx context.Context) (err error) {
+			page, err = p.node.Store.List(ctx, prefix, from, 0)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range page.Entries {
+			id := strings.TrimPrefix(e.Key, prefix)
+			var r dispatch.Record
+			if err := json.Unmarshal(e.Value, &r); err != nil {
+				return nil, fmt.Errorf("read record of job %s: %w", id, err)
 			}
-			return records, nil
+			records[id], p.revisions[id] = r, e.Revision
 		}
-		p.log.Warn().Err(err).Msg("records of jobs not read yet")
-		pause(ctx, storePause)
-		if ctx.Err() != nil {
-			return nil, context.Cause(ctx)
+		if page.Next == "" {
+			return records, nil
 		}
+		from = page.Next
 	}
 }
 
--- a/verbenaentry/node/successor_test.go
+++ b/verbenaentry/node/successor_test.go
@@ -180,3 +180,19 @@
 		t.Errorf("write after the duty was lost: got it taken for written, want not")
 	}
 }
+
+// Guards against a holder that waits for ever for a list of records whose answer was lost: its pool is not taken over, and no other
+// node takes the duty.
+func TestRecordsAreReadWhenAnswersAreLost(t *testing.T) {
+	s := newSuccession(t)
+	s.pool.revisions = map[string]store.Revision{}
+	s.write(store.Write{Key: stateKey(s.pool.name, "j"), Value: []byte("{}")})
+	s.loseAnswers(wire.PathRange, 2)
+	records, err := s.pool.loadRecords(s.ctx)
+	if err != nil {
+		t.Fatalf("read records: got %v, want none", err)
+	}
+	if _, ok := records["j"]; !ok || len(records) != 1 {
+		t.Errorf("records: got %v, want one of job j", records)
+	}
+}
