--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -217,6 +218,19 @@
 	<-n.done
 }
 
+// KillAll ends all running instances at the same moment.
+func (f *Fleet) KillAll() {
+	f.mu.Lock()
+	nodes := slices.Clone(f.nodes)
+	f.mu.Unlock()
+	for _, n := range nodes {
+		n.cancel()
+	}
+	for _, n := range nodes {
+		<-n.done
+	}
+}
+
 // TurnAway has the store turn an instance away, or serve it again.
 func (f *Fleet) TurnAway(i int, away bool) {
 	f.mu.Lock()
