fix(dispatch): a task whose end is not taken over yet does not start when its job is heard of

Cause: the end of a run whose job is not known yet is withheld, but only listed runs kept their tasks waiting. A run that was listed as present in one report and as ended in the next was named nowhere once its job was heard of, and the task was started again before the next report. The same held for a job that is heard of after the leases of before have ended while a worker has listed only a part of its ends: it did not count as one that a lost holder may have started.

Evidence: the two new cases of TestRunOfAJobThatIsHeardOfLater fail on the code before (1 start each, want 0).

Change: tasks of withheld ends wait as those of listed runs do, and a job that is heard of beside a worker that has listed some of its ends only waits for the rest of them.

--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -58,8 +58,9 @@
 	if p.jobs[spec.ID] != nil {
 		return
 	}
-	// A lost holder hears of new jobs too, by its watch and from the callers that it still serves.
-	overlaps := now.Before(p.unsureUntil)
+	// A lost holder hears of new jobs too, by its watch and from the callers that it still serves. This one may hear of them at any later
+	// time, and a worker may have ends of them that it has not listed yet.
+	overlaps := now.Before(p.unsureUntil) || p.someListedInPart()
 	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -128,6 +128,34 @@
 		b.record()
 		b.wantState("j", workload.Completed)
 	})
+	t.Run("was present and has ended", func(t *testing.T) {
+		b := takeOver(t)
+		b.present["w1"][task("j", 0, 0)] = 5
+		b.report()
+		b.end("w1", task("j", 0, 0), workload.EndDone)
+		b.report()
+		b.addJob("j", oneTask(1000))
+		starts, _ := b.orders()
+		wantCount(t, "starts after the end", len(starts), 0)
+		b.report()
+		b.record()
+		b.wantState("j", workload.Completed)
+	})
+	t.Run("has an end that is not listed yet", func(t *testing.T) {
+		b := takeOver(t)
+		b.silent["w1"] = true
+		// The job is heard of later than anything that a lost holder started may be present.
+		for range 100 {
+			b.pool.Report("w1", workload.Report{Born: 1, Clock: b.clock, Partial: true}, b.now)
+			b.pass(100 * time.Millisecond)
+		}
+		b.addJob("j", oneTask(1000))
+		starts, _ := b.orders()
+		wantCount(t, "starts while ends are not listed", len(starts), 0)
+		b.pool.Report("w1", workload.Report{Born: 1, Clock: b.clock}, b.now)
+		starts, _ = b.orders()
+		wantCount(t, "starts once all ends were listed", len(starts), 1)
+	})
 	t.Run("has ended before a run that was done", func(t *testing.T) {
 		b := takeOver(t)
 		b.addJob("k", oneTask(1000))
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -24,6 +24,7 @@
 	}
 	w.clock, w.heard, w.lapsed, w.reborn = r.Clock, heard, false, false
 	delete(p.living, id)
+	w.early = nil
 	r, w.withheld = p.withoutLaterEnds(w, r, heard)
 	w.partial = r.Partial && (w.partial || !w.synced)
 	if !w.synced {
@@ -39,7 +40,6 @@
 			p.end(w, e, heard)
 		}
 	}
-	w.early = nil
 	seen := make(map[runKey]bool, len(r.Active))
 	for _, a := range r.Active {
 		seen[runKey{a.Task, a.Run}] = true
@@ -61,16 +61,29 @@
 	return p.jobs[job] == nil && now.Before(p.unsureUntil.Add(lateJob))
 }
 
+// tooEarly takes note of a listed run or end whose job is not known yet.
+func (w *worker) tooEarly(t workload.TaskID) {
+	if w.early == nil {
+		w.early = map[workload.TaskID]bool{}
+	}
+	w.early[t] = true
+}
+
 // withoutLaterEnds returns a report without the ends from the first one on whose job is not known yet: what is taken over is acknowledged,
 // and the task would be started when its job is heard of.
 func (p *Pool) withoutLaterEnds(w *worker, r workload.Report, now time.Time) (rest workload.Report, withheld bool) {
+	first := len(r.Ended)
 	for i, e := range r.Ended {
 		if e.Number > w.processed && p.mayCome(e.Task.Job, now) {
-			r.Ended, r.Partial = r.Ended[:i], true
-			return r, true
+			first = min(first, i)
+			w.tooEarly(e.Task)
 		}
 	}
-	return r, false
+	if first == len(r.Ended) {
+		return r, false
+	}
+	r.Ended, r.Partial = r.Ended[:first], true
+	return r, true
 }
 
 const (
@@ -156,10 +169,7 @@
 func (p *Pool) adopt(w *worker, a workload.ActiveRun, now time.Time) *run {
 	t := p.find(a.Task)
 	if p.mayCome(a.Task.Job, now) {
-		if w.early == nil {
-			w.early = map[workload.TaskID]bool{}
-		}
-		w.early[a.Task] = true
+		w.tooEarly(a.Task)
 		p.note(Event{What: "run of a job that is not known yet", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
 		return nil
 	}
--- a/fleet/dispatch/uncertain.go
+++ b/fleet/dispatch/uncertain.go
@@ -36,7 +36,7 @@
 	}
 	if p.leasesOver(now) {
 		clear(p.gone)
-		u.everywhere = slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.partial })
+		u.everywhere = p.someListedInPart()
 		return u
 	}
 	told := p.inherited
@@ -51,6 +51,11 @@
 	return u
 }
 
+// someListedInPart reports whether a worker has listed some of its ends only.
+func (p *Pool) someListedInPart() bool {
+	return slices.ContainsFunc(p.ordered(), func(w *worker) bool { return w.partial })
+}
+
 // unaccounted reports whether there may be a worker that takes orders of a lost holder and of which nobody told what it runs.
 func (p *Pool) unaccounted(told Seals) bool {
 	if len(p.workers) == 0 || (p.AwaitList && p.living == nil) {
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -39,7 +39,7 @@
 	runs      map[runKey]*run
 	// strays is true while the worker lists runs that are none of this holder's; they take room until they have ended.
 	strays bool
-	// early are the tasks of listed runs whose jobs are not known yet.
+	// early are the tasks of listed runs and ends whose jobs are not known yet.
 	early map[workload.TaskID]bool
 	// withheld is true while ends are not taken over since the first of them is of a job that is not known yet.
 	withheld  bool
