fix(dispatch): ends of an unknown job are acknowledged only once the store has no such job

Cause: a job that a worker lists and that the holder does not know counted as one that may still come until 9.1 s after the take-over. A job that the holder's watch brought later had its end acknowledged, and was started again.

Change: the time is replaced by a proof. The pool names the jobs of listed runs and ends that it does not know (UnknownJobs); the node reads each from the store, with its record and its caller's wish to cancel it, and tells the pool what the store has (AddJob, or NoSuchJob for a job that was deleted). Until then runs go on and ends stay listed. A job that does not exist costs one read, one that does at most four; reads that were not answered are repeated, one pass at a time.

The models have jobs that no watch brings for 20 s, holders that read them with lost answers, and a root of the exploration with the end of such a job; that root finds the time of before, and a pool that waits for nothing, after 8 states. The exploration expands 2,400 states for its six roots (2,000 for five before), so that each root keeps its 400. The cases that waited 10 s for a run to be stopped now tell the pool first that its job does not exist, and check that it is not stopped before.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -127,9 +127,11 @@
 	// suspects is how many workers are suspected.
 	suspects int
 	// order holds the workers by id; nil after a change.
-	order   []*worker
-	jobs    map[string]*job
-	active  []*job
+	order  []*worker
+	jobs   map[string]*job
+	active []*job
+	// absent holds the jobs that are known not to exist, and since when.
+	absent  map[string]time.Time
 	learned map[string]*figures
 	tickets map[stepKey]*ticketSet
 	// unsureUntil is the end of the time in which a lost holder's runs may be present on workers that were not heard.
@@ -172,6 +174,7 @@
 	p.gone = map[string]bool{}
 	p.quiet = map[string]time.Time{}
 	p.jobs = map[string]*job{}
+	p.absent = map[string]time.Time{}
 	p.learned = map[string]*figures{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -14,7 +14,7 @@
 
 // Bounds of the exploration; a run by hand goes further.
 var (
-	exploredStates = flag.Int("explore.states", 2000, "states to expand in the exhaustive exploration")
+	exploredStates = flag.Int("explore.states", 2400, "states to expand in the exhaustive exploration")
 	exploredFaults = flag.Int("explore.faults", 3, "faults in one history of the exhaustive exploration")
 )
 
@@ -35,6 +35,8 @@
 	"list":     {1, 0},
 	"read":     {1, 0},
 	"told":     {1, 0},
+	"watched":  {1, 0},
+	"ask":      {1, 0},
 	"proof":    {1, 0},
 	"hold":     {1, 0},
 	"listing":  {1, 0},
@@ -44,7 +46,7 @@
 }
 
 // faulty are the choices whose other values are faults.
-var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "list": true, "told": true, "proof": true, "hold": true, "listing": true, "read": true, "delete": true, "handover": true}
+var faulty = map[string]bool{"stop": true, "fate": true, "write": true, "seal": true, "list": true, "told": true, "watched": true, "ask": true, "proof": true, "hold": true, "listing": true, "read": true, "delete": true, "handover": true}
 
 // script makes the choices of a model from a list, and the first of each further one.
 type script struct {
@@ -185,6 +187,37 @@
 		m.act(m.present)
 		m.restart(m.workers[1])
 	}},
+	{"job that is heard of much later", hearMuchLater},
+}
+
+// unasked is a source with which holders read no job from the store.
+type unasked struct{ source }
+
+func (u unasked) pick(name string, low, high int) int {
+	if name == "ask" {
+		return 0
+	}
+	return u.source.pick(name, low, high)
+}
+
+// hearMuchLater has a lost holder start the tasks of a job of which its successor hears nothing until all that may be present of before has ended.
+func hearMuchLater(m *model) {
+	m.act(m.present)
+	m.takeOver()
+	m.load(m.present)
+	j := exploredJob(m)
+	m.revision++
+	m.specs[j.ID], m.stored[j.ID], m.deaf[j.ID] = j, m.revision, true
+	m.hearJob(m.lost[0], j.ID)
+	m.lostAct()
+	m.endOne()
+	m.t = unasked{m.t}
+	const step = time.Second
+	for m.now.Sub(j.Accepted) < modelDeaf-step {
+		m.pass(step)
+		m.act(m.present)
+		m.record()
+	}
 }
 
 func exploredJob(m *model) workload.Job {
@@ -223,7 +256,7 @@
 
 // fingerprint describes the state of holders, workers and store, with times relative to now.
 func (m *model) fingerprint() string {
-	out := fmt.Sprintln(m.records, m.seals, m.handover, m.cancelled, m.noted, m.failures, m.doneLost)
+	out := fmt.Sprintln(m.records, m.seals, m.handover, m.deaf, m.cancelled, m.noted, m.failures, m.doneLost)
 	for _, h := range m.holders() {
 		out += fmt.Sprintln(h.fence, h.loaded, h.registered, h.seen, h.listed, h.until.Sub(m.now), h.pool.Fingerprint(m.now))
 	}
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -22,7 +22,7 @@
 func (p *Pool) Fingerprint(now time.Time) string {
 	var b strings.Builder
 	fmt.Fprintln(&b, p.Epoch, max(age(p.unsureUntil, now), 0), max(age(p.lostUntil, now), 0), p.heardBefore, p.mayRun != nil, p.mayRun, p.inherited, p.recordedSeals,
-		slices.Sorted(maps.Keys(p.living)), p.living != nil, p.listed, age(now, p.provenAt))
+		slices.Sorted(maps.Keys(p.absent)), slices.Sorted(maps.Keys(p.living)), p.living != nil, p.listed, age(now, p.provenAt))
 	for _, id := range slices.Sorted(maps.Keys(p.quiet)) {
 		fmt.Fprintln(&b, "quiet", id, age(now, p.quiet[id]))
 	}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -58,6 +59,7 @@
 	if p.jobs[spec.ID] != nil {
 		return
 	}
+	delete(p.absent, spec.ID)
 	// A lost holder hears of new jobs too, by its watch and from the callers that it still serves. This one may hear of them at any later
 	// time, and a worker may have ends of them that it has not listed yet.
 	overlaps := now.Before(p.unsureUntil) || p.someListedInPart()
@@ -242,6 +244,8 @@
 		}
 	}
 	slices.Sort(ids)
+	// A job that is listed again is asked for again.
+	maps.DeleteFunc(p.absent, func(_ string, since time.Time) bool { return now.Sub(since) > p.Settings.StatusKept })
 	return ids
 }
 
--- /dev/null
+++ b/fleet/dispatch/late_job_test.go
@@ -0,0 +1,155 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+// wantUnknown checks which jobs the store is to be asked for.
+func wantUnknown(t *testing.T, b *bench, want ...string) {
+	t.Helper()
+	if got := b.pool.UnknownJobs(); !slices.Equal(got, want) {
+		t.Errorf("jobs to ask for: got %v, want %v", got, want)
+	}
+}
+
+// Guards against an end that is acknowledged, since time has passed, before its job is heard of: the job is started again. Only that the store
+// has no such job counts.
+func TestEndOfAJobThatIsHeardOfMuchLater(t *testing.T) {
+	ended := func(t *testing.T) *bench {
+		b := newBench(t, 2)
+		b.takeOver()
+		b.addWorker("w0")
+		b.addWorker("w1")
+		b.present["w1"][task("j", 0, 0)] = 5
+		b.end("w1", task("j", 0, 0), workload.EndDone)
+		for range 200 {
+			b.pass(50 * time.Millisecond)
+			b.record()
+		}
+		if len(b.ended["w1"]) == 0 {
+			t.Errorf("end of a job that was not heard of: got it acknowledged, want it listed")
+		}
+		wantUnknown(t, b, "j")
+		return b
+	}
+	t.Run("heard of", func(t *testing.T) {
+		b := ended(t)
+		b.addJob("j", oneTask(1000))
+		b.plan()
+		wantUnknown(t, b)
+		b.report()
+		b.record()
+		b.plan()
+		b.report()
+		wantCount(t, "ends that are not acknowledged", len(b.ended["w1"]), 0)
+		wantCount(t, "starts after the end", len(b.starts), 0)
+		b.wantState("j", workload.Completed)
+	})
+	t.Run("does not exist", func(t *testing.T) {
+		b := ended(t)
+		b.pool.NoSuchJob("j", b.now)
+		wantUnknown(t, b)
+		b.report()
+		b.record()
+		b.report()
+		wantCount(t, "ends that are not acknowledged", len(b.ended["w1"]), 0)
+		wantUnknown(t, b)
+	})
+	t.Run("accepted again", func(t *testing.T) {
+		b := ended(t)
+		b.pool.NoSuchJob("j", b.now)
+		b.addJob("j", oneTask(1000))
+		b.pool.NoSuchJob("j", b.now)
+		b.wantState("j", workload.Queued)
+	})
+}
+
+// Guards against memory that grows with the jobs that do not exist, and against an old answer that holds for good.
+func TestAnswerThatAJobDoesNotExistIsForgotten(t *testing.T) {
+	b := newBench(t, 1)
+	b.present["w0"][task("j", 0, 0)] = 5
+	b.report()
+	b.pool.NoSuchJob("j", b.now)
+	b.report()
+	wantUnknown(t, b)
+	b.now, b.clock = b.now.Add(3*time.Minute), b.clock+3*time.Minute
+	b.pool.Expired(b.now)
+	b.report()
+	wantUnknown(t, b, "j")
+}
+
+// Guards against a job that starts again since its run is listed after its record was deleted here and before it is deleted in the store.
+func TestRunOfAnExpiredJob(t *testing.T) {
+	b := newBench(t, 1)
+	finished := b.now
+	record := &dispatch.Record{State: workload.Completed, Finished: finished}
+	spec := workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(1000)}, Accepted: finished}
+	b.pool.AddJob(spec, record, true, b.now)
+	b.now, b.clock = b.now.Add(5*time.Minute), b.clock+5*time.Minute
+	wantCount(t, "expired jobs", len(b.pool.Expired(b.now)), 1)
+	b.present["w0"][task("j", 0, 0)] = 5
+	b.report()
+	wantUnknown(t, b, "j")
+	b.pool.AddJob(spec, record, true, b.now)
+	wantUnknown(t, b)
+	b.report()
+	starts, stops := b.orders()
+	wantCount(t, "starts", len(starts), 0)
+	wantCount(t, "stops of the run", len(stops), 1)
+	wantCount(t, "expired jobs after that", len(b.pool.Expired(b.now)), 1)
+}
+
+// store accepts the job; tell has a holder hear of it.
+func (s *scene) store() {
+	s.job = &workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Accepted: s.now, Steps: []workload.Step{
+		{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Hour},
+	}}
+}
+
+func (s *scene) tell(h *sceneHolder) {
+	h.pool.AddJob(*s.job, nil, false, s.now)
+}
+
+// ask has a holder read the job if a worker lists it and the holder does not know it.
+func (s *scene) ask(h *sceneHolder) {
+	if len(h.pool.UnknownJobs()) > 0 && !s.unread {
+		h.pool.AddJob(*s.job, s.record, false, s.now)
+	}
+}
+
+// Guards against a task that starts beside a run of a lost holder, or is never taken over, since the successors hear of its job by no watch until long
+// after, for each way in which a holder is lost and each state of the worker.
+func TestJobOfALostHolderThatIsHeardOfMuchLater(t *testing.T) {
+	for _, l := range losses {
+		for _, w := range workerStates {
+			for _, unread := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/unread %v", l.name, w.name, unread), func(t *testing.T) {
+					for _, v := range w.variants {
+						for _, happen := range l.happen {
+							s := newScene(t, "heard of much later")
+							s.late, s.unread = w.late, unread
+							happen(s)
+							v.happen(s, v.moment(s))
+							at := s.lostUntil.Add(-100 * time.Millisecond)
+							if !l.cutAt.IsZero() {
+								at = l.cutAt.Add(-100 * time.Millisecond)
+							}
+							s.at(at, func() { s.store(); s.tell(s.first) })
+							heard := afterLoss(14 * time.Second)
+							s.at(heard, func() { s.tell(s.newest) })
+							s.run(heard.Add(promptly))
+							s.wantTaskHeld()
+							s.run(heard.Add(5 * time.Second))
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -165,7 +165,7 @@
 // hearJobs lets a holder hear of the jobs accepted until a time that it was not told of, and of their cancelling.
 func (m *model) hearJobs(h *holder, until time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(m.specs)) {
-		if m.specs[id].Accepted.After(until) {
+		if m.specs[id].Accepted.After(until) || (m.deaf[id] && m.now.Sub(m.specs[id].Accepted) < modelDeaf) {
 			continue
 		}
 		m.hearJob(h, id)
@@ -175,6 +175,32 @@
 	}
 }
 
+// ask has a holder read from the store the jobs that workers list and that it does not know; the answer may be lost.
+func (m *model) ask(h *holder) {
+	for _, id := range h.pool.UnknownJobs() {
+		if without("lost-holders-hear-jobs") && h != m.present {
+			continue
+		}
+		if m.t.pick("ask", 0, 3) == 0 {
+			continue
+		}
+		if _, ok := m.specs[id]; !ok {
+			m.t.Logf("%v: holder %d reads that there is no %s", m.now.Sub(epoch), h.fence, id)
+			h.pool.NoSuchJob(id, m.now)
+			continue
+		}
+		var record *dispatch.Record
+		if r, ok := m.records[id]; ok {
+			record = &r
+		}
+		m.t.Logf("%v: holder %d reads %s", m.now.Sub(epoch), h.fence, id)
+		h.pool.AddJob(m.specs[id], record, m.stored[id] < h.fence, m.now)
+		if m.cancelled[id] {
+			m.hearCancel(h, id)
+		}
+	}
+}
+
 // list has a holder read the list of machines: once for the workers that live, and as long as workers are not heard for those that
 // have ended.
 func (m *model) list(h *holder) {
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -45,6 +45,8 @@
 	records  map[string]dispatch.Record
 	seals    dispatch.Seals
 	handover *storedHandover
+	// deaf are the jobs that no watch brings for a long time.
+	deaf map[string]bool
 	// cancelled are the jobs whose callers have cancelled them, cancelHeard is when a holder of the duty first heard of it.
 	cancelled   map[string]bool
 	cancelHeard map[string]time.Time
@@ -66,8 +68,10 @@
 	modelEnds     = 2
 	// modelSettled is longer than anything that a lost holder started may be present.
 	modelSettled = 10 * time.Second
-	// modelWatch is how late a watch brings a job.
+	// modelWatch is how late a watch brings a job, modelDeaf how late one that it brings much later than anything that a lost holder started
+	// may be present.
 	modelWatch = 2900 * time.Millisecond
+	modelDeaf  = 20 * time.Second
 	// oldHolderGoesOn is shorter than the bound that a new holder counts with.
 	oldHolderGoesOn = 2300 * time.Millisecond
 )
@@ -75,7 +79,7 @@
 func newModel(t source, workers int) *model {
 	m := &model{
 		t: t, now: epoch, specs: map[string]workload.Job{}, stored: map[string]uint64{}, records: map[string]dispatch.Record{},
-		cancelled: map[string]bool{}, cancelHeard: map[string]time.Time{}, noted: map[workload.TaskID]bool{}, lastStart: map[workload.TaskID]time.Time{},
+		deaf: map[string]bool{}, cancelled: map[string]bool{}, cancelHeard: map[string]time.Time{}, noted: map[workload.TaskID]bool{}, lastStart: map[workload.TaskID]time.Time{},
 		failures: map[workload.TaskID]int{}, doneLost: map[workload.TaskID]bool{},
 	}
 	for range workers {
@@ -127,6 +131,7 @@
 			m.report(h, w)
 		}
 	}
+	m.ask(h)
 	m.seal(h)
 	m.plan(h)
 }
@@ -220,6 +225,7 @@
 func (m *model) store(j workload.Job) {
 	m.revision++
 	m.specs[j.ID], m.stored[j.ID] = j, m.revision
+	m.deaf[j.ID] = m.t.pick("watched", 0, 3) == 0
 	for _, h := range m.holders() {
 		if m.t.pick("told", 0, 2) != 0 {
 			m.hearJob(h, j.ID)
--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -177,7 +177,13 @@
 		b := takeOver(t)
 		b.present["w1"][task("j", 0, 0)] = 5
 		b.pass(10 * time.Second)
-		wantCount(t, "stops of the run", len(b.stops), 1)
+		wantCount(t, "stops of the run before the store was asked", len(b.stops), 0)
+		wantUnknown(t, b, "j")
+		b.pool.NoSuchJob("j", b.now)
+		wantUnknown(t, b)
+		b.pass(50 * time.Millisecond)
+		b.pass(50 * time.Millisecond)
+		wantCount(t, "stops of the run once it is known that its job does not exist", len(b.stops), 1)
 	})
 }
 
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -25,7 +25,7 @@
 	w.clock, w.heard, w.lapsed, w.reborn = r.Clock, heard, false, false
 	delete(p.living, id)
 	w.early = nil
-	r, w.withheld = p.withoutLaterEnds(w, r, heard)
+	r, w.withheld = p.withoutLaterEnds(w, r)
 	w.partial = r.Partial && (w.partial || !w.synced)
 	if !w.synced {
 		w.synced = true
@@ -53,28 +53,12 @@
 	p.pace(w, heard)
 }
 
-// lateJob is how much later than a lost holder, which may have been told at once, a holder hears of a job by its watch.
-const lateJob = 3 * time.Second
-
-// mayCome reports whether a job that is not known may be one that a lost holder has heard of sooner.
-func (p *Pool) mayCome(job string, now time.Time) bool {
-	return p.jobs[job] == nil && now.Before(p.unsureUntil.Add(lateJob))
-}
-
-// tooEarly takes note of a listed run or end whose job is not known yet.
-func (w *worker) tooEarly(t workload.TaskID) {
-	if w.early == nil {
-		w.early = map[workload.TaskID]bool{}
-	}
-	w.early[t] = true
-}
-
 // withoutLaterEnds returns a report without the ends from the first one on whose job is not known yet: what is taken over is acknowledged,
 // and the task would be started when its job is heard of.
-func (p *Pool) withoutLaterEnds(w *worker, r workload.Report, now time.Time) (rest workload.Report, withheld bool) {
+func (p *Pool) withoutLaterEnds(w *worker, r workload.Report) (rest workload.Report, withheld bool) {
 	first := len(r.Ended)
 	for i, e := range r.Ended {
-		if e.Number > w.processed && p.mayCome(e.Task.Job, now) {
+		if e.Number > w.processed && p.mayCome(e.Task.Job) {
 			first = min(first, i)
 			w.tooEarly(e.Task)
 		}
@@ -168,7 +152,7 @@
 // adopt takes a run over that another holder started, or has it stopped.
 func (p *Pool) adopt(w *worker, a workload.ActiveRun, now time.Time) *run {
 	t := p.find(a.Task)
-	if p.mayCome(a.Task.Job, now) {
+	if p.mayCome(a.Task.Job) {
 		w.tooEarly(a.Task)
 		p.note(Event{What: "run of a job that is not known yet", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
 		return nil
--- a/fleet/dispatch/report_test.go
+++ b/fleet/dispatch/report_test.go
@@ -133,6 +133,8 @@
 	b.present["w0"][task("x", 0, 0)] = 1
 	b.silent["w0"] = false
 	b.pass(10 * time.Second)
+	b.pool.NoSuchJob("x", b.now)
+	b.pass(time.Second)
 	b.present["w0"][task("x", 0, 0)] = 2
 	b.addJob("j", oneTask(16000))
 	b.report()
--- a/fleet/dispatch/scene_test.go
+++ b/fleet/dispatch/scene_test.go
@@ -85,6 +85,8 @@
 	late bool
 	// told is true where a holder ends that meets a worker which follows a newer one; else what would tell it is lost.
 	told bool
+	// unread is true where reads of the job are not answered.
+	unread bool
 	// unlisted is true where there is no list of machines.
 	unlisted bool
 }
@@ -184,17 +186,6 @@
 	}
 }
 
-// store accepts the job; tell has a holder hear of it.
-func (s *scene) store() {
-	s.job = &workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Accepted: s.now, Steps: []workload.Step{
-		{Tasks: 1, Need: workload.Room{CPU: 1000}, Estimate: time.Hour},
-	}}
-}
-
-func (s *scene) tell(h *sceneHolder) {
-	h.pool.AddJob(*s.job, nil, false, s.now)
-}
-
 func (s *scene) register(w *sceneWorker) {
 	s.registered[w.ID] = w.Worker
 	for _, h := range s.holders {
@@ -283,6 +274,7 @@
 	for _, id := range h.pool.WorkerIDs() {
 		s.hold(h, s.worker(id))
 	}
+	s.ask(h)
 	if h == s.newest && !h.apart {
 		s.write(h)
 		if seals, changed := h.pool.Seals(s.now); changed {
--- /dev/null
+++ b/verbenaentry/node/find_test.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
+)
+
+// listing is a pool that a worker tells of a run of the job j, of which the pool has not heard.
+type listing struct {
+	*succession
+	// reads counts the reads of the store.
+	reads int
+}
+
+func newListing(t *testing.T) *listing {
+	t.Helper()
+	l := &listing{succession: newSuccession(t)}
+	now := l.pool.node.Clock.Now()
+	w := workload.Worker{ID: "w", Pool: "cutting", Room: workload.Room{CPU: 1000}, Born: 1}
+	l.pool.core.SetWorker(w, now)
+	l.pool.core.Report("w", workload.Report{
+		Born: 1, Clock: time.Second, Active: []workload.ActiveRun{{Task: workload.TaskID{Job: "j"}, Run: 1}},
+	}, now)
+	l.onRead(func(string) bool { return false })
+	return l
+}
+
+// onRead is told the key of each read; it reports whether the answer is lost.
+func (l *listing) onRead(lost func(key string) bool) {
+	l.gate.Lose(func(r *http.Request) bool {
+		if r.Method != http.MethodGet {
+			return false
+		}
+		l.reads++
+		return lost(r.URL.Query().Get("Key"))
+	})
+}
+
+// store stores the job, and its record if there is one.
+func (l *listing) store(record *dispatch.Record) {
+	l.t.Helper()
+	l.encode(jobKey("cutting", "j"), workload.Job{ID: "j", Pool: "cutting", Accepted: l.pool.node.Clock.Now(), Steps: []workload.Step{{Tasks: 1}}})
+	if record != nil {
+		l.encode(stateKey("cutting", "j"), record)
+	}
+}
+
+func (l *listing) encode(key string, value any) {
+	l.t.Helper()
+	content, err := json.Marshal(value)
+	if err != nil {
+		l.t.Fatalf("encode %s: got %v, want none", key, err)
+	}
+	l.write(store.Write{Key: key, Value: content})
+}
+
+func (l *listing) find() error {
+	return l.pool.findAll(l.ctx, l.pool.core.UnknownJobs(), 1)
+}
+
+// wantFound checks that one question answers whether the job exists, and its state.
+func (l *listing) wantFound(want workload.State, known bool) {
+	l.t.Helper()
+	if err := l.find(); err != nil {
+		l.t.Errorf("find: got %v, want none", err)
+	}
+	if got := l.pool.core.UnknownJobs(); len(got) != 0 {
+		l.t.Errorf("jobs to ask for: got %v, want none", got)
+	}
+	if got := l.pool.jobState("j"); got.Known != known || got.State != want {
+		l.t.Errorf("job: got known %v and %q, want %v and %q", got.Known, got.State, known, want)
+	}
+}
+
+// Guards against a run that is stopped, or an end that is acknowledged, though the store has the job; and against a job that is taken without
+// what became of it.
+func TestListedJobIsReadFromTheStore(t *testing.T) {
+	t.Run("new", func(t *testing.T) {
+		l := newListing(t)
+		l.store(nil)
+		l.wantFound(workload.Queued, true)
+	})
+	t.Run("finished", func(t *testing.T) {
+		l := newListing(t)
+		l.store(&dispatch.Record{State: workload.Failed, Finished: time.Now()})
+		l.wantFound(workload.Failed, true)
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		l := newListing(t)
+		l.store(nil)
+		l.encode(cancelKey("cutting", "j"), struct{}{})
+		if err := l.find(); err != nil {
+			t.Errorf("find: got %v, want none", err)
+		}
+		changes := l.pool.core.Batch().Changes
+		if len(changes) != 1 || changes[0].Record.State != workload.Cancelled {
+			t.Errorf("records to write: got %v, want one of a cancelled job", changes)
+		}
+	})
+	t.Run("deleted", func(t *testing.T) {
+		l := newListing(t)
+		l.wantFound("", false)
+		if l.reads != 1 {
+			t.Errorf("reads: got %d, want 1", l.reads)
+		}
+	})
+	t.Run("deleted between reads", func(t *testing.T) {
+		l := newListing(t)
+		l.store(&dispatch.Record{State: workload.Completed, Finished: time.Now()})
+		deleted := false
+		l.onRead(func(key string) bool {
+			if strings.HasPrefix(key, "state/") && !deleted {
+				deleted = true
+				if _, _, err := l.pool.node.Store.Apply(l.ctx, store.Transaction{Delete: []string{key, jobKey("cutting", "j")}}); err != nil {
+					t.Errorf("delete: got %v, want none", err)
+				}
+			}
+			return false
+		})
+		l.wantFound("", false)
+	})
+	t.Run("cannot be read", func(t *testing.T) {
+		l := newListing(t)
+		l.write(store.Write{Key: jobKey("cutting", "j"), Value: []byte("{")})
+		l.wantFound("", false)
+	})
+}
+
+// Guards against an answer that is taken for granted while the store is away or loses answers: the job is asked for again.
+func TestListedJobIsAskedForAgain(t *testing.T) {
+	for _, key := range []string{"job/", "state/", "job/cutting/j/cancel"} {
+		t.Run(key, func(t *testing.T) {
+			l := newListing(t)
+			l.store(nil)
+			lost := false
+			l.onRead(func(read string) bool {
+				lose := !lost && strings.HasPrefix(read, key)
+				lost = lost || lose
+				return lose
+			})
+			if err := l.find(); err == nil {
+				t.Errorf("find without an answer: got none, want an error")
+			}
+			if got := l.pool.core.UnknownJobs(); len(got) != 1 {
+				t.Errorf("jobs to ask for: got %v, want j", got)
+			}
+			l.wantFound(workload.Queued, true)
+		})
+	}
+}
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -146,7 +146,7 @@
 	}
 	size := sizer{pool: p}
 	for _, run := range []func(context.Context) error{
-		jobs.load, size.run, p.dropAbsent, p.decide, p.write, p.upkeeps.run, p.sealSilent,
+		jobs.load, size.run, p.dropAbsent, p.decide, p.write, p.upkeeps.run, p.sealSilent, p.findJobs,
 	} {
 		group.Go(func() error { return run(groupCtx) })
 	}
