test(dispatch): lost holders acknowledge ends that change nothing

A batch without changes is acknowledged with no call to the store, so that a lost holder may do it too. Reasoned through with the successor's view: an end changes nothing when its task is done, its job has ended, its failure is counted, its job was deleted, or it is a stray, a stop or an end of a long-running task. What the first three rest on is either in the store, written under the duty's condition and so read by the successor, or not written yet; then each batch of the lost holder has changes, whose write fails, and it acknowledges nothing. The others tell a successor nothing that it needs: the task runs elsewhere, or is to be started again.

--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -136,11 +136,15 @@
 	m.plan(h)
 }
 
-// lostAct lets the holders act that do not know yet that they lost the duty.
+// lostAct lets the holders act that do not know yet that they lost the duty. They can write nothing, but acknowledge ends that change
+// nothing.
 func (m *model) lostAct() {
 	m.forgetLost()
 	for _, h := range m.lost {
 		m.act(h)
+		if batch := h.pool.Batch(); len(batch.Changes) == 0 {
+			h.pool.Recorded(batch)
+		}
 	}
 }
 
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -93,7 +93,8 @@
 }
 
 // writeBatch writes a batch in pieces. Each piece counts once it is written: while the store loses answers, hardly a pass through a
-// large batch has none that fails.
+// large batch has none that fails. A batch without changes acknowledges its ends with no proof of the duty: a lost holder may do so, since what
+// makes them change nothing (a task that is done, a job that has ended, a failure that is counted) was written while the duty was held.
 func (p *pool) writeBatch(ctx context.Context, batch dispatch.Batch, write func(context.Context, []dispatch.Change) error) error {
 	for from := 0; from < len(batch.Changes); from += recordsPerWrite {
 		piece := batch.Changes[from:min(from+recordsPerWrite, len(batch.Changes))]
