--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -166,26 +166,25 @@
 // loadRecords reads the progress of the pool's jobs; the duty is held, so no other node writes it any more.
 func (p *pool) loadRecords(ctx context.Context) (map[string]dispatch.Record, error) {
 	prefix := stateKey(p.name, "")
-	var entries []store.Entry
-	// An attempt has no bound of its own: a list may have many pages.
-	err := p.repeat(ctx, "records of jobs not read yet", func(int) (bool, error) {
-		var err error
-		entries, _, err = store.ListAll(ctx, p.node.Store, prefix)
-		return err == nil, err
-	})
-	if err != nil {
-		return nil, err
-	}
 	records := map[string]dispatch.Record{}
-	for _, e := range entries {
-		id := strings.TrimPrefix(e.Key, prefix)
-		var r dispatch.Record
-		if err := json.Unmarshal(e.Value, &r); err != nil {
-			return nil, fmt.Errorf("read record of job %s: %w", id, err)
+	for {
+		entries, _, err := store.ListAll(ctx, p.node.Store, prefix)
+		if err == nil {
+			for _, e := range entries {
+				id := strings.TrimPrefix(e.Key, prefix)
+				var r dispatch.Record
+				if err := json.Unmarshal(e.Value, &r); err != nil {
+					return nil, fmt.Errorf("read record of job %s: %w", id, err)
+				}
+				records[id], p.revisions[id] = r, e.Revision
+			}
+			return records, nil
+		}
+		p.log.Warn().Err(err).Msg("records of jobs not read yet")
+		if !nextTry(ctx) {
+			return nil, context.Cause(ctx)
 		}
-		records[id], p.revisions[id] = r, e.Revision
 	}
-	return records, nil
 }
 
 // note counts a decision of the pool and writes it to the log.
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -112,20 +112,11 @@
 
 // untilAnswered repeats a read of what the holders before left until the store has answered it or the duty is lost.
 func (p *pool) untilAnswered(ctx context.Context, failed string, read func(context.Context) error) error {
-	return p.repeat(ctx, failed, func(tries int) (bool, error) {
+	for tries := 1; ; tries++ {
 		callCtx, cancel := context.WithTimeout(ctx, p.node.Patience.try(tries))
-		defer cancel()
 		err := read(callCtx)
-		return err == nil || errors.Is(err, errLost), err
-	})
-}
-
-// repeat makes attempts, which count from 1, until one is final or the context ends; it returns the error of the final one or the
-// context's cause.
-func (p *pool) repeat(ctx context.Context, failed string, attempt func(tries int) (final bool, err error)) error {
-	for tries := 1; ; tries++ {
-		final, err := attempt(tries)
-		if final {
+		cancel()
+		if err == nil || errors.Is(err, errLost) {
 			return err
 		}
 		p.log.Warn().Err(err).Int("tries", tries).Msg(failed)
