refactor(entry): questions about open waves share one loop

due and pressed each copied the waves, took the lock and went through the waves that are not completed. The order of the locks is as before: the view's is released before the upkeeps' is taken.

--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -111,28 +111,23 @@
 
 // due reports whether the upkeep of a machine is still to be done.
 func (u *upkeeps) due(machine string) bool {
-	waves := u.pool.node.View.Waves()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, w := range waves {
-		if !u.completed[w.ID] && !u.done[w.ID][machine] && slices.Contains(w.Machines, machine) {
-			return true
-		}
-	}
-	return false
+	return u.anyOpen(func(w workload.Wave) bool { return !u.done[w.ID][machine] && slices.Contains(w.Machines, machine) })
 }
 
 // pressed reports whether a wave has used so much of its time that the machines that are due must stay where they are.
 func (u *upkeeps) pressed(now time.Time) bool {
+	return u.anyOpen(func(w workload.Wave) bool {
+		seen := u.seen[w.ID]
+		return !seen.IsZero() && now.Sub(seen) > time.Duration(pressedShare*float64(w.Within))
+	})
+}
+
+// anyOpen reports whether a condition, which is asked under the lock, holds for a wave that is not completed.
+func (u *upkeeps) anyOpen(holds func(workload.Wave) bool) bool {
 	waves := u.pool.node.View.Waves()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, w := range waves {
-		if seen := u.seen[w.ID]; !u.completed[w.ID] && !seen.IsZero() && now.Sub(seen) > time.Duration(pressedShare*float64(w.Within)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(waves, func(w workload.Wave) bool { return !u.completed[w.ID] && holds(w) })
 }
 
 func (u *upkeeps) step(ctx context.Context, w workload.Wave) {
