--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -81,32 +81,31 @@
 	if !ok {
 		return fmt.Errorf("ask holder of %s: %w", pool, ErrNotHolder)
 	}
-	client := p.client(d.Peer)
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	err := client.Call(ctx, method, params, result)
-	if errors.Is(err, rpc.ErrUnreachable) {
-		// The connection may have gone silent; the next call opens a new one.
-		_ = client.Close()
-	}
-	return err
+	return p.call(ctx, d.Peer, method, params, result)
 }
 
 // askMember asks another node for its status.
 func (p *Peers) askMember(ctx context.Context, m tenure.Member, q tenure.Question) (tenure.Status, error) {
 	var status tenure.Status
-	client := p.client(m.Peer)
-	err := client.Call(ctx, methodStatus, q, &status)
-	if errors.Is(err, rpc.ErrUnreachable) {
-		// The connection may have gone silent; the next question opens a new one.
-		_ = client.Close()
-	}
+	err := p.call(ctx, m.Peer, methodStatus, q, &status)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		err = fmt.Errorf("%w: %w", tenure.ErrNoProcess, err)
 	}
 	return status, err
 }
 
+func (p *Peers) call(ctx context.Context, addr netip.AddrPort, method string, params, result any) error {
+	client := p.client(addr)
+	err := client.Call(ctx, method, params, result)
+	if errors.Is(err, rpc.ErrUnreachable) {
+		// The connection may have gone silent; the next call opens a new one.
+		_ = client.Close()
+	}
+	return err
+}
+
 func (p *Peers) client(addr netip.AddrPort) *rpc.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
