--- a/verbenabench/soak/lasting.go
+++ b/verbenabench/soak/lasting.go
@@ -53,7 +53,7 @@
 		if !s.cancel(ctx, j, first) {
 			return fmt.Errorf("%w: the cancelling of long-running job %s is not acknowledged after the last fault", ErrPromise, j.ID)
 		}
-		within = s.bounds().Cancel
+		within = standin.Bounds().Cancel
 	}
 	return s.awaitRuns(ctx, j, 0, within)
 }
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -20,7 +20,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/interval"
-	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/standin"
 	"verbenalanding.example/platform/wire"
 )
@@ -93,14 +92,6 @@
 	settleTime = 1500 * time.Millisecond
 )
 
-func (s *Soak) bounds() platform.Bounds {
-	return platform.Bounds{
-		Configuration: 2 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second, MaxLease: 6 * time.Second,
-		Stop: 200 * time.Millisecond, Cancel: 3 * time.Second, OrderGap: time.Second, Move: 300 * time.Millisecond,
-		Upkeep: 300 * time.Millisecond, StatusKept: 2 * time.Minute,
-	}
-}
-
 // Run plays the seed; it ends every process that it started, also when the context ends before.
 func (s *Soak) Run(ctx context.Context) (err error) {
 	s.Default()
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -87,15 +87,6 @@
 // Attempts is how many runs of a task may fail.
 const Attempts = 3
 
-// Bounds are the figures of the operator's contract in a trial.
-func Bounds() platform.Bounds {
-	return platform.Bounds{
-		Configuration: 2 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second, MaxLease: 6 * time.Second,
-		Stop: 200 * time.Millisecond, Cancel: 3 * time.Second, OrderGap: time.Second, Move: 300 * time.Millisecond,
-		Upkeep: 300 * time.Millisecond, StatusKept: 2 * time.Minute,
-	}
-}
-
 // listenTries is how many times an instance is started whose ports another process of the machine took meanwhile.
 const listenTries = 5
 
@@ -131,7 +122,7 @@
 	s := platform.Settings{
 		Node: name, DataCentre: "z1", IP: ports[0].Addr(), Entry: ports[0], Readiness: ports[1],
 		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: gate.Addr, Machines: f.Platform.CloudAddr,
-		Bounds: Bounds(), MinLeaseTTL: 500 * time.Millisecond,
+		Bounds: standin.Bounds(), MinLeaseTTL: 500 * time.Millisecond,
 	}
 	nodeCtx, cancel := context.WithCancel(f.ctx)
 	n := &instance{settings: s, gate: gate, cancel: cancel, signals: make(chan os.Signal, 4), done: make(chan struct{})}
