fix(tenure): after a pause each duty is proven by itself

Cause: after a pause of 0.4 s or more no duty gave orders until one round of reads was answered for all held duties, and a round with a lost read took 0.5 s to fail. With each fifth read lost and 4 to 6 duties nearly each round has a lost one; where no other node can be asked that goes on.

A duty gives orders again once a call that was sent after the pause was found has shown it: a read of its own key, which is repeated after a twenty-fifth of the lease while none was answered, an acknowledged write (Proven), or, as before only after reads without answer, the answers of all other nodes. A proof of before the pause does not count, nor does a duty whose taking was sent before it.

TestAfterAPauseEachDutyIsProvenByItself failed before (p1 and p2 wait for the lost read of p0).

--- a/fleet/tenure/pause_test.go
+++ b/fleet/tenure/pause_test.go
@@ -1,8 +1,11 @@
 package tenure_test
 
 import (
+	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"verbenalanding.example/fleet/store"
@@ -67,3 +70,80 @@
 		}
 	})
 }
+
+// Guards against duties that wait after a pause for a read of another duty that was lost, and against a proof of before the pause that counts.
+func TestAfterAPauseEachDutyIsProvenByItself(t *testing.T) {
+	const (
+		pause = time.Second
+		// found is when a pause is surely found and the answered reads have come; repeated when a lost one was repeated.
+		found    = 110 * time.Millisecond
+		repeated = 300 * time.Millisecond
+	)
+	duties := []string{"p0", "p1", "p2"}
+	start := func(t *testing.T, loses string) (*tenure.Tenure, map[string]uint64) {
+		t.Helper()
+		n := newNodes(t)
+		n.now = time.Now
+		a := n.build("a", 2500*time.Millisecond)
+		s := &losing{memory: n.store, key: tenure.Prefix + loses}
+		a.Store = s
+		a.Want(duties)
+		n.run(a)
+		fences := map[string]uint64{}
+		time.Sleep(time.Second)
+		for _, name := range duties {
+			d, _ := a.Of(name)
+			fences[name] = d.Fence
+			assertOrders(t, a, name, d.Fence, true)
+		}
+		s.until.Store(time.Now().Add(found).UnixNano())
+		n.skipped.Add(int64(pause))
+		return a, fences
+	}
+	t.Run("one read is lost", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a, fences := start(t, "p0")
+			for _, name := range duties {
+				assertOrders(t, a, name, fences[name], false)
+			}
+			time.Sleep(found)
+			assertOrders(t, a, "p0", fences["p0"], false)
+			assertOrders(t, a, "p1", fences["p1"], true)
+			assertOrders(t, a, "p2", fences["p2"], true)
+			time.Sleep(repeated - found)
+			assertOrders(t, a, "p0", fences["p0"], true)
+		})
+	})
+	t.Run("a write is acknowledged", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a, fences := start(t, "p0")
+			time.Sleep(found)
+			a.Proven("p0", fences["p0"], a.Clock().Add(-pause))
+			assertOrders(t, a, "p0", fences["p0"], false)
+			a.Proven("p0", fences["p0"], a.Clock())
+			assertOrders(t, a, "p0", fences["p0"], true)
+		})
+	})
+}
+
+func assertOrders(t *testing.T, a *tenure.Tenure, name string, fence uint64, want bool) {
+	t.Helper()
+	if got := a.Valid(name, fence); got != want {
+		t.Errorf("orders for %s: got %v, want %v", name, got, want)
+	}
+}
+
+// losing is a store that leaves the reads of a key unanswered until a moment.
+type losing struct {
+	*memory
+	key   string
+	until atomic.Int64
+}
+
+func (l *losing) Get(ctx context.Context, key string) (store.Entry, error) {
+	if key == l.key && time.Now().UnixNano() < l.until.Load() {
+		<-ctx.Done()
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return l.memory.Get(ctx, key)
+}
--- a/fleet/tenure/proof.go
+++ b/fleet/tenure/proof.go
@@ -55,7 +55,7 @@
 	now := t.Clock()
 	due := map[string]*holding{}
 	for name, h := range t.held {
-		if h.readDue(now, t.TTL) {
+		if h.readDue(now, t.TTL) || t.pauseReadDue(now, h) {
 			h.asked = now
 			due[name] = h
 		}
@@ -77,14 +77,9 @@
 	return asked >= part(ttl, proofDue)
 }
 
-// proveDuties reports whether the store, or all other nodes while it does not answer, have told which of the duties are held; the others
-// are dropped.
-func (t *Tenure) proveDuties(ctx context.Context) bool {
-	if t.readDuties(ctx) {
-		return true
-	}
-	q, others := t.question()
-	return len(others) > 0 && t.confirm(ctx, q, others)
+// pauseReadDue reports whether a duty's key must be read since it is not proven since a pause; the lock must be held.
+func (t *Tenure) pauseReadDue(now time.Time, h *holding) bool {
+	return !t.provenSincePause(h) && now.Sub(t.woke) < t.TTL && now.Sub(h.asked) >= part(t.TTL, readSoon)
 }
 
 // readDuties reads the keys of the held duties and drops those that are another node's; it reports false when the store did not answer
@@ -92,6 +87,9 @@
 func (t *Tenure) readDuties(ctx context.Context) bool {
 	t.mu.Lock()
 	holdings := maps.Clone(t.held)
+	for _, h := range holdings {
+		h.asked = t.Clock()
+	}
 	t.mu.Unlock()
 	var group errgroup.Group
 	for name, h := range holdings {
--- a/fleet/tenure/tenure.go
+++ b/fleet/tenure/tenure.go
@@ -73,11 +73,12 @@
 	until     time.Time
 	confirmed time.Time
 	renewed   time.Time
-	// ran is when the node last took note that it runs, pauses how many gaps it found in that, and paused is true until the duties are
-	// proven to be held after the last one.
-	ran    time.Time
-	pauses int
-	paused bool
+	// ran is when the node last took note that it runs, pauses how many gaps it found in that, woke when it found the last one, and vouched
+	// when the question was sent after a gap to which all other nodes answered that they hold none of its duties.
+	ran     time.Time
+	pauses  int
+	woke    time.Time
+	vouched time.Time
 	// contact is when the store last answered any call of the node.
 	contact  time.Time
 	watching map[string]*watched
@@ -154,7 +155,7 @@
 		return false
 	}
 	now := t.Clock()
-	return t.running(now) && now.Before(t.validUntil()) && now.Before(t.provenUntil(h))
+	return t.running(now) && t.provenSincePause(h) && now.Before(t.validUntil()) && now.Before(t.provenUntil(h))
 }
 
 // HeldAt returns a time at which a duty was surely held, the latest that is known.
