fix(entry): an accepted upkeep order ends only the life that was asked about

Cause: an upkeep order is also accepted when it was carried out before. The holder then took the worker for ended, whatever its life, when a list of machines did not show it; the list may show an earlier life of the machine, and a new life may be heard before it is answered.

Evidence: both cases of TestRepeatedUpkeepOrderEndsNoNewLife fail on the code before (workers: got [], want the new life of w).

Change: the life is noted before the order, and ended by LifeEnded under the check of age that absent workers have. What cannot be proven leaves the worker in use; silence and the list decide later. The lag of the list of machines is one constant of 1 s, listLag, for orders and for workers: both cases count on the same list. So a worker whose age is known by its own clock only counts from 6 s on (8 s before).

--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -156,6 +156,15 @@
 	Since time.Time
 }
 
+// Life returns the present life of a worker; known is false for one that is not in the pool.
+func (p *Pool) Life(id string) (life SeenWorker, known bool) {
+	w := p.workers[id]
+	if w == nil {
+		return SeenWorker{}, false
+	}
+	return SeenWorker{w.Worker, w.added}, true
+}
+
 // Unheard returns the workers that may run what a holder before started and have not reported to this one.
 func (p *Pool) Unheard(now time.Time) []SeenWorker {
 	if p.leasesOver(now) {
--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -13,10 +13,7 @@
 	absentEvery = 200 * time.Millisecond
 	// absentAfter is the silence of a worker after which its machine is looked up: two holds were not answered.
 	absentAfter = 900 * time.Millisecond
-	// absentAge is the least age of a worker that the list of machines may prove to be gone, since the list may lag behind, and
-	// clockDifference by how much the times of day of two machines may differ; a worker tells its birth by its own. A worker that
-	// this holder has known for listSettles is old enough in any case.
-	absentAge       = 3 * time.Second
+	// clockDifference is by how much the times of day of two machines may differ; a worker tells its birth by its own.
 	clockDifference = 5 * time.Second
 )
 
@@ -64,15 +61,7 @@
 }
 
 func (p *pool) dropListedAbsent(unheard []dispatch.SeenWorker, now time.Time) {
-	p.book.mu.Lock()
-	var gone []workload.Worker
-	for _, w := range unheard {
-		m, listed := p.book.list[w.Machine]
-		if !p.book.failed && !p.book.listed.Before(now) && absent(w, m, listed, now) {
-			gone = append(gone, w.Worker)
-		}
-	}
-	p.book.mu.Unlock()
+	gone, _ := p.book.gone(unheard, now)
 	if len(gone) == 0 {
 		return
 	}
@@ -84,12 +73,12 @@
 	p.kick()
 }
 
-// absent reports whether a list of machines proves that a worker has ended.
+// absent reports whether a list of machines proves that a worker has ended: one that is younger than the list may be is not in it yet.
 func absent(w dispatch.SeenWorker, m workload.Machine, listed bool, now time.Time) bool {
 	if w.Machine == "" || w.Born == 0 {
 		return false
 	}
-	if now.Sub(w.Since) < listSettles && now.Sub(time.UnixMilli(w.Born)) < absentAge+clockDifference {
+	if now.Sub(w.Since) < listLag && now.Sub(time.UnixMilli(w.Born)) < listLag+clockDifference {
 		return false
 	}
 	return !listed || m.State != workload.MachineUp || m.Worker != w.ID
--- a/verbenaentry/node/absent_test.go
+++ b/verbenaentry/node/absent_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
+	"verbenalanding.example/platform/wire"
 )
 
 // proof is a pool with a worker whose new life was heard, and evidence about the one before.
@@ -77,3 +79,78 @@
 	p.pool.dropListedAbsent(unheard, asked)
 	p.wantAlive()
 }
+
+// Guards against runs of a worker that are taken for ended after an upkeep order that was carried out before: the list of machines may show an
+// earlier life of the machine, and may be answered after a new life was heard.
+func TestRepeatedUpkeepOrderEndsNoNewLife(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// age is that of the life that the machine had when the order was given.
+		age  time.Duration
+		born bool
+	}{
+		{"the life is younger than the list may be", 0, false},
+		{"a new life is heard before the list", time.Minute, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProof(t)
+			p.hear(time.Now().Add(-c.age), netip.AddrPort{})
+			p.listWith(func() wire.Machine {
+				if c.born {
+					p.hear(time.Now(), netip.AddrPort{})
+				}
+				return wire.Machine{Machine: "m", Pool: "cutting", State: "up", ID: "earlier"}
+			})
+			p.settle()
+			p.wantAlive()
+			p.wantUsed()
+		})
+	}
+}
+
+// Guards against tasks that wait for the end of a lease although an upkeep has ended their worker.
+func TestUpkeepEndsTheLifeOfItsMachine(t *testing.T) {
+	p := newProof(t)
+	p.hear(time.Now().Add(-time.Minute), netip.AddrPort{})
+	p.listWith(func() wire.Machine { return wire.Machine{Machine: "m", Pool: "cutting", State: "upkeep"} })
+	p.settle()
+	if got := p.pool.core.WorkerIDs(); len(got) != 0 {
+		t.Errorf("workers: got %v, want none", got)
+	}
+}
+
+// listWith has the platform answer a list of machines with one.
+func (p *proof) listWith(machine func() wire.Machine) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := json.NewEncoder(w).Encode(wire.Machines{Machines: []wire.Machine{machine()}}); err != nil {
+			p.t.Errorf("list of machines: got %v, want none", err)
+		}
+	}))
+	p.t.Cleanup(server.Close)
+	p.pool.node.Machines = &platform.Machines{
+		Client: platform.NewClient(), Addr: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+	}
+}
+
+// settle has an upkeep order be accepted for the present life of the worker, which gets no starts since.
+func (p *proof) settle() {
+	p.t.Helper()
+	life, known := p.pool.core.Life("w")
+	if !known {
+		p.t.Fatalf("life of w: got none, want one")
+	}
+	p.pool.core.Cordon("w", true)
+	newUpkeeps(p.pool).settle(p.ctx, life)
+}
+
+// wantUsed checks that the worker gets starts.
+func (p *proof) wantUsed() {
+	p.t.Helper()
+	now := p.pool.node.Clock.Now()
+	seals, _ := p.pool.core.Seals(now)
+	p.pool.core.Sealed(seals)
+	p.pool.core.AddJob(workload.Job{ID: "j", Pool: "cutting", Accepted: now, Steps: []workload.Step{{Tasks: 1}}}, nil, false, now)
+	if got := p.pool.core.Plan(now); len(got) != 1 {
+		p.t.Errorf("orders: got %v, want a start on w", got)
+	}
+}
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/sizing"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
@@ -131,22 +132,24 @@
 	}
 }
 
-// ended reports whether the platform's list shows that a worker is not the present life of its machine any more; known is false
-// when the list could not be read.
-func (b *machineBook) ended(ctx context.Context, machine, worker string) (ended, known bool) {
-	asked := b.pool.node.Clock.Now()
-	b.refresh(ctx, 0)
+// gone returns those of some workers which the platform's list proves to have ended; known is false when no list could be read that was asked for
+// at a time or later.
+func (b *machineBook) gone(workers []dispatch.SeenWorker, asked time.Time) (gone []workload.Worker, known bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.failed || b.listed.Before(asked) {
-		return false, false
+		return nil, false
 	}
-	m, ok := b.list[machine]
-	return !ok || m.State != workload.MachineUp || m.Worker != worker, true
+	for _, w := range workers {
+		if m, listed := b.list[w.Machine]; absent(w, m, listed, asked) {
+			gone = append(gone, w.Worker)
+		}
+	}
+	return gone, true
 }
 
-// listSettles is the age of an order, or of what else is known of a machine, from which on the list of machines shows it.
-const listSettles = time.Second
+// listLag is how long the list of machines may lag behind: it shows an order, and a worker that registered, from that age on.
+const listLag = time.Second
 
 // get returns a machine with the pool in which the last order or the list shows it; the lock must be held.
 func (b *machineBook) get(id string) (workload.Machine, bool) {
@@ -154,7 +157,7 @@
 	if !ok {
 		return m, false
 	}
-	if o, ordered := b.orders[id]; ordered && b.listed.Sub(o.seen) < listSettles {
+	if o, ordered := b.orders[id]; ordered && b.listed.Sub(o.seen) < listLag {
 		if m.Pool != o.Pool {
 			m.State = workload.MachineMoving
 		}
--- a/verbenaentry/node/upkeep.go
+++ b/verbenaentry/node/upkeep.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/upkeep"
 	"verbenalanding.example/fleet/workload"
@@ -134,9 +135,12 @@
 	now := u.pool.node.Clock.Now()
 	u.pool.mu.Lock()
 	load := u.pool.core.LoadOn(s.Machine, s.Worker, now)
+	var life dispatch.SeenWorker
+	var known bool
 	if load.Allowed {
 		s.Worker = cmp.Or(load.Worker, s.Worker)
 		u.pool.core.Cordon(s.Worker, true)
+		life, known = u.pool.core.Life(s.Worker)
 	}
 	u.pool.mu.Unlock()
 	if !load.Allowed {
@@ -160,16 +164,23 @@
 		u.slots[key] = held
 	}
 	u.mu.Unlock()
-	if s.Worker == "" {
-		return
+	if known {
+		u.settle(ctx, life)
 	}
-	// The order is also accepted when it was carried out before; then the worker goes on.
-	ended, known := u.pool.book.ended(ctx, s.Machine, s.Worker)
+}
+
+// settle finds out whether an accepted order has ended the life that its machine had. The order is also accepted when it was carried out before;
+// then the worker goes on.
+func (u *upkeeps) settle(ctx context.Context, life dispatch.SeenWorker) {
+	asked := u.pool.node.Clock.Now()
+	u.pool.book.refresh(ctx, 0)
+	gone, known := u.pool.book.gone([]dispatch.SeenWorker{life}, asked)
 	u.pool.mu.Lock()
-	if ended {
-		u.pool.core.Terminated(s.Worker, "upkeep")
-	} else if known {
-		u.pool.core.Cordon(s.Worker, false)
+	for _, w := range gone {
+		u.pool.core.LifeEnded(w, "upkeep")
+	}
+	if known {
+		u.pool.core.Cordon(life.ID, false)
 	}
 	u.pool.mu.Unlock()
 	u.pool.kick()
