refactor(dispatch): one type for what of a worker's last lists was not taken over

partial, withheld, early and strays of worker told parts of one thing; they are the type untaken with methods for the questions that are asked of it.

--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -57,7 +57,7 @@
 // untold reports whether a worker has what a handover cannot tell: ends that were not taken over, or a longer lease than a successor counts.
 func (p *Pool) untold(now time.Time) bool {
 	return slices.ContainsFunc(p.ordered(), func(w *worker) bool {
-		return w.withheld || w.partial || (len(w.runs) > 0 && now.Before(w.longLease))
+		return w.untaken.ends() || (len(w.runs) > 0 && now.Before(w.longLease))
 	})
 }
 
--- a/fleet/dispatch/lease.go
+++ b/fleet/dispatch/lease.go
@@ -51,7 +51,7 @@
 func (p *Pool) checkLeases(now time.Time) {
 	for _, w := range p.ordered() {
 		silent := now.Sub(w.heard) > p.Settings.Silence
-		if (len(w.runs) > 0 || len(w.early) > 0 || w.partial || w.withheld) && p.over(w.leaseEnd, now) && (silent || p.abandoned(w, now)) {
+		if (len(w.runs) > 0 || w.untaken.any()) && p.over(w.leaseEnd, now) && (silent || p.abandoned(w, now)) {
 			p.note(Event{What: "worker lease ended", Worker: w.ID, Age: now.Sub(w.heard)})
 			for _, r := range w.sorted() {
 				if !r.uncertain {
@@ -59,7 +59,8 @@
 				}
 			}
 			// Ends that were listed before the lease ended, and not acknowledged, do not count.
-			w.early, w.partial, w.withheld = nil, false, false
+			w.forgetLists()
+			w.partial = false
 			// What runs here from now on was not ordered after the last report.
 			w.synced, w.lapsed = false, true
 		}
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -24,7 +24,7 @@
 	}
 	w.clock, w.heard, w.lapsed, w.reborn = r.Clock, heard, false, false
 	delete(p.living, id)
-	w.early = nil
+	w.forgetLists()
 	r, w.withheld = p.withoutLaterEnds(w, r)
 	w.partial = r.Partial && (w.partial || !w.synced)
 	if !w.synced {
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -27,8 +26,7 @@
 	missing  time.Time
 	cordoned bool
 	synced   bool
-	// partial is true while no report has listed all ends of a worker: what is not listed may have ended.
-	partial bool
+	untaken
 	// clock is the worker's clock in the last report, heard the local time at which that report arrived.
 	clock time.Duration
 	heard time.Time
@@ -37,12 +35,6 @@
 	// longLease is until when a worker that started again may keep what it took by an order for the life before.
 	longLease time.Time
 	runs      map[runKey]*run
-	// strays is true while the worker lists runs that are none of this holder's; they take room until they have ended.
-	strays bool
-	// early are the tasks of listed runs and ends whose jobs are not known yet.
-	early map[workload.TaskID]bool
-	// withheld is true while ends are not taken over since the first of them is of a job that is not known yet.
-	withheld  bool
 	used      workload.Room
 	processed int64
 	recorded  int64
@@ -212,9 +204,7 @@
 	for _, x := range w.sorted() {
 		tasks = append(tasks, x.task.id)
 	}
-	early := slices.Collect(maps.Keys(w.early))
-	slices.SortFunc(early, func(a, b workload.TaskID) int { return compareTasks(a, b, 0, 0) })
-	return append(tasks, early...)
+	return append(tasks, w.earlyTasks()...)
 }
 
 // sorted returns the worker's runs in a fixed order, so that equal inputs give equal decisions.
@@ -241,7 +231,7 @@
 	}
 	w.Born, w.added, w.processed, w.recorded, w.clock, w.synced = born, now, 0, 0, 0, false
 	w.sealed, w.proof = true, proofNeeded
-	w.early, w.withheld = nil, false
+	w.forgetLists()
 	// What was sent to the life before names a time of a clock that was further ahead.
 	w.longLease = now.Add(p.stretch(p.Settings.MaxLease))
 	if w.longLease.After(w.leaseEnd) {
