test(dispatch): one test guards against starts beside runs that are not taken over

TestNoStartBesideARunThatIsNotWanted and TestRunsThatAreNotTakenOverTakeRoom guarded against the same failure. The second one now has the first one's case, a run of a job that does not exist on a worker that was heard for 10 s, and its count of stops, for each of its cases; the first one is gone. With a usable worker beside strays all six cases fail; with strays that count only runs of unknown jobs the other four fail.

--- a/fleet/dispatch/report_test.go
+++ b/fleet/dispatch/report_test.go
@@ -126,27 +126,6 @@
 	wantCount(t, "starts once all ends were listed", len(starts), 1)
 }
 
-// Guards against a start beside runs of which this holder has none: a run that it has stopped as not wanted takes room, and counts for the
-// spread of its step, until it has ended.
-func TestNoStartBesideARunThatIsNotWanted(t *testing.T) {
-	b := newBench(t, 1)
-	b.present["w0"][task("x", 0, 0)] = 1
-	b.silent["w0"] = false
-	b.pass(10 * time.Second)
-	b.pool.NoSuchJob("x", b.now)
-	b.pass(time.Second)
-	b.present["w0"][task("x", 0, 0)] = 2
-	b.addJob("j", oneTask(16000))
-	b.report()
-	starts, stops := b.orders()
-	wantCount(t, "stops", len(stops), 1)
-	wantCount(t, "starts beside the run", len(starts), 0)
-	delete(b.present["w0"], task("x", 0, 0))
-	b.report()
-	starts, _ = b.orders()
-	wantCount(t, "starts after its end", len(starts), 1)
-}
-
 // Guards against a handover, or a record of silent workers, that leaves out a run whose end was not listed yet.
 func TestWorkerThatListsOnlySomeEndsIsNotToldOf(t *testing.T) {
 	b := newBench(t, 2)
--- a/fleet/dispatch/stray_test.go
+++ b/fleet/dispatch/stray_test.go
@@ -1,41 +1,50 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
 )
 
-// Guards against starts beyond the room of a worker that runs what this holder has not taken over: a cancelled job's task, or one of a job that
-// it does not know yet.
+// Guards against starts beyond the room of a worker that runs what this holder has not taken over, until it has ended: a cancelled job's task, one of
+// a job that does not exist, which both are stopped, or one of a job that it does not know yet.
 func TestRunsThatAreNotTakenOverTakeRoom(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		hear func(b *bench)
+		name  string
+		hear  func(b *bench)
+		stops int
 	}{
 		{"cancelled job", func(b *bench) {
 			b.addJob("j", oneTask(16000))
 			b.pool.Cancel("j", b.now)
-		}},
-		{"unknown job", func(*bench) {}},
+		}, 1},
+		{"job that does not exist", func(b *bench) { b.pool.NoSuchJob("j", b.now) }, 1},
+		{"unknown job", func(*bench) {}, 0},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			b := newBench(t, 1)
-			b.takeOver()
-			c.hear(b)
-			b.present["w0"][task("j", 0, 0)] = 1
-			b.addWorker("w0")
-			b.report()
-			b.addJob("k", oneTask(16000))
-			starts, _ := b.orders()
-			wantCount(t, "starts beside a run that takes all room", len(starts), 0)
-			delete(b.present["w0"], task("j", 0, 0))
-			b.step()
-			b.report()
-			starts, _ = b.orders()
-			wantCount(t, "starts once it has ended", len(starts), 1)
-		})
+		for _, heard := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, worker heard before %v", c.name, heard), func(t *testing.T) {
+				b := newBench(t, 1)
+				b.takeOver()
+				c.hear(b)
+				b.addWorker("w0")
+				if heard {
+					b.pass(10 * time.Second)
+				}
+				b.present["w0"][task("j", 0, 0)] = 1
+				b.addJob("k", oneTask(16000))
+				b.report()
+				starts, stops := b.orders()
+				wantCount(t, "stops", len(stops), c.stops)
+				wantCount(t, "starts beside a run that takes all room", len(starts), 0)
+				delete(b.present["w0"], task("j", 0, 0))
+				b.step()
+				b.report()
+				starts, _ = b.orders()
+				wantCount(t, "starts once it has ended", len(starts), 1)
+			})
+		}
 	}
 }
 
