--- /dev/null
+++ b/verbenaentry/trial/find_test.go
@@ -0,0 +1,94 @@
+package trial_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/tenure"
+	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/verbenaentry/trial"
+)
+
+// storeUnheard stores a job like one that was served, of which no holder hears while the watches are deaf.
+func storeUnheard(t *testing.T, f *trial.Fleet, served, j *standin.Job) {
+	t.Helper()
+	content, ok := f.Platform.Store.Get("job/cutting/" + served.ID)
+	var stored workload.Job
+	if err := json.Unmarshal(content, &stored); !ok || err != nil {
+		t.Fatalf("stored job: got %v and %v, want it to be read", ok, err)
+	}
+	stored.ID, stored.Accepted = j.ID, time.Now()
+	f.Platform.Submit(j, trial.Attempts)
+	f.Platform.Store.Put("job/cutting/"+j.ID, stored)
+}
+
+// startAs starts a job's first task on a worker of the pool cutting, as the pool's holder does.
+func startAs(ctx context.Context, t *testing.T, f *trial.Fleet, j *standin.Job) {
+	t.Helper()
+	client := platform.NewClient()
+	st := &platform.Store{Client: client, Addr: f.Platform.StoreAddr}
+	duty, err := st.Get(ctx, tenure.Prefix+"cutting")
+	if err != nil {
+		t.Fatalf("duty: got %v, want one", err)
+	}
+	registrations, _, err := store.ListAll(ctx, st, platform.WorkerPrefix)
+	if err != nil {
+		t.Fatalf("workers: got %v, want a list", err)
+	}
+	workers := &platform.Workers{Client: client}
+	for _, e := range registrations {
+		w, err := platform.DecodeWorker(e.Key, e.Value)
+		if err != nil || w.Pool != "cutting" {
+			continue
+		}
+		fence := uint64(duty.Revision)
+		_, report, err := workers.Hold(ctx, platform.HoldOrder{Worker: w, Fence: fence})
+		if err != nil {
+			t.Fatalf("hold: got %v, want an answer", err)
+		}
+		outcome, _, err := workers.Start(ctx, platform.StartOrder{
+			Order: platform.Order{Worker: w, Task: workload.TaskID{Job: j.ID}, Run: 1, Fence: fence}, Spec: j.Spec, LeaseEnd: report.Clock + time.Second,
+		})
+		if outcome != platform.Started {
+			t.Fatalf("start: got %s and %v, want %s", outcome, err, platform.Started)
+		}
+		return
+	}
+	t.Fatal("workers of cutting: got none, want some")
+}
+
+// Guards against a run that is never taken over, and a job that is started beside it or again, since the store's watch does not bring the job:
+// a holder reads from the store what a worker lists.
+func TestJobThatAWorkerListsIsRead(t *testing.T) {
+	f, ctx := startFleet(t, 1)
+	oneTask := func(n int) *standin.Job {
+		j := job(n)
+		j.Steps = j.Steps[:1]
+		j.Steps[0].Count = 1
+		return j
+	}
+	served := oneTask(1 << 24)
+	submit(ctx, t, f, served)
+	if err := f.Await(ctx, "cutting", served.ID, "completed"); err != nil {
+		t.Fatalf("first job: got %v, want completed", err)
+	}
+	f.Platform.Store.SetFaults(standin.Faults{Deaf: true})
+	defer f.Platform.Store.SetFaults(standin.Faults{})
+	j := oneTask(1<<24 + 1)
+	storeUnheard(t, f, served, j)
+	startAs(ctx, t, f, j)
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
+		t.Errorf("job that no watch brings: got %v, want completed", err)
+	}
+	if got := f.Platform.Done(j.ID); got != 1 {
+		t.Errorf("tasks done: got %d, want 1", got)
+	}
+	wantKept(t, f)
+}
