--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -8,6 +8,7 @@
 
 	"verbenalanding.example/verbenabench/assignment"
 	"verbenalanding.example/verbenabench/capacity"
+	"verbenalanding.example/verbenabench/days"
 	"verbenalanding.example/verbenabench/entry"
 	"verbenalanding.example/verbenabench/flood"
 	"verbenalanding.example/verbenabench/jobload"
@@ -33,6 +34,7 @@
 		{"placement", "Place jobs and compare the policy with first fit", &placementCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
 		{"soak", "Run entry instances as processes under random faults and check the promises", &soakCommand{streams: s}},
+		{"days", "Play whole days of entry instances under simulated time and drawn faults and check the promises", &daysCommand{streams: s}},
 		{"jobs", "Put jobs on entry instances beside the stand-in of the users' platform", &jobsCommand{streams: s}},
 		{"platform", "Serve the stand-ins of the platform over TCP until interrupted", &platformCommand{streams: s}},
 	}
@@ -100,6 +102,25 @@
 	return failed
 }
 
+type daysCommand struct {
+	streams
+	Seed     uint64        `long:"seed" default:"1" description:"first seed"`
+	Days     int           `long:"days" default:"10" description:"number of days, one after the other"`
+	Plays    int           `long:"plays" default:"1" description:"plays of each day: its faults and jobs are the same, the order of goroutines is not"`
+	Duration time.Duration `long:"time" default:"44s" description:"simulated time of a day in which faults come"`
+	Folder   string        `long:"folder" description:"folder for the logs of broken plays; a temporary one when not given"`
+	JSON     bool          `long:"json" description:"print the report as JSON"`
+}
+
+// Execute plays the days and fails when one broke a promise.
+func (c *daysCommand) Execute([]string) error {
+	d := &days.Days{Seed: c.Seed, Count: c.Days, Plays: c.Plays, Duration: c.Duration, Folder: c.Folder, JSON: c.JSON, Out: c.out}
+	if err := d.Check(); err != nil {
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: err.Error()}
+	}
+	return d.Run(c.ctx)
+}
+
 type floodCommand struct {
 	streams
 	site
--- /dev/null
+++ b/verbenabench/days/day.go
@@ -0,0 +1,268 @@
+package days
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/tenure"
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
+	"verbenalanding.example/verbenaentry/trial"
+)
+
+// Addresses of the simulated network.
+var (
+	storeAddr    = netip.MustParseAddr("10.1.0.1")
+	machinesAddr = netip.MustParseAddr("10.1.0.2")
+	callerAddr   = netip.MustParseAddr("10.9.0.1")
+)
+
+func nodeAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}) }
+
+func nodeAddrs(nodes []int) []netip.Addr {
+	list := make([]netip.Addr, 0, len(nodes))
+	for _, i := range nodes {
+		list = append(list, nodeAddr(i))
+	}
+	return list
+}
+
+// day is a day that is being played.
+type day struct {
+	script    *script
+	net       *network
+	platform  *standin.Platform
+	processes []*process
+	oracle    *oracle
+	client    *http.Client
+	group     *errgroup.Group
+	log       logBuffer
+
+	mu sync.Mutex
+	// hosts are those of the store, the list of machines and the workers, by the part that the stand-in names.
+	hosts  map[string]*host
+	ports  map[netip.Addr]uint16
+	faults map[int]standin.Faults
+	nextID int
+	// away counts for each node the faults that have the store turn it away.
+	away     map[int]int
+	accepted []*call
+	// cancelled are the jobs whose cancelling was asked for, true once it was acknowledged.
+	cancelled map[string]bool
+	broken    []string
+	asked     int
+	ended     int
+	notes     []string
+}
+
+// logBuffer keeps the lines of all processes.
+type logBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+// Write takes lines.
+func (l *logBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Buffer.Write(b)
+}
+
+const (
+	storeHost    = "store"
+	machinesHost = "machines"
+	firstPort    = 7000
+)
+
+// hostOf returns the host of a part of the platform.
+func (d *day) hostOf(part string) *host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h := d.hosts[part]; h != nil {
+		return h
+	}
+	addr := netip.AddrFrom4([4]byte{10, 2, byte(len(d.hosts) / 250), byte(len(d.hosts)%250 + 1)})
+	switch part {
+	case storeHost:
+		addr = storeAddr
+	case machinesHost:
+		addr = machinesAddr
+	}
+	h := d.net.host(addr, 1, true)
+	d.hosts[part] = h
+	return h
+}
+
+// listen opens the listener of a part. On every third machine a worker leaves its address to the next one.
+func (d *day) listen(part string) (net.Listener, error) {
+	h := d.hostOf(part)
+	d.mu.Lock()
+	port := firstPort + d.ports[h.addr]
+	if h.addr == storeAddr || h.addr.As4()[3]%3 != 0 {
+		d.ports[h.addr]++
+	}
+	d.mu.Unlock()
+	return h.listen(netip.AddrPortFrom(h.addr, port))
+}
+
+func (d *day) machineAddrs(machines []string) []netip.Addr {
+	list := make([]netip.Addr, 0, len(machines))
+	for _, m := range machines {
+		list = append(list, d.hostOf(m).addr)
+	}
+	return list
+}
+
+// start starts the platform and the nodes.
+func (d *day) start(ctx context.Context) error {
+	s := d.script
+	d.net, d.oracle = newNetwork(s.seed), newOracle()
+	d.hosts, d.ports, d.faults, d.away, d.cancelled = map[string]*host{}, map[netip.Addr]uint16{}, map[int]standin.Faults{}, map[int]int{}, map[string]bool{}
+	caller := d.net.host(callerAddr, 1, false)
+	d.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: caller.dial, DisableKeepAlives: true}}
+	d.platform = &standin.Platform{
+		Seed: s.seed, Pools: s.pools, Room: wire.Room{CPU: 8000, MemMb: 16000}, Tick: 20 * time.Millisecond,
+		UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond, Listen: d.listen, Rate: s.machineRate, Seen: d.oracle.seen,
+	}
+	if err := d.platform.Start(ctx, d.group); err != nil {
+		return err
+	}
+	d.platform.Configure(1, trial.Host, trial.Attempts)
+	for i, cores := range s.cores {
+		gate, err := d.platform.OpenGate()
+		if err != nil {
+			return err
+		}
+		p := &process{
+			settings: settings(fmt.Sprintf("n%d", i), nodeAddr(i), cores, gate.Addr, d.platform.CloudAddr, trial.Bounds()),
+			gate:     gate, net: d.net, rate: s.rates[i], log: &d.log, down: s.lates[i],
+		}
+		d.processes = append(d.processes, p)
+		d.group.Go(func() error { return p.run(ctx) })
+	}
+	return nil
+}
+
+func (d *day) violate(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.broken = append(d.broken, fmt.Sprintf(format, args...))
+}
+
+func (d *day) note(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notes = append(d.notes, fmt.Sprintf("%v ", time.Since(d.oracle.began))+fmt.Sprintf(format, args...))
+}
+
+func (d *day) tell(err error) {
+	if err != nil {
+		d.note("stand-in: %v", err)
+	}
+}
+
+// holder returns the life of the process that holds a pool's duty, by the store; p is nil without one.
+func (d *day) holder(pool string) (life string, p *process) {
+	value, ok := d.platform.Store.Get(tenure.Prefix + pool)
+	var m tenure.Member
+	if !ok || json.Unmarshal(value, &m) != nil {
+		return "", nil
+	}
+	for _, p := range d.processes {
+		if p.settings.Node == m.Node {
+			return m.Session, p
+		}
+	}
+	return "", nil
+}
+
+// turnAway has the store turn a node away while any fault asks for it.
+func (d *day) turnAway(i, change int) {
+	d.mu.Lock()
+	d.away[i] += change
+	closed := d.away[i] > 0
+	d.mu.Unlock()
+	d.processes[i].gate.Close(closed)
+}
+
+// failStore adds faults of the store to those in force and returns what ends them.
+func (d *day) failStore(f standin.Faults) (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nextID++
+	id := d.nextID
+	d.faults[id] = f
+	d.setFaults()
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.faults, id)
+		d.setFaults()
+	}
+}
+
+func (d *day) setFaults() {
+	var all standin.Faults
+	for _, f := range d.faults {
+		all.Refuse = all.Refuse || f.Refuse
+		all.LoseAnswers, all.LoseReads = max(all.LoseAnswers, f.LoseAnswers), max(all.LoseReads, f.LoseReads)
+		all.Late, all.Delay = max(all.Late, f.Late), max(all.Delay, f.Delay)
+	}
+	d.platform.Store.SetFaults(all)
+}
+
+// cut cuts the ways between two groups of addresses for a time.
+func (d *day) cut(ctx context.Context, lasts time.Duration, ways int, group, others []netip.Addr) {
+	set := func(on bool) {
+		for _, a := range group {
+			for _, b := range others {
+				if a == b {
+					continue
+				}
+				if ways&1 != 0 {
+					d.net.cut(a, b, on)
+				}
+				if ways&2 != 0 {
+					d.net.cut(b, a, on)
+				}
+			}
+		}
+	}
+	set(true)
+	_ = sleep(ctx, lasts)
+	set(false)
+}
+
+// rebirth has workers begin a new life under their ids; their connections break, as those of a process that ended.
+func (d *day) rebirth(machines []string) {
+	for i, addr := range d.machineAddrs(machines) {
+		d.platform.Restart(machines[i])
+		d.net.reset(addr)
+	}
+}
+
+// playFaults plays the faults and returns when all have ended.
+func (d *day) playFaults(ctx context.Context) error {
+	var open errgroup.Group
+	for i := range d.script.faults {
+		f := &d.script.faults[i]
+		if err := sleep(ctx, time.Until(d.oracle.began.Add(f.at))); err != nil {
+			break
+		}
+		d.note("fault %s %s for %v", f.kind, f.what, f.lasts)
+		open.Go(func() error {
+			f.run(ctx, d)
+			return nil
+		})
+	}
+	return open.Wait()
+}
