--- a/verbenabench/days/fault.go
+++ b/verbenabench/days/fault.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"verbenalanding.example/platform/standin"
 )
 
@@ -30,6 +32,7 @@
 	holderPaused      = "holderPaused"
 	holderStopped     = "holderStopped"
 	holdersLost       = "holdersLostInTurn"
+	holderCutReborn   = "holderCutWorkersReborn"
 	storeDown         = "storeDown"
 	storeDownForSome  = "storeDownForSome"
 	storeLoses        = "storeLosesAnswers"
@@ -61,6 +64,19 @@
 	}
 }
 
+// together are parts of a fault that overlap.
+type together struct{ group errgroup.Group }
+
+func (t *together) play(part func()) {
+	t.group.Go(func() error {
+		part()
+		return nil
+	})
+}
+
+// wait waits for the end of all parts; none fails.
+func (t *together) wait() { _ = t.group.Wait() }
+
 // mostDown is the longest time until a process that ended is started again.
 const mostDown = 2500 * time.Millisecond
 
@@ -78,11 +94,10 @@
 		order := random.Perm(len(s.cores))
 		f.kind, f.what = nodesStopped, fmt.Sprintf("%v each %v", order, gap)
 		f.run = func(ctx context.Context, d *day) {
+			var open together
+			defer open.wait()
 			for _, i := range order {
-				d.group.Go(func() error {
-					d.processes[i].terminate(ctx, down)
-					return nil
-				})
+				open.play(func() { d.processes[i].terminate(ctx, down) })
 				if sleep(ctx, gap) != nil {
 					return
 				}
@@ -109,7 +124,7 @@
 	pool, down, lasts := s.names[random.IntN(len(s.names))], between(random, 50*time.Millisecond, mostDown), f.lasts
 	silent := random.IntN(2) == 0
 	f.what = fmt.Sprintf("%s, down %v, without power %v", pool, down, silent)
-	switch random.IntN(4) {
+	switch random.IntN(5) {
 	case 0:
 		f.kind = holderKilled
 		f.run = func(_ context.Context, d *day) {
@@ -131,6 +146,8 @@
 				p.terminate(ctx, down)
 			}
 		}
+	case 3:
+		s.drawHolderCut(random, f, pool)
 	default:
 		var ways []int
 		var waits []time.Duration
@@ -142,9 +159,41 @@
 	}
 }
 
+// drawHolderCut draws a holder that is cut from the store and from the other nodes, and goes on for a part of its lease beside its successor
+// while workers of its pool begin new lives, which have seen no fence; some of them are cut from the other nodes.
+func (s *script) drawHolderCut(random *rand.Rand, f *fault, pool string) {
+	lasts, wait := between(random, 2*time.Second, 5*time.Second), between(random, 500*time.Millisecond, 3*time.Second)
+	var machines []string
+	for _, i := range random.Perm(s.pools[pool])[:1+random.IntN(min(4, s.pools[pool]))] {
+		machines = append(machines, fmt.Sprintf("m-%s-%d", pool, i))
+	}
+	apart := random.IntN(2) == 0
+	f.lasts, f.kind = lasts, holderCutReborn
+	f.what = fmt.Sprintf("%s, %v born again after %v, cut from other nodes %v", pool, machines, wait, apart)
+	f.run = func(ctx context.Context, d *day) {
+		_, p := d.holder(pool)
+		if p == nil {
+			return
+		}
+		holder := []netip.Addr{p.settings.IP}
+		others := slices.DeleteFunc(nodeAddrs(allNodes(len(s.cores))), func(a netip.Addr) bool { return a == holder[0] })
+		var open together
+		defer open.wait()
+		open.play(func() { d.cut(ctx, lasts, cutBoth, holder, append([]netip.Addr{storeAddr}, others...)) })
+		if apart {
+			open.play(func() { d.cut(ctx, lasts, cutBoth, others, d.machineAddrs(machines)) })
+		}
+		if sleep(ctx, wait) == nil {
+			d.rebirth(machines)
+		}
+	}
+}
+
 // loseHolders loses the holder and each next one some time after it took the duty.
 func (d *day) loseHolders(ctx context.Context, pool string, ways []int, waits []time.Duration, lasts, down time.Duration, silent bool) {
 	const turnover = 5 * time.Second
+	var open together
+	defer open.wait()
 	last := ""
 	for i, way := range ways {
 		var p *process
@@ -161,7 +210,7 @@
 		if p == nil || sleep(ctx, waits[i]) != nil {
 			return
 		}
-		d.group.Go(func() error {
+		open.play(func() {
 			switch way {
 			case 0:
 				p.kill(silent, down)
@@ -170,7 +219,6 @@
 			default:
 				p.terminate(ctx, down)
 			}
-			return nil
 		})
 	}
 }
@@ -289,10 +337,9 @@
 		wait := between(random, 0, lasts)
 		f.kind, f.what = workerCutReborn, fmt.Sprintf("%v from %v, born again after %v", machines, nodes, wait)
 		f.run = func(ctx context.Context, d *day) {
-			d.group.Go(func() error {
-				d.cut(ctx, lasts, cutBoth, nodeAddrs(nodes), d.machineAddrs(machines))
-				return nil
-			})
+			var open together
+			defer open.wait()
+			open.play(func() { d.cut(ctx, lasts, cutBoth, nodeAddrs(nodes), d.machineAddrs(machines)) })
 			if sleep(ctx, wait) == nil {
 				d.rebirth(machines)
 			}
--- a/verbenabench/days/process.go
+++ b/verbenabench/days/process.go
@@ -36,6 +36,8 @@
 	host    *host
 	cancel  context.CancelFunc
 	signals chan os.Signal
+	// ended is closed at the end of the present life.
+	ended   chan struct{}
 	running bool
 	// pauses counts those that overlap.
 	pauses int
@@ -66,9 +68,10 @@
 	lifeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h := p.net.host(p.settings.IP, p.rate, false)
-	signals := make(chan os.Signal, 4)
+	signals, ended := make(chan os.Signal, 4), make(chan struct{})
+	defer close(ended)
 	p.mu.Lock()
-	p.host, p.cancel, p.signals, p.running, p.pauses, p.asked = h, cancel, signals, true, 0, false
+	p.host, p.cancel, p.signals, p.ended, p.running, p.pauses, p.asked = h, cancel, signals, ended, true, 0, false
 	p.mu.Unlock()
 	around := node.Surroundings{Dial: h.dial, Since: h.since, Listen: h.listen}
 	flags := node.Flags{DutyTTL: 2500 * time.Millisecond, WorkerLease: 3500 * time.Millisecond, LogLevel: "info"}
@@ -97,7 +100,7 @@
 	p.cancel()
 }
 
-// terminate asks the process to stop; it is killed after its grace time.
+// terminate asks the process to stop and waits for that; it is killed after its grace time.
 func (p *process) terminate(ctx context.Context, down time.Duration) {
 	p.mu.Lock()
 	if !p.running || p.asked {
@@ -105,16 +108,15 @@
 		return
 	}
 	p.asked, p.down = true, down
-	h, signals := p.host, p.signals
+	signals, ended := p.signals, p.ended
 	p.mu.Unlock()
 	signals <- syscall.SIGTERM
-	if sleep(ctx, grace) != nil {
-		return
-	}
-	p.mu.Lock()
-	late := p.host == h && p.running
-	p.mu.Unlock()
-	if late {
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ended:
+	case <-timer.C:
 		p.kill(false, down)
 	}
 }
