feat(soak): cuts between two nodes, all nodes killed at once, work on two pools

The soak had no fault of the connections between two nodes only: a node had one proxy for all others, since the store held the proxy's address in place of the node's own. It never killed all nodes at the same moment, and had work on one pool.

Each two nodes now reach each other through proxies of their own, one for each direction. The stand-in's gate, through which one node reads the store, shows that node the address of its proxy (Gate.Translate, in place of Store.Translate). A second pool has half the machines and a third of the jobs.

--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -78,7 +78,7 @@
 	Seeds     int           `long:"seeds" default:"1" description:"number of seeds, one after the other"`
 	Duration  time.Duration `long:"time" default:"10s" description:"time of a seed in which faults come"`
 	Nodes     int           `long:"nodes" description:"entry instances, each a process; 4, 7 or 10 by the seed when not given"`
-	Machines  int           `long:"machines" default:"8" description:"machines of the pool"`
+	Machines  int           `long:"machines" default:"8" description:"machines of the first pool; the second one has half as many"`
 	PerSecond float64       `long:"per-second" default:"10" description:"jobs a second"`
 	Program   string        `long:"program" description:"program of the entry instance; built when not given"`
 	Keep      bool          `long:"keep" description:"keep logs and settings of seeds that kept all promises too"`
--- a/verbenabench/soak/caller.go
+++ b/verbenabench/soak/caller.go
@@ -50,6 +50,9 @@
 	// One job of lastingEvery is long-running; lastingCancelShare of them are cancelled while faults come, the others after that.
 	lastingEvery       = 12
 	lastingCancelShare = 0.4
+	// Of jobsOfBoth jobs, jobsOfFirst are for the first pool.
+	jobsOfBoth  = 3
+	jobsOfFirst = 2
 	// knownAfter is the time after its acceptance from which on a job must be known everywhere.
 	knownAfter = 3 * time.Second
 )
@@ -78,9 +81,10 @@
 	return group.Wait()
 }
 
+// newJob returns the next job; its specification names its pool.
 func newJob(random *rand.Rand, i int) *standin.Job {
 	j := &standin.Job{ID: fmt.Sprintf("%016x", i), Took: time.Duration(50+random.IntN(700)) * time.Millisecond, Fails: 0.1 * float64(random.IntN(3))}
-	j.Spec = "soak"
+	j.Spec = pools[(i+i/lastingEvery)%jobsOfBoth/jobsOfFirst]
 	if i%lastingEvery == lastingEvery/2 {
 		j.Steps = []wire.Step{{Count: 1 + random.IntN(2), CPU: 500, MemMb: 256, LongRunning: true, MayMiss: 1}}
 		return j
@@ -116,7 +120,7 @@
 func (s *Soak) submit(ctx context.Context, j *standin.Job, first int) bool {
 	doubtful := false
 	for try := range submitTries {
-		status, _ := s.do(ctx, first+try, http.MethodPost, standin.Prefix(pool)+j.ID, j.Job)
+		status, _ := s.do(ctx, first+try, http.MethodPost, standin.Prefix(j.Spec)+j.ID, j.Job)
 		switch {
 		case status == http.StatusOK:
 			s.book.mu.Lock()
@@ -144,7 +148,7 @@
 	s.book.cancelledJobs[j.ID] = false
 	s.book.mu.Unlock()
 	for try := range submitTries {
-		status, _ := s.do(ctx, first+try, http.MethodDelete, standin.Prefix(pool)+j.ID, nil)
+		status, _ := s.do(ctx, first+try, http.MethodDelete, standin.Prefix(j.Spec)+j.ID, nil)
 		if status == http.StatusOK {
 			s.platform.Update(j, func(j *standin.Job) { j.Cancelled = time.Now() })
 			s.book.mu.Lock()
@@ -172,7 +176,7 @@
 
 // state asks a process; an empty state means that there was no answer.
 func (s *Soak) state(ctx context.Context, j *standin.Job, i int) (string, error) {
-	status, body := s.do(ctx, i, http.MethodGet, standin.Prefix(pool)+j.ID, nil)
+	status, body := s.do(ctx, i, http.MethodGet, standin.Prefix(j.Spec)+j.ID, nil)
 	if status == http.StatusGone {
 		return "", fmt.Errorf("%w: accepted job %s is told to be unknown", ErrPromise, j.ID)
 	}
--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -58,18 +60,22 @@
 // draw chooses the faults that begin next: one, or several that harm a take-over together.
 func (s *Soak) draw(random *rand.Rand) []fault {
 	lasts := time.Duration(200+random.IntN(3300)) * time.Millisecond
-	switch random.IntN(26) {
+	switch random.IntN(31) {
 	case 14, 15:
 		return s.turnoverFaults(random)
 	case 16:
 		return []fault{s.stopsInSeries(random)}
 	case 17:
-		return []fault{s.holdersLost(random, lasts)}
+		return []fault{s.holdersLost(random, anyPool(random), lasts)}
 	case 18, 19:
 		p := s.processes[random.IntN(len(s.processes))]
-		f := connectionFault(p.peer, mode(random.IntN(modes)), lasts)
+		f := connectionFault(mode(random.IntN(modes)), lasts, slices.Collect(maps.Values(p.peers))...)
 		f.name = p.settings.Node + "'s peers: " + f.name
 		return []fault{f}
+	case 26, 27, 28:
+		return []fault{s.pairFault(random, lasts)}
+	case 29, 30:
+		return s.allKilled(random)
 	case 20:
 		return []fault{s.registrationsLapse(random, lasts)}
 	case 21, 22:
@@ -105,17 +111,24 @@
 	case 12:
 		return fault{name: "wave", begin: s.askWave}
 	}
-	s.mu.Lock()
-	w := s.proxies[random.IntN(len(s.proxies))]
-	s.mu.Unlock()
-	return connectionFault(w, mode(random.IntN(modes)), lasts)
+	return connectionFault(mode(random.IntN(modes)), lasts, s.workerProxy(random))
 }
 
-func connectionFault(w *proxy, m mode, lasts time.Duration) fault {
+// connectionFault harms the connections of some proxies.
+func connectionFault(m mode, lasts time.Duration, proxies ...*proxy) fault {
 	if m == pass {
-		return fault{name: "connections reset", begin: w.resetAll}
+		return fault{name: "connections reset", begin: func() {
+			for _, w := range proxies {
+				w.resetAll()
+			}
+		}}
+	}
+	set := func(m mode) {
+		for _, w := range proxies {
+			w.set(m)
+		}
 	}
-	return fault{name: fmt.Sprintf("connections %v", m), lasts: lasts, begin: func() { w.set(m) }, end: func() { w.set(pass) }}
+	return fault{name: fmt.Sprintf("connections %v", m), lasts: lasts, begin: func() { set(m) }, end: func() { set(pass) }}
 }
 
 func (s *Soak) storeFault(random *rand.Rand, lasts time.Duration) fault {
--- a/verbenabench/soak/process.go
+++ b/verbenabench/soak/process.go
@@ -26,9 +26,11 @@
 	settings platform.Settings
 	path     string
 	log      *os.File
+	gate     *standin.Gate
 	store    *proxy
-	// peer is where other processes reach this one.
-	peer   *proxy
+	// peer is where this process listens to others, and peers are the proxies through which each other one reaches it.
+	peer   netip.AddrPort
+	peers  map[*process]*proxy
 	group  *errgroup.Group
 	client *http.Client
 
@@ -40,6 +42,8 @@
 	gone bool
 	// life counts the starts.
 	life int
+	// away is how long the process is not started again after the end of its present life.
+	away time.Duration
 	// version is the newest marker that this life has answered.
 	version int64
 }
@@ -58,13 +62,16 @@
 
 func (s *Soak) newProcess(name string, group *errgroup.Group) (*process, error) {
 	entry, readiness, peer := s.nextAddr(), s.nextAddr(), s.nextAddr()
-	store, err := newProxy(s.platform.StoreAddr, group)
+	gate, err := s.platform.OpenGate()
 	if err != nil {
 		return nil, err
 	}
-	peerProxy := &proxy{target: peer, addr: s.nextAddr(), group: group, links: map[*link]struct{}{}}
-	s.platform.Store.Translate(peer.String(), peerProxy.addr.String())
-	p := &process{program: s.Program, store: store, peer: peerProxy, group: group, path: filepath.Join(s.dir, name+".json"), client: &http.Client{Timeout: callTimeout}}
+	store, err := newProxy(gate.Addr, group)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{program: s.Program, gate: gate, store: store, peer: peer, peers: map[*process]*proxy{}, group: group, client: &http.Client{Timeout: callTimeout}}
+	p.path = filepath.Join(s.dir, name+".json")
 	p.settings = platform.Settings{
 		Node: name, DataCentre: "z1", IP: entry.Addr(), Entry: entry, Readiness: readiness,
 		PeerPorts: [2]uint16{peer.Port(), peer.Port()}, Store: store.addr, Machines: s.platform.CloudAddr, Cores: 1, MemoryMB: 256,
@@ -77,6 +84,22 @@
 	return p, err
 }
 
+// connect has each two processes reach each other through proxies of their own, so that they can be cut from each other only. The store shows
+// each of them the proxies' addresses: a node has one address to listen at and to register.
+func (s *Soak) connect(group *errgroup.Group) {
+	for _, p := range s.processes {
+		for _, other := range s.processes {
+			if p == other {
+				continue
+			}
+			x := &proxy{target: p.peer, addr: s.nextAddr(), group: group, links: map[*link]struct{}{}}
+			p.peers[other] = x
+			other.gate.Translate(p.peer.String(), x.addr.String())
+			s.addProxy(x)
+		}
+	}
+}
+
 // start starts the program; it is killed by its id when the context ends.
 func (p *process) start(ctx context.Context) error {
 	p.mu.Lock()
@@ -86,18 +109,18 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.settings.Node, err)
 	}
-	p.command, p.exited, p.paused, p.gone, p.version = c, make(chan struct{}), false, false, 0
+	p.command, p.exited, p.paused, p.gone, p.version, p.away = c, make(chan struct{}), false, false, 0, restartAfter
 	p.life++
 	exited := p.exited
-	p.group.Go(func() error { return p.openPeer(ctx, exited) })
+	p.group.Go(func() error { return p.openPeers(ctx, exited) })
 	return nil
 }
 
 // listenEvery is how often a process that starts is tried.
 const listenEvery = 20 * time.Millisecond
 
-// openPeer lets other processes reach a life once it listens: a process that is gone must refuse connections through the proxy too.
-func (p *process) openPeer(ctx context.Context, exited chan struct{}) error {
+// openPeers lets other processes reach a life once it listens: a process that is gone must refuse connections through the proxies too.
+func (p *process) openPeers(ctx context.Context, exited chan struct{}) error {
 	for !p.reachable(exited) {
 		select {
 		case <-ctx.Done():
@@ -110,17 +133,25 @@
 	return nil
 }
 
-// reachable reports whether a life's proxy was opened, or need not be any more. Its address was once still in use 0.3 s after the listener
+// reachable reports whether a life's proxies were opened, or need not be any more. An address was once still in use 0.3 s after the listener
 // of the life before was closed (seed 800), so a failure is not the end.
 func (p *process) reachable(exited chan struct{}) bool {
-	conn, err := net.DialTimeout("tcp", p.peer.target.String(), listenEvery)
+	conn, err := net.DialTimeout("tcp", p.peer.String(), listenEvery)
 	if err != nil {
 		return false
 	}
 	_ = conn.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.exited != exited || p.gone || p.peer.open() == nil
+	if p.exited != exited || p.gone {
+		return true
+	}
+	for _, x := range p.peers {
+		if x.open() != nil {
+			return false
+		}
+	}
+	return true
 }
 
 // wait returns when the present life has ended.
@@ -132,7 +163,9 @@
 	p.mu.Lock()
 	p.gone = true
 	p.mu.Unlock()
-	p.peer.shut()
+	for _, x := range p.peers {
+		x.shut()
+	}
 	close(exited)
 	return err
 }
@@ -150,6 +183,20 @@
 	_ = p.command.Process.Signal(s)
 }
 
+// kill ends the present life at once; the next one begins after a time.
+func (p *process) kill(away time.Duration) {
+	p.mu.Lock()
+	p.away = away
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
+}
+
+func (p *process) awayNow() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.away
+}
+
 func (p *process) lifeNow() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,7 +216,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(restartAfter):
+		case <-time.After(p.awayNow()):
 		}
 	}
 	return nil
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +23,9 @@
 	"verbenalanding.example/platform/wire"
 )
 
+// pools are those with work. The second one has half the machines of the first, and half as many jobs.
+var pools = [...]string{"cutting", "fitting"}
+
 // ErrPromise is returned when a promise was seen broken.
 var ErrPromise = errors.New("promise broken")
 
@@ -54,8 +56,8 @@
 	workers []*proxy
 	// storeTurn counts the faults of the store.
 	storeTurn int
-	// hunting is true while new holders are being lost.
-	hunting atomic.Bool
+	// hunting holds the pools whose new holders are being lost.
+	hunting sync.Map
 	// ended is true once the proxies were closed.
 	ended   bool
 	version int64
@@ -73,7 +75,6 @@
 }
 
 const (
-	pool    = "cutting"
 	standby = "spare"
 	host    = "fleet.example"
 	// attempts is how many runs of a task may fail.
@@ -92,6 +93,9 @@
 	settleTime = 1500 * time.Millisecond
 )
 
+// secondMachines is the number of machines of the second pool.
+func (s *Soak) secondMachines() int { return (s.Machines + 1) / 2 }
+
 func (s *Soak) bounds() platform.Bounds {
 	return platform.Bounds{
 		Configuration: 2 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second, MaxLease: 6 * time.Second,
@@ -144,7 +148,7 @@
 
 func (s *Soak) play(ctx context.Context, group *errgroup.Group) error {
 	s.platform = &standin.Platform{
-		Seed: s.Seed, Pools: map[string]int{pool: s.Machines, standby: 1}, Standby: standby, Room: wire.Room{CPU: 8000, MemMb: 16000},
+		Seed: s.Seed, Pools: map[string]int{pools[0]: s.Machines, pools[1]: s.secondMachines(), standby: 1}, Standby: standby, Room: wire.Room{CPU: 8000, MemMb: 16000},
 		Tick: 5 * time.Millisecond, UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond,
 		Front: func(addr netip.AddrPort) (netip.AddrPort, error) {
 			p, err := newProxy(addr, group)
@@ -168,8 +172,10 @@
 			return err
 		}
 		s.addProxy(p.store)
-		s.addProxy(p.peer)
 		s.processes = append(s.processes, p)
+	}
+	s.connect(group)
+	for _, p := range s.processes {
 		group.Go(func() error { return p.run(ctx) })
 	}
 	if err := sleep(ctx, settleTime); err != nil {
--- a/verbenabench/soak/turnover.go
+++ b/verbenabench/soak/turnover.go
@@ -36,6 +36,8 @@
 	// mostHolding is the longest time that a new holder has before it is lost or leaves: two go within one lease of 2.5 s. A holder that reads
 	// in vain what was left to it begins its orders after 0.8 s.
 	mostHolding = 2400 * time.Millisecond
+	// With briefHolding three or more go within one lease.
+	briefHolding = 500 * time.Millisecond
 	// mostUnregistered is the longest time after which a registration that lapsed while the store was away is back.
 	mostUnregistered = 2 * time.Second
 	// Up to mostJoins workers join while the duty moves, at most mostJoinGap after each other.
@@ -54,7 +56,8 @@
 // turnoverFaults are planned stops in series while the store leaves calls without answer for moments and new holders are lost
 // together with answers of workers: a later holder finds what an earlier one left.
 func (s *Soak) turnoverFaults(random *rand.Rand) []fault {
-	faults := []fault{s.storeFlaps(random), s.holdersLost(random, turnoverTime)}
+	pool := anyPool(random)
+	faults := []fault{s.storeFlaps(random, pool), s.holdersLost(random, pool, turnoverTime)}
 	if random.IntN(2) == 0 {
 		faults = append(faults, s.stopsInSeries(random))
 	}
@@ -63,13 +66,13 @@
 
 // storeFlaps has the store fail for moments, most of which begin as soon as the duty has no holder: what one holder cannot read
 // of that left to it another one can.
-func (s *Soak) storeFlaps(random *rand.Rand) fault {
+func (s *Soak) storeFlaps(random *rand.Rand, pool string) fault {
 	own := rand.New(rand.NewPCG(random.Uint64(), 1))
 	f := unanswered[own.IntN(len(unanswered))]
 	return fault{name: fmt.Sprintf("store at times %+v", f), lasts: turnoverTime, run: func(ctx context.Context) error {
 		for end := time.Now().Add(turnoverTime); time.Now().Before(end); {
 			for calm := time.Now().Add(between(own, leastMoment, mostCalm)); time.Now().Before(calm); {
-				if _, p := s.holder(); p == nil {
+				if _, p := s.holder(pool); p == nil {
 					break
 				}
 				if err := sleep(ctx, holderEvery); err != nil {
@@ -90,11 +93,14 @@
 	return least + time.Duration(random.Int64N(int64(most-least)))
 }
 
+func anyPool(random *rand.Rand) string { return pools[random.IntN(len(pools))] }
+
 // workerProxy returns the proxy of a worker that began lately.
 func (s *Soak) workerProxy(random *rand.Rand) *proxy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.workers[max(0, len(s.workers)-s.Machines)+random.IntN(min(s.Machines, len(s.workers)))]
+	lately := s.workers[max(0, len(s.workers)-s.Machines-s.secondMachines()):]
+	return lately[random.IntN(len(lately))]
 }
 
 // stopsInSeries stops all processes in turn; each is started again once it has ended.
@@ -115,25 +121,29 @@
 // holdersLost kills or pauses the present holder and each new one soon after it took the duty, or has it leave, so that what it hands
 // over is read by a holder that is lost in its turn. The connections of some workers are harmed at the same time: the next
 // holder hears them late.
-func (s *Soak) holdersLost(random *rand.Rand, lasts time.Duration) fault {
+func (s *Soak) holdersLost(random *rand.Rand, pool string, lasts time.Duration) fault {
 	own := rand.New(rand.NewPCG(random.Uint64(), 0))
-	return fault{name: "new holders lost", lasts: lasts, run: func(ctx context.Context) error {
-		if !s.hunting.CompareAndSwap(false, true) {
+	holding := mostHolding
+	if own.IntN(2) == 0 {
+		holding = briefHolding
+	}
+	return fault{name: fmt.Sprintf("new holders of %s lost within %v", pool, holding), lasts: lasts, run: func(ctx context.Context) error {
+		if _, on := s.hunting.LoadOrStore(pool, true); on {
 			return nil
 		}
-		defer s.hunting.Store(false)
+		defer s.hunting.Delete(pool)
 		before := ""
 		var group errgroup.Group
 		for end := time.Now().Add(lasts); time.Now().Before(end); {
 			if sleep(ctx, holderEvery) != nil {
 				break
 			}
-			life, p := s.holder()
+			life, p := s.holder(pool)
 			if p == nil || life == before {
 				continue
 			}
 			before = life
-			if sleep(ctx, between(own, 0, mostHolding)) != nil {
+			if sleep(ctx, between(own, 0, holding)) != nil {
 				break
 			}
 			s.harmWorkers(ctx, own, &group)
@@ -187,8 +197,9 @@
 	random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
 	machines = machines[:1+random.IntN(mostJoins)]
 	anew := random.IntN(3) == 0
+	pool := anyPool(random)
 	joins := fault{name: fmt.Sprintf("workers join on %v each %v, their ids kept: %v", machines, gap.Round(time.Millisecond), anew), run: func(ctx context.Context) error {
-		if _, p := s.holder(); p != nil {
+		if _, p := s.holder(pool); p != nil {
 			p.signal(syscall.SIGTERM)
 		}
 		for _, id := range machines {
@@ -203,13 +214,13 @@
 		}
 		return nil
 	}}
-	return []fault{joins, s.holdersLost(random, turnoverTime)}
+	return []fault{joins, s.holdersLost(random, pool, turnoverTime)}
 }
 
 // harmWorkers harms the connections of some workers for moments.
 func (s *Soak) harmWorkers(ctx context.Context, random *rand.Rand, group *errgroup.Group) {
 	for range 1 + random.IntN(harmedWorkers) {
-		harm := connectionFault(s.workerProxy(random), mode(1+random.IntN(modes-1)), between(random, 0, mostHarm))
+		harm := connectionFault(mode(1+random.IntN(modes-1)), between(random, 0, mostHarm), s.workerProxy(random))
 		s.book.note("fault "+harm.name+" at the loss of a holder", nil)
 		harm.begin()
 		group.Go(func() error { return harm.play(ctx) })
@@ -220,22 +231,23 @@
 // one after it finds the same.
 func (s *Soak) unreadHandover(random *rand.Rand) fault {
 	own := rand.New(rand.NewPCG(random.Uint64(), 2))
-	return fault{name: "handover not read", run: func(ctx context.Context) error {
-		if !s.hunting.CompareAndSwap(false, true) {
+	pool := anyPool(random)
+	return fault{name: "handover of " + pool + " not read", run: func(ctx context.Context) error {
+		if _, on := s.hunting.LoadOrStore(pool, true); on {
 			return nil
 		}
-		defer s.hunting.Store(false)
-		life, p := s.holder()
+		defer s.hunting.Delete(pool)
+		life, p := s.holder(pool)
 		if p == nil {
 			return nil
 		}
 		p.signal(syscall.SIGTERM)
-		if _, err := s.awaitHolder(ctx, func(now string) bool { return now != life }); err != nil {
+		if _, err := s.awaitHolder(ctx, pool, func(now string) bool { return now != life }); err != nil {
 			return err
 		}
 		moment := s.storeFails(unread[own.IntN(len(unread))], 0)
 		moment.begin()
-		p, err := s.awaitHolder(ctx, func(now string) bool { return now != "" && now != life })
+		p, err := s.awaitHolder(ctx, pool, func(now string) bool { return now != "" && now != life })
 		if err == nil {
 			err = sleep(ctx, between(own, 0, mostMoment))
 		}
@@ -258,9 +270,9 @@
 }
 
 // awaitHolder waits until the life of the holder is as wanted, at most for turnoverTime.
-func (s *Soak) awaitHolder(ctx context.Context, wanted func(life string) bool) (*process, error) {
+func (s *Soak) awaitHolder(ctx context.Context, pool string, wanted func(life string) bool) (*process, error) {
 	for end := time.Now().Add(turnoverTime); ; {
-		life, p := s.holder()
+		life, p := s.holder(pool)
 		if wanted(life) || time.Now().After(end) {
 			return p, nil
 		}
@@ -283,8 +295,8 @@
 	return sleep(ctx, pause)
 }
 
-// holder returns the life of the process that holds the pool's duty, by the store; p is nil without one.
-func (s *Soak) holder() (life string, p *process) {
+// holder returns the life of the process that holds a pool's duty, by the store; p is nil without one.
+func (s *Soak) holder(pool string) (life string, p *process) {
 	value, ok := s.platform.Store.Get(tenure.Prefix + pool)
 	var m tenure.Member
 	if !ok || json.Unmarshal(value, &m) != nil {
