fix(entry): a new holder that had to wait reads the jobs again before it starts any

From the logs of node n2 (fence 214): it takes the duty at 828.452 and lists the jobs; the cancelling is acknowledged at 828.603; the records of jobs are not read until 832.001 since its way to the store is silent; at 832.043 the pool is taken over by the list of 3.6 s before; at 832.050 the task is started, 3.45 s after its cancelling (the platform's bound is 3 s), and at 832.051 the watch brings the cancelling.

Cause: the list of jobs is read beside records, handover and record of silent workers, waits for them, and is acted on whatever its age; the watch goes on only after that. A list that had to wait for more than 0.5 s is read again once the others are there. It costs nothing in a take-over that is not held up.

--- a/verbenaentry/node/follower.go
+++ b/verbenaentry/node/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -40,6 +41,10 @@
 	return nil
 }
 
+// oldList is the age from which on the list of jobs is read again before it is acted on: a caller may have cancelled a job since, and none
+// of its tasks may start later than the platform's bound for cancelling, 3 s, after that.
+const oldList = 500 * time.Millisecond
+
 func (f *jobFollower) await(ctx context.Context, c <-chan struct{}) bool {
 	select {
 	case <-ctx.Done():
@@ -50,10 +55,21 @@
 }
 
 func (f *jobFollower) apply(ctx context.Context, events []store.Event) {
+	p := f.pool
+	listed := p.node.Clock.Now()
 	if !f.await(ctx, f.loaded) {
 		return
 	}
-	p := f.pool
+	if !f.begun && p.node.Clock.Now().Sub(listed) > oldList {
+		entries, err := p.listAll(ctx, jobKey(p.name, ""), "jobs not read again yet")
+		if err != nil {
+			return
+		}
+		events = nil
+		for _, e := range entries {
+			events = append(events, store.Event{Entry: e})
+		}
+	}
 	now := p.node.Clock.Now()
 	p.mu.Lock()
 	var cancelled []string
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -165,21 +165,30 @@
 // loadRecords reads the progress of the pool's jobs; the duty is held, so no other node writes it any more.
 func (p *pool) loadRecords(ctx context.Context) (map[string]dispatch.Record, error) {
 	prefix := stateKey(p.name, "")
+	entries, err := p.listAll(ctx, prefix, "records of jobs not read yet")
+	if err != nil {
+		return nil, err
+	}
 	records := map[string]dispatch.Record{}
+	for _, e := range entries {
+		id := strings.TrimPrefix(e.Key, prefix)
+		var r dispatch.Record
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return nil, fmt.Errorf("read record of job %s: %w", id, err)
+		}
+		records[id], p.revisions[id] = r, e.Revision
+	}
+	return records, nil
+}
+
+// listAll reads the entries under a prefix, again and again until the store has answered.
+func (p *pool) listAll(ctx context.Context, prefix, failed string) ([]store.Entry, error) {
 	for {
 		entries, _, err := store.ListAll(ctx, p.node.Store, prefix)
 		if err == nil {
-			for _, e := range entries {
-				id := strings.TrimPrefix(e.Key, prefix)
-				var r dispatch.Record
-				if err := json.Unmarshal(e.Value, &r); err != nil {
-					return nil, fmt.Errorf("read record of job %s: %w", id, err)
-				}
-				records[id], p.revisions[id] = r, e.Revision
-			}
-			return records, nil
+			return entries, nil
 		}
-		p.log.Warn().Err(err).Msg("records of jobs not read yet")
+		p.log.Warn().Err(err).Msg(failed)
 		pause(ctx, storePause)
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
