--- a/verbenabench/days/day.go
+++ b/verbenabench/days/day.go
@@ -143,7 +143,7 @@
 			return err
 		}
 		p := &process{
-			settings: settings(fmt.Sprintf("n%d", i), nodeAddr(i), cores, gate.Addr, d.platform.CloudAddr, trial.Bounds()),
+			settings: settings(fmt.Sprintf("n%d", i), nodeAddr(i), cores, gate.Addr, d.platform.CloudAddr, standin.Bounds()),
 			gate:     gate, net: d.net, rate: s.rates[i], log: &d.log, down: s.lates[i],
 		}
 		d.processes = append(d.processes, p)
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -165,30 +165,40 @@
 	return err
 }
 
-// loadRecords reads the progress of the pool's jobs; the duty is held, so no other node writes it any more. An answer may be lost, so that
-// each page is asked for again.
+// loadRecords reads the progress of the pool's jobs; the duty is held, so no other node writes it any more.
 func (p *pool) loadRecords(ctx context.Context) (map[string]dispatch.Record, error) {
 	prefix := stateKey(p.name, "")
+	entries, err := p.listAll(ctx, prefix, "records of jobs not read yet")
+	if err != nil {
+		return nil, err
+	}
 	records := map[string]dispatch.Record{}
+	for _, e := range entries {
+		id := strings.TrimPrefix(e.Key, prefix)
+		var r dispatch.Record
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return nil, fmt.Errorf("read record of job %s: %w", id, err)
+		}
+		records[id], p.revisions[id] = r, e.Revision
+	}
+	return records, nil
+}
+
+// listAll reads the entries under a prefix. An answer may be lost, so that each page is asked for until the store has answered.
+func (p *pool) listAll(ctx context.Context, prefix, failed string) ([]store.Entry, error) {
+	var entries []store.Entry
 	for from := ""; ; {
 		var page store.Page
-		err := p.untilAnswered(ctx, "records of jobs not read yet", func(ctx context.Context) (err error) {
+		err := p.untilAnswered(ctx, failed, func(ctx context.Context) (err error) {
 			page, err = p.node.Store.List(ctx, prefix, from, 0)
 			return err
 		})
 		if err != nil {
 			return nil, err
 		}
-		for _, e := range page.Entries {
-			id := strings.TrimPrefix(e.Key, prefix)
-			var r dispatch.Record
-			if err := json.Unmarshal(e.Value, &r); err != nil {
-				return nil, fmt.Errorf("read record of job %s: %w", id, err)
-			}
-			records[id], p.revisions[id] = r, e.Revision
-		}
+		entries = append(entries, page.Entries...)
 		if page.Next == "" {
-			return records, nil
+			return entries, nil
 		}
 		from = page.Next
 	}
