refactor(standin): a caller's request is sent in one place

The trial's fleet and the soak each built the request with the host and the deadline, sent it and read the answer; Request.Send does it for both. A method or a path that cannot be sent panics, as it did in the soak; the trial returned it as an error, which no test causes.

--- a/verbenabench/soak/caller.go
+++ b/verbenabench/soak/caller.go
@@ -1,11 +1,9 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -202,22 +200,11 @@
 	if body == nil {
 		content = nil
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.settings.Entry.String()+path, bytes.NewReader(content))
-	if err != nil {
-		panic("soak: " + err.Error())
-	}
-	r.Host = host
-	r.Header.Set(wire.HeaderDeadline, "3000")
-	answer, err := p.client.Do(r)
-	if err != nil {
-		return 0, nil
-	}
-	defer answer.Body.Close()
-	content, err = io.ReadAll(answer.Body)
+	status, answer, err := standin.Request{Method: method, Host: host, Path: path, Body: content}.Send(ctx, p.client, p.settings.Entry)
 	if err != nil {
 		return 0, nil
 	}
-	return answer.StatusCode, content
+	return status, answer
 }
 
 // awaitJobs waits until each accepted job has ended, completed, failed, or cancelled by its caller; long-running ones end only so.
--- a/verbenaentry/trial/trial.go
+++ b/verbenaentry/trial/trial.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -269,19 +268,7 @@
 		}
 	}
 	n := running[i%len(running)]
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.Entry.String()+path, bytes.NewReader(content))
-	if err != nil {
-		return 0, nil, err
-	}
-	r.Host = Host
-	r.Header.Set(wire.HeaderDeadline, "3000")
-	answer, err := f.client.Do(r)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer answer.Body.Close()
-	content, err = io.ReadAll(answer.Body)
-	return answer.StatusCode, content, err
+	return standin.Request{Method: method, Host: Host, Path: path, Body: content}.Send(ctx, f.client, n.settings.Entry)
 }
 
 // retryPause lies between two attempts of a caller.
