test(trial): waits for a state of the stand-in share one loop

Five loops waited in steps of 10 ms for a condition or the end of the test's time; until does it. The handover's test submits as the others do. What is checked is unchanged.

--- a/verbenaentry/trial/handover_test.go
+++ b/verbenaentry/trial/handover_test.go
@@ -18,21 +18,17 @@
 	f.LoseReads("handover/")
 	var group errgroup.Group
 	group.Go(func() error { return f.Terminate(first) })
-	second := first
-	for (second == first || second < 0) && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
+	var second int
+	until(ctx, func() bool {
 		second = f.Holder("cutting")
-	}
+		return second != first && second >= 0
+	})
 	j := job(1 << 26)
 	j.Took = 3 * time.Second
-	if accepted, err := f.Submit(ctx, "cutting", j); err != nil || !accepted {
-		t.Fatalf("submit: accepted %v: got %v, want accepted", accepted, err)
-	}
+	submit(ctx, t, f, j)
 	time.Sleep(1200 * time.Millisecond)
 	f.LoseReads("")
-	for f.Platform.Runs() < 3 && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
+	until(ctx, func() bool { return f.Platform.Runs() >= 3 })
 	busy := f.Platform.Busy()
 	for _, id := range busy {
 		f.Platform.SetTrouble(id, standin.Trouble{Silent: true})
--- a/verbenaentry/trial/trial_test.go
+++ b/verbenaentry/trial/trial_test.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// until waits until a condition holds or the test's time is over; the test checks which of both it was.
+func until(ctx context.Context, holds func() bool) {
+	for !holds() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // serveJobsDuring serves jobs while a fault is caused, and checks that no promise was broken.
 func serveJobsDuring(ctx context.Context, t *testing.T, f *trial.Fleet, n int, fault func() error) {
 	t.Helper()
@@ -205,9 +212,7 @@
 	j := job(1 << 20)
 	j.Took = time.Minute
 	submit(ctx, t, f, j)
-	for f.Platform.Runs() == 0 && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
+	until(ctx, func() bool { return f.Platform.Runs() > 0 })
 	status, _, err := f.Do(ctx, 0, http.MethodDelete, trial.Prefix("cutting")+j.ID, nil)
 	if err != nil {
 		t.Fatalf("cancel: got %v, want none", err)
@@ -216,9 +221,7 @@
 	if err := f.Await(ctx, "cutting", j.ID, "cancelled"); err != nil {
 		t.Errorf("state: got %v, want cancelled", err)
 	}
-	for f.Platform.Runs() > 0 && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
+	until(ctx, func() bool { return f.Platform.Runs() == 0 })
 	if got := f.Platform.Runs(); got != 0 {
 		t.Errorf("runs left: got %d, want 0", got)
 	}
@@ -301,9 +304,7 @@
 	j := job(1 << 25)
 	j.Took = time.Second
 	submit(ctx, t, f, j)
-	for len(f.Platform.Busy()) == 0 && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
+	until(ctx, func() bool { return len(f.Platform.Busy()) > 0 })
 	began := time.Now()
 	f.Platform.Lose(f.Platform.Busy()[0])
 	if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
