--- a/verbenaentry/node/absent_test.go
+++ b/verbenaentry/node/absent_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -57,12 +55,11 @@
 // Guards against runs of a worker's new life that are taken for ended since another worker answers a hold at the address of the earlier life.
 func TestAnswerAtTheAddressOfAnEarlierLife(t *testing.T) {
 	p := newProof(t)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		p.hear(time.Now(), netip.MustParseAddrPort("127.0.0.1:9"))
 		w.WriteHeader(http.StatusMisdirectedRequest)
-	}))
-	defer server.Close()
-	p.hear(time.Now().Add(-time.Minute), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	})
+	p.hear(time.Now().Add(-time.Minute), addr)
 	p.pool.holdOnce(p.ctx, p.pool.core.NextHold("w", p.pool.node.Clock.Now()), 0)
 	p.wantAlive()
 }
--- a/verbenaentry/node/wave_test.go
+++ b/verbenaentry/node/wave_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -13,16 +12,21 @@
 	"verbenalanding.example/platform"
 )
 
+// serve answers calls until the test ends; it returns the address.
+func serve(t *testing.T, answer http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(answer)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
 // Guards against an upkeep that ends a successor's runs: it was reserved by a holder that lost its duty before it gave the order.
 func TestNoUpkeepIsOrderedOnceTheDutyIsLost(t *testing.T) {
 	var orders atomic.Int64
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { orders.Add(1) }))
-	t.Cleanup(server.Close)
+	addr := serve(t, func(http.ResponseWriter, *http.Request) { orders.Add(1) })
 	p := lockedPool()
 	p.node.Tenure = &tenure.Tenure{Clock: p.node.Clock.Now}
-	p.node.Machines = &platform.Machines{
-		Client: platform.NewClient(), Addr: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
-	}
+	p.node.Machines = &platform.Machines{Client: platform.NewClient(), Addr: addr}
 	p.upkeeps.order(t.Context(), workload.Wave{ID: "1"}, "slot", heldSlot{slot: slot{Machine: "m0"}}, 7)
 	if got := orders.Load(); got != 0 {
 		t.Errorf("orders of a holder that is not valid: got %d, want 0", got)
