--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -77,12 +77,11 @@
 	if len(gone) == 0 {
 		return
 	}
-	p.mu.Lock()
-	for _, w := range gone {
-		p.core.LifeEnded(w, "its machine does not run it any more")
-	}
-	p.mu.Unlock()
-	p.kick()
+	p.update(func(core *dispatch.Pool) {
+		for _, w := range gone {
+			core.LifeEnded(w, "its machine does not run it any more")
+		}
+	})
 }
 
 // absent reports whether a list of machines proves that a worker has ended.
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -166,10 +166,7 @@
 		tickets.ByWorker = map[string]string{}
 	}
 	now := p.node.Clock.Now()
-	p.mu.Lock()
-	p.core.Advised(a, tickets.ByWorker, now.Add(tickets.Valid), now)
-	p.mu.Unlock()
-	p.kick()
+	p.update(func(core *dispatch.Pool) { core.Advised(a, tickets.ByWorker, now.Add(tickets.Valid), now) })
 }
 
 // hold prolongs a worker's lease and follows its lists until the worker is not in the pool any more.
@@ -229,16 +226,10 @@
 	}
 	switch outcome {
 	case platform.Held:
-		p.mu.Lock()
-		p.core.Report(next.Worker.ID, report, now)
-		p.mu.Unlock()
-		p.kick()
+		p.update(func(core *dispatch.Pool) { core.Report(next.Worker.ID, report, now) })
 		return true
 	case platform.HoldOther:
-		p.mu.Lock()
-		p.core.LifeEnded(next.Worker, "another worker has its address")
-		p.mu.Unlock()
-		p.kick()
+		p.update(func(core *dispatch.Pool) { core.LifeEnded(next.Worker, "another worker has its address") })
 	case platform.HoldFenced:
 		p.log.Warn().Str("worker", next.Worker.ID).Msg("worker follows a newer holder")
 		p.lost()
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -236,6 +236,14 @@
 
 func (p *pool) kick() { _ = p.wake.Offer(struct{}{}) }
 
+// update changes what the decisions are made from and has them made anew.
+func (p *pool) update(change func(*dispatch.Pool)) {
+	p.mu.Lock()
+	change(p.core)
+	p.mu.Unlock()
+	p.kick()
+}
+
 func (p *pool) configure(c *workload.Configuration) {
 	if c == nil {
 		return
@@ -246,10 +254,7 @@
 			queues = append(queues, q)
 		}
 	}
-	p.mu.Lock()
-	p.core.SetQueues(queues)
-	p.mu.Unlock()
-	p.kick()
+	p.update(func(core *dispatch.Pool) { core.SetQueues(queues) })
 }
 
 func (p *pool) jobState(id string) jobAnswer {
--- a/verbenaentry/node/tell.go
+++ b/verbenaentry/node/tell.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
 )
@@ -45,17 +46,11 @@
 	if err := json.Unmarshal(s.Value, &j); err != nil {
 		return err
 	}
-	p.mu.Lock()
-	p.core.AddJob(j, nil, false, p.node.Clock.Now())
-	p.mu.Unlock()
-	p.kick()
+	p.update(func(core *dispatch.Pool) { core.AddJob(j, nil, false, p.node.Clock.Now()) })
 	return nil
 }
 
 // cancelled takes the wish of a job's caller over, which is stored.
 func (p *pool) cancelled(id string) {
-	p.mu.Lock()
-	p.core.Cancel(id, p.node.Clock.Now())
-	p.mu.Unlock()
-	p.kick()
+	p.update(func(core *dispatch.Pool) { core.Cancel(id, p.node.Clock.Now()) })
 }
