--- a/verbenaentry/node/absent_test.go
+++ b/verbenaentry/node/absent_test.go
@@ -118,15 +118,12 @@
 
 // listWith has the platform answer a list of machines with one.
 func (p *proof) listWith(machine func() wire.Machine) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	addr := serve(p.t, func(w http.ResponseWriter, _ *http.Request) {
 		if err := json.NewEncoder(w).Encode(wire.Machines{Machines: []wire.Machine{machine()}}); err != nil {
 			p.t.Errorf("list of machines: got %v, want none", err)
 		}
-	}))
-	p.t.Cleanup(server.Close)
-	p.pool.node.Machines = &platform.Machines{
-		Client: platform.NewClient(), Addr: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
-	}
+	})
+	p.pool.node.Machines = &platform.Machines{Client: platform.NewClient(), Addr: addr}
 }
 
 // settle has an upkeep order be accepted for the present life of the worker, which gets no starts since.
