--- a/fleet/tenure/guard.go
+++ b/fleet/tenure/guard.go
@@ -87,8 +87,6 @@
 	return ""
 }
 
-func part(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
-
 // fresh reports whether the store answered the node lately; the lock must be held.
 func (t *Tenure) fresh(now time.Time) bool { return t.contactAge(now) <= part(t.TTL, storeFresh) }
 
--- a/fleet/tenure/lease.go
+++ b/fleet/tenure/lease.go
@@ -27,6 +27,11 @@
 	confirmAfter = 0.375
 )
 
+// part returns a share of a lease.
+func part(lease time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(lease))
+}
+
 func (t *Tenure) keepLease(ctx context.Context) error {
 	var renewed time.Time
 	for range interval.FromNow(ctx, t.TTL/renewals/2) {
