--- a/verbenabench/days/oracle.go
+++ b/verbenabench/days/oracle.go
@@ -109,8 +109,9 @@
 
 // tell ends the doubt about a run that has ended.
 func (p *presence) tell(at time.Time) {
+	p.known = true
 	if p.possible.After(at) {
-		p.possible, p.known = at, true
+		p.possible = at
 	}
 }
 
--- a/verbenabench/days/oracle_test.go
+++ b/verbenabench/days/oracle_test.go
@@ -40,6 +40,10 @@
 			event(100*time.Millisecond, "a", "failed"), event(150*time.Millisecond, "a", standin.RunsListed),
 			event(200*time.Millisecond, "b", standin.RunBegan),
 		}, "", 0},
+		{"a start after a list that came when there was no doubt any more", []standin.RunEvent{
+			event(time.Second, "a", standin.RunLapsed), event(longest+time.Millisecond, "a", standin.RunsListed),
+			event(longest+2*time.Millisecond, "b", standin.RunBegan),
+		}, "", 0},
 		{"a start after a stop that was taken", []standin.RunEvent{
 			event(100*time.Millisecond, "a", "failed"), event(150*time.Millisecond, "a", standin.StopTaken),
 			event(200*time.Millisecond, "b", standin.RunBegan),
