revert: a worker is known for 3 s before the list of machines proves that it is gone

No list that lags by more than 1 s was ever seen, and none is stated; that the list may lag by more stays listed as open in the postmortem.

--- a/verbenaentry/node/absent.go
+++ b/verbenaentry/node/absent.go
@@ -14,9 +14,6 @@
 	absentEvery = 200 * time.Millisecond
 	// absentAfter is the silence of a worker after which its machine is looked up: two holds were not answered.
 	absentAfter = 900 * time.Millisecond
-	// absentAge is the least age of a worker that the list of machines may prove to be gone. The platform states no bound for the list's lag, and
-	// what a worker of whose life the list tells nothing yet may run would be started again.
-	absentAge = 3 * time.Second
 	// clockDifference is by how much the times of day of two machines may differ; a worker tells its birth by its own.
 	clockDifference = 5 * time.Second
 )
@@ -81,7 +78,7 @@
 	if w.Machine == "" || w.Born == 0 {
 		return false
 	}
-	if now.Sub(w.Since) < absentAge && now.Sub(time.UnixMilli(w.Born)) < absentAge+clockDifference {
+	if now.Sub(w.Since) < listLag && now.Sub(time.UnixMilli(w.Born)) < listLag+clockDifference {
 		return false
 	}
 	return !listed || m.State != workload.MachineUp || m.Worker != w.ID
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -148,7 +148,7 @@
 	return gone, true
 }
 
-// listLag is the age of an order from which on the list of machines shows it.
+// listLag is how long the list of machines may lag behind: it shows an order, and a worker that registered, from that age on.
 const listLag = time.Second
 
 // get returns a machine with the pool in which the last order or the list shows it; the lock must be held.
