--- a/fleet/dispatch/explore_roots_test.go
+++ b/fleet/dispatch/explore_roots_test.go
@@ -72,3 +72,18 @@
 	m.pass(1200 * time.Millisecond)
 	m.lostAct()
 }
+
+// heardLater has a lost holder start the tasks of a job of which its successor has not heard; the successor lists the end of one of them.
+func heardLater(m *model) {
+	m.act(m.present)
+	m.takeOver()
+	m.load(m.present)
+	j := exploredJob(m)
+	m.revision++
+	m.specs[j.ID], m.stored[j.ID] = j, m.revision
+	m.hearJob(m.lost[0], j.ID)
+	m.lostAct()
+	m.endOne()
+	m.act(m.present)
+	m.record()
+}
