--- a/verbenaentry/node/surroundings.go
+++ b/verbenaentry/node/environment.go
@@ -13,31 +13,31 @@
 // Dial opens a connection, as that of a net.Dialer does.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Surroundings are the network and the clock that a node has; fields that are unset are those of its process.
-type Surroundings struct {
+// Environment is the network and the clock that a node has; fields that are unset are those of its process.
+type Environment struct {
 	Dial   Dial
 	Listen func(addr netip.AddrPort) (net.Listener, error)
 	// Since counts the time, suspensions included.
 	Since func() time.Duration
 }
 
-func (s Surroundings) clock() *steady.Clock {
-	if s.Since == nil {
+func (e Environment) clock() *steady.Clock {
+	if e.Since == nil {
 		return steady.New()
 	}
-	return steady.From(s.Since)
+	return steady.From(e.Since)
 }
 
-func (s Surroundings) client() *platform.Client {
-	if s.Dial == nil {
+func (e Environment) client() *platform.Client {
+	if e.Dial == nil {
 		return platform.NewClient()
 	}
-	return platform.NewClientWith(s.Dial)
+	return platform.NewClientWith(e.Dial)
 }
 
-func (s Surroundings) listen(addr netip.AddrPort) (net.Listener, error) {
-	if s.Listen == nil {
+func (e Environment) listen(addr netip.AddrPort) (net.Listener, error) {
+	if e.Listen == nil {
 		return net.Listen("tcp", addr.String())
 	}
-	return s.Listen(addr)
+	return e.Listen(addr)
 }
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -95,11 +95,11 @@
 
 // RunWith runs an entry instance until a signal to stop arrives on signals; the end of the context ends it at once, as a kill does.
 func RunWith(ctx context.Context, settings platform.Settings, settingsPath string, flags Flags, out io.Writer, signals <-chan os.Signal) error {
-	return RunIn(ctx, Surroundings{}, settings, settingsPath, flags, out, signals)
+	return RunIn(ctx, Environment{}, settings, settingsPath, flags, out, signals)
 }
 
-// RunIn runs an entry instance as RunWith does, in other surroundings than those of its process.
-func RunIn(ctx context.Context, around Surroundings, settings platform.Settings, settingsPath string, flags Flags, out io.Writer, signals <-chan os.Signal) error {
+// RunIn runs an entry instance as RunWith does, in another environment than that of its process.
+func RunIn(ctx context.Context, environment Environment, settings platform.Settings, settingsPath string, flags Flags, out io.Writer, signals <-chan os.Signal) error {
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(settings.MemoryMB << 20 * memoryShare / 100)
 	}
@@ -115,9 +115,9 @@
 	for _, constructor := range []any{
 		func() platform.Settings { return settings },
 		func() Flags { return flags },
-		func() Surroundings { return around },
+		func() Environment { return environment },
 		func() zerolog.Logger { return newLogger(lines, flags, settings) },
-		Surroundings.clock, Surroundings.client, metrics.NewRegistry, func() *patience { return &patience{} }, newStore, newWorkers, newMachines, newAdvice, newTenure, newView, newPeers,
+		Environment.clock, Environment.client, metrics.NewRegistry, func() *patience { return &patience{} }, newStore, newWorkers, newMachines, newAdvice, newTenure, newView, newPeers,
 		newNode,
 	} {
 		if err := container.Provide(constructor); err != nil {
@@ -127,7 +127,7 @@
 	var failed error
 	err := container.Invoke(func(n *Node) {
 		n.SettingsPath = settingsPath
-		n.listenAt = around.listen
+		n.listenAt = environment.listen
 		failed = n.run(ctx, signals)
 	})
 	return cmp.Or(failed, err)
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -65,8 +65,8 @@
 
 var peerSentinels = rpc.Sentinels{ErrNotHolder, errCutOff, store.ErrNotFound, store.ErrConflict, store.ErrRefused, store.ErrUnavailable}
 
-func newPeers(t *tenure.Tenure, s Surroundings) *Peers {
-	return &Peers{Tenure: t, Dial: s.Dial, clients: map[netip.AddrPort]*rpc.Client{}}
+func newPeers(t *tenure.Tenure, e Environment) *Peers {
+	return &Peers{Tenure: t, Dial: e.Dial, clients: map[netip.AddrPort]*rpc.Client{}}
 }
 
 // Serve answers the calls of other nodes until the context ends.
