feat(soak): a worker is cut from the holder only, or from all nodes but the holder

All nodes reached a worker through one proxy, so that a worker that is cut was cut from all: the fields of the table in which a lost holder goes on to reach a worker that its successor does not were not in the soak.

Each node reaches each worker through a proxy of its own; its gate shows it that proxy's address in the registrations. Faults of a worker's connections harm those of all nodes in half of the draws, of a duty's holder only, or of all but that holder.

--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -111,7 +111,7 @@
 	case 12:
 		return fault{name: "wave", begin: s.askWave}
 	}
-	return connectionFault(mode(random.IntN(modes)), lasts, s.workerProxy(random))
+	return s.workerWaysFault(random, mode(random.IntN(modes)), lasts)
 }
 
 // connectionFault harms the connections of some proxies.
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -52,8 +52,9 @@
 	processes []*process
 	mu        sync.Mutex
 	proxies   []*proxy
-	// workers are the proxies of workers, in the order of their beginning.
-	workers []*proxy
+	// workers are in the order of their beginning; those of before the first process are met later.
+	workers []ways
+	unmet   []netip.AddrPort
 	// storeTurn counts the faults of the store.
 	storeTurn int
 	// hunting holds the pools whose new holders are being lost.
@@ -151,15 +152,11 @@
 		Seed: s.Seed, Pools: map[string]int{pools[0]: s.Machines, pools[1]: s.secondMachines(), standby: 1}, Standby: standby, Room: wire.Room{CPU: 8000, MemMb: 16000},
 		Tick: 5 * time.Millisecond, UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond,
 		Front: func(addr netip.AddrPort) (netip.AddrPort, error) {
-			p, err := newProxy(addr, group)
-			if err != nil {
-				return netip.AddrPort{}, err
+			if len(s.processes) == 0 {
+				s.unmet = append(s.unmet, addr)
+				return addr, nil
 			}
-			s.addProxy(p)
-			s.mu.Lock()
-			s.workers = append(s.workers, p)
-			s.mu.Unlock()
-			return p.addr, nil
+			return addr, s.meetWorker(addr, group)
 		},
 	}
 	if err := s.platform.Start(ctx, group); err != nil {
@@ -175,6 +172,11 @@
 		s.processes = append(s.processes, p)
 	}
 	s.connect(group)
+	for _, addr := range s.unmet {
+		if err := s.meetWorker(addr, group); err != nil {
+			return err
+		}
+	}
 	for _, p := range s.processes {
 		group.Go(func() error { return p.run(ctx) })
 	}
--- a/verbenabench/soak/turnover.go
+++ b/verbenabench/soak/turnover.go
@@ -95,14 +95,6 @@
 
 func anyPool(random *rand.Rand) string { return pools[random.IntN(len(pools))] }
 
-// workerProxy returns the proxy of a worker that began lately.
-func (s *Soak) workerProxy(random *rand.Rand) *proxy {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	lately := s.workers[max(0, len(s.workers)-s.Machines-s.secondMachines()):]
-	return lately[random.IntN(len(lately))]
-}
-
 // stopsInSeries stops all processes in turn; each is started again once it has ended.
 func (s *Soak) stopsInSeries(random *rand.Rand) fault {
 	order := random.Perm(len(s.processes))
@@ -220,7 +212,7 @@
 // harmWorkers harms the connections of some workers for moments.
 func (s *Soak) harmWorkers(ctx context.Context, random *rand.Rand, group *errgroup.Group) {
 	for range 1 + random.IntN(harmedWorkers) {
-		harm := connectionFault(mode(1+random.IntN(modes-1)), between(random, 0, mostHarm), s.workerProxy(random))
+		harm := s.workerWaysFault(random, mode(1+random.IntN(modes-1)), between(random, 0, mostHarm))
 		s.book.note("fault "+harm.name+" at the loss of a holder", nil)
 		harm.begin()
 		group.Go(func() error { return harm.play(ctx) })
