--- a/fleet/dispatch/explore_roots_test.go
+++ b/fleet/dispatch/explore_roots_test.go
@@ -73,8 +73,30 @@
 	m.lostAct()
 }
 
-// heardLater has a lost holder start the tasks of a job of which its successor has not heard; the successor lists the end of one of them.
+// heardLater has a successor list the end of a run of a job of which it has not heard.
 func heardLater(m *model) {
+	startUnheard(m)
+	m.endOne()
+	m.act(m.present)
+	m.record()
+}
+
+// leftUntold has a successor list the run of such a job, then its end, and leave; the next holder knows the job and hears that worker late.
+func leftUntold(m *model) {
+	startUnheard(m)
+	m.act(m.present)
+	m.endOne()
+	m.pass(50 * time.Millisecond)
+	m.act(m.present)
+	m.leave()
+	m.workers[0].cut = true
+	m.act(m.present)
+	m.workers[0].cut = false
+	m.act(m.present)
+}
+
+// startUnheard has a lost holder start the tasks of a job of which its successor has not heard.
+func startUnheard(m *model) {
 	m.act(m.present)
 	m.takeOver()
 	m.load(m.present)
@@ -83,7 +105,4 @@
 	m.specs[j.ID], m.stored[j.ID] = j, m.revision
 	m.hearJob(m.lost[0], j.ID)
 	m.lostAct()
-	m.endOne()
-	m.act(m.present)
-	m.record()
 }
--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -14,7 +14,7 @@
 
 // Bounds of the exploration; a run by hand goes further.
 var (
-	exploredStates = flag.Int("explore.states", 3600, "states to expand in the exhaustive exploration")
+	exploredStates = flag.Int("explore.states", 4000, "states to expand in the exhaustive exploration")
 	exploredFaults = flag.Int("explore.faults", 3, "faults in one history of the exhaustive exploration")
 )
 
@@ -179,6 +179,7 @@
 	{"unheard worker whose lease a successor prolongs", prolongedUnheard},
 	{"two holders in a row within a lease", twoInARow},
 	{"job that is heard of later", heardLater},
+	{"holder that left with an end of such a job", leftUntold},
 	{"lost holder that lists registrations late", func(m *model) {
 		m.act(m.present)
 		m.store(exploredJob(m))
