--- a/fleet/dispatch/explore_roots_test.go
+++ b/fleet/dispatch/explore_roots_test.go
@@ -1,6 +1,10 @@
 package dispatch_test
 
-import "time"
+import (
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
 
 // Two changes of the holder, and what one of the holders had to learn before, take more actions than an exploration from the beginning
 // reaches in its time; these situations lie shortly before the moment at which a holder may count wrongly.
@@ -72,3 +76,31 @@
 	m.pass(1200 * time.Millisecond)
 	m.lostAct()
 }
+
+// leftUntold has a successor list the run of a job of which it has not heard, then its end, and leave; the next holder knows the job and hears
+// that worker late.
+func leftUntold(m *model) {
+	startUnheard(m)
+	m.act(m.present)
+	m.endOne()
+	m.pass(50 * time.Millisecond)
+	m.act(m.present)
+	m.leave()
+	m.workers[0].cut = true
+	m.act(m.present)
+	m.workers[0].cut = false
+	m.act(m.present)
+}
+
+// startUnheard has a lost holder start the tasks of a job of which its successor has not heard.
+func startUnheard(m *model) workload.Job {
+	m.act(m.present)
+	m.takeOver()
+	m.load(m.present)
+	j := exploredJob(m)
+	m.revision++
+	m.specs[j.ID], m.stored[j.ID] = j, m.revision
+	m.hearJob(m.lost[0], j.ID)
+	m.lostAct()
+	return j
+}
--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -14,7 +14,7 @@
 
 // Bounds of the exploration; a run by hand goes further.
 var (
-	exploredStates = flag.Int("explore.states", 3600, "states to expand in the exhaustive exploration")
+	exploredStates = flag.Int("explore.states", 4000, "states to expand in the exhaustive exploration")
 	exploredFaults = flag.Int("explore.faults", 3, "faults in one history of the exhaustive exploration")
 )
 
@@ -180,6 +180,7 @@
 	{"lease that a successor prolongs", prolongedLease},
 	{"unheard worker whose lease a successor prolongs", prolongedUnheard},
 	{"two holders in a row within a lease", twoInARow},
+	{"holder that left with an end that it had not taken over", leftUntold},
 	{"lost holder that lists registrations late", func(m *model) {
 		m.act(m.present)
 		m.store(exploredJob(m))
@@ -205,14 +206,8 @@
 
 // hearMuchLater has a lost holder start the tasks of a job of which its successor hears nothing until all that may be present of before has ended.
 func hearMuchLater(m *model) {
-	m.act(m.present)
-	m.takeOver()
-	m.load(m.present)
-	j := exploredJob(m)
-	m.revision++
-	m.specs[j.ID], m.stored[j.ID], m.deaf[j.ID] = j, m.revision, true
-	m.hearJob(m.lost[0], j.ID)
-	m.lostAct()
+	j := startUnheard(m)
+	m.deaf[j.ID] = true
 	m.endOne()
 	m.t = unasked{m.t}
 	const step = time.Second
