--- a/verbenabench/days/day.go
+++ b/verbenabench/days/day.go
@@ -131,7 +131,7 @@
 	d.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: caller.dial, DisableKeepAlives: true}}
 	d.platform = &standin.Platform{
 		Seed: s.seed, Pools: s.pools, Room: wire.Room{CPU: 8000, MemMb: 16000}, Tick: 20 * time.Millisecond,
-		UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond, Listen: d.listen, Rate: s.machineRate, Seen: d.oracle.seen,
+		UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond, Listen: d.listen, Rate: s.machineRate, Seen: d.seen,
 	}
 	if err := d.platform.Start(ctx, d.group); err != nil {
 		return err
@@ -152,6 +152,15 @@
 	return nil
 }
 
+// seen passes an event on, with the way of an answer to its caller.
+func (d *day) seen(e standin.RunEvent) {
+	var answer *delivery
+	if caller, err := netip.ParseAddrPort(e.Caller); err == nil {
+		answer = d.net.deliver(d.hostOf(e.Machine), caller.Addr())
+	}
+	d.oracle.seen(e, answer)
+}
+
 func (d *day) violate(format string, args ...any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/verbenabench/days/fault.go
+++ b/verbenabench/days/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -46,19 +47,28 @@
 	workerCrashed     = "workerCrashed"
 	workerCutReborn   = "workerCutAndReborn"
 	startsLate        = "startsLate"
+	answersLost       = "workerAnswersLost"
 	registrationsGone = "registrationsLapse"
 	machineLost       = "machineLost"
 	connectionsReset  = "connectionsReset"
 )
 
-// drawFaults draws faults until the time of faults is over.
+// drawFaults draws faults until the time of faults is over. Days differ in how many there are and of which groups: where holders are lost all
+// the time, none waits for the end of a worker's lease.
 func (s *script) drawFaults(random *rand.Rand, lasts time.Duration) {
-	draws := []func(*rand.Rand, *fault){
-		s.drawNode, s.drawNode, s.drawHolder, s.drawHolder, s.drawHolder, s.drawStore, s.drawStore, s.drawCut, s.drawCut, s.drawWorkers,
-		s.drawWorkers, s.drawWorkers,
+	var draws []func(*rand.Rand, *fault)
+	for len(draws) == 0 {
+		for _, draw := range []func(*rand.Rand, *fault){s.drawNode, s.drawHolder, s.drawStore, s.drawCut, s.drawWorkers} {
+			draws = append(draws, slices.Repeat([]func(*rand.Rand, *fault){draw}, random.IntN(mostWeight+1))...)
+		}
 	}
-	for at := settleTime; at < lasts; at += time.Duration(random.ExpFloat64() * float64(faultPause)) {
+	pause := float64(leastFaultPause) * math.Pow(float64(mostFaultPause)/float64(leastFaultPause), random.Float64())
+	for at := settleTime; at < lasts; at += time.Duration(random.ExpFloat64() * pause) {
 		f := fault{at: at, lasts: between(random, 200*time.Millisecond, 4*time.Second)}
+		if random.IntN(2) == 0 {
+			// Longer than the leases of workers, and than those of a lost holder and of its last orders together.
+			f.lasts = between(random, 3*time.Second, 9*time.Second)
+		}
 		draws[random.IntN(len(draws))](random, &f)
 		s.faults = append(s.faults, f)
 	}
@@ -307,76 +317,3 @@
 	}
 	return list
 }
-
-func (s *script) drawMachines(random *rand.Rand, most int) []string {
-	var list []string
-	for range 1 + random.IntN(most) {
-		name := s.names[random.IntN(len(s.names))]
-		list = append(list, fmt.Sprintf("m-%s-%d", name, random.IntN(s.pools[name])))
-	}
-	slices.Sort(list)
-	return slices.Compact(list)
-}
-
-func (s *script) drawWorkers(random *rand.Rand, f *fault) {
-	machines, lasts := s.drawMachines(random, 4), f.lasts
-	f.what = fmt.Sprint(machines)
-	switch random.IntN(8) {
-	case 0, 1:
-		f.kind = workerReborn
-		f.run = func(_ context.Context, d *day) { d.rebirth(machines) }
-	case 2:
-		f.kind = workerCrashed
-		f.run = func(_ context.Context, d *day) {
-			for _, m := range machines {
-				d.tell(d.platform.Crash(m))
-			}
-		}
-	case 3:
-		nodes := random.Perm(len(s.cores))[:1+random.IntN(len(s.cores))]
-		wait := between(random, 0, lasts)
-		f.kind, f.what = workerCutReborn, fmt.Sprintf("%v from %v, born again after %v", machines, nodes, wait)
-		f.run = func(ctx context.Context, d *day) {
-			var open together
-			defer open.wait()
-			open.play(func() { d.cut(ctx, lasts, cutBoth, nodeAddrs(nodes), d.machineAddrs(machines)) })
-			if sleep(ctx, wait) == nil {
-				d.rebirth(machines)
-			}
-		}
-	case 4, 5:
-		late := between(random, 100*time.Millisecond, 2500*time.Millisecond)
-		f.kind, f.what = startsLate, fmt.Sprintf("%v by %v", machines, late)
-		f.run = func(ctx context.Context, d *day) {
-			for _, m := range machines {
-				d.platform.SetTrouble(m, standin.Trouble{Late: late})
-			}
-			_ = sleep(ctx, lasts)
-			for _, m := range machines {
-				d.platform.SetTrouble(m, standin.Trouble{})
-			}
-		}
-	case 6:
-		f.kind = registrationsGone
-		f.run = func(ctx context.Context, d *day) {
-			for _, m := range machines {
-				d.platform.Lapse(m)
-			}
-			_ = sleep(ctx, lasts)
-			for _, m := range machines {
-				d.platform.Register(m)
-			}
-		}
-	default:
-		f.kind = machineLost
-		f.run = func(ctx context.Context, d *day) {
-			for _, m := range machines {
-				d.platform.Lose(m)
-			}
-			_ = sleep(ctx, lasts)
-			for _, m := range machines {
-				d.tell(d.platform.Recover(m))
-			}
-		}
-	}
-}
--- a/verbenabench/days/network.go
+++ b/verbenabench/days/network.go
@@ -31,7 +31,11 @@
 	hosts     map[netip.Addr]*host
 	listeners map[netip.AddrPort]*listener
 	cuts      map[[2]netip.Addr]int
-	conns     map[*conn]struct{}
+	// mute counts the faults that keep what is sent from an address, though connections to it open.
+	mute  map[netip.Addr]int
+	conns map[*conn]struct{}
+	// waiting are the followed messages that have not arrived.
+	waiting []*delivery
 	// changed is closed when a cut, a freeze or a host changes.
 	changed chan struct{}
 }
@@ -39,7 +43,7 @@
 func newNetwork(seed uint64) *network {
 	return &network{
 		seed: seed, hosts: map[netip.Addr]*host{}, listeners: map[netip.AddrPort]*listener{},
-		cuts: map[[2]netip.Addr]int{}, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
+		cuts: map[[2]netip.Addr]int{}, mute: map[netip.Addr]int{}, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
 	}
 }
 
@@ -112,6 +116,7 @@
 
 // wake has all that wait look again; the lock must be held.
 func (n *network) wake() {
+	n.arrive()
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
@@ -138,6 +143,14 @@
 	n.wake()
 }
 
+// silence keeps what is sent from an address, or lets it go on; faults that overlap count.
+func (n *network) silence(addr netip.Addr, change int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mute[addr] += change
+	n.wake()
+}
+
 // reset breaks the connections of an address.
 func (n *network) reset(addr netip.Addr) {
 	n.mu.Lock()
@@ -188,7 +201,49 @@
 
 // passes reports whether a message from one host reaches another one now; the lock must be held.
 func (n *network) passes(from, to *host) bool {
-	return !from.frozen && !to.frozen && n.cuts[[2]netip.Addr{from.addr, to.addr}] == 0
+	return !from.frozen && !to.frozen && n.mute[from.addr] == 0 && n.cuts[[2]netip.Addr{from.addr, to.addr}] == 0
+}
+
+// delivery is a message that arrives as soon as its way is open.
+type delivery struct {
+	from, to *host
+	at       time.Time
+}
+
+// deliver follows a message from a host to the present life at an address; nil means that it cannot arrive.
+func (n *network) deliver(from *host, to netip.Addr) *delivery {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	there := n.hosts[to]
+	if there == nil || there.dead {
+		return nil
+	}
+	d := &delivery{from: from, to: there}
+	n.waiting = append(n.waiting, d)
+	n.arrive()
+	return d
+}
+
+// arrive has the messages arrive whose way is open; the lock must be held.
+func (n *network) arrive() {
+	left := n.waiting[:0]
+	for _, d := range n.waiting {
+		switch {
+		case d.to.dead:
+		case n.passes(d.from, d.to):
+			d.at = time.Now()
+		default:
+			left = append(left, d)
+		}
+	}
+	n.waiting = left
+}
+
+// arrived returns when the message arrived; zero if it has not.
+func (d *delivery) arrived() time.Time {
+	d.from.net.mu.Lock()
+	defer d.from.net.mu.Unlock()
+	return d.at
 }
 
 // dial opens a connection. A frozen host takes connections, since its kernel would; it does not open any.
--- a/verbenabench/days/network_test.go
+++ b/verbenabench/days/network_test.go
@@ -97,6 +97,24 @@
 			p.net.cut(p.caller.addr, p.server.addr, false)
 			p.wantEnd(p.back, syscall.ECONNRESET)
 		}},
+		{"a mute host takes connections and its answers wait", false, func(p *pair) {
+			p.net.silence(p.server.addr, 1)
+			c, err := p.dial()
+			if err != nil {
+				p.t.Fatalf("dial: got %v, want none", err)
+			}
+			_ = c.Close()
+			p.send("a")
+			p.wantArrival("a", leastLatency, mostLatency)
+			if _, err := p.back.Write([]byte("b")); err != nil {
+				p.t.Fatalf("write: got %v, want none", err)
+			}
+			time.AfterFunc(time.Second, func() { p.net.silence(p.server.addr, -1) })
+			began := time.Now()
+			if _, err := p.there.Read(make([]byte, 1)); err != nil || time.Since(began) != time.Second {
+				p.t.Errorf("answer: got %v after %v, want it after %v", err, time.Since(began), time.Second)
+			}
+		}},
 		{"a frozen host hears nothing and sends nothing", false, func(p *pair) {
 			p.server.freeze(true)
 			p.send("a")
--- a/verbenabench/days/oracle.go
+++ b/verbenabench/days/oracle.go
@@ -24,7 +24,9 @@
 	ended time.Time
 	// possible is the latest time at which it may be present, as far as anybody could know: with the slowest clock the lease ends then.
 	possible time.Time
-	// known is true when the worker could tell of the end, by a list, by the answer to a stop or by the end of its life.
+	// answers are those that tell of the end, a list or the answer to a stop.
+	answers []*delivery
+	// known is true when such an answer has arrived or the worker's life has ended.
 	known bool
 }
 
@@ -33,8 +35,8 @@
 	// leaseEnd is the latest time at which the lease could end with the slowest clock.
 	leaseEnd time.Time
 	open     map[string]*presence
-	// untold are the runs that ended since the worker's last list.
-	untold []*presence
+	// ended are the runs of the life that have ended and of which nobody was told at the worker's last list.
+	ended []*presence
 }
 
 // oracle checks what happens at the workers; the stand-in calls it under its own lock.
@@ -70,8 +72,8 @@
 	return l
 }
 
-// seen takes an event of a worker.
-func (o *oracle) seen(e standin.RunEvent) {
+// seen takes an event of a worker, and the way of the answer that it is, if any.
+func (o *oracle) seen(e standin.RunEvent, answer *delivery) {
 	l := o.life(e.Worker)
 	switch e.How {
 	case standin.LeaseProlonged:
@@ -81,7 +83,11 @@
 		}
 		return
 	case standin.RunsListed:
-		l.told(e.At)
+		l.ended = slices.DeleteFunc(l.ended, func(p *presence) bool {
+			p.settle()
+			p.promise(answer)
+			return p.known
+		})
 		return
 	}
 	line := fmt.Sprintf("%v %s %s %s %d %d\n", e.At.Sub(o.began), e.How, e.Worker, e.Task, e.Run, e.Fence)
@@ -91,16 +97,18 @@
 	case standin.RunBegan:
 		o.start(l, e)
 	case standin.StopTaken:
-		for _, p := range l.untold {
+		for _, p := range l.ended {
 			if slices.Contains(o.tasks[e.Task], p) {
-				p.tell(e.At)
+				p.promise(answer)
 			}
 		}
 	case standin.LifeEnded:
 		for _, p := range l.open {
 			p.ended, p.possible, p.known = e.At, e.At, true
 		}
-		l.told(e.At)
+		for _, p := range l.ended {
+			p.tell(e.At)
+		}
 		delete(o.lives, e.Worker)
 	default:
 		o.end(l, e)
@@ -115,11 +123,20 @@
 	}
 }
 
-func (l *life) told(at time.Time) {
-	for _, p := range l.untold {
-		p.tell(at)
+// promise adds an answer that tells of the end once it arrives.
+func (p *presence) promise(answer *delivery) {
+	if answer != nil && !p.known {
+		p.answers = append(p.answers, answer)
+	}
+}
+
+// settle takes note of the answers that have arrived.
+func (p *presence) settle() {
+	for _, a := range p.answers {
+		if at := a.arrived(); !p.known && !at.IsZero() {
+			p.tell(at)
+		}
 	}
-	l.untold = nil
 }
 
 func (o *oracle) end(l *life, e standin.RunEvent) {
@@ -130,7 +147,7 @@
 	}
 	delete(l.open, e.Task)
 	p.ended, p.possible = e.At, l.leaseEnd
-	l.untold = append(l.untold, p)
+	l.ended = append(l.ended, p)
 }
 
 // start checks a start against every earlier time in which the task may be present.
@@ -142,6 +159,7 @@
 				e.Task, e.Run, e.Worker, e.At.Sub(o.began), e.Fence, p.run, p.worker, p.began.Sub(o.began))
 			continue
 		}
+		p.settle()
 		// A worker knows its own runs.
 		if p.worker == e.Worker || p.known {
 			continue
--- a/verbenabench/days/oracle_test.go
+++ b/verbenabench/days/oracle_test.go
@@ -3,11 +3,20 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"verbenalanding.example/platform/standin"
 )
 
+// answerTo returns the way of an answer, which arrives at once.
+func answerTo(e standin.RunEvent) *delivery {
+	if e.How != standin.RunsListed && e.How != standin.StopTaken {
+		return nil
+	}
+	return &delivery{from: newNetwork(1).host(callerAddr, 1, false), at: e.At}
+}
+
 // Guards against an oracle that lets a task run twice, or that takes the luck of a clock that is not slow for a proof.
 func TestOracle(t *testing.T) {
 	const task = "j.0.0.0"
@@ -55,7 +64,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			o := newOracle()
 			for _, e := range append(append([]standin.RunEvent(nil), first...), c.events...) {
-				o.seen(e)
+				o.seen(e, answerTo(e))
 			}
 			got := strings.Join(o.broken, "; ")
 			if (c.want == "") != (got == "") || !strings.HasPrefix(got, c.want) {
@@ -68,3 +77,32 @@
 		})
 	}
 }
+
+// Guards against an oracle that takes an answer which is on its way for one that was heard: it arrives when the cut ends.
+func TestAnswerCountsOnceItArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)
+		worker, node := n.host(storeAddr, 1, false), n.host(callerAddr, 1, false)
+		n.cut(worker.addr, node.addr, true)
+		o := newOracle()
+		event := func(worker, how string) standin.RunEvent {
+			return standin.RunEvent{At: time.Now(), Worker: worker, How: how, Task: "j.0.0.0", Run: 1, LeaseEnd: time.Minute}
+		}
+		o.seen(event("a", standin.LeaseProlonged), nil)
+		o.seen(event("a", standin.RunBegan), nil)
+		o.seen(event("a", "done"), nil)
+		o.seen(event("a", standin.RunsListed), n.deliver(worker, node.addr))
+		o.seen(event("b", standin.RunBegan), nil)
+		if got := len(o.broken); got != 1 {
+			t.Errorf("violations before the answer arrived: got %d, want 1", got)
+		}
+		o.seen(event("b", "done"), nil)
+		o.seen(event("b", standin.RunsListed), n.deliver(worker, node.addr))
+		time.Sleep(time.Second)
+		n.cut(worker.addr, node.addr, false)
+		o.seen(event("c", standin.RunBegan), nil)
+		if got := len(o.broken); got != 1 {
+			t.Errorf("violations after the answer arrived: got %d, want the 1 of before: %v", got, o.broken)
+		}
+	})
+}
--- a/verbenabench/days/script.go
+++ b/verbenabench/days/script.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,12 +17,14 @@
 	leastNodes, mostNodes     = 3, 9
 	leastWorkers, mostWorkers = 10, 50
 	mostPools                 = 3
-	// faultPause is the mean time between two faults, which may overlap.
-	faultPause = 600 * time.Millisecond
+	// The mean time between two faults, which may overlap, is drawn for each day, and so is the weight of each group of faults.
+	leastFaultPause = 300 * time.Millisecond
+	mostFaultPause  = 4 * time.Second
+	mostWeight      = 3
 	// settleTime passes before the first job and the first fault.
 	settleTime = 1500 * time.Millisecond
-	// workerShare is how many jobs a second come for each worker.
-	workerShare = 0.12
+	// Jobs a second for each worker, drawn for each day: tasks wait for room on the days with most of them.
+	leastJobShare, mostJobShare = 0.08, 0.4
 	// lateShare is the part of the nodes that start late.
 	lateShare = 0.15
 	// lastingEvery is how many jobs there are for one that lasts.
@@ -87,7 +90,7 @@
 		s.names = append(s.names, name)
 		s.pools[name] = max(2, workers/pools)
 	}
-	s.drawJobs(rand.New(rand.NewPCG(seed, 2)), lasts, float64(workers)*workerShare)
+	s.drawJobs(rand.New(rand.NewPCG(seed, 2)), lasts, float64(workers)*leastJobShare*math.Pow(mostJobShare/leastJobShare, random.Float64()))
 	s.drawFaults(rand.New(rand.NewPCG(seed, 3)), lasts)
 	return s
 }
--- /dev/null
+++ b/verbenabench/days/worker.go
@@ -0,0 +1,95 @@
+package days
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"verbenalanding.example/platform/standin"
+)
+
+func (s *script) drawMachines(random *rand.Rand, most int) []string {
+	var list []string
+	for range 1 + random.IntN(most) {
+		name := s.names[random.IntN(len(s.names))]
+		list = append(list, fmt.Sprintf("m-%s-%d", name, random.IntN(s.pools[name])))
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+func (s *script) drawWorkers(random *rand.Rand, f *fault) {
+	machines, lasts := s.drawMachines(random, 4), f.lasts
+	f.what = fmt.Sprint(machines)
+	switch random.IntN(10) {
+	case 0, 1:
+		f.kind = workerReborn
+		f.run = func(_ context.Context, d *day) { d.rebirth(machines) }
+	case 2:
+		f.kind = workerCrashed
+		f.run = func(_ context.Context, d *day) {
+			for _, m := range machines {
+				d.tell(d.platform.Crash(m))
+			}
+		}
+	case 3:
+		nodes := random.Perm(len(s.cores))[:1+random.IntN(len(s.cores))]
+		wait := between(random, 0, lasts)
+		f.kind, f.what = workerCutReborn, fmt.Sprintf("%v from %v, born again after %v", machines, nodes, wait)
+		f.run = func(ctx context.Context, d *day) {
+			var open together
+			defer open.wait()
+			open.play(func() { d.cut(ctx, lasts, cutBoth, nodeAddrs(nodes), d.machineAddrs(machines)) })
+			if sleep(ctx, wait) == nil {
+				d.rebirth(machines)
+			}
+		}
+	case 4, 5:
+		late := between(random, 100*time.Millisecond, 2500*time.Millisecond)
+		f.kind, f.what = startsLate, fmt.Sprintf("%v by %v", machines, late)
+		f.run = func(ctx context.Context, d *day) {
+			for _, m := range machines {
+				d.platform.SetTrouble(m, standin.Trouble{Late: late})
+			}
+			_ = sleep(ctx, lasts)
+			for _, m := range machines {
+				d.platform.SetTrouble(m, standin.Trouble{})
+			}
+		}
+	case 6, 7:
+		f.kind = answersLost
+		f.run = func(ctx context.Context, d *day) {
+			for _, addr := range d.machineAddrs(machines) {
+				d.net.silence(addr, 1)
+			}
+			_ = sleep(ctx, lasts)
+			for _, addr := range d.machineAddrs(machines) {
+				d.net.silence(addr, -1)
+			}
+		}
+	case 8:
+		f.kind = registrationsGone
+		f.run = func(ctx context.Context, d *day) {
+			for _, m := range machines {
+				d.platform.Lapse(m)
+			}
+			_ = sleep(ctx, lasts)
+			for _, m := range machines {
+				d.platform.Register(m)
+			}
+		}
+	default:
+		f.kind = machineLost
+		f.run = func(ctx context.Context, d *day) {
+			for _, m := range machines {
+				d.platform.Lose(m)
+			}
+			_ = sleep(ctx, lasts)
+			for _, m := range machines {
+				d.tell(d.platform.Recover(m))
+			}
+		}
+	}
+}
