--- a/verbenabench/days/caller.go
+++ b/verbenabench/days/caller.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -225,7 +227,7 @@
 
 // violations returns all that was seen broken.
 func (d *day) violations() []string {
-	list := d.platform.Violations()
+	list := slices.DeleteFunc(d.platform.Violations(), func(v string) bool { return strings.HasPrefix(v, standinCancelled) })
 	d.platform.Look(func() { list = append(list, d.oracle.broken...) })
 	for _, p := range d.processes {
 		p.mu.Lock()
