--- a/verbenabench/days/days_test.go
+++ b/verbenabench/days/days_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,8 @@
 	}
 	// Goroutines of one processor run in an order that differs less from play to play.
 	runtime.GOMAXPROCS(1)
+	// A play takes less than 90 MB; less garbage collection saves a tenth of the time.
+	debug.SetGCPercent(400)
 	os.Exit(m.Run())
 }
 
