--- a/verbenabench/days/days.go
+++ b/verbenabench/days/days.go
@@ -55,6 +55,12 @@
 	case d.Seed+uint64(d.Count) < d.Seed:
 		return fmt.Errorf("%w: --seed is %d, want one that %d days may follow", ErrFlags, d.Seed, d.Count)
 	}
+	if d.Folder == "" {
+		return nil
+	}
+	if info, err := os.Stat(d.Folder); err != nil || !info.IsDir() {
+		return fmt.Errorf("%w: --folder is %s, want a folder that exists", ErrFlags, d.Folder)
+	}
 	return nil
 }
 
@@ -68,7 +74,8 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	if d.Folder == "" {
+	own := d.Folder == ""
+	if own {
 		if d.Folder, err = os.MkdirTemp("", "verbena-days-broken-"); err != nil {
 			return err
 		}
@@ -85,9 +92,8 @@
 	if err == nil && rows.Broken > 0 {
 		err = fmt.Errorf("%w: %d of %d plays", ErrPromise, rows.Broken, rows.Plays)
 	}
-	if rows.Broken == 0 {
-		// A folder that was given may hold other things.
-		_ = os.Remove(d.Folder)
+	if own && rows.Broken == 0 {
+		err = errors.Join(err, os.Remove(d.Folder))
 	}
 	return err
 }
--- a/verbenabench/days/days_test.go
+++ b/verbenabench/days/days_test.go
@@ -112,6 +112,8 @@
 		{"--plays", days.Days{Count: 1, Duration: time.Minute}},
 		{"--time", days.Days{Count: 1, Plays: 1, Duration: -time.Second}},
 		{"--time", days.Days{Count: 1, Plays: 1, Duration: time.Hour}},
+		{"--folder", days.Days{Count: 1, Plays: 1, Duration: time.Minute, Folder: "days_test.go"}},
+		{"--folder", days.Days{Count: 1, Plays: 1, Duration: time.Minute, Folder: "no-such-folder"}},
 		{"--seed", days.Days{Seed: 1<<64 - 1, Count: 2, Plays: 1, Duration: time.Minute}},
 	} {
 		var out bytes.Buffer
