--- a/verbenabench/days/fault.go
+++ b/verbenabench/days/fault.go
@@ -172,7 +172,8 @@
 // drawHolderCut draws a holder that is cut from the store and from the other nodes, and goes on for a part of its lease beside its successor
 // while workers of its pool begin new lives, which have seen no fence; some of them are cut from the other nodes.
 func (s *script) drawHolderCut(random *rand.Rand, f *fault, pool string) {
-	lasts, wait := between(random, 2*time.Second, 5*time.Second), between(random, 500*time.Millisecond, 3*time.Second)
+	// The longer ones outlast the successor's wait for the leases of workers that it does not hear.
+	lasts, wait := between(random, 2*time.Second, 12*time.Second), between(random, 500*time.Millisecond, 3*time.Second)
 	var machines []string
 	for _, i := range random.Perm(s.pools[pool])[:1+random.IntN(min(4, s.pools[pool]))] {
 		machines = append(machines, fmt.Sprintf("m-%s-%d", pool, i))
