--- a/verbenabench/days/day.go
+++ b/verbenabench/days/day.go
@@ -166,7 +166,7 @@
 	}
 	d.oracle.seen(e, answer)
 	d.checkCancelled(e)
-	if e.How == standin.LeaseProlonged && e.LeaseEnd-e.Clock > trial.Bounds().MaxLease {
+	if e.How == standin.LeaseProlonged && e.LeaseEnd-e.Clock > standin.Bounds().MaxLease {
 		// A time that was meant for the clock of an earlier life. The platform shortens such a lease to its maximum and the stand-in does not,
 		// so that its runs would stay for as long as the earlier life had lasted; the worker begins another life instead.
 		time.AfterFunc(0, func() { d.rebirth([]string{e.Machine}) })
