fix(soak): nothing that locks the platform is called under the soak's lock

calm copies the list of proxies; askWave needs no lock, since faults begin one after another and waves are awaited after them.

--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -50,8 +51,9 @@
 	addrs     int
 	platform  *standin.Platform
 	processes []*process
-	mu        sync.Mutex
-	proxies   []*proxy
+	// mu is locked while the platform starts a worker, so that nothing that locks the platform may be called under it.
+	mu      sync.Mutex
+	proxies []*proxy
 	// workers are in the order of their beginning; those of before the first process are met later.
 	workers []ways
 	unmet   []netip.AddrPort
@@ -215,8 +217,9 @@
 func (s *Soak) calm() {
 	s.platform.Store.SetFaults(standin.Faults{})
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.proxies {
+	proxies := slices.Clone(s.proxies)
+	s.mu.Unlock()
+	for _, p := range proxies {
 		p.set(pass)
 		// Connections that went silent are closed by their users' own time-outs; resets only shorten the calm time.
 		p.resetAll()
--- a/verbenabench/soak/wave.go
+++ b/verbenabench/soak/wave.go
@@ -14,10 +14,8 @@
 	waveCompleted = "completed"
 )
 
-// askWave has the operator ask for the upkeep of all machines, unless a wave is on.
+// askWave has the operator ask for the upkeep of all machines, unless a wave is on; faults begin one after another.
 func (s *Soak) askWave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if state, _ := s.platform.WaveState(s.waves); s.waves > 0 && state != waveCompleted {
 		return
 	}
