--- a/verbenabench/days/idle.go
+++ b/verbenabench/days/idle.go
@@ -21,12 +21,13 @@
 
 type rawConn struct{ conn *conn }
 
-// Read runs f on a descriptor without content, or fails when bytes or an end have arrived.
+// Read runs f on a descriptor without content, or fails when bytes or an end have arrived. It fails on a frozen host too, which then opens
+// a connection and so waits for its thaw: an order that was decided in a freeze would else be sent after it.
 func (r rawConn) Read(f func(fd uintptr) bool) error {
 	c := r.conn
 	n := c.local.net
 	n.mu.Lock()
-	some := c.broken != nil || (len(c.in.segments) > 0 && n.passes(c.remote, c.local) && !c.in.segments[0].arrives.After(time.Now()))
+	some := c.broken != nil || c.local.frozen || (len(c.in.segments) > 0 && n.passes(c.remote, c.local) && !c.in.segments[0].arrives.After(time.Now()))
 	n.mu.Unlock()
 	if some {
 		return net.ErrClosed
--- a/verbenabench/days/network_test.go
+++ b/verbenabench/days/network_test.go
@@ -121,6 +121,20 @@
 			time.AfterFunc(2*time.Second, func() { p.server.freeze(false) })
 			p.wantArrival("a", 2*time.Second, 2*time.Second)
 		}},
+		{"a frozen host does not use the connections that it kept", false, func(p *pair) {
+			raw, err := p.there.(syscall.Conn).SyscallConn()
+			if err != nil {
+				p.t.Fatalf("connection: got %v, want none", err)
+			}
+			look := func() error { return raw.Read(func(uintptr) bool { return true }) }
+			if err := look(); err != nil {
+				p.t.Errorf("look before the freeze: got %v, want none", err)
+			}
+			p.caller.freeze(true)
+			if err := look(); !errors.Is(err, net.ErrClosed) {
+				p.t.Errorf("look in the freeze: got %v, want %v", err, net.ErrClosed)
+			}
+		}},
 		{"a frozen host's clock stands still and jumps", false, func(p *pair) {
 			p.server.freeze(true)
 			before := p.server.since()
