--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -22,6 +22,8 @@
 	// resumeWait is the wait of the first watch after a failure. It is short because the store reports only at the end of
 	// the wait that it has compacted its history.
 	resumeWait = 20 * time.Millisecond
+	// failureInterval is how often OnStateChange is called while calls keep failing.
+	failureInterval = 2 * time.Second
 )
 
 // Follower lists the keys under a prefix and then follows their changes.
@@ -35,13 +37,21 @@
 	// Apply is called with changes, in order. listed is true for the first call and after the store has compacted its
 	// history; keys that no longer exist are then passed as deleted.
 	Apply func(events []store.Event, listed bool)
-	// OnStateChange, if set, is called with an error when calls to the store begin to fail, and with nil when they succeed again.
+	// OnStateChange, if set, is called with an error when calls to the store begin to fail and, while they keep failing, with the
+	// latest error each failureInterval; it is called with nil when they succeed again.
 	OnStateChange func(err error)
+	// OnConfirmed, if set, is called after each answered call with the time at which the call was sent: all changes up to then have
+	// been applied.
+	OnConfirmed func(asOf time.Time)
+	// Clock returns the current time; nil means time.Now.
+	Clock func() time.Time
 
 	revisions     map[string]store.Revision
 	watchRevision store.Revision
 	listed        bool
 	failing       bool
+	// failureReportedAt is when OnStateChange was last called with an error.
+	failureReportedAt time.Time
 	// interrupted is true if the last watch failed.
 	interrupted bool
 }
@@ -61,9 +71,13 @@
 
 func (f *Follower) follow(ctx context.Context, done func() bool) error {
 	f.Wait = cmp.Or(f.Wait, 2*time.Second)
+	if f.Clock == nil {
+		f.Clock = time.Now
+	}
 	backoff := firstBackoff
 	for ctx.Err() == nil && !done() {
 		var err error
+		sent := f.Clock()
 		if f.listed {
 			err = f.watch(ctx)
 		} else {
@@ -79,6 +93,7 @@
 		}
 		if err == nil {
 			backoff = firstBackoff
+			f.confirm(sent)
 			continue
 		}
 		interval.Wait(ctx, backoff)
@@ -88,12 +103,22 @@
 }
 
 func (f *Follower) notifyState(err error) {
-	if f.OnStateChange != nil && (err != nil) != f.failing {
+	now := f.Clock()
+	changed := (err != nil) != f.failing
+	repeated := err != nil && now.Sub(f.failureReportedAt) >= failureInterval
+	if f.OnStateChange != nil && (changed || repeated) {
+		f.failureReportedAt = now
 		f.OnStateChange(err)
 	}
 	f.failing = err != nil
 }
 
+func (f *Follower) confirm(asOf time.Time) {
+	if f.OnConfirmed != nil {
+		f.OnConfirmed(asOf)
+	}
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	revisions := map[string]store.Revision{}
 	var events []store.Event
--- a/fleet/follow/follow_test.go
+++ b/fleet/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"verbenalanding.example/fleet/follow"
@@ -113,3 +114,32 @@
 		t.Errorf("watches that wait for %v: got %v, want %v (waits %v)", fullWait, got, want, s.waits)
 	}
 }
+
+// Guards against a log that shows only the first error of a long interruption, and against a follower that counts an unanswered call as
+// knowledge of the store.
+func TestFollowerReportsContinuedFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		failing := func() (store.Batch, error) {
+			time.Sleep(700 * time.Millisecond)
+			return store.Batch{}, store.ErrUnavailable
+		}
+		s := &scriptedStore{cancel: cancel, lists: []store.Page{{Revision: 2}}, watches: slices.Repeat([]func() (store.Batch, error){failing}, 6)}
+		var states []error
+		var confirmed []time.Time
+		f := follow.Follower{
+			Store: s, Prefix: "p/", Apply: func([]store.Event, bool) {},
+			OnStateChange: func(err error) { states = append(states, err) }, OnConfirmed: func(asOf time.Time) { confirmed = append(confirmed, asOf) },
+		}
+		began := time.Now()
+		if err := f.Run(ctx); err != nil {
+			t.Fatalf("run: got %v, want none", err)
+		}
+		if len(states) != 3 {
+			t.Errorf("reports in %v of failures: got %d, want 3 (%v)", time.Since(began), len(states), states)
+		}
+		if len(confirmed) != 1 || !confirmed[0].Equal(began) {
+			t.Errorf("confirmed: got %v, want the list's time %v only", confirmed, began)
+		}
+	})
+}
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -80,6 +80,7 @@
 	}
 	queue, id := routes.find(r.Host, r.URL.Path)
 	if queue == nil {
+		n.logUnknownQueue(r, routes.Version)
 		n.refuse(w, http.StatusNotFound, "no such queue")
 		return
 	}
@@ -112,6 +113,26 @@
 	observe(n.Registry, "requests."+strings.ToLower(r.Method)+"."+strconv.Itoa(status), time.Since(began))
 }
 
+const (
+	// refusalLines is the number of log lines per second for refused requests.
+	refusalLines = 100
+	// maxLoggedText is the length up to which a text of a caller is logged, in bytes.
+	maxLoggedText = 128
+)
+
+// logUnknownQueue logs a request for a queue that the configuration does not have, with the version that decided it and the time since this
+// version was known to be the newest.
+func (n *Node) logUnknownQueue(r *http.Request, version int64) {
+	leftOut, ok := n.refusals.Allow(time.Now())
+	if !ok {
+		return
+	}
+	n.Log.Info().Int64("linesLeftOut", leftOut).Str("method", r.Method).Str("host", truncate(r.Host)).Str("path", truncate(r.URL.Path)).
+		Int64("version", version).Dur("age", n.View.age()).Msg("request refused: no such queue")
+}
+
+func truncate(s string) string { return s[:min(len(s), maxLoggedText)] }
+
 func deadline(r *http.Request) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(platform.DeadlineHeader))
 	if err != nil || ms <= 0 {
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -79,6 +79,8 @@
 	pools         pools
 	claimedOrders newestOrders
 	leaving       atomic.Bool
+	// refusals limits the log lines for refused requests.
+	refusals logs.Budget
 	// listenAt opens the node's listeners.
 	listenAt func(addr netip.AddrPort) (net.Listener, error)
 	// notifications runs the calls that notify holders of stored requests; nothing waits for them, and their timeout ends them.
@@ -190,7 +192,10 @@
 func newNode(s platform.Settings, f Flags, log zerolog.Logger, clock *monotonic.Clock, st *platform.Store, w *platform.Workers,
 	m *platform.Machines, a *platform.Advice, elector *leadership.Elector, v *View, p *Peers, r metrics.Registry, timeout *storeTimeout,
 ) *Node {
-	return &Node{Settings: s, Flags: f, Log: log, Clock: clock, Store: st, Workers: w, Machines: m, Advice: a, Elector: elector, View: v, Peers: p, Registry: r, StoreTimeout: timeout}
+	return &Node{
+		Settings: s, Flags: f, Log: log, Clock: clock, Store: st, Workers: w, Machines: m, Advice: a, Elector: elector, View: v, Peers: p, Registry: r,
+		StoreTimeout: timeout, refusals: logs.Budget{PerSecond: refusalLines},
+	}
 }
 
 const (
@@ -218,6 +223,9 @@
 	n.Elector.RequestStatus = n.Peers.requestStatus
 	n.View.OnChange = n.configurationChanged
 	n.Peers.Handler = n.handlePeerCall
+	if err := n.View.register(n.Registry); err != nil {
+		return fmt.Errorf("register metrics: %w", err)
+	}
 	group.Go(func() error { return n.View.Run(groupCtx) })
 	group.Go(func() error { return n.Elector.Run(groupCtx) })
 	group.Go(func() error { return n.Peers.Serve(groupCtx, listeners.peer) })
--- a/verbenaentry/node/view.go
+++ b/verbenaentry/node/view.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"verbenalanding.example/fleet/follow"
@@ -29,8 +32,10 @@
 	OnChange func()
 
 	currentRoutes atomic.Pointer[routes]
-	mu            sync.Mutex
-	waves         map[string]workload.Wave
+	// confirmedAt is when the last answered read of the operator's keys was sent.
+	confirmedAt atomic.Pointer[time.Time]
+	mu          sync.Mutex
+	waves       map[string]workload.Wave
 }
 
 func newView(s *platform.Store, log zerolog.Logger, clock *monotonic.Clock) *View {
@@ -39,16 +44,42 @@
 
 // Run follows the operator's keys until the context ends.
 func (v *View) Run(ctx context.Context) error {
-	f := follow.Follower{Store: v.Store, Prefix: operatorPrefix, Apply: v.apply, OnStateChange: func(err error) {
-		if err != nil {
-			v.Log.Warn().Err(err).Msg("store lost for the operator's keys")
-		} else {
-			v.Log.Info().Msg("store regained for the operator's keys")
-		}
-	}}
+	f := follow.Follower{
+		Store: v.Store, Prefix: operatorPrefix, Clock: v.Clock.Now, Apply: v.apply, OnStateChange: v.logState,
+		OnConfirmed: func(asOf time.Time) { v.confirmedAt.Store(&asOf) },
+	}
 	return f.Run(ctx)
 }
 
+func (v *View) logState(err error) {
+	if err != nil {
+		v.Log.Warn().Err(err).Dur("age", v.age()).Msg("store lost for the operator's keys")
+		return
+	}
+	v.Log.Info().Msg("store regained for the operator's keys")
+}
+
+// age returns the time since the last answered read of the operator's keys was sent, or 0 before the first one.
+func (v *View) age() time.Duration {
+	if at := v.confirmedAt.Load(); at != nil {
+		return v.Clock.Now().Sub(*at)
+	}
+	return 0
+}
+
+// register adds the version and the age of the view to the metrics.
+func (v *View) register(r metrics.Registry) error {
+	return errors.Join(
+		r.Register("configuration.version", metrics.NewFunctionalGauge(func() int64 {
+			if c := v.Configuration(); c != nil {
+				return c.Version
+			}
+			return 0
+		})),
+		r.Register("configuration.ageMs", metrics.NewFunctionalGauge(func() int64 { return v.age().Milliseconds() })),
+	)
+}
+
 func (v *View) apply(events []store.Event, _ bool) {
 	for _, e := range events {
 		switch {
