--- a/verbenaentry/testfleet/testfleet.go
+++ b/verbenaentry/testfleet/testfleet.go
@@ -80,10 +80,11 @@
 	return nil
 }
 
-// Configure writes the next version of the operator's configuration.
-func (f *Fleet) Configure() {
+// Configure writes the next version of the operator's configuration and returns it.
+func (f *Fleet) Configure() int64 {
 	f.version++
 	f.Platform.Configure(f.version, Host, Attempts)
+	return f.version
 }
 
 // Attempts is how many runs of a task may fail before its job fails.
@@ -234,6 +235,13 @@
 	f.nodes[i].gate.SetClosed(reject)
 }
 
+// LimitStoreRate limits the rate at which the store's answers to an instance are sent, in bytes per second; 0 removes the limit.
+func (f *Fleet) LimitStoreRate(i int, bytesPerSecond int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[i].gate.LimitRate(bytesPerSecond)
+}
+
 // LoseReads drops the store's answers to reads of keys with a prefix, for all instances; an empty prefix stops that.
 func (f *Fleet) LoseReads(prefix string) {
 	var lost func(*http.Request) bool
