fix(platform): let the transfer of a large answer of the store finish

After a failed call the answer with all missed versions had to arrive within 720 ms; a node that had been cut off for 12 s was owed 1.4 MB, received 852 kB of it in each try and began anew, with more to receive each time, until the store had forgotten the history. The class: a retry without progress, since the timeout covers a transfer whose size grows with the time since the last success. A timeout of a follower's call is now that of the beginning of its answer; the transfer goes on as long as bytes arrive (1 s without any ends it).

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -14,10 +14,10 @@
 	// firstBackoff and maxBackoff bound the delay before a failed call is retried.
 	firstBackoff = 30 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
-	// answerMargin is how much longer than the wait of a watch its answer may take; after that, the connection counts as
+	// answerMargin is how much later than the end of the wait of a watch its answer may begin; after that, the connection counts as
 	// unresponsive and the call fails.
 	answerMargin = 700 * time.Millisecond
-	// listTimeout bounds one page of a list.
+	// listTimeout is the time within which the answer with a page of a list has to begin.
 	listTimeout = 2 * time.Second
 	// resumeWait is the wait of the first watch after a failure. It is short because the store reports only at the end of
 	// the wait that it has compacted its history.
@@ -125,9 +125,7 @@
 	var revision store.Revision
 	from := ""
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		page, err := f.Store.List(callCtx, f.Prefix, from, 0)
-		cancel()
+		page, err := f.Store.List(store.WithAnswerTimeout(ctx, listTimeout), f.Prefix, from, 0)
 		if err != nil {
 			return err
 		}
@@ -161,9 +159,7 @@
 	if f.interrupted {
 		wait = resumeWait
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+answerMargin)
-	defer cancel()
-	batch, err := f.Store.Watch(callCtx, f.Prefix, f.watchRevision, wait)
+	batch, err := f.Store.Watch(store.WithAnswerTimeout(ctx, wait+answerMargin), f.Prefix, f.watchRevision, wait)
 	f.interrupted = err != nil
 	if err != nil {
 		return err
