fix(verbenaentry): take a pool over when its records take longer than a timeout

Over a connection of 1.2 MB/s the read of 1.6 MB was broken off and repeated for ever; the pool had no holder that starts tasks. The reads of a takeover now limit the beginning of an answer only, as the followers do.

--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -110,12 +110,11 @@
 	p.log.Info().Uint64("writer", h.Writer).Int("workers", len(h.Runs)).Msg("handover applied")
 }
 
-// retryUntilAnswered repeats a read of previous holders' records until the store has answered or the duty is lost.
+// retryUntilAnswered repeats a read of previous holders' records until the store has answered or the duty is lost. The timeout of an attempt
+// does not limit the transfer of its answer: lists of records have up to a megabyte a page.
 func (p *pool) retryUntilAnswered(ctx context.Context, message string, read func(context.Context) error) error {
 	for tries := 1; ; tries++ {
-		callCtx, cancel := context.WithTimeout(ctx, p.node.StoreTimeout.forAttempt(tries))
-		err := read(callCtx)
-		cancel()
+		err := read(store.WithAnswerTimeout(ctx, p.node.StoreTimeout.forAttempt(tries)))
 		if err == nil || errors.Is(err, errLost) {
 			return err
 		}
--- a/verbenaentry/testfleet/slow_transfer_test.go
+++ b/verbenaentry/testfleet/slow_transfer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,3 +49,26 @@
 		t.Errorf("version %d in force on the node: got after %v, want at most %v", version, took, want)
 	}
 }
+
+// Guards against a pool that nobody takes over, because a page of its records takes longer than the timeout of a call.
+func TestTakeoverWithManyRecordsOverASlowLink(t *testing.T) {
+	const (
+		records = 400
+		// recordBytes makes the page 1.6 MB, for which the limited rate takes 1.3 s.
+		recordBytes = 3000
+		rate        = 1_200_000
+	)
+	f, ctx := startFleet(t, 2)
+	serveJobs(ctx, t, f, 2)
+	for i := range records {
+		f.Platform.Store.Put(fmt.Sprintf("state/cutting/%016x", 1<<40+i), map[string]string{"padding": strings.Repeat("x", recordBytes)})
+	}
+	holder := f.Holder("cutting")
+	f.LimitStoreRate(1-holder, rate)
+	f.Kill(holder)
+	j := job(int(jobs.Add(1)))
+	submit(ctx, t, f, j)
+	if err := f.Await(ctx, "cutting", j.ID, "completed"); err != nil {
+		t.Errorf("job after the takeover: got %v, want it completed", err)
+	}
+}
