fix(follow): list the keys after a long interruption in place of replaying their history

Once the last answered call is older than an undisturbed watch takes, also because the machine was suspended, the follower lists the keys, which is as large as what exists; a watch comes between two lists. A batch with several configurations decodes only the newest.

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -34,8 +34,8 @@
 	Wait time.Duration
 	// BatchDelay is the delay after a watch that returned changes; it lets one watch read several frequent changes.
 	BatchDelay time.Duration
-	// Apply is called with changes, in order. listed is true for the first call and after the store has compacted its
-	// history; keys that no longer exist are then passed as deleted.
+	// Apply is called with changes, in order. listed is true for the first call, after an interruption and after the store has
+	// compacted its history; keys that no longer exist are then passed as deleted.
 	Apply func(events []store.Event, listed bool)
 	// OnStateChange, if set, is called with an error when calls to the store begin to fail and, while they keep failing, with the
 	// latest error each failureInterval; it is called with nil when they succeed again.
@@ -49,7 +49,10 @@
 	revisions     map[string]store.Revision
 	watchRevision store.Revision
 	listed        bool
-	failing       bool
+	// confirmedAt is when the last answered call was sent; watched is true if a watch was sent since the last list.
+	confirmedAt time.Time
+	watched     bool
+	failing     bool
 	// failureReportedAt is when OnStateChange was last called with an error.
 	failureReportedAt time.Time
 	// interrupted is true if the last watch failed.
@@ -78,11 +81,11 @@
 	for ctx.Err() == nil && !done() {
 		var err error
 		sent := f.Clock()
-		if f.listed {
+		if f.listed && !f.listIsShorter(sent) {
 			err = f.watch(ctx)
 		} else {
 			err = f.list(ctx)
-			f.listed = err == nil
+			f.listed = f.listed || err == nil
 		}
 		if errors.Is(err, store.ErrCompacted) {
 			f.listed = false
@@ -113,13 +116,22 @@
 	f.failing = err != nil
 }
 
+// listIsShorter reports whether the last answered call was sent longer ago than an undisturbed watch takes. The changes since then contain each
+// version of a key that is written often, and may take longer to transfer than the time in which as many new ones are written; a list has only
+// the newest. A watch comes between two lists, so that slow lists do not follow each other.
+func (f *Follower) listIsShorter(now time.Time) bool {
+	return f.watched && now.Sub(f.confirmedAt) > f.Wait+answerMargin+f.BatchDelay
+}
+
 func (f *Follower) confirm(asOf time.Time) {
+	f.confirmedAt = asOf
 	if f.OnConfirmed != nil {
 		f.OnConfirmed(asOf)
 	}
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	f.watched = false
 	revisions := map[string]store.Revision{}
 	var events []store.Event
 	var revision store.Revision
@@ -155,6 +167,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
+	f.watched = true
 	wait := f.Wait
 	if f.interrupted {
 		wait = resumeWait
--- a/fleet/follow/follow_test.go
+++ b/fleet/follow/follow_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/follow"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -23,6 +24,9 @@
 }
 
 func (s *scriptedStore) List(context.Context, string, string, int) (store.Page, error) {
+	if len(s.lists) == 0 {
+		return store.Page{}, store.ErrUnavailable
+	}
 	page := s.lists[0]
 	s.lists = s.lists[1:]
 	return page, nil
@@ -143,3 +147,74 @@
 		}
 	})
 }
+
+// linkStore is a store with one key that is written at a fixed interval, behind a link of limited rate that is down for a while.
+type linkStore struct {
+	store.Store
+
+	began, downUntil time.Time
+	// interval is the time between two writes of size bytes; rate is that of the link, in bytes per second.
+	interval time.Duration
+	size     int64
+	rate     int64
+}
+
+func (s *linkStore) revision() store.Revision { return store.Revision(time.Since(s.began)/s.interval) + 1 }
+
+// transfer waits until the given number of values has arrived.
+func (s *linkStore) transfer(ctx context.Context, values int64) error {
+	if time.Now().Before(s.downUntil) {
+		interval.Wait(ctx, store.AnswerTimeout(ctx))
+		return store.ErrUnavailable
+	}
+	interval.Wait(ctx, time.Duration(values*s.size*int64(time.Second)/s.rate))
+	return ctx.Err()
+}
+
+func (s *linkStore) List(ctx context.Context, _, _ string, _ int) (store.Page, error) {
+	r := s.revision()
+	return store.Page{Entries: []store.Entry{entry("p/a", r)}, Revision: r}, s.transfer(ctx, 1)
+}
+
+func (s *linkStore) Watch(ctx context.Context, _ string, after store.Revision, wait time.Duration) (store.Batch, error) {
+	if next := time.Until(s.began.Add(time.Duration(after) * s.interval)); next > 0 {
+		interval.Wait(ctx, min(next, wait))
+	}
+	batch := store.Batch{Revision: s.revision()}
+	for r := after + 1; r <= batch.Revision; r++ {
+		batch.Events = append(batch.Events, store.Event{Entry: entry("p/a", r)})
+	}
+	return batch, s.transfer(ctx, int64(len(batch.Events)))
+}
+
+// Guards against a follower that has old knowledge for many seconds after an interruption, because it asks for each version that it has missed.
+func TestFollowerListsAfterALongInterruption(t *testing.T) {
+	const (
+		down = 12 * time.Second
+		// bound is the platform's time limit for a configuration to come into force.
+		bound = 2 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		s := &linkStore{began: time.Now(), interval: 400 * time.Millisecond, size: 65_000, rate: 400_000}
+		var caughtUp time.Duration
+		f := follow.Follower{Store: s, Prefix: "p/", Apply: func(events []store.Event, _ bool) {
+			behind := s.revision() - events[len(events)-1].Entry.Revision
+			if caughtUp == 0 && !s.downUntil.IsZero() && behind <= 1 {
+				caughtUp = time.Since(s.downUntil)
+			}
+		}}
+		// The first list is read before the link goes down.
+		if err := f.Load(ctx); err != nil {
+			t.Fatalf("load: got %v, want none", err)
+		}
+		s.downUntil = s.began.Add(down)
+		if err := f.Run(ctx); err != nil {
+			t.Fatalf("run: got %v, want none", err)
+		}
+		if caughtUp == 0 || caughtUp > bound {
+			t.Errorf("newest version known: got %v after the interruption, want at most %v (0 is never)", caughtUp, bound)
+		}
+	})
+}
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -127,7 +127,7 @@
 	el.members, el.health = map[string]member{}, map[string]*holderHealth{}
 	group, groupCtx := errgroup.WithContext(ctx)
 	el.group = group
-	follower := follow.Follower{Store: el.Store, Prefix: controlPrefix, Apply: el.applyEvents}
+	follower := follow.Follower{Store: el.Store, Prefix: controlPrefix, Clock: el.Clock, Apply: el.applyEvents}
 	group.Go(func() error { return follower.Run(groupCtx) })
 	group.Go(func() error { return el.maintainLease(groupCtx) })
 	group.Go(func() error { return el.acquireVacant(groupCtx) })
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -148,6 +148,7 @@
 		{Store: n.Store, Prefix: shortPrefix, Apply: p.machines.applyShortages},
 	}
 	for i := range followers {
+		followers[i].Clock = n.Clock.Now
 		group.Go(func() error { return followers[i].Run(groupCtx) })
 	}
 	size := sizer{pool: p}
--- a/verbenaentry/node/view.go
+++ b/verbenaentry/node/view.go
@@ -80,30 +80,39 @@
 	)
 }
 
+// apply applies changes of the operator's keys. Of several versions of the configuration only the last one that can be decoded counts.
 func (v *View) apply(events []store.Event, _ bool) {
+	var configurations [][]byte
 	for _, e := range events {
 		switch {
 		case e.Entry.Key == platform.ConfigurationKey && !e.Deleted:
-			v.configure(e.Entry.Value)
+			configurations = append(configurations, e.Entry.Value)
 		case strings.HasPrefix(e.Entry.Key, platform.WavePrefix):
 			v.setWave(e)
 		}
 	}
+	for _, value := range slices.Backward(configurations) {
+		if v.configure(value) {
+			return
+		}
+	}
 }
 
-func (v *View) configure(value []byte) {
+// configure puts a configuration in force if it is newer than the one in force; it reports whether it could be decoded.
+func (v *View) configure(value []byte) bool {
 	c, err := platform.DecodeConfiguration(value)
 	if err != nil {
 		v.Log.Error().Err(err).Msg("invalid configuration rejected")
-		return
+		return false
 	}
 	if old := v.currentRoutes.Load(); old != nil && old.Version >= c.Version {
 		v.Log.Warn().Int64("version", c.Version).Int64("inForce", old.Version).Msg("older configuration ignored")
-		return
+		return true
 	}
 	v.currentRoutes.Store(newRoutes(c))
 	v.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Msg("configuration in force")
 	v.OnChange()
+	return true
 }
 
 func (v *View) setWave(e store.Event) {
