fix(follow): list until a list is answered after an interruption

After an interruption no watch is sent now before a list was answered, and a list that gets no answer is repeated after 1 s in place of 2 s.

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -17,8 +17,10 @@
 	// answerMargin is how much later than the end of the wait of a watch its answer may begin; after that, the connection counts as
 	// unresponsive and the call fails.
 	answerMargin = 700 * time.Millisecond
-	// listTimeout is the time within which the answer with a page of a list has to begin.
-	listTimeout = 2 * time.Second
+	// listTimeout is the time within which the answer with a page of the first list has to begin. After an interruption it is relistTimeout:
+	// a call that was sent just before the connection works again delays the next one by that time.
+	listTimeout   = 2 * time.Second
+	relistTimeout = time.Second
 	// resumeWait is the wait of the first watch after a failure. It is short because the store reports only at the end of
 	// the wait that it has compacted its history.
 	resumeWait = 20 * time.Millisecond
@@ -41,7 +43,7 @@
 	// latest error each failureInterval; it is called with nil when they succeed again.
 	OnStateChange func(err error)
 	// OnConfirmed, if set, is called after each answered call with the time at which the call was sent: all changes up to then have
-	// been applied.
+	// been applied, unless they were too many for one answer.
 	OnConfirmed func(asOf time.Time)
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
@@ -49,7 +51,7 @@
 	revisions     map[string]store.Revision
 	watchRevision store.Revision
 	listed        bool
-	// confirmedAt is when the last answered call was sent; watched is true if a watch was sent since the last list.
+	// confirmedAt is when the last answered call was sent; watched is true if a watch was sent since the last answered list.
 	confirmedAt time.Time
 	watched     bool
 	failing     bool
@@ -118,7 +120,7 @@
 
 // listIsShorter reports whether the last answered call was sent longer ago than an undisturbed watch takes. The changes since then contain each
 // version of a key that is written often, and may take longer to transfer than the time in which as many new ones are written; a list has only
-// the newest. A watch comes between two lists, so that slow lists do not follow each other.
+// the newest. After an answered list a watch comes first, so that slow lists do not follow each other.
 func (f *Follower) listIsShorter(now time.Time) bool {
 	return f.watched && now.Sub(f.confirmedAt) > f.Wait+answerMargin+f.BatchDelay
 }
@@ -131,13 +133,16 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	f.watched = false
+	timeout := listTimeout
+	if f.revisions != nil {
+		timeout = relistTimeout
+	}
 	revisions := map[string]store.Revision{}
 	var events []store.Event
 	var revision store.Revision
 	from := ""
 	for {
-		page, err := f.Store.List(store.WithAnswerTimeout(ctx, listTimeout), f.Prefix, from, 0)
+		page, err := f.Store.List(store.WithAnswerTimeout(ctx, timeout), f.Prefix, from, 0)
 		if err != nil {
 			return err
 		}
@@ -161,7 +166,7 @@
 			events = append(events, store.Event{Entry: store.Entry{Key: key}, Deleted: true})
 		}
 	}
-	f.revisions, f.watchRevision = revisions, revision
+	f.revisions, f.watchRevision, f.watched = revisions, revision, false
 	f.Apply(events, true)
 	return nil
 }
