fix(platform): bound what odd entries of workers and machines can do

Another operator saw machines end, or stop following the workers, because of one odd entry (very deep nesting, a number too large, a port out of range). Read, not seen to do harm: capacities of 2^63-1 and negative memory were taken for a worker, an id with a line break was used in a header, and one entry of the list of machines with a field of another type hid the whole list.

--- a/fleet/workload/worker.go
+++ b/fleet/workload/worker.go
@@ -113,6 +113,8 @@
 	MachineMoving MachineState = "moving"
 	MachineUpkeep MachineState = "upkeep"
 	MachineDown   MachineState = "down"
+	// MachineUnknown is the state of a machine whose entry in the platform's list cannot be decoded.
+	MachineUnknown MachineState = "unknown"
 )
 
 // Machine is an entry of the platform's list of machines.
--- a/verbenaentry/node/endedworkers.go
+++ b/verbenaentry/node/endedworkers.go
@@ -79,7 +79,7 @@
 // listedAsEnded reports whether the list of machines shows that a worker has ended. A worker that may have started after the list was made
 // may be missing from it and does not count as ended.
 func listedAsEnded(w dispatch.WorkerIncarnation, m workload.Machine, listed bool, now time.Time) bool {
-	if w.Machine == "" || w.Incarnation == 0 {
+	if w.Machine == "" || w.Incarnation == 0 || m.State == workload.MachineUnknown {
 		return false
 	}
 	if now.Sub(w.Since) < listLag && now.Sub(time.UnixMilli(w.Incarnation)) < listLag+maxClockDifference {
--- a/verbenaentry/node/endedworkers_test.go
+++ b/verbenaentry/node/endedworkers_test.go
@@ -60,6 +60,7 @@
 		{"its machine runs another worker", w, runsOther, true, true},
 		{"its machine is down", w, workload.Machine{ID: "m", State: workload.MachineState("down"), Worker: "w"}, true, true},
 		{"its machine is not listed", w, workload.Machine{}, false, true},
+		{"its machine's entry cannot be decoded", w, workload.Machine{ID: "m", State: workload.MachineUnknown}, true, false},
 		{"the list may be older than the worker", justStarted, runsOther, true, false},
 		{"the worker's clock may be behind", clockBehind, runsOther, true, false},
 		{"the worker has been known for longer than the list may lag behind", clockAhead, runsOther, true, true},
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -14,6 +14,7 @@
 	"verbenalanding.example/fleet/sizing"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
 )
 
 // machinePrefix is the prefix of the keys that hold the last order for each machine. The revision of such a key is the fencing token of the
@@ -23,7 +24,7 @@
 const (
 	// orderGapMargin is added to the minimum time between orders of different holders for the same machine.
 	orderGapMargin = 300 * time.Millisecond
-	// machineTimeout is the timeout of a request for the list of machines and of an upkeep order.
+	// machineTimeout is the timeout of an upkeep order.
 	machineTimeout = 1500 * time.Millisecond
 )
 
@@ -51,8 +52,8 @@
 	orders   map[string]lastOrder
 	byID     map[string]workload.Machine
 	listedAt time.Time
-	// listFailed is true if the last request for the list of machines failed.
-	listFailed bool
+	// listFailed is true if the last request for the list of machines failed, listPartial if the list lacks machines.
+	listFailed, listPartial bool
 	// incarnations holds, for each machine, the newest worker that registered in the pool.
 	incarnations map[string]incarnation
 	// avoidUntil holds, for each machine that did not accept an order, the time until which it gets no further one.
@@ -118,14 +119,15 @@
 	if fresh {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
-	defer cancel()
 	list, err := mt.pool.node.Machines.List(ctx)
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
-	mt.listedAt, mt.listFailed = now, err != nil
+	mt.listPartial = errors.Is(err, platform.ErrPartialList)
+	mt.listedAt, mt.listFailed = now, err != nil && !mt.listPartial
 	if err != nil {
-		mt.pool.log.Warn().Err(err).Msg("list of machines not received")
+		mt.pool.log.Warn().Err(err).Bool("partial", mt.listPartial).Msg("list of machines not received")
+	}
+	if mt.listFailed {
 		return
 	}
 	clear(mt.byID)
@@ -143,7 +145,11 @@
 		return nil, false
 	}
 	for _, w := range workers {
-		if m, listed := mt.byID[w.Machine]; listedAsEnded(w, m, listed, requested) {
+		m, listed := mt.byID[w.Machine]
+		if !listed && mt.listPartial {
+			continue
+		}
+		if listedAsEnded(w, m, listed, requested) {
 			ended = append(ended, w.Worker)
 		}
 	}
--- a/verbenaentry/testfleet/testfleet.go
+++ b/verbenaentry/testfleet/testfleet.go
@@ -215,6 +215,19 @@
 	<-n.done
 }
 
+// Ended returns the errors of the instances that have ended, by index.
+func (f *Fleet) Ended() map[int]error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ended := map[int]error{}
+	for i, n := range f.nodes {
+		if !n.running() {
+			ended[i] = n.err
+		}
+	}
+	return ended
+}
+
 // KillAll ends all running instances at the same time.
 func (f *Fleet) KillAll() {
 	f.mu.Lock()
