feat(verbenaentry): follow the configuration through other nodes while the store does not answer

Now it asks up to three other nodes twice a second once its own knowledge is 2.5 s old; a node answers only while it knows its version to be the newest, and sends the value only if the other one lacks it. A node whose knowledge nobody has confirmed for 3 s refuses requests for unknown queues with 503 and Retry-After in place of 404.

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -42,8 +42,8 @@
 	// OnStateChange, if set, is called with an error when calls to the store begin to fail and, while they keep failing, with the
 	// latest error each failureInterval; it is called with nil when they succeed again.
 	OnStateChange func(err error)
-	// OnConfirmed, if set, is called after each answered call with the time at which the call was sent: all changes up to then have
-	// been applied, unless they were too many for one answer.
+	// OnConfirmed, if set, is called after each answered call with the latest time at which the store can have answered it: all changes up to
+	// then have been applied, unless they were too many for one answer. That time is before a suspension of the machine during the call.
 	OnConfirmed func(asOf time.Time)
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
@@ -51,10 +51,10 @@
 	revisions     map[string]store.Revision
 	watchRevision store.Revision
 	listed        bool
-	// confirmedAt is when the last answered call was sent; watched is true if a watch was sent since the last answered list.
-	confirmedAt time.Time
-	watched     bool
-	failing     bool
+	// answeredAt is when the last answered call was sent; watched is true if a watch was sent since the last answered list.
+	answeredAt time.Time
+	watched    bool
+	failing    bool
 	// failureReportedAt is when OnStateChange was last called with an error.
 	failureReportedAt time.Time
 	// interrupted is true if the last watch failed.
@@ -98,6 +98,7 @@
 		}
 		if err == nil {
 			backoff = firstBackoff
+			f.answeredAt = sent
 			f.confirm(sent)
 			continue
 		}
@@ -122,14 +123,22 @@
 // version of a key that is written often, and may take longer to transfer than the time in which as many new ones are written; a list has only
 // the newest. After an answered list a watch comes first, so that slow lists do not follow each other.
 func (f *Follower) listIsShorter(now time.Time) bool {
-	return f.watched && now.Sub(f.confirmedAt) > f.Wait+answerMargin+f.BatchDelay
+	return f.watched && now.Sub(f.answeredAt) > f.Wait+answerMargin+f.BatchDelay
 }
 
-func (f *Follower) confirm(asOf time.Time) {
-	f.confirmedAt = asOf
-	if f.OnConfirmed != nil {
-		f.OnConfirmed(asOf)
+// confirm reports the time of the state that the answer to a call has brought.
+func (f *Follower) confirm(sent time.Time) {
+	if f.OnConfirmed == nil {
+		return
 	}
+	latest := sent
+	if f.watched {
+		latest = sent.Add(f.Wait)
+	}
+	if now := f.Clock(); now.Before(latest) {
+		latest = now
+	}
+	f.OnConfirmed(latest)
 }
 
 func (f *Follower) list(ctx context.Context) error {
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -80,8 +80,7 @@
 	}
 	queue, id := routes.find(r.Host, r.URL.Path)
 	if queue == nil {
-		n.logUnknownQueue(r, routes.Version)
-		n.refuse(w, http.StatusNotFound, "no such queue")
+		n.refuseUnknownQueue(w, r, routes.Version)
 		return
 	}
 	if id == "" {
@@ -120,15 +119,19 @@
 	maxLoggedText = 128
 )
 
-// logUnknownQueue logs a request for a queue that the configuration does not have, with the version that decided it and the time since this
-// version was known to be the newest.
-func (n *Node) logUnknownQueue(r *http.Request, version int64) {
-	leftOut, ok := n.refusals.Allow(time.Now())
-	if !ok {
-		return
+// refuseUnknownQueue refuses a request for a queue that the configuration does not have. A configuration that may be out of date cannot tell
+// that a queue does not exist: the caller then comes back.
+func (n *Node) refuseUnknownQueue(w http.ResponseWriter, r *http.Request, version int64) {
+	status, title := http.StatusNotFound, "no such queue"
+	age := n.View.age()
+	if age > staleAfter {
+		status, title = http.StatusServiceUnavailable, "queue unknown; the configuration may be out of date"
+	}
+	if leftOut, ok := n.refusals.Allow(time.Now()); ok {
+		n.Log.Info().Int64("linesLeftOut", leftOut).Str("method", r.Method).Str("host", truncate(r.Host)).Str("path", truncate(r.URL.Path)).
+			Int("status", status).Int64("version", version).Dur("age", age).Msg("request refused: no such queue")
 	}
-	n.Log.Info().Int64("linesLeftOut", leftOut).Str("method", r.Method).Str("host", truncate(r.Host)).Str("path", truncate(r.URL.Path)).
-		Int64("version", version).Dur("age", n.View.age()).Msg("request refused: no such queue")
+	n.refuse(w, status, title)
 }
 
 func truncate(s string) string { return s[:min(len(s), maxLoggedText)] }
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -227,6 +227,7 @@
 		return fmt.Errorf("register metrics: %w", err)
 	}
 	group.Go(func() error { return n.View.Run(groupCtx) })
+	group.Go(func() error { return n.followConfigurationOfPeers(groupCtx) })
 	group.Go(func() error { return n.Elector.Run(groupCtx) })
 	group.Go(func() error { return n.Peers.Serve(groupCtx, listeners.peer) })
 	servers := n.serve(group, listeners)
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -31,6 +31,8 @@
 	// A node whose calls the store rejects reads and writes through other nodes.
 	methodGet   = "store.get"
 	methodApply = "store.apply"
+	// A node without answers of the store asks other nodes for the configuration in force.
+	methodConfiguration = "configuration.newest"
 )
 
 // peerTimeout is the timeout of a call to another node; requests fall back to the store when the holder does not answer.
@@ -130,6 +132,8 @@
 		return rpc.Answer(params, func(key string) (any, error) { return n.relayGet(ctx, key) })
 	case methodApply:
 		return rpc.Answer(params, func(t store.Transaction) (any, error) { return n.relayApply(ctx, t) })
+	case methodConfiguration:
+		return rpc.Answer(params, n.configurationAfter)
 	case methodStored:
 		return rpc.Answer(params, func(s storedJob) (any, error) {
 			return nil, n.withPool(s.Pool, func(p *pool) error { return p.addStoredJob(s) })
--- a/verbenaentry/node/view.go
+++ b/verbenaentry/node/view.go
@@ -32,8 +32,10 @@
 	OnChange func()
 
 	currentRoutes atomic.Pointer[routes]
-	// confirmedAt is when the last answered read of the operator's keys was sent.
+	// confirmedAt is the time up to which all changes of the operator's keys are known, through the store or another node.
 	confirmedAt atomic.Pointer[time.Time]
+	// configuring is held while a configuration is put in force.
+	configuring sync.Mutex
 	mu          sync.Mutex
 	waves       map[string]workload.Wave
 }
@@ -46,7 +48,7 @@
 func (v *View) Run(ctx context.Context) error {
 	f := follow.Follower{
 		Store: v.Store, Prefix: operatorPrefix, Clock: v.Clock.Now, Apply: v.apply, OnStateChange: v.logState,
-		OnConfirmed: func(asOf time.Time) { v.confirmedAt.Store(&asOf) },
+		OnConfirmed: v.confirm,
 	}
 	return f.Run(ctx)
 }
@@ -59,7 +61,14 @@
 	v.Log.Info().Msg("store regained for the operator's keys")
 }
 
-// age returns the time since the last answered read of the operator's keys was sent, or 0 before the first one.
+// confirm records that all changes up to a time have been applied.
+func (v *View) confirm(asOf time.Time) {
+	if at := v.confirmedAt.Load(); at == nil || asOf.After(*at) {
+		v.confirmedAt.Store(&asOf)
+	}
+}
+
+// age returns the time since the configuration was known to be the newest one, or 0 before the first one.
 func (v *View) age() time.Duration {
 	if at := v.confirmedAt.Load(); at != nil {
 		return v.Clock.Now().Sub(*at)
@@ -98,18 +107,27 @@
 	}
 }
 
-// configure puts a configuration in force if it is newer than the one in force; it reports whether it could be decoded.
+// configure puts a configuration in force if it is newer than the one in force; it reports whether it could be decoded. It may be called
+// concurrently, with values from the store and from other nodes.
 func (v *View) configure(value []byte) bool {
+	v.configuring.Lock()
+	defer v.configuring.Unlock()
 	c, err := platform.DecodeConfiguration(value)
 	if err != nil {
 		v.Log.Error().Err(err).Msg("invalid configuration rejected")
 		return false
 	}
-	if old := v.currentRoutes.Load(); old != nil && old.Version >= c.Version {
+	old := v.currentRoutes.Load()
+	if old != nil && old.Version == c.Version {
+		return true
+	}
+	if old != nil && old.Version > c.Version {
 		v.Log.Warn().Int64("version", c.Version).Int64("inForce", old.Version).Msg("older configuration ignored")
 		return true
 	}
-	v.currentRoutes.Store(newRoutes(c))
+	routes := newRoutes(c)
+	routes.source = value
+	v.currentRoutes.Store(routes)
 	v.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Msg("configuration in force")
 	v.OnChange()
 	return true
@@ -153,6 +171,8 @@
 type routes struct {
 	*workload.Configuration
 	byHost map[string][]workload.Queue
+	// source is the configuration as the operator wrote it.
+	source []byte
 }
 
 func newRoutes(c *workload.Configuration) *routes {
