fix(verbenaentry): find the holder of a pool through other nodes while the store does not answer

Callers that asked a node without answers of the store for the number of a queue's jobs got 503 at the end of their time, once the pool had a new holder: the node kept asking the former one.

--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -31,7 +31,7 @@
 	n.notifications.TryGo(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
-		if err := n.Peers.callHolder(ctx, name, method, params, nil); err != nil {
+		if err := n.callHolder(ctx, name, method, params, nil); err != nil {
 			n.Log.Debug().Str("pool", name).Err(err).Msg("holder not notified of a stored request")
 		}
 		return nil
--- a/verbenaentry/node/peerconfiguration.go
+++ b/verbenaentry/node/peerconfiguration.go
@@ -49,12 +49,9 @@
 
 func (n *Node) askPeersForConfiguration(ctx context.Context, version int64) {
 	for _, m := range n.others(maxRelayNodes) {
-		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		asked := n.Clock.Now()
 		var answer configurationAnswer
-		err := n.Peers.client(m.Peer).Call(callCtx, methodConfiguration, version, &answer)
-		cancel()
-		if err != nil {
+		if err := n.Peers.callWithin(ctx, peerTimeout, m.Peer, methodConfiguration, version, &answer); err != nil {
 			n.Log.Debug().Err(err).Str("peer", m.Node).Msg("configuration not received from another node")
 			continue
 		}
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -33,6 +33,8 @@
 	methodApply = "store.apply"
 	// A node without answers of the store asks other nodes for the configuration in force.
 	methodConfiguration = "configuration.newest"
+	// It also asks them for the holder of a duty.
+	methodHolder = "duty.holder"
 )
 
 // peerTimeout is the timeout of a call to another node; requests fall back to the store when the holder does not answer.
@@ -79,15 +81,48 @@
 	return server.Run(ctx)
 }
 
-// callHolder calls the holder of a pool's duty.
-func (p *Peers) callHolder(ctx context.Context, pool, method string, params, result any) error {
-	d, ok := p.Elector.Holder(pool)
-	if !ok {
-		return fmt.Errorf("ask holder of %s: %w", pool, ErrNotHolder)
+// callHolder calls the holder of a pool's duty. A node that does not reach the store may know a former holder only, and then asks another node
+// for the present one.
+func (n *Node) callHolder(ctx context.Context, pool, method string, params, result any) error {
+	known, ok := n.Elector.Holder(pool)
+	err := fmt.Errorf("ask holder of %s: %w", pool, ErrNotHolder)
+	if ok {
+		err = n.Peers.callWithin(ctx, peerTimeout, known.Peer, method, params, result)
+	}
+	if err == nil || n.Elector.StoreReachable() {
+		return err
 	}
+	present, holderErr := n.holderFromPeers(ctx, pool)
+	if holderErr != nil || present.Session == known.Session {
+		return errors.Join(err, holderErr)
+	}
+	return n.Peers.callWithin(ctx, peerTimeout, present.Peer, method, params, result)
+}
+
+// holderFromPeers asks other nodes that reach the store for the holder of a pool's duty, for at most peerTimeout.
+func (n *Node) holderFromPeers(ctx context.Context, pool string) (leadership.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	return p.call(ctx, d.Peer, method, params, result)
+	err := fmt.Errorf("ask for holder of %s: %w", pool, errStoreUnreachable)
+	for _, m := range n.others(maxRelayNodes) {
+		var holder leadership.Member
+		if err = n.Peers.call(ctx, m.Peer, methodHolder, pool, &holder); err == nil {
+			return holder, nil
+		}
+	}
+	return leadership.Member{}, err
+}
+
+// presentHolder answers methodHolder.
+func (n *Node) presentHolder(pool string) (any, error) {
+	if !n.Elector.StoreReachable() {
+		return nil, errStoreUnreachable
+	}
+	d, ok := n.Elector.Holder(pool)
+	if !ok {
+		return nil, ErrNotHolder
+	}
+	return d.Member, nil
 }
 
 // requestStatus requests another node's status; a refused connection adds leadership.ErrNoProcess to the error.
@@ -100,6 +135,13 @@
 	return status, err
 }
 
+// callWithin calls a node with a timeout.
+func (p *Peers) callWithin(ctx context.Context, timeout time.Duration, addr netip.AddrPort, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return p.call(ctx, addr, method, params, result)
+}
+
 func (p *Peers) call(ctx context.Context, addr netip.AddrPort, method string, params, result any) error {
 	client := p.client(addr)
 	err := client.Call(ctx, method, params, result)
@@ -134,6 +176,8 @@
 		return rpc.Answer(params, func(t store.Transaction) (any, error) { return n.relayApply(ctx, t) })
 	case methodConfiguration:
 		return rpc.Answer(params, n.configurationAfter)
+	case methodHolder:
+		return rpc.Answer(params, n.presentHolder)
 	case methodStored:
 		return rpc.Answer(params, func(s storedJob) (any, error) {
 			return nil, n.withPool(s.Pool, func(p *pool) error { return p.addStoredJob(s) })
--- a/verbenaentry/node/state.go
+++ b/verbenaentry/node/state.go
@@ -41,7 +41,7 @@
 	answer := jobAnswer{}
 	if held := n.pools.get(pool); held != nil {
 		answer = held.jobState(id)
-	} else if err := n.Peers.callHolder(ctx, pool, methodJobState, poolItem{pool, id}, &answer); err != nil {
+	} else if err := n.callHolder(ctx, pool, methodJobState, poolItem{pool, id}, &answer); err != nil {
 		n.Log.Debug().Str("job", id).Err(err).Msg("state not received from the holder; reading it from the store")
 	}
 	if answer.Known {
@@ -93,7 +93,7 @@
 		if held := n.pools.get(q.Pool); held != nil {
 			answer, err = held.pending(q.Name)
 		} else {
-			err = n.Peers.callHolder(ctx, q.Pool, methodPending, poolItem{q.Pool, q.Name}, &answer)
+			err = n.callHolder(ctx, q.Pool, methodPending, poolItem{q.Pool, q.Name}, &answer)
 		}
 		if err == nil {
 			break
--- a/verbenaentry/testfleet/stale_configuration_test.go
+++ b/verbenaentry/testfleet/stale_configuration_test.go
@@ -66,3 +66,32 @@
 		}
 	})
 }
+
+// Guards against a node that asks the former holder of a pool for the number of its jobs as long as the store does not answer it.
+func TestDisconnectedNodeFindsTheHolder(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	serveJobs(ctx, t, f, 4)
+	holder := f.Holder("cutting")
+	disconnected := (holder + 1) % 3
+	f.RejectStoreCalls(disconnected, true)
+	time.Sleep(time.Second)
+	f.Kill(holder)
+	waitUntil(ctx, func() bool { return f.Holder("cutting") >= 0 })
+	if f.Holder("cutting") == disconnected {
+		t.Fatal("holder: got the node without the store, want the other one")
+	}
+	// The running nodes are counted without the one that was killed.
+	index := disconnected
+	if holder < disconnected {
+		index--
+	}
+	const bound = 3 * time.Second
+	began := time.Now()
+	waitUntil(ctx, func() bool {
+		status, _, err := f.Do(ctx, index, http.MethodGet, testfleet.Prefix("cutting"), nil)
+		return err == nil && status == http.StatusOK
+	})
+	if took := time.Since(began); took > bound {
+		t.Errorf("number of pending jobs from the node without the store: got after %v, want at most %v", took, bound)
+	}
+}
