test(soak): play series of large configurations that one process misses

A configuration has 250 queues more now, an answer of the store is sent at 1.2 MB/s, a new fault disconnects one process from the store for 4 to 8 s while a configuration is written each 0.15 s, and the newest one must be in force on all processes 5.3 s after the last fault (3 s and 2 s of the contract, and a restart).

--- a/verbenabench/soak/caller.go
+++ b/verbenabench/soak/caller.go
@@ -270,6 +270,12 @@
 	return nil
 }
 
+// servesQueue reports whether a process serves a queue: it answers a request without an ID with 405 then, and with 404 or 503 otherwise.
+func (s *Soak) servesQueue(ctx context.Context, i int, prefix string) bool {
+	status, _ := s.sendRequest(ctx, i, http.MethodPost, prefix, nil)
+	return status == http.StatusMethodNotAllowed
+}
+
 func (s *Soak) checkVersion(ctx context.Context, i int, p *process, newest int64) error {
 	incarnation := p.currentIncarnation()
 	p.mu.Lock()
@@ -279,9 +285,7 @@
 		return nil
 	}
 	for version := max(1, served-1); version <= newest; version++ {
-		status, _ := s.sendRequest(ctx, i, http.MethodPost, standin.VersionPrefix(version), nil)
-		// A process answers a request without an ID with 405 if it serves the version's queue, and with 404 if it does not.
-		serves := status == http.StatusMethodNotAllowed
+		serves := s.servesQueue(ctx, i, standin.VersionPrefix(version))
 		if p.currentIncarnation() != incarnation {
 			return nil
 		}
--- /dev/null
+++ b/verbenabench/soak/configuration.go
@@ -0,0 +1,73 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"verbenalanding.example/fleet/interval"
+	"verbenalanding.example/platform/standin"
+)
+
+const (
+	// extraQueues makes a configuration as large as that of an operator with many routes, about 50 kB.
+	extraQueues = 250
+	// linkRate is the rate of an answer of the store, in bytes per second.
+	linkRate = 1_200_000
+	// seriesInterval is the time between two configurations of a series.
+	seriesInterval = 150 * time.Millisecond
+	// minSeries is the shortest series; the answer with all its versions takes more than a second.
+	minSeries = 4 * time.Second
+	// versionLimit is the time limit for the newest configuration to be in force on a process after the last fault: a node counts as undisturbed
+	// after 3 s, and then has 2 s. A process may be starting again when the faults end.
+	versionLimit = 5*time.Second + restartDelay
+)
+
+// missedConfigurations disconnects one process from the store during a series of configurations.
+func (s *Soak) missedConfigurations(random *rand.Rand) fault {
+	p := s.processes[random.IntN(len(s.processes))]
+	duration := minSeries + time.Duration(random.IntN(4000))*time.Millisecond
+	return fault{
+		name: "configurations without " + p.settings.Node, duration: duration,
+		begin: func() { p.storeProxy.set(silent) }, end: func() { p.storeProxy.set(pass) },
+		run: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, duration)
+			defer cancel()
+			for range interval.Each(ctx, seriesInterval) {
+				s.configure()
+			}
+			return nil
+		},
+	}
+}
+
+// awaitVersions checks that all processes have the newest configuration in force in time after the last fault.
+func (s *Soak) awaitVersions(ctx context.Context) error {
+	s.mu.Lock()
+	newest := s.version
+	s.mu.Unlock()
+	prefix := standin.VersionPrefix(newest)
+	for end := time.Now().Add(versionLimit); ; {
+		behind := s.processWithout(ctx, prefix)
+		if behind == "" {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%w: configuration %d is not in force on %s %v after the last fault", ErrPromise, newest, behind, versionLimit)
+		}
+		if err := sleep(ctx, retryDelay); err != nil {
+			return err
+		}
+	}
+}
+
+// processWithout returns the name of a process that does not serve the queue with a prefix, or an empty string.
+func (s *Soak) processWithout(ctx context.Context, prefix string) string {
+	for i, p := range s.processes {
+		if !s.servesQueue(ctx, i, prefix) {
+			return p.settings.Node
+		}
+	}
+	return ""
+}
--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -60,7 +60,7 @@
 // drawFaults chooses the next faults: one, or several that disturb a takeover together.
 func (s *Soak) drawFaults(random *rand.Rand) []fault {
 	duration := time.Duration(200+random.IntN(3300)) * time.Millisecond
-	switch random.IntN(31) {
+	switch random.IntN(33) {
 	case 14, 15:
 		return s.takeoverFaults(random)
 	case 16:
@@ -76,6 +76,8 @@
 		return []fault{s.pairFault(random, duration)}
 	case 29, 30:
 		return s.allKilled(random)
+	case 31, 32:
+		return []fault{s.missedConfigurations(random)}
 	case 20:
 		return []fault{s.registrationsLapse(random, duration)}
 	case 21, 22:
--- a/verbenabench/soak/process.go
+++ b/verbenabench/soak/process.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
+	gate.LimitRate(linkRate)
 	store, err := newProxy(gate.Addr, group)
 	if err != nil {
 		return nil, err
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -146,7 +146,7 @@
 func (s *Soak) runScenario(ctx context.Context, group *errgroup.Group) error {
 	s.platform = &standin.Platform{
 		Seed: s.Seed, Pools: map[string]int{pools[0]: s.Machines, pools[1]: s.secondPoolMachines(), sparePool: 1}, Standby: sparePool, Capacity: wire.Resources{CPU: 8000, MemMb: 16000},
-		Tick: 5 * time.Millisecond, UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond,
+		Tick: 5 * time.Millisecond, UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond, ExtraQueues: extraQueues,
 		AdvertisedAddr: func(addr netip.AddrPort) (netip.AddrPort, error) {
 			if len(s.processes) == 0 {
 				s.unproxied = append(s.unproxied, addr)
@@ -190,9 +190,12 @@
 	return s.settle(ctx)
 }
 
-// settle ends all faults and checks that all accepted jobs and all waves end without violations.
+// settle ends all faults and checks that the newest configuration is in force, and that all accepted jobs and all waves end without violations.
 func (s *Soak) settle(ctx context.Context) error {
 	s.endFaults()
+	if err := s.awaitVersions(ctx); err != nil {
+		return err
+	}
 	jobs, jobsCtx := errgroup.WithContext(ctx)
 	jobs.Go(func() error { return s.awaitJobs(jobsCtx) })
 	jobs.Go(func() error { return s.awaitLongRunning(jobsCtx) })
