fix(verbenaentry): repeat a failed delete of expired jobs

Expired jobs left the scheduler before the store deleted them; after a failed delete this holder never tried again, so that they stayed in the store, and in each takeover's lists, until another holder came. They leave the scheduler once the store has deleted them. TestFailedDeleteOfExpiredJobsIsRepeated: with the removal put back before the call, 0 jobs are left to delete after the failed one, 1 wanted.

--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -235,13 +235,12 @@
 	return true
 }
 
-// RemoveExpiredJobs removes the recorded jobs that finished more than twice the status retention ago, and returns their ids.
-func (p *Pool) RemoveExpiredJobs(now time.Time) []string {
+// ExpiredJobs returns the ids of the recorded jobs that finished more than twice the status retention ago.
+func (p *Pool) ExpiredJobs(now time.Time) []string {
 	var ids []string
 	for id, j := range p.jobs {
 		if j.state.Terminal() && now.Sub(j.finished) > 2*p.Settings.StatusRetention && p.dirty[id] == nil {
 			ids = append(ids, id)
-			delete(p.jobs, id)
 		}
 	}
 	slices.Sort(ids)
@@ -250,6 +249,13 @@
 	return ids
 }
 
+// RemoveJobs removes expired jobs that were deleted from the store.
+func (p *Pool) RemoveJobs(ids []string) {
+	for _, id := range ids {
+		delete(p.jobs, id)
+	}
+}
+
 func (p *Pool) stop(r *run, reason string) {
 	if r.phase != stopping {
 		r.phase, r.stopReason, r.stopSent = stopping, reason, time.Time{}
--- a/fleet/dispatch/unknown_job_test.go
+++ b/fleet/dispatch/unknown_job_test.go
@@ -79,7 +79,7 @@
 	b.report()
 	wantUnknown(t, b)
 	b.now, b.clock = b.now.Add(3*time.Minute), b.clock+3*time.Minute
-	b.pool.RemoveExpiredJobs(b.now)
+	b.pool.ExpiredJobs(b.now)
 	b.report()
 	wantUnknown(t, b, "j")
 }
@@ -93,7 +93,9 @@
 	spec := workload.Job{ID: "j", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{oneTask(1000)}, Accepted: finished}
 	b.pool.AddJob(spec, record, true, b.now)
 	b.now, b.clock = b.now.Add(5*time.Minute), b.clock+5*time.Minute
-	wantCount(t, "expired jobs", len(b.pool.RemoveExpiredJobs(b.now)), 1)
+	expired := b.pool.ExpiredJobs(b.now)
+	wantCount(t, "expired jobs", len(expired), 1)
+	b.pool.RemoveJobs(expired)
 	b.present["w0"][task("j", 0, 0)] = 5
 	b.report()
 	wantUnknown(t, b, "j")
@@ -103,7 +105,7 @@
 	starts, stops := b.orders()
 	wantCount(t, "starts", len(starts), 0)
 	wantCount(t, "stops of the run", len(stops), 1)
-	wantCount(t, "expired jobs after that", len(b.pool.RemoveExpiredJobs(b.now)), 1)
+	wantCount(t, "expired jobs after that", len(b.pool.ExpiredJobs(b.now)), 1)
 }
 
 // store accepts the job.
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -168,22 +169,32 @@
 // deleteExpired deletes the jobs whose state need no longer be reported, with their records.
 func (p *pool) deleteExpired(ctx context.Context, now time.Time) {
 	p.mu.Lock()
-	ids := p.scheduler.RemoveExpiredJobs(now)
+	ids := p.scheduler.ExpiredJobs(now)
 	p.mu.Unlock()
 	const keysPerJob = 3
 	const perCall = (store.MaxTransaction - 1) / keysPerJob
-	for from := 0; from < len(ids); from += perCall {
+	for chunk := range slices.Chunk(ids, perCall) {
 		t := store.Transaction{If: []store.Condition{p.dutyCondition()}}
-		for _, id := range ids[from:min(from+perCall, len(ids))] {
+		for _, id := range chunk {
 			t.Delete = append(t.Delete, jobKey(p.name, id), stateKey(p.name, id), cancelKey(p.name, id))
-			delete(p.revisions, id)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, _, err := p.node.Store.Apply(callCtx, t)
 		cancel()
 		if err != nil {
-			p.log.Warn().Err(err).Int("jobs", len(ids)).Msg("expired jobs and their records not deleted; the next holder deletes them")
+			p.log.Warn().Err(err).Int("jobs", len(ids)).Msg("expired jobs and their records not deleted yet")
 			return
 		}
+		p.forgetJobs(chunk)
+	}
+}
+
+// forgetJobs removes jobs that were deleted from the store.
+func (p *pool) forgetJobs(ids []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.RemoveJobs(ids)
+	for _, id := range ids {
+		delete(p.revisions, id)
 	}
 }
--- a/verbenaentry/node/write_test.go
+++ b/verbenaentry/node/write_test.go
@@ -4,12 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
+	"time"
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
+	"verbenalanding.example/platform"
 )
 
 // Guards against records that are written again, and a job that is reported as completed late, after an unanswered write that took effect,
@@ -80,3 +86,28 @@
 		t.Errorf("records left after the second pass: got %d, want 0", got)
 	}
 }
+
+// Guards against jobs that stay in the store for as long as their holder lives, because it forgot them before a delete that failed.
+func TestFailedDeleteOfExpiredJobsIsRepeated(t *testing.T) {
+	p := offlinePool()
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls++; calls == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, `{"Revision":9}`)
+	}))
+	defer server.Close()
+	p.node.Store = &platform.Store{Client: platform.NewClient(), Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	now := p.node.Clock.Now()
+	job := workload.Job{ID: "a", Pool: p.name, Accepted: now, Steps: []workload.Step{{Tasks: 1}}}
+	p.scheduler.AddJob(job, &dispatch.Record{State: workload.Completed, Finished: now}, true, now)
+	later := now.Add(time.Hour)
+	for _, want := range []int{1, 0} {
+		p.deleteExpired(t.Context(), later)
+		if got := len(p.scheduler.ExpiredJobs(later)); got != want {
+			t.Errorf("expired jobs after %d calls: got %d, want %d", calls, got, want)
+		}
+	}
+}
