--- a/fleet/leadership/failover.go
+++ b/fleet/leadership/failover.go
@@ -59,7 +59,7 @@
 	lastContact time.Time
 	polledAt    time.Time
 	polling     bool
-	// refusals counts the polls since the last answer that failed with ErrNoProcess.
+	// refusals counts the polls in a row that failed with ErrNoProcess.
 	refusals int
 	storeAge time.Duration
 	// takeoverAt is when the last attempt to take over its duties began.
@@ -197,6 +197,8 @@
 		h.lastContact, h.refusals, h.storeAge = el.Clock(), 0, status.StoreAge
 	case errors.Is(err, ErrNoProcess):
 		h.refusals++
+	default:
+		h.refusals = 0
 	}
 }
 
