fix(logs): count the lines of a batch that the output did not take

A lost batch counted as one line, so that 'log lines left out' was too low by up to some hundred for each. TestLinesOfALostBatchAreCounted failed before: 1 in place of 5 and of 3.

--- a/verbenaentry/logs/logs.go
+++ b/verbenaentry/logs/logs.go
@@ -92,9 +92,9 @@
 }
 
 func (w *Writer) write(batch *bytes.Buffer) {
-	// A failed write to the output cannot be logged; it counts as a dropped line.
-	if _, err := w.Out.Write(batch.Bytes()); err != nil {
-		w.dropped.Add(1)
+	// A failed write to the output cannot be logged; the lines that were not written whole count as dropped.
+	if n, err := w.Out.Write(batch.Bytes()); err != nil {
+		w.dropped.Add(int64(bytes.Count(batch.Bytes()[min(n, batch.Len()):], []byte("\n"))))
 	}
 	batch.Reset()
 }
--- a/verbenaentry/logs/logs_test.go
+++ b/verbenaentry/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -77,3 +78,34 @@
 		t.Errorf("first line of the next second: got %v with %d left out, want it with 7", ok, leftOut)
 	}
 }
+
+// failingOutput writes a part of the first batch and fails.
+type failingOutput struct{ written int }
+
+func (f *failingOutput) Write([]byte) (int, error) { return f.written, io.ErrShortWrite }
+
+// Guards against a batch of lines that is lost and counted as one line.
+func TestLinesOfALostBatchAreCounted(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		written int
+		want    int64
+	}{{"nothing written", 0, 5}, {"two and a half lines written", 12, 3}} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := logs.NewWriter(&failingOutput{written: tt.written})
+			for range 5 {
+				if _, err := w.Write([]byte("line\n")); err != nil {
+					t.Fatalf("write: got %v, want none", err)
+				}
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			if err := w.Run(ctx); err != nil {
+				t.Fatalf("writer: got %v, want none", err)
+			}
+			if got := w.Dropped(); got != tt.want {
+				t.Errorf("lines left out: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
