fix(verbenaentry): read one variable for the settings file, the other as deprecated

VERBENA_SETTINGS and VERBENALANDING_SETTINGS named the same file. The second one, which the platform sets, stays; the first is read only without it, with a notice on standard error. Operators who set VERBENA_SETTINGS keep what they had.

--- a/verbenaentry/command/command.go
+++ b/verbenaentry/command/command.go
@@ -1,10 +1,12 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 
@@ -27,7 +29,7 @@
 )
 
 type options struct {
-	Settings string     `long:"settings" env:"VERBENA_SETTINGS" value-name:"PATH" description:"settings file; the one that the platform provides if not given"`
+	Settings string     `long:"settings" value-name:"PATH" description:"settings file; the one in $VERBENALANDING_SETTINGS, or else that of the platform, if not given"`
 	Check    bool       `long:"check" description:"check the settings file, print the result and exit"`
 	Version  bool       `long:"version" description:"print the version and exit"`
 	Node     node.Flags `group:"Node"`
@@ -61,6 +63,7 @@
 		fmt.Fprintln(out, "verbenaentry", Version)
 		return ExitOK
 	}
+	o.Settings = settingsPath(o.Settings, errOut)
 	settings, err := platform.ReadSettings(o.Settings)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
@@ -73,6 +76,21 @@
 	return serve(settings, o, out, errOut)
 }
 
+// deprecatedVariable is a former name of platform.SettingsVariable.
+const deprecatedVariable = "VERBENA_SETTINGS"
+
+// settingsPath returns the path of the settings file that the command line or the environment names, or an empty string.
+func settingsPath(flag string, errOut io.Writer) string {
+	if path := cmp.Or(flag, os.Getenv(platform.SettingsVariable)); path != "" {
+		return path
+	}
+	path := os.Getenv(deprecatedVariable)
+	if path != "" {
+		fmt.Fprintf(errOut, "%s is deprecated, use %s\n", deprecatedVariable, platform.SettingsVariable)
+	}
+	return path
+}
+
 func serve(settings platform.Settings, o options, out, errOut io.Writer) int {
 	err := node.Run(context.Background(), settings, o.Settings, o.Node, out)
 	switch {
