fix(standin,jobload): count interrupted work after the command took effect, keep the errors of a load run

A reboot that the stand-in's control refused counted its instance's work as interrupted; it is counted once the command was applied.

--- a/fleet/standin/site.go
+++ b/fleet/standin/site.go
@@ -135,26 +135,31 @@
 
 // Reboot restarts an instance once for each command id and counts the requests and tasks that this interrupts.
 func (s *Site) Reboot(ctx context.Context, id, commandID string) error {
-	s.interruptWork(id, commandID)
-	return s.Control.Reboot(ctx, id, commandID)
+	return s.interruptWork(id, commandID, func() error { return s.Control.Reboot(ctx, id, commandID) })
 }
 
 // Retire removes an instance from the fleet once for each command id and counts the requests and tasks that this interrupts.
 func (s *Site) Retire(ctx context.Context, id, commandID string) error {
-	s.interruptWork(id, commandID)
-	return s.Control.Retire(ctx, id, commandID)
+	return s.interruptWork(id, commandID, func() error { return s.Control.Retire(ctx, id, commandID) })
 }
 
-// interruptWork counts the requests and tasks in flight on an instance and ends its tasks, unless the command has already been applied.
-func (s *Site) interruptWork(id, commandID string) {
+// interruptWork carries out a command. If this applies it for the first time, also when its answer is lost, it counts the requests and tasks in
+// flight on the instance and ends its tasks.
+func (s *Site) interruptWork(id, commandID string, command func() error) error {
 	b, ok := s.backends[id]
 	if !ok || s.Control.TimesApplied(commandID) > 0 {
-		return
+		return command()
+	}
+	inFlight := b.InFlight() + len(s.Workers.Running(id))
+	err := command()
+	if s.Control.TimesApplied(commandID) == 0 {
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.interrupted += b.InFlight() + len(s.Workers.Running(id))
+	s.interrupted += inFlight
 	s.Workers.Reboot(id)
+	return err
 }
 
 // InterruptedByStops returns the number of requests and tasks that reboots and retirements of instances interrupted.
--- a/verbenabench/jobload/jobload.go
+++ b/verbenabench/jobload/jobload.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -99,7 +100,7 @@
 	return float64(t.histogram.ValueAtQuantile(quantile)) / 1000
 }
 
-func (l Load) measure(ctx context.Context, killHolder bool) (Row, error) {
+func (l Load) measure(ctx context.Context, killHolder bool) (row Row, err error) {
 	f := &testfleet.Fleet{
 		Nodes: l.Nodes, Flags: node.Flags{DutyTTL: 2500 * time.Millisecond, WorkerLease: 3500 * time.Millisecond, LogLevel: "error"},
 		Platform: &standin.Platform{
@@ -110,7 +111,7 @@
 	if err := f.Start(ctx); err != nil {
 		return Row{}, err
 	}
-	defer f.Close()
+	defer func() { err = errors.Join(err, f.Close()) }()
 	accepted, started, completed := newDurations(), newDurations(), newDurations()
 	random := rand.New(rand.NewPCG(l.Seed, 3))
 	var group errgroup.Group
@@ -146,11 +147,16 @@
 	}, nil
 }
 
+var errRefused = errors.New("job refused")
+
 func measureJob(ctx context.Context, f *testfleet.Fleet, j *standin.Job, accepted, started, completed *durations) error {
 	startTime := time.Now()
 	ok, err := f.Submit(ctx, pool, j)
-	if err != nil || !ok {
-		return fmt.Errorf("submit job %s: not accepted: %w", j.ID, err)
+	if err != nil {
+		return fmt.Errorf("submit job %s: %w", j.ID, err)
+	}
+	if !ok {
+		return fmt.Errorf("submit job %s: %w", j.ID, errRefused)
 	}
 	if err := accepted.add(time.Since(startTime)); err != nil {
 		return err
