--- a/fleet/claim/journal.go
+++ b/fleet/claim/journal.go
@@ -16,11 +16,10 @@
 
 // keyState is the state of a key; it is kept small because a shard holds 24 h of keys.
 type keyState struct {
-	claimID   id
-	body      id
-	claimedAt uint32
-	segment   uint32
-	phase     phase
+	claimID id
+	body    id
+	segment uint32
+	phase   phase
 }
 
 type phase uint8
@@ -114,7 +113,7 @@
 	c := closedSegment{number: number, newest: s.NewestClaim()}
 	for _, l := range s.Lines {
 		if l.Body != nil {
-			j.keys[l.Key] = keyState{claimID: l.Claim, body: *l.Body, claimedAt: uint32(l.At), segment: uint32(number), phase: granted}
+			j.keys[l.Key] = keyState{claimID: l.Claim, body: *l.Body, segment: uint32(number), phase: granted}
 			c.keys = append(c.keys, l.Key)
 		}
 		if l.Outcome != "" {
@@ -195,7 +194,7 @@
 	case !found && len(j.keys) >= j.MaxKeys:
 		return []Action{Reject{e.Ticket, ReasonMemoryFull}}
 	}
-	j.keys[key] = keyState{claimID: claimID, body: body, claimedAt: uint32(now.Unix()), phase: pending}
+	j.keys[key] = keyState{claimID: claimID, body: body, phase: pending}
 	j.addLine(now, Line{Key: key, Claim: claimID, Body: &body, At: now.Unix()})
 	j.waiting = append(j.waiting, waiter{key: key, claimID: claimID, ticket: e.Ticket})
 	return nil
@@ -238,7 +237,7 @@
 	}
 	if _, found := j.keys[key]; !found && f.Outcome == NotRun && len(j.keys) < j.MaxKeys {
 		// The report arrived before its claim, or the claim was lost: a claim that arrives later must not take the key.
-		j.keys[key] = keyState{claimID: claimID, claimedAt: uint32(now.Unix()), phase: released}
+		j.keys[key] = keyState{claimID: claimID, phase: released}
 		j.addLine(now, Line{Key: key, Claim: claimID, Body: &id{}, At: now.Unix(), Outcome: NotRun})
 		return
 	}
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -65,7 +65,7 @@
 }
 
 func (p *Pool) placeable(t *task, now time.Time) bool {
-	return p.choose(t, t.step.Reserved(), now, nil) != nil
+	return p.choose(t, t.step.Reserved(), now) != nil
 }
 
 // waiting reports whether a task is not done and certainly has no run.
@@ -185,7 +185,7 @@
 			}
 			var w *worker
 			if t.step.Reserved().CPU <= p.maxFreeCPU {
-				w = p.choose(t, t.step.Reserved(), now, nil)
+				w = p.choose(t, t.step.Reserved(), now)
 			}
 			if w == nil && t.step.LongRunning && !t.step.Fills {
 				p.preempt(t, now)
@@ -235,8 +235,8 @@
 }
 
 // choose returns the worker for a task, or nil. A task runs again where it failed only if no other worker could ever run it: a further
-// failed run may end the job, waiting does not. promised is the capacity that other tasks of the same gang will use.
-func (p *Pool) choose(t *task, need workload.Resources, now time.Time, promised map[*worker]workload.Resources) *worker {
+// failed run may end the job, waiting does not.
+func (p *Pool) choose(t *task, need workload.Resources, now time.Time) *worker {
 	var best, fallback *worker
 	var bestScore, fallbackScore float64
 	fitsElsewhere := false
@@ -249,7 +249,7 @@
 		}
 		failedHere := slices.Contains(t.failedOn, w.ID)
 		fitsElsewhere = fitsElsewhere || (!failedHere && w.Capacity.Fits(need))
-		free := w.free().Minus(promised[w])
+		free := w.free()
 		if !free.Fits(need) {
 			continue
 		}
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -126,7 +126,7 @@
 			if !x.task.step.LongRunning || limit == 0 || x.phase != present || len(p.unavailableTasks(x, nil, now)) >= limit {
 				continue
 			}
-			if other := p.choose(x.task, x.task.step.Reserved(), now, nil); other != nil && !other.upkeepDue {
+			if other := p.choose(x.task, x.task.step.Reserved(), now); other != nil && !other.upkeepDue {
 				p.stop(x, "its machine is due for upkeep")
 			}
 		}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -185,16 +185,6 @@
 	return list
 }
 
-// has reports whether a run of the worker has a property.
-func (w *worker) has(property func(*run) bool) bool {
-	for _, x := range w.runs {
-		if property(x) {
-			return true
-		}
-	}
-	return false
-}
-
 // hasUnrecordedEnds reports whether the worker lists ends that are not recorded or not processed.
 func (w *worker) hasUnrecordedEnds() bool { return w.withheld || w.processed > w.recorded }
 
--- a/fleet/entry/perform.go
+++ b/fleet/entry/perform.go
@@ -44,7 +44,6 @@
 	response   *backendResponse
 	outcome    claim.Outcome
 	reason     string
-	status     int
 	retryAfter time.Duration
 }
 
--- a/fleet/jobs/jobs.go
+++ b/fleet/jobs/jobs.go
@@ -179,7 +179,6 @@
 	delistedAt      time.Time
 	reportRequested time.Time
 	reportPending   bool
-	lastContact     time.Time
 	unanswered      int
 	backoffUntil    time.Time
 }
@@ -314,7 +313,7 @@
 func (h *Holder) workerState(id string) *workerState {
 	n := h.workerStates[id]
 	if n == nil {
-		n = &workerState{tasks: map[string]*trackedJob{}, detachedAt: map[string]time.Time{}, lastContact: h.now}
+		n = &workerState{tasks: map[string]*trackedJob{}, detachedAt: map[string]time.Time{}}
 		h.workerStates[id] = n
 	}
 	return n
--- a/fleet/jobs/tasks.go
+++ b/fleet/jobs/tasks.go
@@ -220,7 +220,7 @@
 		n.unanswered++
 		n.backoffUntil = h.now.Add(min(time.Duration(n.unanswered)*h.Timing.ReportEvery, 10*h.Timing.ReportEvery))
 	} else {
-		n.unanswered, n.lastContact = 0, h.now
+		n.unanswered = 0
 	}
 	if n.listed && wasUnresponsive != (n.unanswered >= 2) {
 		h.updateWorker(n)
--- a/fleet/maintenance/fuzz_test.go
+++ b/fleet/maintenance/fuzz_test.go
@@ -55,7 +55,6 @@
 	now     time.Time
 	store   *standin.Store
 	control *standin.Control
-	faults  standin.ControlFaults
 	set     declaration.Set
 	demand  float64
 	// current is the newest holder of each duty; superseded are the earlier holders, which may still resume.
--- a/fleet/operator/access_test.go
+++ b/fleet/operator/access_test.go
@@ -132,7 +132,7 @@
 	serial := func() int64 {
 		conn, err := tls.Dial("tcp", listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
 		check.NoError(t, err)
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
 	}
 	check.Equal(t, "serial", serial(), 1)
--- a/fleet/routing/routing.go
+++ b/fleet/routing/routing.go
@@ -137,7 +137,6 @@
 	latencyRatio float64
 	failureRate  float64
 	samples      int
-	streak       int
 	ejected      bool
 	ejectedUntil time.Time
 	ejections    int
--- a/verbenabench/days/days.go
+++ b/verbenabench/days/days.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return report, err
 	}
-	defer reader.Close()
+	defer func() { _ = reader.Close() }()
 	cmd := exec.CommandContext(ctx, program, "-test.run", "^TestDays$", "-test.timeout", "0", "-days.report",
 		"-days.seed", fmt.Sprint(d.Seed), "-days.count", fmt.Sprint(d.Count), "-days.plays", fmt.Sprint(d.Plays),
 		"-days.time", d.Duration.String(), "-days.folder", d.Folder)
--- a/verbenabench/days/oracle.go
+++ b/verbenabench/days/oracle.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash"
 	"slices"
-	"strings"
 	"time"
 
 	"verbenalanding.example/platform/standin"
@@ -178,14 +177,3 @@
 	o.tasks[e.Task] = append(o.tasks[e.Task], p)
 	l.openRuns[e.Task] = p
 }
-
-// running returns how many tasks of a job are present on workers.
-func (o *oracle) running(job string) int {
-	n := 0
-	for task, list := range o.tasks {
-		if strings.HasPrefix(task, job+".") && list[len(list)-1].ended.IsZero() {
-			n++
-		}
-	}
-	return n
-}
--- a/verbenabench/days/script.go
+++ b/verbenabench/days/script.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"verbenalanding.example/platform/standin"
@@ -41,7 +40,6 @@
 	clockRates  []float64
 	pools       map[string]int
 	poolNames   []string
-	reused      map[string]bool
 	jobs        []submission
 	faults      []fault
 }
@@ -156,15 +154,3 @@
 	}
 	return hex.EncodeToString(h.Sum(nil))[:16]
 }
-
-// kinds returns the sorted kinds of fault of the day.
-func (s *script) kinds() []string {
-	var list []string
-	for _, f := range s.faults {
-		if !slices.Contains(list, f.kind) {
-			list = append(list, f.kind)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
--- a/verbenabench/placement/scenario.go
+++ b/verbenabench/placement/scenario.go
@@ -22,8 +22,7 @@
 	badShare   float64
 	wrongSizes bool
 	// cancelAt is the share of the run after which the waiting deferrable jobs are cancelled; 0 means never.
-	cancelAt  float64
-	fitsFleet bool
+	cancelAt float64
 	// impossibleJobs is the number of jobs that are larger than any worker.
 	impossibleJobs int
 }
@@ -32,15 +31,15 @@
 var baseLoad = map[declaration.Class]float64{declaration.Urgent: 0.08, declaration.Standard: 0.27, declaration.Deferrable: 0.25}
 
 var scenarios = []scenario{
-	{name: "calm", load: baseLoad, fitsFleet: true, impossibleJobs: 3},
-	{name: "deferrable 5x", load: baseLoad, burst: map[declaration.Class]float64{declaration.Deferrable: 5}, fitsFleet: true},
-	{name: "urgent 5x", load: baseLoad, burst: map[declaration.Class]float64{declaration.Urgent: 5}, fitsFleet: true},
-	{name: "both 5x", load: baseLoad, burst: map[declaration.Class]float64{declaration.Urgent: 5, declaration.Deferrable: 5}, fitsFleet: true},
-	{name: "deferrable 5x, rack lost", load: baseLoad, burst: map[declaration.Class]float64{declaration.Deferrable: 5}, rackLost: true, fitsFleet: true},
-	{name: "bad workers", load: baseLoad, badShare: 0.05, fitsFleet: true},
-	{name: "wrong sizes", load: baseLoad, wrongSizes: true, fitsFleet: true},
-	{name: "mass cancellation", load: baseLoad, burst: map[declaration.Class]float64{declaration.Deferrable: 5}, cancelAt: 0.6, fitsFleet: true},
-	{name: "all at once", load: baseLoad, burst: map[declaration.Class]float64{declaration.Urgent: 3, declaration.Deferrable: 5}, rackLost: true, badShare: 0.05, wrongSizes: true, fitsFleet: true},
+	{name: "calm", load: baseLoad, impossibleJobs: 3},
+	{name: "deferrable 5x", load: baseLoad, burst: map[declaration.Class]float64{declaration.Deferrable: 5}},
+	{name: "urgent 5x", load: baseLoad, burst: map[declaration.Class]float64{declaration.Urgent: 5}},
+	{name: "both 5x", load: baseLoad, burst: map[declaration.Class]float64{declaration.Urgent: 5, declaration.Deferrable: 5}},
+	{name: "deferrable 5x, rack lost", load: baseLoad, burst: map[declaration.Class]float64{declaration.Deferrable: 5}, rackLost: true},
+	{name: "bad workers", load: baseLoad, badShare: 0.05},
+	{name: "wrong sizes", load: baseLoad, wrongSizes: true},
+	{name: "mass cancellation", load: baseLoad, burst: map[declaration.Class]float64{declaration.Deferrable: 5}, cancelAt: 0.6},
+	{name: "all at once", load: baseLoad, burst: map[declaration.Class]float64{declaration.Urgent: 3, declaration.Deferrable: 5}, rackLost: true, badShare: 0.05, wrongSizes: true},
 }
 
 // arrivals returns random jobs of a scenario, class by class in the order of their submission.
--- a/verbenactl/prompt/prompt.go
+++ b/verbenactl/prompt/prompt.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return fmt.Errorf("open the terminal: %w", err)
 	}
-	defer editor.Close()
+	defer func() { _ = editor.Close() }()
 	for ctx.Err() == nil {
 		line, err := editor.Readline()
 		switch {
