fix(workload): refuse jobs whose numbers overflow

All entry instances ended again and again once a caller had handed in a job with Times 2^62 and four tasks: the product of the check was 0, the job was stored, its holder panicked in makeslice, and so did each successor that read it. A job that is in the store already is checked when it is read, and left out with a line, so that an older version's acceptance ends nobody.

--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -13,8 +13,17 @@
 const (
 	maxSteps = 256
 	maxTasks = 4096
+	// maxJobTasks bounds the tasks of all occurrences, since a holder keeps the state of each.
+	maxJobTasks = 16 * maxTasks
+	// maxSpan bounds an interval and an estimate; sums over all steps of a job still fit into a time.Duration.
+	maxSpan = 366 * 24 * time.Hour
+	// The year of a start is one that JSON can hold.
+	minYear, maxYear = 1970, 9999
 )
 
+// MaxResource is the largest amount of a resource of a worker or a step; sums over a fleet still fit into an integer.
+const MaxResource = 1 << 40
+
 // TaskID identifies a task of a job.
 type TaskID struct {
 	Job string
@@ -135,8 +144,15 @@
 		}
 		total += j.Steps[i].Tasks
 	}
-	if total*j.Occurrences() > maxTasks*16 {
-		return fmt.Errorf("%w: %d tasks in %d occurrences, want at most %d", ErrInvalidJob, total, j.Occurrences(), maxTasks*16)
+	// The product of the two may not fit into an integer.
+	if j.Occurrences() > maxJobTasks/total {
+		return fmt.Errorf("%w: %d tasks in %d occurrences, want at most %d", ErrInvalidJob, total, j.Occurrences(), maxJobTasks)
+	}
+	if j.Interval < 0 || j.Interval > maxSpan {
+		return fmt.Errorf("%w: interval %v, want 0 to %v", ErrInvalidJob, j.Interval, maxSpan)
+	}
+	if j.Times > 0 && (j.Start.Year() < minYear || j.Start.Year() > maxYear) {
+		return fmt.Errorf("%w: start in the year %d, want %d to %d", ErrInvalidJob, j.Start.Year(), minYear, maxYear)
 	}
 	return nil
 }
@@ -149,6 +165,12 @@
 	if s.Need.CPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPU < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return fmt.Errorf("%w: step %d has a negative size", ErrInvalidJob, i)
 	}
+	if s.Estimate > maxSpan {
+		return fmt.Errorf("%w: step %d has an estimate of %v, want at most %v", ErrInvalidJob, i, s.Estimate, maxSpan)
+	}
+	if max(s.Need.CPU, s.Need.MemoryMB, s.Need.GPU) > MaxResource {
+		return fmt.Errorf("%w: step %d needs %+v, want at most %d of each", ErrInvalidJob, i, s.Need, MaxResource)
+	}
 	for _, a := range s.After {
 		// A step may depend on earlier steps only, so that steps cannot form a cycle.
 		if a < 0 || a >= i {
--- a/verbenaentry/node/follower.go
+++ b/verbenaentry/node/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/store"
-	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 )
 
@@ -84,8 +82,8 @@
 			cancelled = append(cancelled, strings.TrimSuffix(id, cancelSuffix))
 			continue
 		}
-		var j workload.Job
-		if err := json.Unmarshal(e.Entry.Value, &j); err != nil {
+		j, err := decodeStoredJob(e.Entry.Value)
+		if err != nil {
 			p.log.Error().Err(err).Str("job", id).Msg("stored job cannot be decoded")
 			continue
 		}
--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -43,8 +43,8 @@
 	if uint64(s.Revision) < p.fence {
 		return nil
 	}
-	var j workload.Job
-	if err := json.Unmarshal(s.Value, &j); err != nil {
+	j, err := decodeStoredJob(s.Value)
+	if err != nil {
 		return err
 	}
 	p.update(func(scheduler *dispatch.Pool) { scheduler.AddJob(j, nil, false, p.node.Clock.Now()) })
@@ -55,3 +55,13 @@
 func (p *pool) cancelJob(id string) {
 	p.update(func(scheduler *dispatch.Pool) { scheduler.Cancel(id, p.node.Clock.Now()) })
 }
+
+// decodeStoredJob decodes and checks a job from the store: another version of the program, or another writer, may have stored one that no node
+// can hold.
+func decodeStoredJob(value []byte) (workload.Job, error) {
+	var j workload.Job
+	if err := json.Unmarshal(value, &j); err != nil {
+		return j, err
+	}
+	return j, j.Check()
+}
--- a/verbenaentry/node/unknownjobs.go
+++ b/verbenaentry/node/unknownjobs.go
@@ -97,7 +97,7 @@
 		return jobSnapshot{}, err
 	}
 	snapshot := jobSnapshot{revision: entry.Revision}
-	if err := json.Unmarshal(entry.Value, &snapshot.job); err != nil {
+	if snapshot.job, err = decodeStoredJob(entry.Value); err != nil {
 		// No holder starts a job that it cannot decode.
 		p.log.Error().Err(err).Str("job", id).Msg("stored job cannot be decoded")
 		return jobSnapshot{}, store.ErrNotFound
