fix(verbenaentry): hold a pool in which one record cannot be decoded

The job of such a record is left out with a line, since its tasks may have run; all others are served.

--- a/verbenaentry/node/follower.go
+++ b/verbenaentry/node/follower.go
@@ -16,6 +16,8 @@
 type jobFollower struct {
 	pool    *pool
 	records map[string]dispatch.Record
+	// invalidRecords names the jobs whose records cannot be decoded.
+	invalidRecords map[string]bool
 	// applied is true once the first list of jobs has been applied.
 	applied bool
 	// loaded is closed once the job records and the records of the previous holder are read, ready once the scheduler has all stored jobs.
@@ -28,7 +30,7 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		var err error
-		f.records, err = p.loadRecords(groupCtx)
+		f.records, f.invalidRecords, err = p.loadRecords(groupCtx)
 		return err
 	})
 	group.Go(func() error { return p.readHandover(groupCtx) })
@@ -87,6 +89,10 @@
 			p.log.Error().Err(err).Str("job", id).Msg("stored job cannot be decoded")
 			continue
 		}
+		if f.invalidRecords[id] {
+			p.log.Error().Str("job", id).Msg("job left out, since its record cannot be decoded and its tasks may have run")
+			continue
+		}
 		var record *dispatch.Record
 		if r, ok := f.records[id]; ok {
 			record = &r
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -169,23 +168,25 @@
 	return err
 }
 
-// loadRecords reads the records of the pool's jobs; no other node writes them while the duty is held.
-func (p *pool) loadRecords(ctx context.Context) (map[string]dispatch.Record, error) {
+// loadRecords reads the records of the pool's jobs, and names those that cannot be decoded; no other node writes them while the duty is held.
+func (p *pool) loadRecords(ctx context.Context) (records map[string]dispatch.Record, invalid map[string]bool, err error) {
 	prefix := stateKey(p.name, "")
 	entries, err := p.listAll(ctx, prefix, "records of jobs not read yet")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	records := map[string]dispatch.Record{}
+	records, invalid = map[string]dispatch.Record{}, map[string]bool{}
 	for _, e := range entries {
 		id := strings.TrimPrefix(e.Key, prefix)
 		var r dispatch.Record
 		if err := json.Unmarshal(e.Value, &r); err != nil {
-			return nil, fmt.Errorf("read record of job %s: %w", id, err)
+			p.log.Error().Err(err).Str("job", id).Msg("record of a job cannot be decoded")
+			invalid[id] = true
+			continue
 		}
 		records[id], p.revisions[id] = r, e.Revision
 	}
-	return records, nil
+	return records, invalid, nil
 }
 
 // listAll reads the entries under a prefix. Answers may be lost, so each page is requested until the store has answered.
--- a/verbenaentry/node/successor_test.go
+++ b/verbenaentry/node/successor_test.go
@@ -189,7 +189,7 @@
 	s.pool.revisions = map[string]store.Revision{}
 	s.write(store.Write{Key: stateKey(s.pool.name, "j"), Value: []byte("{}")})
 	s.loseAnswers(wire.PathRange, 2)
-	records, err := s.pool.loadRecords(s.ctx)
+	records, _, err := s.pool.loadRecords(s.ctx)
 	if err != nil {
 		t.Fatalf("read records: got %v, want none", err)
 	}
--- a/verbenaentry/testfleet/oversized_job_test.go
+++ b/verbenaentry/testfleet/oversized_job_test.go
@@ -1,10 +1,13 @@
 package testfleet_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
+	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform/wire"
 	"verbenalanding.example/verbenaentry/testfleet"
 )
@@ -49,3 +52,29 @@
 		t.Errorf("instances that ended: got %v, want none", ended)
 	}
 }
+
+// Guards against entry instances that end, or a pool that nobody holds, because of one stored job or record that is invalid.
+func TestInvalidStoredJobsAreLeftOut(t *testing.T) {
+	f, ctx := startFleet(t, 3)
+	serveJobs(ctx, t, f, 4)
+	put := func(key string, value any) {
+		content, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Platform.Store.PutRaw(key, content)
+	}
+	const tooMany, noRecord = "00000000abc10001", "00000000abc10002"
+	valid := workload.Job{ID: noRecord, Pool: "cutting", Queue: "q-cutting", Accepted: time.Now(), Steps: []workload.Step{{Tasks: 1, Need: workload.Resources{CPU: 1000}}}}
+	put("job/cutting/"+tooMany, workload.Job{ID: tooMany, Pool: "cutting", Times: 1 << 62, Steps: []workload.Step{{Tasks: 4}}})
+	put("state/cutting/"+noRecord, []int{7})
+	put("job/cutting/"+noRecord, valid)
+	f.Kill(f.Holder("cutting"))
+	serveJobs(ctx, t, f, 4)
+	if got := f.Platform.RunsOf(noRecord); got != 0 {
+		t.Errorf("runs of the job without a valid record: got %d, want 0, since its tasks may have run", got)
+	}
+	if ended := f.Ended(); len(ended) != 1 {
+		t.Errorf("instances that ended: got %v, want the one that was killed", ended)
+	}
+}
