fix(jobs): adjust grants only in a step that has set up the quotas

A holder whose duty became valid, or whose store answered again, between the two looks of a step panicked with a nil grant, and the instance ended. TestDutyBecomesValidDuringAStep panicked before. The second part of the step depends on the first now.

--- a/fleet/jobs/faults_test.go
+++ b/fleet/jobs/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,3 +153,17 @@
 	}
 	return revision, err
 }
+
+// Guards against a holder that panics because its duty becomes valid during a step: teams got a grant to adjust without their quotas having been
+// set up first.
+func TestDutyBecomesValidDuringAStep(t *testing.T) {
+	w := newFixture(1)
+	w.submit(t, w.job("j", "standard", 1, true))
+	calls := 0
+	w.holder.Valid = func() bool {
+		calls++
+		return calls > 1
+	}
+	w.run(t, 20*time.Second)
+	w.expectState(t, "j", succeeded)
+}
--- a/fleet/jobs/jobs.go
+++ b/fleet/jobs/jobs.go
@@ -224,7 +224,9 @@
 		h.expireLeases()
 	}
 	h.deleteExpired(ctx)
-	if h.mayStart() {
+	// Grants are adjusted only in a step that has set up the quotas: the duty may become valid between the two.
+	planned := h.mayStart()
+	if planned {
 		h.updateQuotas()
 		h.applyPlacement(h.planner.Handle(now, placement.Tick{}))
 		h.explainWaiting()
@@ -237,7 +239,7 @@
 		return h.stepError(err)
 	}
 	// Grants come last, since with a slow store their reads and writes would delay the starts.
-	if h.mayStart() {
+	if planned && h.mayStart() {
 		h.adjustGrants(ctx)
 	}
 	return nil
