fix(wave): count failures among the last 20 reboots only

Two failures halted each wave as sameFirmware, however many instances had returned between them: the window of 20 reboots had no effect, since two are a tenth of it. In the test, 19 returns between two failures halted the wave before; 18 still do.

--- a/fleet/wave/halt.go
+++ b/fleet/wave/halt.go
@@ -11,8 +11,12 @@
 	"verbenalanding.example/fleet/record"
 )
 
-// firmwareWindow is the largest number of reboots against which the failures of a firmware are counted.
-const firmwareWindow = 20
+const (
+	// firmwareWindow is the number of the last rebooted instances among which the failures of a firmware are counted.
+	firmwareWindow = 20
+	// firmwareFailures is the number of failures among them, a tenth, with which a wave halts.
+	firmwareFailures = 2
+)
 
 // soakTime is how long after an instance's return its failure is attributed to the wave. At 29 failures a day among 4,300
 // workers, less than one unrelated failure falls into the soak time of a day's reboots.
@@ -105,8 +109,8 @@
 	if rule, detail := sameRack(recent); rule != "" {
 		return rule, detail
 	}
-	if n := len(recent); n >= 2 && n*10 >= min(v.returned+n, firmwareWindow) {
-		return "sameFirmware", fmt.Sprintf("%d of %d instances rebooted with %s failed, among them %s", n, v.returned+n, Firmware(v.Declared.Name, v.Record.Round), recent[n-1].Instance)
+	if n, of := v.failuresOfLastReboots(recent); n >= firmwareFailures {
+		return "sameFirmware", fmt.Sprintf("%d of the last %d instances rebooted with %s failed, among them %s", n, of, Firmware(v.Declared.Name, v.Record.Round), recent[len(recent)-1].Instance)
 	}
 	if limit := max(1, v.Declared.HaltAfter); len(recent) >= limit {
 		return "haltAfter", fmt.Sprintf("%d instances did not return, among them %s; the limit is %d", len(recent), recent[len(recent)-1].Instance, limit)
@@ -114,6 +118,41 @@
 	return v.lostDomain()
 }
 
+// failuresOfLastReboots returns how many of the last instances that were rebooted since the wave resumed failed, and the number of these
+// instances.
+func (v *view) failuresOfLastReboots(failures []record.Failure) (failed, of int) {
+	type outcome struct {
+		at     time.Time
+		failed bool
+	}
+	var outcomes []outcome
+	for _, m := range v.Members {
+		if m.State == InService && m.Maintained.After(v.Record.Started) && m.Maintained.After(v.Record.Resumed) {
+			outcomes = append(outcomes, outcome{at: m.Maintained})
+		}
+	}
+	for _, f := range failures {
+		outcomes = append(outcomes, outcome{at: f.At, failed: true})
+	}
+	// Newest first; of outcomes at the same time, a failure counts.
+	slices.SortFunc(outcomes, func(a, b outcome) int {
+		if byTime := b.at.Compare(a.at); byTime != 0 || a.failed == b.failed {
+			return byTime
+		}
+		if a.failed {
+			return -1
+		}
+		return 1
+	})
+	outcomes = outcomes[:min(len(outcomes), firmwareWindow)]
+	for _, o := range outcomes {
+		if o.failed {
+			failed++
+		}
+	}
+	return failed, len(outcomes)
+}
+
 func sameRack(failures []record.Failure) (rule, detail string) {
 	racks := map[platform.Location]int{}
 	for _, f := range failures {
--- a/fleet/wave/wave_test.go
+++ b/fleet/wave/wave_test.go
@@ -70,6 +70,18 @@
 	firmware := runningWave(30)
 	fail(&firmware, ownRack, 0, 4)
 	check.Equal(t, "same firmware", transitionOf(p.Plan(firmware)), "halt sameFirmware")
+	for _, tt := range []struct {
+		between int
+		want    string
+	}{{firmwareWindow - 2, "halt sameFirmware"}, {firmwareWindow - 1, ""}} {
+		spread := runningWave(40)
+		fail(&spread, ownRack, 0, 4)
+		spread.Members[0].Since = spread.Now.Add(-50 * time.Minute)
+		for k := 6; k < 6+tt.between; k++ {
+			spread.Members[k].Maintained = spread.Now.Add(-40 * time.Minute)
+		}
+		check.Equal(t, fmt.Sprintf("%d returns between two failures", tt.between), transitionOf(p.Plan(spread)), tt.want)
+	}
 	lost := runningWave(12)
 	for k := range 2 {
 		lost.Members[k].State, lost.Members[k].Since, lost.Members[k].Location = Failed, lost.Now, lost.Members[0].Location
