fix(operator): remove the intent to retire an entry instance that is gone

An entry instance has no record whose state could become 'retired', so the intent to retire one stayed in the configuration for ever; each retired entry instance made it larger. The intent goes with the others, after 24 h, once the entry instance is no longer registered. The case in TestFinishedIntentsAreRemoved failed before. Other lists: cordons stay by design, resume intents are one a wave, finished cancels were removed already.

--- a/fleet/operator/change_test.go
+++ b/fleet/operator/change_test.go
@@ -190,6 +190,8 @@
 		{Kind: declaration.CancelJob, Target: "j9", At: noon.Add(25 * time.Hour)},
 		{Kind: declaration.RetireInstance, Target: "billing-a", At: noon},
 		{Kind: declaration.RetireInstance, Target: "billing-b", At: noon},
+		{Kind: declaration.RetireInstance, Target: "entry-gone", At: noon},
+		{Kind: declaration.RetireInstance, Target: "entry-lost", At: noon},
 		{Kind: declaration.CordonRack, Target: "r1", At: noon},
 	} {
 		b.log.set.Intents[i.Key()] = i
@@ -204,6 +206,6 @@
 	check.Equal(t, "problem of the proposed intent", p.Detail, "")
 	check.Equal(t, "budget", b.log.set.Budgets["billing"].MaxUnavailable, 3)
 	check.Equal(t, "intents left", slices.Sorted(maps.Keys(b.log.set.Intents)), []string{
-		"cancelJob/j1", "cancelJob/j9", "cordonRack/r1", "retireInstance/billing-b",
+		"cancelJob/j1", "cancelJob/j9", "cordonRack/r1", "retireInstance/billing-b", "retireInstance/entry-lost",
 	})
 }
--- a/fleet/operator/intent.go
+++ b/fleet/operator/intent.go
@@ -34,7 +34,8 @@
 	}
 	instances, instancesErr := byName(ctx, s.Records.Instances, func(i record.Instance) string { return i.ID })
 	jobs, jobsErr := byName(ctx, s.Records.Jobs, func(j record.Job) string { return j.ID })
-	if instancesErr != nil || jobsErr != nil {
+	entries, entriesErr := byName(ctx, s.Records.Entries, func(e Entry) string { return e.ID })
+	if instancesErr != nil || jobsErr != nil || entriesErr != nil {
 		return nil
 	}
 	var refs []declaration.Ref
@@ -42,7 +43,7 @@
 		job, isListed := jobs[i.Target]
 		isDone := !isListed || isFinishedJob(job)
 		if i.Kind == declaration.RetireInstance {
-			isDone = instances[i.Target].State == "retired"
+			isDone = isRetired(i.Target, instances, entries)
 		}
 		if isDone && len(refs) < maxFinishedRemovals {
 			refs = append(refs, declaration.Ref{Kind: declaration.KindIntent, Name: i.Key()})
@@ -50,3 +51,13 @@
 	}
 	return refs
 }
+
+// isRetired reports whether an instance has been retired. An entry instance has no record of its own; it is retired once it is not registered any
+// more.
+func isRetired(id string, instances map[string]record.Instance, entries map[string]Entry) bool {
+	if i, ok := instances[id]; ok {
+		return i.State == "retired"
+	}
+	_, registered := entries[id]
+	return !registered
+}
