fix(daemon): answer a burn report without a configuration with an error

Until the configuration was read, the report had no objectives and no error: it looked like a quiet week. It is 503 with the reason notReady now, as other calls are.

--- a/verbenalanding/daemon/records.go
+++ b/verbenalanding/daemon/records.go
@@ -115,7 +115,10 @@
 	var err error
 	switch kind {
 	case "burn":
-		err = report.Burn(&body, f, now, r.statuses(ctx, now))
+		var statuses []burn.Status
+		if statuses, err = r.statuses(ctx, now); err == nil {
+			err = report.Burn(&body, f, now, statuses)
+		}
 	case "waves":
 		var waves []record.Wave
 		if waves, err = r.Waves(ctx); err == nil {
@@ -134,10 +137,10 @@
 
 // statuses evaluates every objective over the requests of all entry instances. If the store does not answer, it covers only the
 // requests that the live processes have counted since they started.
-func (r *records) statuses(ctx context.Context, now time.Time) []burn.Status {
+func (r *records) statuses(ctx context.Context, now time.Time) ([]burn.Status, error) {
 	set, _, err := r.configLog.Current()
 	if err != nil {
-		return nil
+		return nil, fmt.Errorf("evaluate objectives: %w", err)
 	}
 	gathered := r.gatherObserved(ctx)
 	series, err := r.archivedSeries(ctx, set, gathered)
@@ -160,7 +163,7 @@
 		statuses = append(statuses, status)
 	}
 	slices.SortFunc(statuses, func(a, b burn.Status) int { return cmp.Compare(a.Objective, b.Objective) })
-	return statuses
+	return statuses, nil
 }
 
 func newSeries(set declaration.Set) map[string]*burn.Series {
