--- a/fleet/maintenance/advance.go
+++ b/fleet/maintenance/advance.go
@@ -104,6 +104,13 @@
 	if s.slow && a.Event == "stop" {
 		return nil
 	}
+	var newEpoch record.Epoch
+	if a.Event == "move" {
+		var err error
+		if newEpoch, err = s.epochOf(i.MoveTo); err != nil {
+			return err
+		}
+	}
 	return s.transition(i.ID, a.Event, a.Rule, a.Detail, func(n *record.Instance) {
 		switch a.Event {
 		case "fail":
@@ -122,7 +129,7 @@
 		case "retry":
 			s.recordRetry(n, a)
 		case "move":
-			n.ArrivedFrom, n.Pool, n.Epoch = n.Pool, n.MoveTo, s.epochOf(n.MoveTo)
+			n.ArrivedFrom, n.Pool, n.Epoch = n.Pool, n.MoveTo, newEpoch
 			if n.Pool == n.ArrivedFrom {
 				n.ArrivedFrom = ""
 			}
@@ -171,13 +178,13 @@
 }
 
 // epochOf returns the epoch of the duty of the pool that receives an instance, so that earlier holders of that duty stay
-// fenced.
-func (s *step) epochOf(pool string) record.Epoch {
+// fenced; it is 0 for a duty that nobody has held yet.
+func (s *step) epochOf(pool string) (record.Epoch, error) {
 	d, _, err := record.Load[record.Duty](s.ctx, s.Store, record.DutyPrefix+PoolDutyPrefix+pool)
-	if err != nil {
-		return 0
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return 0, err
 	}
-	return d.Epoch
+	return d.Epoch, nil
 }
 
 // sendCommand sends the recorded command and reports whether the record changed. The platform executes a command id at most
