fix(admission): state that a refused connection is a failure

The rule of admission said Rejected, the code said Failed twice. Failed is true for callers and retries: nothing was sent, so another instance may run the request, and a process that is gone says nothing of its capacity, by which the limits would fall while instances are replaced. The document follows the code; no behaviour changes.

--- a/fleet/admission/admission.go
+++ b/fleet/admission/admission.go
@@ -96,9 +96,10 @@
 const (
 	// Succeeded is a complete response.
 	Succeeded Result = iota
-	// Failed is a complete response that reports an error, or a lost connection.
+	// Failed is a complete response that reports an error, or a connection that was refused or lost: a refused one tells that the process is
+	// gone, not that it has no capacity, and must not lower the limit of an instance that is being replaced.
 	Failed
-	// Rejected is a response or a refused connection that reports that the backend server has no capacity.
+	// Rejected is a response that reports that the backend server has no capacity.
 	Rejected
 	// TimedOut is an attempt without a complete response in time.
 	TimedOut
--- a/fleet/entry/backend.go
+++ b/fleet/entry/backend.go
@@ -194,7 +194,7 @@
 func (b *backend) exchange(ctx context.Context, req *backendRequest) attemptResult {
 	c, err := b.getConn(ctx, req)
 	if err != nil {
-		return attemptResult{err: err, result: classify(ctx, err, false)}
+		return attemptResult{err: err, result: classify(ctx, err)}
 	}
 	a := attemptResult{}
 	_ = c.SetDeadline(req.deadline)
@@ -210,7 +210,7 @@
 	if err != nil {
 		_ = c.Close()
 		a.err = fmt.Errorf("exchange with %s: %w", b.addr, err)
-		a.result = classify(ctx, err, a.sent)
+		a.result = classify(ctx, err)
 		return a
 	}
 	a.result = admission.Succeeded
@@ -238,17 +238,15 @@
 	return !req.echoOptional && c.reader.Buffered() == 0 && r.header.Get("Connection") == ""
 }
 
-func classify(ctx context.Context, err error, sent bool) admission.Result {
+// classify returns the result of an attempt without a complete response.
+func classify(ctx context.Context, err error) admission.Result {
 	switch {
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return admission.Abandoned
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
 		return admission.TimedOut
-	case !sent && errors.Is(err, syscall.ECONNREFUSED):
-		return admission.Failed
-	default:
-		return admission.Failed
 	}
+	return admission.Failed
 }
 
 // write sends the request and reports whether any byte may have been sent.
