test(target): count the work with which the verdict on a power of 1.3 is tested

The test compared processor times of sizes whose difference other load can hide; a meter that counts operations gives the same verdict each time. The real clock stays in the linear and quadratic cases and in the measurements.

--- a/verbenabench/target/time.go
+++ b/verbenabench/target/time.go
@@ -20,6 +20,14 @@
 // within a round. For each smaller size, as many fleets are measured as have the workers of the largest size together, so that all sizes
 // use the same amount of memory. The growth is the median of all rounds.
 func Measure(sizes []int, prepare func(workers int) func(round int)) (Measurement, error) {
+	return MeasureWith(threadTime, sizes, prepare)
+}
+
+// Meter returns the processor time, or another measure of the work, that has been used so far.
+type Meter func() (time.Duration, error)
+
+// MeasureWith measures like Measure, with another meter than the calling thread's processor time.
+func MeasureWith(meter Meter, sizes []int, prepare func(workers int) func(round int)) (Measurement, error) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	largest := len(sizes) - 1
@@ -35,7 +43,7 @@
 	for k := range rounds {
 		times := make([]time.Duration, len(sizes))
 		for i, steps := range fleets {
-			t, err := meanTime(steps, k)
+			t, err := meanTime(meter, steps, k)
 			if err != nil {
 				return Measurement{}, err
 			}
@@ -49,23 +57,23 @@
 	return m, nil
 }
 
-// meanTime returns the mean processor time of the steps in the calling thread. Unlike the elapsed time it does not include work of other
-// processes.
-func meanTime(steps []func(int), round int) (time.Duration, error) {
-	before, err := threadTime()
+// meanTime returns the mean time of the steps by a meter.
+func meanTime(meter Meter, steps []func(int), round int) (time.Duration, error) {
+	before, err := meter()
 	if err != nil {
 		return 0, err
 	}
 	for _, step := range steps {
 		step(round)
 	}
-	after, err := threadTime()
+	after, err := meter()
 	if err != nil {
 		return 0, err
 	}
 	return (after - before) / time.Duration(len(steps)), nil
 }
 
+// threadTime returns the processor time of the calling thread. Unlike the elapsed time it does not include work of other processes.
 func threadTime() (time.Duration, error) {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
