--- a/verbenalanding/demo/jobs.go
+++ b/verbenalanding/demo/jobs.go
@@ -27,7 +27,8 @@
 	slowestStart                                                time.Duration
 }
 
-// submitJobs submits jobs of each class to each pool; every second job is not repeatable.
+// submitJobs submits jobs of each class to each pool; every second job is neither repeatable nor checkpointed, so that a second start of it
+// counts as run twice.
 func (d *deployment) submitJobs(ctx context.Context) error {
 	d.site.Workers.RunTime = func(string) time.Duration { return jobTime }
 	instances, err := d.instances(ctx)
@@ -61,7 +62,7 @@
 		Class:    string(class),
 		Kind:     "demo",
 		Declared: platform.Resources{MilliCores: 2000, MemoryBytes: 4 * gigabyte},
-		RunTime:  jobTime, Repeatable: i%2 == 0, Checkpoints: true,
+		RunTime:  jobTime, Repeatable: i%2 == 0, Checkpoints: i%2 == 0,
 	}
 }
 
@@ -95,7 +96,7 @@
 	default:
 		d.jobs.other++
 	}
-	if !j.Repeatable && d.site.Workers.Starts(j.ID) > 1 && !j.Checkpoints {
+	if ranTwice(j, d.site.Workers.Starts(j.ID)) {
 		d.jobs.ranTwice++
 	}
 	if j.Class != string(declaration.Urgent) {
@@ -108,6 +109,9 @@
 	}
 }
 
+// ranTwice reports whether a job was started again although it must not be: it is not repeatable and had no checkpoint to go on from.
+func ranTwice(j record.Job, starts int) bool { return !j.Repeatable && !j.Checkpoints && starts > 1 }
+
 // awaitWave waits until the wave has finished its round.
 func (d *deployment) awaitWave(ctx context.Context) error {
 	began := time.Now()
