--- a/fleet/admission/bucket.go
+++ b/fleet/admission/bucket.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"verbenalanding.example/fleet/internal/hash"
+)
 
 const (
 	bucketSets    = 2048
@@ -53,19 +57,14 @@
 // so its limit is not divided. A team's requests arrive at all of them, so each entry instance permits the part of the
 // rate that corresponds to its part of the demand.
 func (p *Pool) rateLimited(t time.Duration, s *service, a Arrival) Reason {
-	if s.CallerRate > 0 && a.Caller != 0 && !p.buckets.allow(mix(a.Caller^s.hash), s.CallerRate, t) {
+	if s.CallerRate > 0 && a.Caller != 0 && !p.buckets.allow(bucketKey(a.Caller^s.hash), s.CallerRate, t) {
 		return CallerLimit
 	}
-	if rate := p.teams[a.Team]; rate > 0 && a.Team != 0 && !p.buckets.allow(mix(a.Team), rate*p.demandPart, t) {
+	if rate := p.teams[a.Team]; rate > 0 && a.Team != 0 && !p.buckets.allow(bucketKey(a.Team), rate*p.demandPart, t) {
 		return TeamLimit
 	}
 	return NoReason
 }
 
-// mix is the output function of splitmix64. The result is never 0, which marks unused buckets.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31 | 1
-}
+// bucketKey mixes a key. The result is never 0, which marks unused buckets.
+func bucketKey(x uint64) uint64 { return hash.Mix(x) | 1 }
--- a/fleet/archive/merger.go
+++ b/fleet/archive/merger.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
@@ -72,12 +73,7 @@
 	return nil
 }
 
-func (m *Merger) now() time.Time {
-	if m.Now == nil {
-		return time.Now()
-	}
-	return m.Now()
-}
+func (m *Merger) now() time.Time { return clock.Now(m.Now) }
 
 // fence stores the epoch of this holder, or returns record.ErrFenced if a higher epoch is stored. A holder that is paused after the check
 // cannot count a part twice either: its writes fail on the expected revision, and the part lists of the merged records show which steps
--- a/fleet/archive/writer.go
+++ b/fleet/archive/writer.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"verbenalanding.example/fleet/burn"
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
 )
@@ -233,12 +234,7 @@
 	return h, &part{PartID: h.id, Sequence: h.unconfirmed.sequence, Counts: h.unconfirmed.counts}, h.revision
 }
 
-func (w *Writer) now() time.Time {
-	if w.Now == nil {
-		return time.Now()
-	}
-	return w.Now()
-}
+func (w *Writer) now() time.Time { return clock.Now(w.Now) }
 
 // confirm records that the store holds the unconfirmed content.
 func (w *Writer) confirm(h *partState, revision store.Revision) {
--- a/fleet/claim/journal/commit.go
+++ b/fleet/claim/journal/commit.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/claim"
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
 
@@ -44,7 +45,7 @@
 		case errors.Is(err, errFencedWrite):
 			return h.sendEvent(ctx, claim.Fenced{})
 		}
-		if err := backoff(ctx, &wait); err != nil {
+		if err := interval.Backoff(ctx, &wait, maxBackoff); err != nil {
 			return err
 		}
 	}
@@ -109,7 +110,7 @@
 			return err
 		}
 		h.Log.Warn().Err(err).Int("shard", h.Shard).Msg("cannot take over claim shard; retrying")
-		if err := backoff(ctx, &wait); err != nil {
+		if err := interval.Backoff(ctx, &wait, maxBackoff); err != nil {
 			return err
 		}
 	}
--- a/fleet/claim/journal/journal.go
+++ b/fleet/claim/journal/journal.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/claim"
-	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -214,14 +213,8 @@
 	}
 }
 
-// backoff waits before the next attempt and doubles the wait, up to one second.
-func backoff(ctx context.Context, wait *time.Duration) error {
-	if !interval.Wait(ctx, *wait) {
-		return ctx.Err()
-	}
-	*wait = min(2**wait, time.Second)
-	return nil
-}
+// maxBackoff bounds the wait before the next attempt of a call.
+const maxBackoff = time.Second
 
 func (h *Holder) sendEvent(ctx context.Context, e claim.Event) error {
 	select {
--- a/fleet/declaration/check.go
+++ b/fleet/declaration/check.go
@@ -34,7 +34,7 @@
 	c.checkWaves()
 	c.checkObjectives()
 	c.checkIntents()
-	return c.problems.sorted()
+	return c.problems.Sorted()
 }
 
 type checker struct {
--- a/fleet/declaration/format.go
+++ b/fleet/declaration/format.go
@@ -14,11 +14,11 @@
 func Format(f File) (string, error) {
 	code, comments, problems := scan(f)
 	if len(problems) > 0 {
-		return "", problems.sorted()
+		return "", problems.Sorted()
 	}
 	items, problems := parseItems(f)
 	if len(problems) > 0 {
-		return "", problems.sorted()
+		return "", problems.Sorted()
 	}
 	p := &printer{comments: comments, lastOnLine: map[int]int{}}
 	for _, t := range code {
--- a/fleet/declaration/parse.go
+++ b/fleet/declaration/parse.go
@@ -33,7 +33,7 @@
 			problems = append(problems, d.addItem(item)...)
 		}
 	}
-	return d, problems.sorted()
+	return d, problems.Sorted()
 }
 
 // scan returns the code and comment tokens of a file.
--- a/fleet/declaration/problem.go
+++ b/fleet/declaration/problem.go
@@ -61,9 +61,9 @@
 // maxProblems keeps the answer readable if a file does not contain declarations at all.
 const maxProblems = 100
 
-// sorted returns the problems sorted by file and position, or nil if there are none. Those after maxProblems are replaced by
+// Sorted returns the problems sorted by file and position, or nil if there are none. Those after maxProblems are replaced by
 // one problem with their number.
-func (p Problems) sorted() error {
+func (p Problems) Sorted() error {
 	if len(p) == 0 {
 		return nil
 	}
@@ -145,6 +145,3 @@
 	}
 	return fmt.Sprintf("%q", text)
 }
-
-// Sorted returns the problems sorted by file and position, or nil if there are none.
-func (p Problems) Sorted() error { return p.sorted() }
--- a/fleet/declaration/statement.go
+++ b/fleet/declaration/statement.go
@@ -143,7 +143,7 @@
 	}
 	s, problems := item.Statement.toStatement()
 	if len(problems) > 0 {
-		return nil, problems.sorted()
+		return nil, problems.Sorted()
 	}
 	return s, nil
 }
--- a/fleet/deferred/acceptor.go
+++ b/fleet/deferred/acceptor.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
@@ -105,12 +106,7 @@
 	}
 }
 
-func (a *Acceptor) now() time.Time {
-	if a.Now == nil {
-		return time.Now()
-	}
-	return a.Now()
-}
+func (a *Acceptor) now() time.Time { return clock.Now(a.Now) }
 
 // readBacklog reads the backlog as the holder of the shard last counted it.
 func (a *Acceptor) readBacklog(ctx context.Context, shard int) error {
--- a/fleet/deferred/attempt.go
+++ b/fleet/deferred/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
 )
@@ -135,7 +136,7 @@
 		case readErr == nil && current != expect, errors.Is(readErr, store.ErrNotFound):
 			return 0, fmt.Errorf("write deferred work %s: %w", r.ID, store.ErrConflict)
 		}
-		if backoff(ctx, &wait) != nil {
+		if interval.Backoff(ctx, &wait, maxBackoff) != nil {
 			return 0, fmt.Errorf("write deferred work %s: %w", r.ID, err)
 		}
 	}
--- a/fleet/deferred/holder.go
+++ b/fleet/deferred/holder.go
@@ -124,14 +124,14 @@
 		}
 		if err != nil {
 			listed = listed && !errors.Is(err, store.ErrCompacted)
-			if err := backoff(ctx, &wait); err != nil {
+			if err := interval.Backoff(ctx, &wait, maxBackoff); err != nil {
 				return err
 			}
 			continue
 		}
 		listed, after, wait = true, batch.Revision, pollInterval
 		for h.events.Offer(batch) != nil {
-			if err := backoff(ctx, &wait); err != nil {
+			if err := interval.Backoff(ctx, &wait, maxBackoff); err != nil {
 				return err
 			}
 		}
@@ -176,14 +176,8 @@
 	return e
 }
 
-// backoff waits before the next attempt and doubles the wait, up to two seconds.
-func backoff(ctx context.Context, wait *time.Duration) error {
-	if !interval.Wait(ctx, *wait) {
-		return ctx.Err()
-	}
-	*wait = min(2**wait, 2*time.Second)
-	return nil
-}
+// maxBackoff bounds the wait before the next attempt of a call.
+const maxBackoff = 2 * time.Second
 
 // runAttempts starts the attempts and applies events; only this goroutine accesses the queue.
 func (h *Holder) runAttempts(ctx context.Context, attempts *errgroup.Group) error {
--- /dev/null
+++ b/fleet/internal/hash/doc.go
@@ -0,0 +1,2 @@
+// Package hash mixes the bits of numbers.
+package hash
--- a/fleet/interval/interval.go
+++ b/fleet/interval/interval.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// Backoff waits for *wait or until the context ends, and doubles the wait up to a limit. It returns the context's error if that has ended.
+func Backoff(ctx context.Context, wait *time.Duration, limit time.Duration) error {
+	if !Wait(ctx, *wait) {
+		return ctx.Err()
+	}
+	*wait = min(2**wait, limit)
+	return nil
+}
+
 // each yields the time at the end of each interval, and true for each item of wake, which may be nil.
 func each(ctx context.Context, ticker *time.Ticker, wake <-chan struct{}, yield func(now time.Time, woken bool) bool) {
 	for {
--- a/fleet/maintenance/fleet.go
+++ b/fleet/maintenance/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/declaration"
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/record"
 	"verbenalanding.example/fleet/store"
@@ -215,9 +216,4 @@
 	return f.budgets.entries, nil
 }
 
-func (f *Fleet) now() time.Time {
-	if f.Now == nil {
-		return time.Now()
-	}
-	return f.Now()
-}
+func (f *Fleet) now() time.Time { return clock.Now(f.Now) }
--- a/fleet/routing/pick.go
+++ b/fleet/routing/pick.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"verbenalanding.example/fleet/internal/hash"
+)
 
 // Pick returns the instance for one attempt, or false if no instance may receive it.
 func (r *Router) Pick(q Query) (Choice, bool) {
@@ -36,7 +40,7 @@
 	}
 	best, bestScore := int32(-1), 0.0
 	for range r.Choices {
-		random = mix(random)
+		random = hash.Mix(random)
 		k := int(random % uint64(len(items)))
 		if items[k] == avoid {
 			k = (k + 1) % len(items)
@@ -48,14 +52,6 @@
 	return best, true
 }
 
-// mix is the output function of splitmix64; it derives further random numbers from the one that the caller passed.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // score estimates the time in seconds until an attempt at the member succeeds. Failures multiply it, since an instance
 // that fails fast would otherwise look like the least loaded one.
 func (r *Router) score(m *member) float64 {
--- a/fleet/routing/routing_test.go
+++ b/fleet/routing/routing_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"verbenalanding.example/fleet/internal/hash"
 )
 
 func TestMain(m *testing.M) {
@@ -40,7 +42,7 @@
 }
 
 func (m *model) pick(t *rapid.T) {
-	m.random = mix(m.random)
+	m.random = hash.Mix(m.random)
 	q := Query{Random: m.random, Avoid: fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "avoid"))}
 	c, ok := m.router.Pick(q)
 	usable, other := 0, 0
@@ -161,7 +163,7 @@
 		for _, id := range r.Probes(now, nil) {
 			r.Probed(now, id, true)
 		}
-		random = mix(random)
+		random = hash.Mix(random)
 		c, ok := r.Pick(Query{Random: random, Repeatable: true})
 		if !ok {
 			continue
@@ -220,7 +222,7 @@
 	r.SetEntries(9)
 	var running []string
 	return func() {
-		random = mix(random)
+		random = hash.Mix(random)
 		now = now.Add(50 * time.Microsecond)
 		if c, ok := r.Pick(Query{Random: random}); ok {
 			r.Started(now, c.Instance, 5*time.Millisecond)
--- a/fleet/standin/control.go
+++ b/fleet/standin/control.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/platform"
 )
 
@@ -294,9 +295,4 @@
 	c.changes = append(c.changes, listChange{version: c.version, at: c.now(), instance: m.instance})
 }
 
-func (c *Control) now() time.Time {
-	if c.Now == nil {
-		return time.Now()
-	}
-	return c.Now()
-}
+func (c *Control) now() time.Time { return clock.Now(c.Now) }
--- a/fleet/standin/store.go
+++ b/fleet/standin/store.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
@@ -256,12 +257,7 @@
 	return nil
 }
 
-func (s *Store) now() time.Time {
-	if s.Now == nil {
-		return time.Now()
-	}
-	return s.Now()
-}
+func (s *Store) now() time.Time { return clock.Now(s.Now) }
 
 func (s *Store) expireLeases() {
 	now := s.now()
--- a/fleet/standin/workers.go
+++ b/fleet/standin/workers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/platform"
 )
 
@@ -359,9 +360,4 @@
 	}
 }
 
-func (w *Workers) now() time.Time {
-	if w.Now == nil {
-		return time.Now()
-	}
-	return w.Now()
-}
+func (w *Workers) now() time.Time { return clock.Now(w.Now) }
