fix(dispatch): leave out entries of a record with a negative index

A stored record with a negative occurrence, step or task ended each holder that read it (index out of range).

--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -109,18 +109,18 @@
 func (p *Pool) restore(j *job, r *Record) {
 	j.started = r.Started
 	for _, s := range r.Steps {
-		if s.Occurrence >= len(j.occurrences) || s.Step >= len(j.Steps) {
+		if !within(s.Occurrence, len(j.occurrences)) || !within(s.Step, len(j.Steps)) {
 			continue
 		}
 		state := &j.occurrences[s.Occurrence].steps[s.Step]
 		for _, i := range s.Done {
-			if i < len(state.tasks) && !state.tasks[i].done {
+			if within(i, len(state.tasks)) && !state.tasks[i].done {
 				state.tasks[i].done = true
 				state.done++
 			}
 		}
 		for _, f := range s.Tasks {
-			if f.Index < len(state.tasks) {
+			if within(f.Index, len(state.tasks)) {
 				t := state.tasks[f.Index]
 				t.failedRuns, t.lastRun, t.checkpoint = f.FailedRuns, f.LastRun, f.Checkpoint
 			}
@@ -135,6 +135,9 @@
 	}
 }
 
+// within reports whether an index of a stored record is one of n elements.
+func within(i, n int) bool { return i >= 0 && i < n }
+
 // updateReadySteps marks the steps of an occurrence as ready that depend on no unfinished step.
 func (p *Pool) updateReadySteps(j *job, o int, now time.Time) {
 	oc := &j.occurrences[o]
