fix(workload): accept a scheduled job without a start in each time zone

Found in the read of the change; TestScheduledJobWithoutStartIsAccepted failed before. The bound is now what JSON can hold.

--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -17,8 +17,8 @@
 	maxJobTasks = 16 * maxTasks
 	// maxSpan bounds an interval and an estimate; sums over all steps of a job still fit into a time.Duration.
 	maxSpan = 366 * 24 * time.Hour
-	// The year of a start is one that JSON can hold.
-	minYear, maxYear = 1970, 9999
+	// The year of a start is one that JSON can hold in each time zone.
+	minYear, maxYear = 1, 9998
 )
 
 // MaxResource is the largest amount of a resource of a worker or a step; sums over a fleet still fit into an integer.
