--- a/verbenaentry/node/knownred_test.go
+++ b/verbenaentry/node/machineorders_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package node
 
 import (
@@ -32,7 +30,7 @@
 
 // Guards against two orders of a node for one machine that overtake each other: the check for a newer one comes before the order is written, and
 // the older one, written late, reaches the platform after the newer one.
-func TestKnownGapMachineOrdersOvertake(t *testing.T) {
+func TestMachineOrdersArriveInTheOrderOfTheirTokens(t *testing.T) {
 	const delay = 300 * time.Millisecond
 	var mu sync.Mutex
 	var fences []string
