feat(dispatch): stamp jobs with the holder's fencing token, so that a successor starts them without waiting

Cause: a successor treated each job that was accepted within 6.2 s of its takeover as one that the lost holder may have started too, so its tasks waited while any worker had not reported. Beside workers that are cut off that is all jobs of the pool for the whole time. Change: the node that stores a job writes the newest fencing token of the pool's holder that it knows, through the store or through the node that relays the call. A holder with a lower token leaves the job out and ends its duty; the successor starts it at once. Evidence: TestJobStoredUnderTheHolderStartsBesideSilentWorkers and TestLostHolderStartsNoJobOfItsSuccessor fail without the change. Both models draw the token; without the refusal of the lost holder both of them find a task that runs twice.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -66,8 +66,11 @@
 	}, b.now)
 }
 
-func (b *bench) addJob(id string, steps ...workload.Step) {
-	b.pool.AddJob(workload.Job{ID: id, Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: steps, Accepted: b.now}, nil, false, b.now)
+func (b *bench) addJob(id string, steps ...workload.Step) { b.addStoredJob(id, 0, steps...) }
+
+// addStoredJob adds a job that was stored under the holder with a fencing token.
+func (b *bench) addStoredJob(id string, fence uint64, steps ...workload.Step) {
+	b.pool.AddJob(workload.Job{ID: id, Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: steps, Accepted: b.now, Fence: fence}, nil, false, b.now)
 }
 
 // advance simulates a duration in small steps, with a plan and reports in each.
--- a/fleet/dispatch/explore_test.go
+++ b/fleet/dispatch/explore_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -37,6 +38,7 @@
 	"read":         {1, 0},
 	"announced":    {1, 0},
 	"watched":      {1, 0},
+	"fence":        {1, 0},
 	"ask":          {1, 0},
 	"confirmation": {1, 0},
 	"hold":         {1, 0},
@@ -259,6 +261,9 @@
 // fingerprint describes the state of holders, workers and store, with times relative to now.
 func (m *model) fingerprint() string {
 	out := fmt.Sprintln(m.records, m.unresponsive, m.handover, m.unwatched, m.cancelled, m.acknowledged, m.failures, m.doneLost)
+	for _, id := range slices.Sorted(maps.Keys(m.specs)) {
+		out += fmt.Sprintln(id, m.specs[id].Fence)
+	}
 	for _, h := range m.holders() {
 		out += fmt.Sprintln(h.fence, h.loaded, h.registered, h.handoverRead, h.machinesListed, h.until.Sub(m.now), h.pool.Fingerprint(m.now))
 	}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -55,15 +55,17 @@
 }
 
 // AddJob adds an accepted job. record is the progress that an earlier holder stored, if any; restored is set if the job was accepted before
-// this holder began.
+// this holder began. A job that was stored under a newer holder is left out: that holder starts its tasks without waiting for this one.
 func (p *Pool) AddJob(spec workload.Job, record *Record, restored bool, now time.Time) {
-	if p.jobs[spec.ID] != nil {
+	if p.jobs[spec.ID] != nil || spec.Fence > p.Epoch {
 		return
 	}
 	delete(p.absentJobs, spec.ID)
-	// A lost holder also learns of new jobs, by its watch and from callers that it still serves, and may start their tasks. This holder
-	// may learn of such a job much later, while a worker still has ends of its runs that it has not listed.
-	overlaps := now.Before(p.priorLeasesUntil) || p.hasPartialReport()
+	// A lost holder also learns of new jobs, by its watch and from callers that it still serves, and may start their tasks unless they were
+	// stored under this holder. This holder may learn of such a job much later, while a worker still has ends of its runs that it has not
+	// listed.
+	storedUnderThis := spec.Fence != 0 && spec.Fence == p.Epoch
+	overlaps := !storedUnderThis && (now.Before(p.priorLeasesUntil) || p.hasPartialReport())
 	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -36,6 +36,7 @@
 	if m.current != nil {
 		m.current.until, m.current.successor = m.now.Add(lostHolderTime), m.revision+100
 		m.lost = append(m.lost, m.current)
+		m.previousFence = m.current.fence
 	}
 	m.removeEndedHolders()
 	m.revision += 100
@@ -149,6 +150,7 @@
 		m.handover = &storedHandover{value}
 		m.t.Logf("%v: holder %d leaves the handover %s", m.now.Sub(epoch), h.fence, value)
 	}
+	m.previousFence = h.fence
 	m.current = nil
 	m.takeOver()
 }
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -38,8 +38,10 @@
 	// effect.
 	current *holder
 	lost    []*holder
-	workers []*modelWorker
-	late    []lateStart
+	// previousFence is the fencing token of the holder before the current one, or 0.
+	previousFence uint64
+	workers       []*modelWorker
+	late          []lateStart
 	// The records in the store: jobs, with the revision at which each was stored, their progress, unresponsive workers, and the handover.
 	specs        map[string]workload.Job
 	stored       map[string]uint64
@@ -227,8 +229,13 @@
 	m.store(j)
 }
 
-// store accepts a job. Each holder learns of it immediately, or later by its watch.
+// store accepts a job, through a node that knows the holder of the duty or only the one before. Each holder learns of it immediately, or later
+// by its watch.
 func (m *model) store(j workload.Job) {
+	j.Fence = m.previousFence
+	if m.t.pick("fence", 0, 1) == 1 {
+		j.Fence = m.current.fence
+	}
 	m.revision++
 	m.specs[j.ID], m.stored[j.ID] = j, m.revision
 	m.unwatched[j.ID] = m.t.pick("watched", 0, 3) == 0
--- a/fleet/dispatch/overlap_test.go
+++ b/fleet/dispatch/overlap_test.go
@@ -203,3 +203,43 @@
 	b.plan()
 	wantCount(t, "starts after it", len(b.starts), 2)
 }
+
+// Guards against jobs that wait for silent workers without a reason: a job that was stored under this holder's fencing token is started by no
+// holder before it, so that only its own starts count.
+func TestJobStoredUnderTheHolderStartsBesideSilentWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fence uint64
+		want  int
+	}{
+		{"stored under this holder", 7, 1},
+		{"stored under the holder before", 3, 0},
+		{"stored by a node that knew no holder", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 2)
+			b.takeOver()
+			b.pool.Epoch = 7
+			b.addWorker("w0")
+			b.addWorker("w1")
+			b.unresponsive["w1"] = true
+			b.report()
+			b.addStoredJob("j", c.fence, oneTask(16000))
+			starts, _ := b.orders()
+			wantCount(t, "starts while a worker has not reported", len(starts), c.want)
+		})
+	}
+}
+
+// Guards against a task that a lost holder and its successor both start: the successor starts jobs that were stored under its fencing token
+// without waiting for the workers that only the lost holder reaches.
+func TestLostHolderStartsNoJobOfItsSuccessor(t *testing.T) {
+	b := newBench(t, 1)
+	b.pool.Epoch = 7
+	b.addStoredJob("j", 8, oneTask(1000))
+	starts, _ := b.orders()
+	wantCount(t, "starts of a job stored under a newer holder", len(starts), 0)
+	b.addStoredJob("k", 7, oneTask(1000))
+	starts, _ = b.orders()
+	wantCount(t, "starts of a job stored under this holder", len(starts), 1)
+}
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -42,7 +42,7 @@
 // Duty is the holder of a duty and its fencing token, as last read from the store.
 type Duty struct {
 	Member
-	Fence uint64
+	Fence uint64 `json:"fence,omitempty"`
 }
 
 // Elector acquires vacant duties and holds them while its lease is valid. Set the exported fields before Run.
--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -109,6 +109,9 @@
 	Start    time.Time     `json:"start,omitzero"`
 	Interval time.Duration `json:"interval,omitempty"`
 	Accepted time.Time     `json:"accepted"`
+	// Fence is the fencing token of the pool's newest holder that the storing node knew; 0 if it knew none. Holders with a lower token start
+	// none of the job's tasks.
+	Fence uint64 `json:"fence,omitempty"`
 }
 
 // Occurrences returns how many times the job runs.
--- a/verbenaentry/node/follower.go
+++ b/verbenaentry/node/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -84,7 +85,11 @@
 			cancelled = append(cancelled, strings.TrimSuffix(id, cancelSuffix))
 			continue
 		}
-		j, err := decodeStoredJob(e.Entry.Value)
+		j, err := p.decodeJob(e.Entry.Value, e.Entry.Revision)
+		if errors.Is(err, errStoredUnderNewer) {
+			p.log.Info().Str("job", id).Msg("duty ends: a job was stored under a newer holder")
+			continue
+		}
 		if err != nil {
 			p.log.Error().Err(err).Str("job", id).Msg("stored job cannot be decoded")
 			continue
--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/store"
@@ -43,7 +44,7 @@
 	if uint64(s.Revision) < p.fence {
 		return nil
 	}
-	j, err := decodeStoredJob(s.Value)
+	j, err := p.decodeJob(s.Value, s.Revision)
 	if err != nil {
 		return err
 	}
@@ -51,6 +52,26 @@
 	return nil
 }
 
+// errStoredUnderNewer is returned for a job that was stored under a newer holder, which starts its tasks.
+var errStoredUnderNewer = fmt.Errorf("%w: job was stored under a newer holder", ErrNotHolder)
+
+// decodeJob decodes a job that was stored at a revision. A job that was stored under a newer holder ends the duty.
+func (p *pool) decodeJob(value []byte, revision store.Revision) (workload.Job, error) {
+	j, err := decodeStoredJob(value)
+	if err != nil {
+		return j, err
+	}
+	if j.Fence >= uint64(revision) {
+		// A fencing token is the revision of a key that was written before; this one is from another writer and says nothing.
+		j.Fence = 0
+	}
+	if j.Fence > p.fence {
+		p.markLost()
+		return j, errStoredUnderNewer
+	}
+	return j, nil
+}
+
 // cancelJob carries out a stored cancellation request.
 func (p *pool) cancelJob(id string) {
 	p.update(func(scheduler *dispatch.Pool) { scheduler.Cancel(id, p.node.Clock.Now()) })
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -100,17 +100,17 @@
 }
 
 // holderFromPeers asks other nodes that reach the store for the holder of a pool's duty, for at most peerTimeout.
-func (n *Node) holderFromPeers(ctx context.Context, pool string) (leadership.Member, error) {
+func (n *Node) holderFromPeers(ctx context.Context, pool string) (leadership.Duty, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	err := fmt.Errorf("ask for holder of %s: %w", pool, errStoreUnreachable)
 	for _, m := range n.others(maxRelayNodes) {
-		var holder leadership.Member
+		var holder leadership.Duty
 		if err = n.Peers.call(ctx, m.Peer, methodHolder, pool, &holder); err == nil {
 			return holder, nil
 		}
 	}
-	return leadership.Member{}, err
+	return leadership.Duty{}, err
 }
 
 // presentHolder answers methodHolder.
@@ -122,7 +122,7 @@
 	if !ok {
 		return nil, ErrNotHolder
 	}
-	return d.Member, nil
+	return d, nil
 }
 
 // requestStatus requests another node's status; a refused connection adds leadership.ErrNoProcess to the error.
--- a/verbenaentry/node/relay.go
+++ b/verbenaentry/node/relay.go
@@ -9,6 +9,7 @@
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/rpc"
 	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/platform"
 )
 
 // storeAccess reads and writes the store on behalf of callers' requests.
@@ -16,6 +17,19 @@
 	Get(ctx context.Context, key string) (store.Entry, error)
 	// Apply returns the current entries of a conflict only if the node reaches the store directly.
 	Apply(ctx context.Context, t store.Transaction) (store.Revision, []store.Entry, error)
+	// holderFence returns the fencing token of a pool's newest holder that is known there, or 0.
+	holderFence(ctx context.Context, pool string) uint64
+}
+
+// directAccess accesses the store over the node's own connections.
+type directAccess struct {
+	*platform.Store
+	elector *leadership.Elector
+}
+
+func (a directAccess) holderFence(_ context.Context, pool string) uint64 {
+	d, _ := a.elector.Holder(pool)
+	return d.Fence
 }
 
 // relay accesses the store through another node: the platform may reject the calls of some nodes while it serves the others.
@@ -31,11 +45,21 @@
 // comes first unless the store has not answered this node recently.
 func (n *Node) storeFor(attempt int) storeAccess {
 	if odd := attempt%2 == 1; odd == n.Elector.StoreReachable() {
-		return n.Store
+		return directAccess{n.Store, n.Elector}
 	}
 	return relay{n}
 }
 
+// holderFence asks other nodes, since a node whose calls the store rejects does not learn of new holders.
+func (r relay) holderFence(ctx context.Context, pool string) uint64 {
+	known, _ := r.node.Elector.Holder(pool)
+	present, err := r.node.holderFromPeers(ctx, pool)
+	if err != nil {
+		return known.Fence
+	}
+	return max(known.Fence, present.Fence)
+}
+
 // Get returns the entry of key.
 func (r relay) Get(ctx context.Context, key string) (store.Entry, error) {
 	var e store.Entry
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -33,18 +33,11 @@
 		return http.StatusBadRequest
 	}
 	job.ID, job.Queue, job.Pool, job.Terms, job.Accepted = id, q.Name, q.Pool, *q, n.Clock.Now()
-	value, err := json.Marshal(job)
-	if err != nil {
-		log.Error().Err(err).Msg("job refused: job cannot be encoded")
-		n.refuse(w, http.StatusBadRequest, "the job cannot be stored")
-		return http.StatusBadRequest
-	}
-	outcome, revision, tries := n.storeJob(ctx, jobKey(q.Pool, id), value)
-	if revision != 0 {
-		s := storedJob{Pool: q.Pool, ID: id, Value: value, Revision: revision}
-		n.notifyHolder(q.Pool, methodStored, s, func(p *pool) {
-			if err := p.addStoredJob(s); err != nil {
-				log.Error().Err(err).Msg("stored job cannot be decoded")
+	outcome, created, tries := n.storeJob(ctx, *job)
+	if created != nil {
+		n.notifyHolder(q.Pool, methodStored, created, func(p *pool) {
+			if err := p.addStoredJob(*created); err != nil {
+				log.Warn().Err(err).Msg("stored job not passed to the holder's scheduler")
 			}
 		})
 	}
@@ -70,29 +63,36 @@
 	perhapsStored storeOutcome = "perhapsStored"
 )
 
-// storeJob creates the job's key. All attempts have the same condition, so that at most one takes effect. The returned revision is 0
-// unless this call is known to have created the key.
-func (n *Node) storeJob(ctx context.Context, key string, value []byte) (storeOutcome, store.Revision, int) {
+// storeJob creates the job's key. All attempts have the same condition, so that at most one takes effect; they differ in the fencing token of
+// the pool's holder that is known to the node through which the attempt goes. created is nil unless this call is known to have created the key.
+func (n *Node) storeJob(ctx context.Context, job workload.Job) (outcome storeOutcome, created *storedJob, tries int) {
 	unanswered := false
-	for tries := 1; ; tries++ {
+	for tries = 1; ; tries++ {
+		access := n.storeFor(tries)
+		job.Fence = access.holderFence(ctx, job.Pool)
+		value, err := json.Marshal(job)
+		if err != nil {
+			n.Log.Error().Err(err).Str("job", job.ID).Msg("job cannot be encoded")
+			return notStored, nil, tries
+		}
 		tryCtx, cancel := context.WithTimeout(ctx, n.StoreTimeout.forAttempt(tries))
-		revision, _, err := n.storeFor(tries).Apply(tryCtx, store.Transaction{
-			If: []store.Condition{{Key: key}}, Put: []store.Write{{Key: key, Value: value}},
+		revision, _, err := access.Apply(tryCtx, store.Transaction{
+			If: []store.Condition{{Key: jobKey(job.Pool, job.ID)}}, Put: []store.Write{{Key: jobKey(job.Pool, job.ID), Value: value}},
 		})
 		cancel()
 		if err == nil {
-			return stored, revision, tries
+			return stored, &storedJob{Pool: job.Pool, ID: job.ID, Value: value, Revision: revision}, tries
 		}
 		if errors.Is(err, store.ErrConflict) {
-			return stored, 0, tries
+			return stored, nil, tries
 		}
 		unanswered = unanswered || errors.Is(err, store.ErrUnavailable)
 		if waitRetry(ctx) {
 			continue
 		}
 		if unanswered {
-			return perhapsStored, 0, tries
+			return perhapsStored, nil, tries
 		}
-		return notStored, 0, tries
+		return notStored, nil, tries
 	}
 }
--- a/verbenaentry/node/unknownjobs.go
+++ b/verbenaentry/node/unknownjobs.go
@@ -97,7 +97,11 @@
 		return jobSnapshot{}, err
 	}
 	snapshot := jobSnapshot{revision: entry.Revision}
-	if snapshot.job, err = decodeStoredJob(entry.Value); err != nil {
+	snapshot.job, err = p.decodeJob(entry.Value, entry.Revision)
+	if errors.Is(err, errStoredUnderNewer) {
+		return jobSnapshot{}, err
+	}
+	if err != nil {
 		// No holder starts a job that it cannot decode.
 		p.log.Error().Err(err).Str("job", id).Msg("stored job cannot be decoded")
 		return jobSnapshot{}, store.ErrNotFound
