feat(verbenaentry): repeat unanswered starts instead of giving the run up

Change: a start is sent again each 80 ms within its 0.3 s, with the same run number, which a worker answers alike; a budget of 0.4 repetitions a start bounds it. A refusal beside an unanswered attempt stays unanswered.

--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -259,6 +259,16 @@
 // fullBackoff is how long a worker that reported too little free capacity gets no starts; by then its next report has arrived.
 const fullBackoff = 150 * time.Millisecond
 
+// AwaitsStart reports whether the answer to a start is awaited, and the worker has not restarted since the order.
+func (p *Pool) AwaitsStart(s Start) bool {
+	w := p.workers[s.Worker.ID]
+	if w == nil || w.Incarnation != s.Worker.Incarnation {
+		return false
+	}
+	x := w.runs[runKey{s.Task, s.Run}]
+	return x != nil && x.phase == ordered
+}
+
 // StartAnswered applies the answer to a start; clock is the worker's clock in it.
 func (p *Pool) StartAnswered(s Start, a StartAnswer, clock time.Duration, now time.Time) {
 	w := p.workers[s.Worker.ID]
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -14,8 +14,6 @@
 const (
 	// orderTimeout is the timeout of an order to a worker; the worker's next report shows the outcome of an unanswered order.
 	orderTimeout = time.Second
-	// startTimeout is the timeout of a start, whose answer takes milliseconds.
-	startTimeout = 300 * time.Millisecond
 	// holdWait is how long a worker delays its answer to a hold if no run ends. For suspectFor after an unanswered hold the delay is
 	// suspectHoldWait, since runs that end during an unanswered hold are not reported until the next one.
 	holdWait        = 500 * time.Millisecond
@@ -69,11 +67,7 @@
 
 func (p *pool) sendStart(ctx context.Context, s dispatch.Start) {
 	began := time.Now()
-	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	outcome, clock, err := p.node.Workers.Start(startCtx, platform.StartOrder{
-		Order: p.order(s.Worker, s.Task, s.Run), Spec: s.Spec, LeaseEnd: s.LeaseEnd, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-	})
-	cancel()
+	outcome, clock, err := p.startOnce(ctx, s)
 	observe(p.node.Registry, "starts."+string(outcome), time.Since(began))
 	p.logEvent(dispatch.Event{Kind: "start", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Reason: string(outcome), Age: s.Waited})
 	if err != nil {
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -16,6 +16,7 @@
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/follow"
 	"verbenalanding.example/fleet/interval"
+	"verbenalanding.example/fleet/retry"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
@@ -98,6 +99,8 @@
 	registrationsListed bool
 	// writeTries is the number of the current attempt to write records since the last success.
 	writeTries int
+	// startBudget limits the repetitions of unanswered starts.
+	startBudget retry.Budget
 	// leased holds the workers whose lease a goroutine renews.
 	leased map[string]bool
 
@@ -116,7 +119,7 @@
 func (n *Node) holdPool(ctx context.Context, name string, fence uint64) error {
 	p := &pool{
 		node: n, name: name, fence: fence, takenAt: n.Clock.Now(), log: n.Log.With().Str("pool", name).Uint64("fence", fence).Logger(),
-		revisions: map[string]store.Revision{}, leased: map[string]bool{},
+		revisions: map[string]store.Revision{}, leased: map[string]bool{}, startBudget: newStartBudget(),
 		planNow: ring.New[struct{}](1), writeNow: ring.New[struct{}](1), recordNow: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(maxOrders)
