fix(upkeep): drain as many machines as the time needs, and interrupt work only when it runs out

Cause: the time that a wave needs was counted as one round for each due machine of a pool, one after the other. Five machines a pool make 15 s, forty make 120 s: at size the deadline looked tight from the first second, so busy machines were taken from running tasks, and all due machines of a pool got no new work at once. Change: only machines with long-running tasks are counted one after the other; the others in rounds of as many as may be down, at least two. A pool drains as many machines at a time as are needed to finish in the time that is left. Evidence: TestWaveOfManyBusyMachines fails without the change (32 of 32 interrupted at the start of 25 s).

--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -28,8 +28,14 @@
 	Candidates []Candidate
 }
 
-// reserve is the fraction of the time to the deadline that is kept for machines that fail or wait.
-const reserve = 0.3
+const (
+	// reserve is the fraction of the time to the deadline that is kept for machines that fail or wait.
+	reserve = 0.3
+	// minRounds is the least number of rounds for which time is kept: an unanswered order is repeated only after a timeout.
+	minRounds = 2
+	// drainTime is how long the tasks of a worker that gets no more starts usually run on.
+	drainTime = 2 * time.Second
+)
 
 // Plan returns the machines to start now: idle ones immediately, busy ones when the time to the deadline is tight, in ascending order of
 // the work that they lose.
@@ -38,11 +44,9 @@
 	if free <= 0 || len(in.Candidates) == 0 {
 		return nil
 	}
-	list := byLoss(in.Candidates)
-	tight := DeadlineTight(in)
 	var choices []string
 	longRunning := false
-	for _, c := range list {
+	for _, c := range byLoss(in.Candidates) {
 		if len(choices) >= free {
 			break
 		}
@@ -56,47 +60,75 @@
 			}
 			longRunning = true
 		}
-		if c.Load.LostTime == 0 || tight {
+		if c.Load.LostTime == 0 || in.tight(c) {
 			choices = append(choices, c.Machine)
 		}
 	}
 	return choices
 }
 
-// Drain returns the machines that should get no new work since their upkeep must start soon: those that lose the least work, as many as
-// may be in upkeep at once.
+// Drain returns the machines that should get no new work, since their upkeep must begin soon: at most as many as may be down, and no more than
+// are needed to finish in time, so that the others go on working.
 func Drain(in Input) []string {
-	if !DeadlineNear(in) {
-		return nil
-	}
-	list := byLoss(in.Candidates)
 	var drain []string
-	for _, c := range list {
-		if len(drain) < in.MaxDown-in.Down && c.Load.Worker != "" && c.Load.Reason == "" && !c.Load.Idle {
+	needed := in.concurrency()
+	for _, c := range byLoss(in.Candidates) {
+		if len(drain) >= in.MaxDown-in.Down {
+			break
+		}
+		if c.Load.Worker == "" || c.Load.Reason != "" || c.Load.Idle || !in.near(c) {
+			continue
+		}
+		if len(drain) < needed || c.Load.LongRunning > 0 {
 			drain = append(drain, c.Machine)
 		}
 	}
 	return drain
 }
 
-// DeadlineNear reports whether the pending machines need half of the time to the deadline or more.
-func DeadlineNear(in Input) bool { return exceeds(in, 2) }
+// concurrency returns how many machines of this pool must be drained or in upkeep at a time for all of them to finish in the time that is left.
+func (in Input) concurrency() int {
+	left := in.available()
+	if left <= 0 {
+		return len(in.Candidates)
+	}
+	work := time.Duration(len(in.Candidates)) * (in.Cycle + drainTime)
+	return int((work + left - 1) / left)
+}
+
+// near reports whether half of the time that is left is needed for a machine and those before it.
+func (in Input) near(c Candidate) bool { return in.available() <= 2*in.needed(c) }
+
+// tight reports whether all of the time that is left is needed.
+func (in Input) tight(c Candidate) bool { return in.available() <= in.needed(c) }
+
+// needed returns the time that the upkeep of all machines takes.
+func (in Input) needed(c Candidate) time.Duration {
+	rounds := max(minRounds, (in.Left+in.MaxDown-1)/in.MaxDown)
+	if c.Load.LongRunning > 0 {
+		// The machines with long-running tasks go one after the other if their tasks must not be unavailable together.
+		rounds = max(rounds, in.withLongRunning())
+	}
+	return time.Duration(rounds) * in.Cycle
+}
 
-// DeadlineTight reports whether the pending machines need all of the time to the deadline.
-func DeadlineTight(in Input) bool { return exceeds(in, 1) }
+func (in Input) withLongRunning() int {
+	n := 0
+	for _, c := range in.Candidates {
+		if c.Load.LongRunning > 0 {
+			n++
+		}
+	}
+	return n
+}
 
-// exceeds reports whether factor times the upkeep time of the pending machines reaches or exceeds the time to the deadline less the
-// reserve.
-func exceeds(in Input, factor int) bool {
-	rounds := (in.Left + in.MaxDown - 1) / in.MaxDown
-	// The machines of a pool must go one after the other if their tasks must not be unavailable together.
-	rounds = max(rounds, len(in.Candidates))
-	need := time.Duration(factor*rounds) * in.Cycle
+// available returns the time to the deadline without the reserve.
+func (in Input) available() time.Duration {
 	left := in.Deadline.Sub(in.Now)
-	return left-time.Duration(reserve*float64(left)) <= need
+	return left - time.Duration(reserve*float64(left))
 }
 
-// byLoss returns the candidates in ascending order of the work that they lose.
+// byLoss sorts the candidates by the work that their upkeep interrupts.
 func byLoss(candidates []Candidate) []Candidate {
 	list := slices.Clone(candidates)
 	slices.SortStableFunc(list, func(a, b Candidate) int {
--- a/fleet/upkeep/upkeep_test.go
+++ b/fleet/upkeep/upkeep_test.go
@@ -1,6 +1,7 @@
 package upkeep_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -72,3 +73,40 @@
 		})
 	}
 }
+
+// Guards against a wave over hundreds of machines that interrupts work from its first second: its pools each have many busy machines, but time
+// enough to wait for the end of their tasks.
+func TestWaveOfManyBusyMachines(t *testing.T) {
+	working := dispatch.Load{Known: true, Worker: "w", Allowed: true, LostTime: time.Second}
+	serving := dispatch.Load{Known: true, Worker: "w", Allowed: true, LostTime: time.Second, LongRunning: 2}
+	wave := func(left time.Duration, serves int) upkeep.Input {
+		in := input(left)
+		in.MaxDown, in.Left = 65, 160
+		for i := range 32 {
+			load := working
+			if i < serves {
+				load = serving
+			}
+			in.Candidates = append(in.Candidates, candidate(fmt.Sprintf("m%02d", i), load))
+		}
+		return in
+	}
+	for _, c := range []struct {
+		name               string
+		in                 upkeep.Input
+		interrupted, drain int
+	}{
+		{"begins", wave(25*time.Second, 0), 0, 10},
+		{"begins with long-running tasks on some machines", wave(25*time.Second, 5), 0, 15},
+		{"in its last seconds", wave(5*time.Second, 0), 32, 32},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := len(upkeep.Plan(c.in)); got != c.interrupted {
+				t.Errorf("machines whose work is interrupted: got %d, want %d", got, c.interrupted)
+			}
+			if got := len(upkeep.Drain(c.in)); got != c.drain {
+				t.Errorf("machines without new work: got %d, want %d", got, c.drain)
+			}
+		})
+	}
+}
