--- a/verbenaentry/node/startattempts.go
+++ b/verbenaentry/node/startattempts.go
@@ -22,10 +22,10 @@
 	maxStartAttempts = 4
 )
 
-// newStartBudget returns the budget for repeated starts: with half of the orders of a third of the workers unanswered, a third of the starts is
-// repeated. A node that is too slow to read its answers in time must not double its own load for longer than the burst.
+// newStartBudget returns the budget for repeated starts. With half of all orders unanswered, a start needs 0.9 repetitions on average; a node that
+// is too slow to read its answers in time must not more than double its own load for longer than the burst.
 func newStartBudget() retry.Budget {
-	return retry.Budget{Ratio: 0.4, Burst: 100, MaxAttempts: maxStartAttempts, BaseDelay: startRepeatInterval}
+	return retry.Budget{Ratio: 1, Burst: 100, MaxAttempts: maxStartAttempts, BaseDelay: startRepeatInterval}
 }
 
 // startAnswer is the outcome of one attempt to start a run.
