feat(verbenaentry): repeat unanswered holds within their time

Cause: a hold without an answer took its wait and 0.25 s, then a pause of 0.15 s, before the next one; with half of the calls unanswered ends became known up to a second late, and 1.5 s without a report took a worker out of use. Change: a hold of a worker that had answered the one before is repeated 80 ms after its answer was due, without a wait, twice at most.

--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
@@ -19,8 +18,10 @@
 	holdWait        = 500 * time.Millisecond
 	suspectHoldWait = 150 * time.Millisecond
 	suspectFor      = 3 * time.Second
-	// holdMargin is added to the wait of a hold for its timeout.
-	holdMargin = 250 * time.Millisecond
+	// holdMargin is added to the wait of a hold for its timeout. Within it an unanswered hold is repeated, without a wait.
+	holdMargin         = 250 * time.Millisecond
+	holdRepeatInterval = 80 * time.Millisecond
+	maxHoldAttempts    = 3
 	// pollPause is the pause between two holds of a worker whose ended runs are being recorded, in a pool of up to pollWorkers workers. In
 	// larger pools it grows with the number of workers, since holds use most of the holder's processor time.
 	pollPause   = 25 * time.Millisecond
@@ -209,20 +210,50 @@
 	return nil
 }
 
-// holdOnce renews a worker's lease once and applies its report; it reports whether the worker answered with one.
+// holdAnswer is the outcome of one attempt to renew a worker's lease.
+type holdAnswer struct {
+	outcome platform.HoldOutcome
+	report  workload.Report
+	err     error
+}
+
+// holdOnce renews a worker's lease once and applies its report; it reports whether the worker answered with one. A hold of a worker that answered
+// the one before is repeated while it is unanswered: all attempts grant the same lease, and any report is as good.
 func (p *pool) holdOnce(ctx context.Context, next dispatch.Hold, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait+holdMargin)
 	defer cancel()
-	outcome, report, err := p.node.Workers.Hold(ctx, platform.HoldOrder{
-		Worker: next.Worker, Fence: p.fence, Held: p.valid, LeaseEnd: next.LeaseEnd, Acknowledged: next.Acknowledged, Wait: wait,
-	})
-	now := p.node.Clock.Now()
-	if err != nil && !errors.Is(err, context.Canceled) {
-		p.log.Debug().Err(err).Str("worker", next.Worker.ID).Msg("hold not answered completely")
+	calls := repeatedCall[holdAnswer]{
+		max: maxHoldAttempts,
+		send: func(ctx context.Context, attempt int) (a holdAnswer) {
+			order := platform.HoldOrder{
+				Worker: next.Worker, Fence: p.fence, Held: p.valid, LeaseEnd: next.LeaseEnd, Acknowledged: next.Acknowledged,
+			}
+			if attempt == 1 {
+				order.Wait = wait
+			}
+			a.outcome, a.report, a.err = p.node.Workers.Hold(ctx, order)
+			return a
+		},
+		settles:   func(a holdAnswer, _ int) bool { return a.outcome != platform.HoldUnanswered },
+		mayRepeat: func(int) bool { return wait > 0 && p.valid() },
 	}
-	switch outcome {
+	a, answered := calls.run(ctx, wait+holdRepeatInterval, holdRepeatInterval)
+	if !answered {
+		p.log.Debug().Str("worker", next.Worker.ID).Msg("hold not answered")
+		return false
+	}
+	if a.err != nil {
+		p.log.Debug().Err(a.err).Str("worker", next.Worker.ID).Msg("hold not answered completely")
+	}
+	return p.applyHold(next, a)
+}
+
+// applyHold applies a worker's answer to a hold; it reports whether that is a report.
+func (p *pool) applyHold(next dispatch.Hold, a holdAnswer) bool {
+	now := p.node.Clock.Now()
+	switch a.outcome {
 	case platform.HoldAccepted:
-		p.update(func(scheduler *dispatch.Pool) { scheduler.Report(next.Worker.ID, report, now) })
+		p.update(func(scheduler *dispatch.Pool) { scheduler.Report(next.Worker.ID, a.report, now) })
 		return true
 	case platform.HoldOtherWorker:
 		p.update(func(scheduler *dispatch.Pool) {
--- a/verbenaentry/node/startattempts.go
+++ b/verbenaentry/node/startattempts.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/retry"
 	"verbenalanding.example/platform"
@@ -42,71 +39,37 @@
 	order   platform.StartOrder
 	// mayRepeat reports whether the start may be sent again after a number of attempts.
 	mayRepeat func(sent int) bool
-
-	answers chan startAnswer
-	group   errgroup.Group
-	// sent counts the attempts, open those without an outcome yet.
-	sent, open int
 }
 
 // run returns the outcome of the attempts.
 func (s *startAttempts) run(ctx context.Context) (platform.StartOutcome, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	s.answers = make(chan startAnswer, maxStartAttempts)
-	defer func() {
-		cancel()
-		_ = s.group.Wait()
-	}()
-	s.send(ctx)
-	repeat := time.NewTicker(startRepeatInterval)
-	defer repeat.Stop()
-	var err error
-	for s.open > 0 {
-		select {
-		case a := <-s.answers:
-			s.open--
-			if s.settles(a.outcome) {
-				return a.outcome, a.clock, a.err
-			}
-			err = errors.Join(err, a.err)
-			// The first attempt may have used a connection that the worker had closed.
-			if s.sent == 1 && ctx.Err() == nil {
-				s.repeat(ctx)
-			}
-		case <-repeat.C:
-			s.repeat(ctx)
-		}
+	defer cancel()
+	calls := repeatedCall[startAnswer]{
+		max: maxStartAttempts,
+		send: func(ctx context.Context, _ int) (a startAnswer) {
+			a.outcome, a.clock, a.err = s.workers.Start(ctx, s.order)
+			return a
+		},
+		settles:   startSettles,
+		mayRepeat: s.mayRepeat,
 	}
-	return platform.Unanswered, 0, err
+	if a, ok := calls.run(ctx, startRepeatInterval, startRepeatInterval); ok {
+		return a.outcome, a.clock, a.err
+	}
+	return platform.Unanswered, 0, context.Cause(ctx)
 }
 
-// settles reports whether an attempt's outcome is that of the start. While another attempt is unanswered, it may still be carried out after
-// this one was refused, unless the worker has ended or follows a newer holder.
-func (s *startAttempts) settles(o platform.StartOutcome) bool {
-	switch o {
+// startSettles reports whether the outcome of one of several attempts is that of the start. While another attempt is unanswered, it may still be
+// carried out after this one was refused, unless the worker has ended or follows a newer holder.
+func startSettles(a startAnswer, sent int) bool {
+	switch a.outcome {
 	case platform.Started, platform.OtherWorker, platform.RefusedFence:
 		return true
 	case platform.Unanswered:
 		return false
 	}
-	return s.sent == 1
-}
-
-func (s *startAttempts) repeat(ctx context.Context) {
-	if s.sent < maxStartAttempts && s.mayRepeat(s.sent) {
-		s.send(ctx)
-	}
-}
-
-func (s *startAttempts) send(ctx context.Context) {
-	s.sent++
-	s.open++
-	s.group.Go(func() error {
-		var a startAnswer
-		a.outcome, a.clock, a.err = s.workers.Start(ctx, s.order)
-		s.answers <- a
-		return nil
-	})
+	return sent == 1
 }
 
 // startOnce sends a start, which is repeated while it is unanswered, and returns its outcome.
