feat(verbenaentry): explain why a job or a queue waits, and estimate when it goes on

Operators saw jobs that were listed as waiting while nobody could say when they would run. Any node now answers, from the decision's own inputs of the pool's holder: the reason, since when, the work that is placed before it, the capacity and an estimate of the start with its basis. verbenactl has the commands job and queue. How far the estimates are off is not measured yet.

--- /dev/null
+++ b/fleet/dispatch/explain.go
@@ -0,0 +1,300 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// WaitReason says why the next task of a job is not running.
+type WaitReason string
+
+// The reasons for which a job waits.
+const (
+	// WaitNone means that no task of the job waits.
+	WaitNone WaitReason = "none"
+	// WaitEnded means that the job has ended.
+	WaitEnded WaitReason = "ended"
+	// WaitNotDue means that its next occurrence is not due yet.
+	WaitNotDue WaitReason = "notDue"
+	// WaitEarlierSteps means that tasks of earlier steps are running.
+	WaitEarlierSteps WaitReason = "earlierSteps"
+	// WaitUnreported means that a previous holder may have started the task on a worker that has not reported to this one.
+	WaitUnreported WaitReason = "workerNotReported"
+	// WaitNoWorker means that no worker takes starts now.
+	WaitNoWorker WaitReason = "noWorker"
+	// WaitAdvice means that the advice service has not named a worker for the step.
+	WaitAdvice WaitReason = "advice"
+	// WaitLabel means that no worker has the required label.
+	WaitLabel WaitReason = "label"
+	// WaitSpread means that each worker runs as many tasks of the step as may share one.
+	WaitSpread WaitReason = "spread"
+	// WaitTooLarge means that the task needs more than the capacity of any worker.
+	WaitTooLarge WaitReason = "tooLarge"
+	// WaitNoCapacity means that the free capacity of no worker suffices.
+	WaitNoCapacity WaitReason = "noCapacity"
+	// WaitNextPlan means that the task is about to be started.
+	WaitNextPlan WaitReason = "nextPlan"
+)
+
+// Explanation says why a job waits, and when it is likely to go on.
+type Explanation struct {
+	Job   string         `json:"job"`
+	Queue string         `json:"queue"`
+	Pool  string         `json:"pool"`
+	State workload.State `json:"state"`
+	// Reason is that of the next task that waits.
+	Reason WaitReason `json:"reason"`
+	// Since is when that task became ready; zero if it is not ready.
+	Since time.Time `json:"since,omitzero"`
+	// Waiting counts the tasks that are ready and wait, Running the tasks that have a run.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	// JobsBefore counts the jobs whose waiting tasks are placed first, WorkBefore is the work of these tasks in core-seconds.
+	JobsBefore int     `json:"jobsBefore"`
+	WorkBefore float64 `json:"workBefore"`
+	// Cores is the capacity of the workers that take starts, FreeCores what no task has reserved.
+	Cores     float64 `json:"cores"`
+	FreeCores float64 `json:"freeCores"`
+	// EstimatedStart is when the next task is likely to start; zero if that cannot be estimated.
+	EstimatedStart time.Time `json:"estimatedStart,omitzero"`
+	// Basis says what the estimate is based on.
+	Basis string `json:"basis"`
+}
+
+const milliPerCore = 1000
+
+// explainer holds what the explanations of several jobs have in common.
+type explainer struct {
+	pool *Pool
+	now  time.Time
+	u    uncertainty
+	// before holds, for each job with waiting tasks, how many jobs are placed before it and their work in core-seconds.
+	before map[*job]workBefore
+	// cores is the capacity of the workers that take starts, free what no task has reserved.
+	cores, free float64
+}
+
+type workBefore struct {
+	jobs int
+	work float64
+}
+
+func (p *Pool) newExplainer(now time.Time) *explainer {
+	x := &explainer{pool: p, now: now, u: p.currentUncertainty(now), before: map[*job]workBefore{}}
+	for _, w := range p.sortedWorkers() {
+		if p.usable(w, now) {
+			x.cores += float64(w.Capacity.CPU) / milliPerCore
+			x.free += float64(max(0, w.free().CPU)) / milliPerCore
+		}
+	}
+	var before workBefore
+	for _, c := range p.candidates(x.u, now) {
+		if _, listed := x.before[c.job]; !listed {
+			x.before[c.job] = before
+		}
+		before.jobs++
+		before.work += p.waitingWork(c, x.u)
+	}
+	return x
+}
+
+// Explain says why a job waits; known is false for an unknown job.
+func (p *Pool) Explain(id string, now time.Time) (e Explanation, known bool) {
+	j := p.jobs[id]
+	if j == nil {
+		return Explanation{}, false
+	}
+	return p.newExplainer(now).explain(j), true
+}
+
+func (x *explainer) explain(j *job) Explanation {
+	state, _ := x.pool.JobState(j.ID)
+	before := x.before[j]
+	e := Explanation{
+		Job: j.ID, Queue: j.Queue, Pool: x.pool.Name, State: state, JobsBefore: before.jobs, WorkBefore: before.work, Cores: x.cores, FreeCores: x.free,
+	}
+	if j.state.Terminal() {
+		e.Reason, e.Basis = WaitEnded, "the job has ended"
+		return e
+	}
+	e.countTasks(j, x.u)
+	o, s, t := nextTask(j)
+	if t == nil {
+		e.Reason, e.Basis = WaitNone, "all tasks that are left are running"
+		return e
+	}
+	e.explainTask(x, j, o, s, t)
+	return e
+}
+
+// nextTask returns the first task that is not done and has no run, with the indexes of its occurrence and step; nil if there is none.
+func nextTask(j *job) (occurrence, step int, next *task) {
+	for o := range j.occurrences {
+		for s := range j.occurrences[o].steps {
+			for _, t := range j.occurrences[o].steps[s].tasks {
+				if !t.done && len(t.runs) == 0 {
+					return o, s, t
+				}
+			}
+		}
+	}
+	return 0, 0, nil
+}
+
+func (e *Explanation) countTasks(j *job, u uncertainty) {
+	for o := range j.occurrences {
+		for s := range j.occurrences[o].steps {
+			st := &j.occurrences[o].steps[s]
+			for _, t := range st.tasks {
+				if len(t.runs) > 0 {
+					e.Running++
+				} else if st.ready && waiting(t, u) {
+					e.Waiting++
+				}
+			}
+		}
+	}
+}
+
+// waitingWork returns the work of a candidate's waiting tasks in core-seconds. Long-running tasks keep their cores, and count as work of a second.
+func (p *Pool) waitingWork(c candidate, u uncertainty) float64 {
+	work := 0.0
+	oc := &c.job.occurrences[c.occurrence]
+	for s := range oc.steps {
+		st := &oc.steps[s]
+		if !st.ready {
+			continue
+		}
+		for _, t := range st.tasks {
+			if waiting(t, u) {
+				took := p.expectedDuration(t)
+				if t.step.LongRunning {
+					took = time.Second
+				}
+				work += float64(t.step.Reserved().CPU) / milliPerCore * took.Seconds()
+			}
+		}
+	}
+	return work
+}
+
+// explainTask sets the reason for which a task waits, and the estimate of its start.
+func (e *Explanation) explainTask(x *explainer, j *job, o, s int, t *task) {
+	p, now := x.pool, x.now
+	oc := &j.occurrences[o]
+	switch {
+	case oc.due.After(now):
+		e.Reason, e.EstimatedStart, e.Basis = WaitNotDue, oc.due, fmt.Sprintf("occurrence %d is due then", o)
+		return
+	case !oc.steps[s].ready:
+		e.Reason, e.Basis = WaitEarlierSteps, fmt.Sprintf("step %d waits for steps %v", s, j.Steps[s].After)
+		if left := p.earlierStepsLeft(j, o, s, now); left > 0 {
+			e.EstimatedStart = now.Add(left)
+			e.Basis += ", by the run times that were learnt"
+		}
+		return
+	}
+	e.Since = t.readySince
+	if x.u.mayRun(t) {
+		e.Reason, e.EstimatedStart = WaitUnreported, p.priorLeasesUntil
+		e.Basis = "a worker that has not reported may run the task, at most until then"
+		return
+	}
+	e.Reason = p.placementReason(t, now)
+	e.estimateStart(now)
+}
+
+// earlierStepsLeft estimates how long the steps before a step still run.
+func (p *Pool) earlierStepsLeft(j *job, o, s int, now time.Time) time.Duration {
+	left := time.Duration(0)
+	for _, a := range j.Steps[s].After {
+		st := &j.occurrences[o].steps[a]
+		if st.done < len(st.tasks) && !st.startedAt.IsZero() {
+			left = max(left, p.expectedDuration(st.tasks[0])-now.Sub(st.startedAt))
+		}
+	}
+	return left
+}
+
+// placementReason says why no worker gets a task that is ready.
+func (p *Pool) placementReason(t *task, now time.Time) WaitReason {
+	need := t.step.Reserved()
+	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
+		return WaitAdvice
+	}
+	usable := slices.DeleteFunc(slices.Clone(p.sortedWorkers()), func(w *worker) bool { return !p.usable(w, now) })
+	reason := WaitNoWorker
+	for _, w := range usable {
+		reason = furthest(reason, p.workerReason(w, t, need))
+	}
+	return reason
+}
+
+// reasonOrder holds the reasons of single workers: the later one, which more conditions precede, is that of the pool.
+var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitAdvice, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitNextPlan}
+
+func furthest(a, b WaitReason) WaitReason {
+	return reasonOrder[max(slices.Index(reasonOrder, a), slices.Index(reasonOrder, b))]
+}
+
+func (p *Pool) workerReason(w *worker, t *task, need workload.Resources) WaitReason {
+	switch {
+	case t.step.RequiredLabel != "" && !slices.Contains(w.Labels, t.step.RequiredLabel):
+		return WaitLabel
+	case !w.Capacity.Fits(need):
+		return WaitTooLarge
+	case t.step.MaxPerWorker > 0 && p.onWorker(t, w) >= t.step.MaxPerWorker:
+		return WaitSpread
+	case !w.free().Fits(need):
+		return WaitNoCapacity
+	}
+	return WaitNextPlan
+}
+
+// estimateStart estimates the start of a task that waits for a worker.
+func (e *Explanation) estimateStart(now time.Time) {
+	switch e.Reason {
+	case WaitNextPlan:
+		e.EstimatedStart, e.Basis = now, "a worker has enough free capacity"
+	case WaitNoCapacity:
+		e.EstimatedStart = now.Add(time.Duration(e.WorkBefore / e.Cores * float64(time.Second)))
+		e.Basis = fmt.Sprintf("%.0f core-seconds of %d jobs are placed before it, on %.0f cores", e.WorkBefore, e.JobsBefore, e.Cores)
+	default:
+		e.Basis = "no estimate: it depends on a change of the workers"
+	}
+}
+
+// QueueExplanation says why the jobs of a queue wait.
+type QueueExplanation struct {
+	Queue string `json:"queue"`
+	Pool  string `json:"pool"`
+	// Jobs counts the accepted jobs that have not ended, Reasons those that wait, by the reason of their next task.
+	Jobs    int                `json:"jobs"`
+	Reasons map[WaitReason]int `json:"reasons"`
+	// Longest is the explanation of the job whose next task has been ready for the longest time.
+	Longest *Explanation `json:"longest,omitempty"`
+}
+
+// ExplainQueue says why the jobs of a queue wait.
+func (p *Pool) ExplainQueue(name string, now time.Time) QueueExplanation {
+	q := QueueExplanation{Queue: name, Pool: p.Name, Reasons: map[WaitReason]int{}}
+	x := p.newExplainer(now)
+	for _, j := range p.active {
+		if j.Queue != name {
+			continue
+		}
+		q.Jobs++
+		e := x.explain(j)
+		if e.Reason == WaitNone {
+			continue
+		}
+		q.Reasons[e.Reason]++
+		if !e.Since.IsZero() && (q.Longest == nil || e.Since.Before(q.Longest.Since)) {
+			q.Longest = &e
+		}
+	}
+	return q
+}
--- a/verbenactl/client/client.go
+++ b/verbenactl/client/client.go
@@ -252,7 +252,9 @@
 	if err != nil {
 		return answer{}, err
 	}
-	request.Header.Set("Authorization", "Bearer "+c.Token)
+	if c.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.Token)
+	}
 	if k.body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
--- /dev/null
+++ b/verbenactl/client/explain.go
@@ -0,0 +1,32 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"verbenalanding.example/fleet/dispatch"
+)
+
+// ExplainJob returns why a job waits.
+func (c *Client) ExplainJob(ctx context.Context, id string) (dispatch.Explanation, error) {
+	return get[dispatch.Explanation](ctx, c, "/operator/jobs/"+url.PathEscape(id))
+}
+
+// ExplainQueue returns why the jobs of a queue wait.
+func (c *Client) ExplainQueue(ctx context.Context, name string) (dispatch.QueueExplanation, error) {
+	return get[dispatch.QueueExplanation](ctx, c, "/operator/queues/"+url.PathEscape(name))
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (out T, err error) {
+	a, err := c.do(ctx, call{method: http.MethodGet, path: path})
+	if err != nil {
+		return out, err
+	}
+	if err := json.Unmarshal(a.body, &out); err != nil {
+		return out, fmt.Errorf("decode the answer to %s: %w", path, err)
+	}
+	return out, nil
+}
--- a/verbenactl/command/command.go
+++ b/verbenactl/command/command.go
@@ -66,6 +66,8 @@
 		{"fmt", "rewrite declaration files in canonical format", &formatCommand{}},
 		{"query", "run one statement, for example: query show wave", &queryCommand{}},
 		{"prompt", "run statements interactively", &promptCommand{}},
+		{"job", "say why a job of the users' platform waits, and when it is likely to start", &jobCommand{}},
+		{"queue", "say why the jobs of a queue of the users' platform wait", &queueCommand{}},
 		{"report", "print a report: burn, waves or moves", &reportCommand{}},
 		{"hash-token", "create a token and its entry for the tokens file", &hashTokenCommand{}},
 		{"version", "print the versions of this program and of the daemon", &versionCommand{}},
@@ -151,6 +153,17 @@
 	if token == "" {
 		return nil, usageErrorf("no token is given; set VERBENA_TOKEN_FILE or --token-file")
 	}
+	c, err := s.anonymousClient()
+	if err != nil {
+		return nil, err
+	}
+	c.Token = token
+	return c, nil
+}
+
+// anonymousClient returns an API client without a token.
+func (s *session) anonymousClient() (*client.Client, error) {
+	o := s.options
 	if o.Retries < 0 || o.Timeout <= 0 {
 		return nil, usageErrorf("--retries must not be negative and --timeout must be above 0")
 	}
@@ -163,7 +176,7 @@
 			return nil, usageErrorf("--server %s: want a URL such as https://10.0.0.1:8081", server)
 		}
 	}
-	return &client.Client{Servers: o.Servers, Token: token, HTTP: h, Retries: o.Retries}, nil
+	return &client.Client{Servers: o.Servers, HTTP: h, Retries: o.Retries}, nil
 }
 
 // print writes the value as JSON with the flag --json, and the text otherwise.
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -35,6 +35,9 @@
 	methodConfiguration = "configuration.newest"
 	// It also asks them for the holder of a duty.
 	methodHolder = "duty.holder"
+	// Operators ask any node why a job or the jobs of a queue wait.
+	methodExplainJob   = "job.explain"
+	methodExplainQueue = "queue.explain"
 )
 
 // peerTimeout is the timeout of a call to another node; requests fall back to the store when the holder does not answer.
@@ -208,6 +211,10 @@
 		return p.jobState(name), nil
 	case methodPending:
 		return p.pending(name)
+	case methodExplainJob:
+		return p.explainJob(name), nil
+	case methodExplainQueue:
+		return p.explainQueue(name), nil
 	case methodCancelled:
 		p.cancelJob(name)
 		return nil, nil
--- a/verbenaentry/testfleet/testfleet.go
+++ b/verbenaentry/testfleet/testfleet.go
@@ -312,6 +312,14 @@
 	return standin.Request{Method: method, Host: Host, Path: path, Body: content}.Send(ctx, f.client, n.settings.Entry)
 }
 
+// Explain requests an explanation from the readiness address of an instance and returns status and body.
+func (f *Fleet) Explain(ctx context.Context, i int, path string) (int, []byte, error) {
+	f.mu.Lock()
+	n := f.nodes[i]
+	f.mu.Unlock()
+	return standin.Request{Method: http.MethodGet, Host: Host, Path: "/operator/" + path}.Send(ctx, f.client, n.settings.Readiness)
+}
+
 // retryDelay is the delay between two attempts of a caller.
 const retryDelay = 100 * time.Millisecond
 
