--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -15,6 +15,8 @@
 	"failed":   failedOnce,
 	"gang":     gangWithAdvice,
 	"cancel":   cancelledBeforeStored,
+	"early":    earlyOccurrences,
+	"record":   largeRecord,
 	"schedule": scheduledJobs,
 }
 
@@ -300,3 +302,88 @@
 	}
 	return 0
 }
+
+// earlyOccurrences submits a job that runs each week; with the disruption it runs so often that the last occurrences are centuries away.
+func earlyOccurrences(s *system, trouble bool) {
+	const prefix, id = "/puxa400/", "5c0e7a21d94b36f8"
+	s.addWorkers("fitdesk", 3)
+	s.configure(7, []route{newRoute("r-anu6wsj", prefix, "fitdesk")}, []service{newService("fitdesk")})
+	s.startEntries(3)
+	time.Sleep(stable)
+	const week = 7 * 24 * time.Hour
+	first := time.Now().Add(2 * time.Second)
+	j := &job{id: id, jobBody: jobBody{
+		Spec: "stock tally", Steps: []step{{Count: 1, Cpu: 3500, MemMb: 5100, EstimateMs: 600}},
+		Times: 1000, IntervalMs: week.Milliseconds(), StartTimeMs: first.UnixMilli(),
+	}, work: 600 * time.Millisecond}
+	if trouble {
+		j.Times = 20000
+	}
+	s.submit(prefix, j)
+	time.Sleep(15 * time.Second)
+	const early = 250 * time.Millisecond
+	var broken []string
+	for _, x := range s.fleet.startsOf(id) {
+		occurrence, _ := strconv.ParseInt(strings.Split(x.task, ".")[1], 10, 64)
+		dueMs := j.StartTimeMs + occurrence*j.IntervalMs
+		if x.at.UnixMilli() < dueMs-early.Milliseconds() {
+			broken = append(broken, fmt.Sprintf("ORDER: %s starts %d days before its time", x.task, (dueMs-x.at.UnixMilli())/(24*time.Hour).Milliseconds()))
+		}
+	}
+	s.finish(broken)
+}
+
+// largeRecord submits a scheduled job whose progress becomes larger than a value of the store, and ordinary jobs before and after that.
+func largeRecord(s *system, trouble bool) {
+	const prefix, id = "/puxa400/", "5c0e7a21d94b36f8"
+	s.addWorkers("fitdesk", 9)
+	s.configure(7, []route{newRoute("r-anu6wsj", prefix, "fitdesk")}, []service{newService("fitdesk")})
+	s.startEntries(3)
+	time.Sleep(stable)
+	j := &job{id: id, jobBody: jobBody{Spec: "stock tally", Times: 2600, IntervalMs: 20, StartTimeMs: time.Now().Add(time.Second).UnixMilli()}, work: 20 * time.Millisecond, quiet: true}
+	if !trouble {
+		j.Times = 260
+	}
+	for range 24 {
+		j.Steps = append(j.Steps, step{Count: 1, Cpu: 1000, MemMb: 100, EstimateMs: 20})
+	}
+	s.submit(prefix, j)
+	ordinary := func(n int) string { return fmt.Sprintf("%016x", 0x7700000000000000+n) }
+	const ordinaryJobs = 65
+	for n := range ordinaryJobs {
+		time.Sleep(time.Second)
+		o := &job{id: ordinary(n), work: 300 * time.Millisecond}
+		o.Spec = "size match"
+		o.Steps = []step{{Count: 6, Cpu: 3500, MemMb: 5100, EstimateMs: 300}, {Count: 6, Cpu: 3500, MemMb: 5100, EstimateMs: 300, After: []int{0}}}
+		s.submit(prefix, o)
+		s.store.mu.Lock()
+		written, refused := len(s.store.items["state/fitdesk/"+id].Value), s.store.tooLarge
+		s.store.mu.Unlock()
+		s.record.note("scheduled job: %d starts; its record has %d bytes; %d writes were refused, since a value is larger than ValueBytes", len(s.fleet.startsOf(id)), written, refused)
+	}
+	time.Sleep(finishTime)
+	const look = 500 * time.Millisecond
+	idle := map[string]int{}
+	for range 7 {
+		time.Sleep(look)
+		used, capacity, free := s.fleet.usage("fitdesk")
+		s.record.note("in use %d of %d, a worker has %d free", used, capacity, free)
+		for n := range ordinaryJobs {
+			running := false
+			for _, x := range s.fleet.startsOf(ordinary(n)) {
+				running = running || x.ended.IsZero()
+			}
+			if !running && 2*used < capacity && free >= 2*6*3500 {
+				idle[ordinary(n)]++
+			}
+		}
+	}
+	var broken []string
+	for n := range ordinaryJobs {
+		status, state := s.state(prefix, ordinary(n))
+		if idle[ordinary(n)] == 7 && !strings.Contains(state, "completed") {
+			broken = append(broken, fmt.Sprintf("LOST: job %s has nothing running for 3 s, %v after the last job was sent, although there is room; state %d %s", ordinary(n), finishTime, status, state))
+		}
+	}
+	s.finish(broken)
+}
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -14,6 +14,7 @@
 const (
 	maxTransaction = 32
 	pageItems      = 500
+	valueBytes     = 1 << 20
 )
 
 // item is an entry of the store, or the removal of a key.
@@ -56,6 +57,8 @@
 	changed  chan struct{}
 	// transactions counts the transactions of the system.
 	transactions int
+	// tooLarge counts the refused transactions with a value larger than valueBytes.
+	tooLarge int
 	// late returns how long after its arrival an unanswered write is carried out; 0 for a write that is answered.
 	late func(t *transaction) time.Duration
 }
@@ -225,6 +228,10 @@
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
 			return http.StatusForbidden, nil
 		}
+		if len(p.Value) > valueBytes {
+			s.tooLarge++
+			return http.StatusBadRequest, nil
+		}
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
 			return http.StatusNotFound, nil
 		}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -15,7 +15,9 @@
 	holdMax     = 6000 * time.Millisecond
 	stopTime    = 50 * time.Millisecond
 	gangTimeout = 3000 * time.Millisecond
-	heartbeat   = 1500 * time.Millisecond
+	// endsPerAnswer is how many ends a worker lists at a time.
+	endsPerAnswer = 500
+	heartbeat     = 1500 * time.Millisecond
 	// startup is how long a task that lasts takes until it is at work.
 	startup = 900 * time.Millisecond
 )
@@ -51,6 +53,8 @@
 	work      time.Duration
 	failures  int
 	failAfter time.Duration
+	// quiet jobs have so many tasks that the record only counts them.
+	quiet bool
 }
 
 type run struct {
@@ -70,6 +74,7 @@
 	run    int
 	how    string
 	start  *start
+	quiet  bool
 }
 
 // worker is one life of a machine.
@@ -94,8 +99,6 @@
 	// life counts the starts of the worker; orders of an earlier life are not carried out.
 	life int
 	down bool
-	// held is true once a hold has arrived in this life.
-	held bool
 }
 
 // start is a task that a worker has begun.
@@ -181,7 +184,7 @@
 	f.mu.Lock()
 	f.record.note("worker %s crashes", w.id)
 	w.life++
-	w.down, w.held = true, false
+	w.down = true
 	for _, x := range w.runs {
 		x.start.ended, x.start.how = time.Now(), "crashed"
 	}
@@ -265,16 +268,14 @@
 		w.answer(rw, http.StatusOK, "")
 	case "/api/hold":
 		w.lease = max(w.lease, deadline)
-		if !w.held {
-			w.held = true
-			f.record.note("worker %s: the first hold of this life arrives, AckedUntil %d", w.id, o.AckedUntil)
-		}
 		kept := w.ended[:0]
 		for _, e := range w.ended {
 			if e.number > o.AckedUntil {
 				kept = append(kept, e)
 			} else {
-				f.record.note("worker %s: the end %d %q of %s run %d is taken note of, AckedUntil %d", w.id, e.number, e.how, e.task, e.run, o.AckedUntil)
+				if !e.quiet {
+					f.record.note("worker %s: the end %d %q of %s run %d is taken note of, AckedUntil %d", w.id, e.number, e.how, e.task, e.run, o.AckedUntil)
+				}
 				e.start.noted = time.Now()
 			}
 		}
@@ -324,7 +325,7 @@
 		}
 		running = append(running, []any{x.task, x.number, "", percent, 0})
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(endsPerAnswer, len(w.ended))] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
 	return map[string]any{"ClockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "Running": running, "Ended": ended}
@@ -368,7 +369,9 @@
 	w.runs[task] = x
 	x.start = &start{at: time.Now(), worker: w.id, pool: w.pool, task: task, run: number}
 	f.starts = append(f.starts, x.start)
-	f.record.note("worker %s (%s) starts %s run %d, fence %d", w.id, w.pool, task, number, w.fence)
+	if !j.quiet {
+		f.record.note("worker %s (%s) starts %s run %d, fence %d", w.id, w.pool, task, number, w.fence)
+	}
 	return ""
 }
 
@@ -376,8 +379,10 @@
 	delete(w.runs, x.task)
 	w.lastEnd++
 	x.start.ended, x.start.how = time.Now(), how
-	w.ended = append(w.ended, endRow{w.lastEnd, x.task, x.number, how, x.start})
-	w.fleet.record.note("worker %s: %s run %d ends %q", w.id, x.task, x.number, how)
+	w.ended = append(w.ended, endRow{w.lastEnd, x.task, x.number, how, x.start, x.job.quiet})
+	if !x.job.quiet {
+		w.fleet.record.note("worker %s: %s run %d ends %q", w.id, x.task, x.number, how)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
