test(review): a job that was cancelled before it was stored runs all the same

Case 5, rule UNASKED: the store does not answer the writes of a job and carries them out late. The client is answered with 504, cancels the job and gets 410; the late write then starts it more than cancel_ms later.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule of claim.txt was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+exec target/review-rig cancel review/5
