--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -38,10 +38,16 @@
 	fmt.Fprintf(r.out, "%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// temporary is the folder for the settings and logs of the processes.
+var temporary string
+
 // unable ends the program with the code for a case that cannot run.
 func unable(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	stopAll()
+	if temporary != "" {
+		_ = os.RemoveAll(temporary)
+	}
 	os.Exit(2)
 }
 
@@ -179,6 +185,7 @@
 	if err != nil {
 		unable("%v", err)
 	}
+	temporary = dir
 	s := &system{record: newRecord(filepath.Join(caseDir, "record.txt")), store: newStore(), dir: dir}
 	s.fleet = newFleet(s.store, s.record)
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
