--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/review-rig ] && [ -x target/verbenaentry ] || { echo "build the deploy file and review/build.sh first" >&2; exit 2; }
-exec target/review-rig cancel review/5
+exec target/review-rig failed review/5
