--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-GOWORK=off go build -C review/rig -o ../../target/review-rig .
+GOWORK=off go build -C review/rig -buildvcs=false -o ../../target/review-rig .
