--- a/fleet/dispatch/handover.go
+++ b/fleet/dispatch/handover.go
@@ -21,6 +21,15 @@
 	Reported map[string]int64 `json:"heard,omitempty"`
 }
 
+// Tasks returns the number of tasks whose runs may be present.
+func (h Handover) Tasks() int {
+	n := 0
+	for _, tasks := range h.Runs {
+		n += len(tasks)
+	}
+	return n
+}
+
 // Handover returns the handover for a successor. ok is false for a holder that does not know all runs that may be present, or that has
 // processed ends which are not recorded.
 func (p *Pool) Handover(now time.Time) (h Handover, ok bool) {
--- a/fleet/workload/worker.go
+++ b/fleet/workload/worker.go
@@ -93,6 +93,13 @@
 	Checkpoint string
 }
 
+// ClockReading is what an answer of a worker tells of its sender: the incarnation, and the monotonic clock, which each incarnation starts anew.
+type ClockReading struct {
+	// Incarnation is 0 in an answer that does not name it.
+	Incarnation int64
+	Clock       time.Duration
+}
+
 // Report is a worker's report of its runs.
 type Report struct {
 	Incarnation int64
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -68,9 +68,13 @@
 
 func (p *pool) sendStart(ctx context.Context, s dispatch.Start) {
 	began := time.Now()
-	outcome, clock, err := p.startOnce(ctx, s)
+	outcome, at, err := p.startOnce(ctx, s)
 	observe(p.node.Registry, "starts."+string(outcome), time.Since(began))
 	p.logEvent(dispatch.Event{Kind: "start", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Reason: string(outcome), Age: s.Waited})
+	if at.Incarnation != 0 && at.Incarnation != s.Worker.Incarnation {
+		p.log.Warn().Str("job", s.Task.Job).Str("worker", s.Worker.ID).Int64("incarnation", s.Worker.Incarnation).Dur("leaseEnd", s.LeaseEnd).
+			Int64("answeredBy", at.Incarnation).Dur("clock", at.Clock).Msg("start answered by another incarnation of the worker")
+	}
 	if err != nil {
 		p.log.Debug().Err(err).Str("worker", s.Worker.ID).Msg("start not answered")
 	}
@@ -95,7 +99,7 @@
 	}
 	now := p.node.Clock.Now()
 	p.mu.Lock()
-	p.scheduler.StartAnswered(s, answer, clock, now)
+	p.scheduler.StartAnswered(s, answer, at.Clock, now)
 	if outcome == platform.OtherWorker {
 		p.scheduler.IncarnationEnded(s.Worker, "another worker has its address")
 	}
@@ -112,14 +116,14 @@
 }
 
 func (p *pool) sendStop(ctx context.Context, s dispatch.Stop) {
-	accepted, clock, err := p.node.Workers.Stop(ctx, p.order(s.Worker, s.Task, s.Run))
+	accepted, at, err := p.node.Workers.Stop(ctx, p.order(s.Worker, s.Task, s.Run))
 	p.logEvent(dispatch.Event{Kind: "stop", Job: s.Task.Job, Task: s.Task, Run: s.Run, Worker: s.Worker.ID, Reason: s.Reason})
 	if err != nil {
 		p.log.Debug().Err(err).Str("worker", s.Worker.ID).Msg("stop not answered")
 	}
 	if accepted {
 		p.mu.Lock()
-		needsReport := p.scheduler.StopAnswered(s, clock)
+		needsReport := p.scheduler.StopAnswered(s, at.Clock)
 		p.mu.Unlock()
 		if needsReport {
 			p.poll(ctx, s.Worker.ID)
--- a/verbenaentry/node/startattempts.go
+++ b/verbenaentry/node/startattempts.go
@@ -7,6 +7,7 @@
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/retry"
+	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 )
 
@@ -28,7 +29,7 @@
 // startAnswer is the outcome of one attempt to start a run.
 type startAnswer struct {
 	outcome platform.StartOutcome
-	clock   time.Duration
+	at      workload.ClockReading
 	err     error
 }
 
@@ -42,22 +43,22 @@
 }
 
 // run returns the outcome of the attempts.
-func (s *startAttempts) run(ctx context.Context) (platform.StartOutcome, time.Duration, error) {
+func (s *startAttempts) run(ctx context.Context) (platform.StartOutcome, workload.ClockReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	calls := repeatedCall[startAnswer]{
 		max: maxStartAttempts,
 		send: func(ctx context.Context, _ int) (a startAnswer) {
-			a.outcome, a.clock, a.err = s.workers.Start(ctx, s.order)
+			a.outcome, a.at, a.err = s.workers.Start(ctx, s.order)
 			return a
 		},
 		settles:   startSettles,
 		mayRepeat: s.mayRepeat,
 	}
 	if a, ok := calls.run(ctx, startRepeatInterval, startRepeatInterval); ok {
-		return a.outcome, a.clock, a.err
+		return a.outcome, a.at, a.err
 	}
-	return platform.Unanswered, 0, context.Cause(ctx)
+	return platform.Unanswered, workload.ClockReading{}, context.Cause(ctx)
 }
 
 // startSettles reports whether the outcome of one of several attempts is that of the start. While another attempt is unanswered, it may still be
@@ -73,7 +74,7 @@
 }
 
 // startOnce sends a start, which is repeated while it is unanswered, and returns its outcome.
-func (p *pool) startOnce(ctx context.Context, s dispatch.Start) (platform.StartOutcome, time.Duration, error) {
+func (p *pool) startOnce(ctx context.Context, s dispatch.Start) (platform.StartOutcome, workload.ClockReading, error) {
 	p.mu.Lock()
 	p.startBudget.Request()
 	p.mu.Unlock()
--- a/verbenaentry/node/successor.go
+++ b/verbenaentry/node/successor.go
@@ -32,7 +32,7 @@
 			If: []store.Condition{p.dutyCondition()}, Put: []store.Write{{Key: p.handoverKey(), Value: value}},
 		})
 	}
-	p.log.Info().Err(err).Int("bytes", len(value)).Msg("duty handed over")
+	p.log.Info().Err(err).Int("bytes", len(value)).Int("tasks", h.Tasks()).Msg("duty handed over")
 }
 
 // readHandover applies the previous holder's handover and deletes it. A handover is valid only until the next holder's first order; if it
@@ -107,7 +107,7 @@
 	p.mu.Lock()
 	p.scheduler.InheritHandover(h, p.node.Clock.Now())
 	p.mu.Unlock()
-	p.log.Info().Uint64("writer", h.Writer).Int("workers", len(h.Runs)).Msg("handover applied")
+	p.log.Info().Uint64("writer", h.Writer).Int("workers", len(h.Runs)).Int("tasks", h.Tasks()).Msg("handover applied")
 }
 
 // retryUntilAnswered repeats a read of previous holders' records until the store has answered or the duty is lost. The timeout of an attempt
