--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -13,6 +13,8 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a worker grants. It limits a lease end that was meant for an earlier incarnation.
 	MaxLease time.Duration
+	// MaxOrderDelay is how much later an unanswered order may be carried out.
+	MaxOrderDelay time.Duration
 	// StartLease is how long a start may be in transit; the worker refuses it afterwards.
 	StartLease time.Duration
 	// Takeover is how long a lost holder may go on giving orders after its successor began.
@@ -37,6 +39,8 @@
 func (s Settings) Default() Settings {
 	s.Lease = cmp.Or(s.Lease, 3500*time.Millisecond)
 	s.MaxLease = max(s.Lease, cmp.Or(s.MaxLease, 6*time.Second))
+	// The platform states that an unanswered start may run up to 12 s later.
+	s.MaxOrderDelay = cmp.Or(s.MaxOrderDelay, 12*time.Second)
 	s.StartLease = cmp.Or(s.StartLease, 1500*time.Millisecond)
 	s.Takeover = cmp.Or(s.Takeover, 2500*time.Millisecond)
 	s.ReportTimeout = cmp.Or(s.ReportTimeout, 1500*time.Millisecond)
@@ -139,8 +143,10 @@
 	absentJobs map[string]time.Time
 	means      map[string]*runningMean
 	tickets    map[stepKey]*ticketSet
-	// priorLeasesUntil is the time until which runs of a lost holder may be present on workers that have not reported.
+	// priorLeasesUntil is the time until which runs of a previous holder may be present on workers that have not reported;
+	// handedOverLeases holds the workers on which those that the handover names may be present for longer.
 	priorLeasesUntil time.Time
+	handedOverLeases map[string]time.Time
 	// priorOrdersUntil is the time until which a lost holder may give orders.
 	priorOrdersUntil time.Time
 	// reportedBefore holds the incarnations of the workers that had reported to the previous holder; nil if no lost holder may give
@@ -193,7 +199,8 @@
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
 	p.priorOrdersUntil = now.Add(p.Settings.Takeover)
-	p.priorLeasesUntil = p.priorOrdersUntil.Add(p.longestElapsed(p.Settings.Lease))
+	// The lost holder may have started a task on an incarnation of a worker of which neither holder knows.
+	p.priorLeasesUntil = p.priorOrdersUntil.Add(p.longestElapsed(p.Settings.MaxLease))
 }
 
 // longestElapsed returns the longest time in which a worker's clock may advance by d.
--- a/fleet/dispatch/known_workers.go
+++ b/fleet/dispatch/known_workers.go
@@ -14,7 +14,7 @@
 	}
 	known := map[string]bool{}
 	for id := range p.inheritedKnown {
-		if !p.priorLeasesEnded(now) && p.awaitsReport(id) {
+		if !p.priorLeaseEnded(id, now) && p.awaitsReport(id) {
 			known[id] = true
 		}
 	}
--- a/fleet/dispatch/lease.go
+++ b/fleet/dispatch/lease.go
@@ -28,6 +28,7 @@
 	}
 	h.LeaseEnd = w.clockAt(now) + p.Settings.Lease
 	p.extendLease(w, now, p.Settings.Lease)
+	w.leaseSentAt = now
 	return h
 }
 
@@ -44,6 +45,28 @@
 	}
 }
 
+// unattributedEnd returns the latest time at which an incarnation of which this holder does not know may have a run. The clock of such an
+// incarnation is far behind the lease ends in orders, so that it grants the longest lease with each, and does not refuse a late start.
+func (p *Pool) unattributedEnd(x *run) time.Time {
+	from := x.worker.leaseSentAt
+	if startedBy := x.orderedAt.Add(p.Settings.MaxOrderDelay); x.startClock == 0 && startedBy.After(from) {
+		from = startedBy
+	}
+	return from.Add(p.longestElapsed(p.Settings.MaxLease))
+}
+
+// countPriorLease extends the lease of a worker that reports for the first time by what a previous holder may have granted it, until then or
+// until its last order, also by a lease end that was meant for the clock of an earlier incarnation.
+func (p *Pool) countPriorLease(w *worker, reportedAt time.Time) {
+	from := p.priorOrdersUntil
+	if reportedAt.Before(from) {
+		from = reportedAt
+	}
+	if end := from.Add(p.longestElapsed(p.Settings.MaxLease)); end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
 // departedRetention is how long the record for a successor names a worker that is gone; the platform may list its machine for longer than
 // the worker lives.
 const departedRetention = time.Minute
@@ -53,9 +76,11 @@
 	for _, w := range p.sortedWorkers() {
 		unresponsive := now.Sub(w.reportedAt) > p.Settings.ReportTimeout
 		if (len(w.runs) > 0 || w.unprocessed.any()) && p.expired(w.leaseEnd, now) && (unresponsive || p.registrationExpired(w, now)) {
-			p.emit(Event{Kind: "worker lease ended", Worker: w.ID, Age: now.Sub(w.reportedAt)})
+			if !w.lapsed {
+				p.emit(Event{Kind: "worker lease ended", Worker: w.ID, Age: now.Sub(w.reportedAt)})
+			}
 			for _, r := range w.sortedRuns() {
-				if !r.uncertain {
+				if !r.uncertain && (r.attributed || p.expired(p.unattributedEnd(r), now)) {
 					p.lose(r, "lease ended")
 				}
 			}
@@ -78,6 +103,19 @@
 // so the duty must be confirmed after their end.
 func (p *Pool) priorLeasesEnded(now time.Time) bool { return p.expired(p.priorLeasesUntil, now) }
 
+// priorLeaseUntil returns the time until which runs of previous holders may be present on a worker that has not reported.
+func (p *Pool) priorLeaseUntil(worker string) time.Time {
+	if until := p.handedOverLeases[worker]; until.After(p.priorLeasesUntil) {
+		return until
+	}
+	return p.priorLeasesUntil
+}
+
+// priorLeaseEnded reports whether the leases of previous holders have certainly ended on a worker.
+func (p *Pool) priorLeaseEnded(worker string, now time.Time) bool {
+	return p.expired(p.priorLeaseUntil(worker), now)
+}
+
 // expired reports whether a time has passed and the duty is confirmed to have been held after it.
 func (p *Pool) expired(end, now time.Time) bool {
 	return now.After(end) && (!p.AwaitConfirmation || p.confirmedAt.After(end))
--- a/fleet/dispatch/model_worker_test.go
+++ b/fleet/dispatch/model_worker_test.go
@@ -58,6 +58,11 @@
 	return time.Duration(modelRate * float64(m.now.Sub(w.started)))
 }
 
+// reading returns what each answer of a worker tells of it.
+func (m *model) reading(w *modelWorker) workload.ClockReading {
+	return workload.ClockReading{Incarnation: w.incarnation, Clock: m.clock(w)}
+}
+
 // accepts reports whether a worker obeys an order with a fencing token.
 func (w *modelWorker) accepts(fence uint64) bool {
 	return !w.disconnected && !w.departed && fence >= w.fence
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -223,6 +223,7 @@
 	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100}
 	x.startLeaseEnd = w.clockAt(now) + p.Settings.StartLease
 	p.extendLease(w, now, p.Settings.StartLease)
+	w.leaseSentAt = now
 	x.attach()
 	st := &j.occurrences[t.id.Occurrence].steps[t.id.Step]
 	if st.startedAt.IsZero() {
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -10,15 +10,9 @@
 // Report applies a worker's report, which arrived at receivedAt.
 func (p *Pool) Report(id string, r workload.Report, receivedAt time.Time) {
 	w := p.workers[id]
-	if w == nil || (r.Incarnation != 0 && r.Incarnation < w.Incarnation) {
+	if w == nil || !p.noticeIncarnation(w, r.Incarnation, receivedAt) {
 		return
 	}
-	if r.Incarnation > w.Incarnation {
-		if w.Incarnation != 0 || len(w.runs) > 0 {
-			p.workerRestarted(w, r.Incarnation, receivedAt)
-		}
-		w.Incarnation = r.Incarnation
-	}
 	if w.synced && r.Clock < w.clock {
 		return
 	}
@@ -29,9 +23,7 @@
 	w.partial = r.Partial && (w.partial || !w.synced)
 	if !w.synced {
 		w.synced = true
-		if receivedAt.Before(p.priorLeasesUntil) && p.priorLeasesUntil.After(w.leaseEnd) {
-			w.leaseEnd = p.priorLeasesUntil
-		}
+		p.countPriorLease(w, receivedAt)
 		p.emit(Event{Kind: "worker reported", Worker: id})
 	}
 	for _, e := range r.Ended {
@@ -133,7 +125,7 @@
 	if x.phase == ordered || x.phase == unanswered {
 		x.phase = present
 	}
-	x.uncertain = false
+	x.uncertain, x.attributed = false, true
 	if x.presentAt.IsZero() {
 		x.presentAt = now
 	}
@@ -162,7 +154,7 @@
 		p.actions = append(p.actions, Stop{Worker: w.Worker, Task: a.Task, Run: a.Run, Reason: "orphaned run"})
 		return nil
 	}
-	x := &run{task: t, number: a.Run, worker: w, phase: present, orderedAt: now, presentAt: now, startClock: w.clock, pace: 100, adopted: true}
+	x := &run{task: t, number: a.Run, worker: w, phase: present, orderedAt: now, presentAt: now, startClock: w.clock, pace: 100, adopted: true, attributed: true}
 	x.attach()
 	p.emit(Event{Kind: "run taken over", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
 	return x
@@ -269,16 +261,21 @@
 	return x != nil && x.phase == ordered
 }
 
-// StartAnswered applies the answer to a start; clock is the worker's clock in it.
-func (p *Pool) StartAnswered(s Start, a StartAnswer, clock time.Duration, now time.Time) {
+// StartAnswered applies the answer to a start; at is the reading of the worker that answered.
+func (p *Pool) StartAnswered(s Start, a StartAnswer, at workload.ClockReading, now time.Time) {
 	w := p.workers[s.Worker.ID]
 	if w == nil {
 		return
 	}
+	current := p.noticeIncarnation(w, at.Incarnation, now)
 	x := w.runs[runKey{s.Task, s.Run}]
 	if x == nil {
 		return
 	}
+	if a == Present && !current {
+		// The run ended with the incarnation that had it; another attempt of the start may have reached the present one.
+		return
+	}
 	if a == Unanswered {
 		if x.phase == ordered {
 			x.phase = unanswered
@@ -290,7 +287,8 @@
 		if x.phase == ordered || x.phase == unanswered {
 			x.phase = present
 		}
-		x.startClock, x.presentAt = clock, now
+		x.startClock, x.presentAt = at.Clock, now
+		x.uncertain, x.attributed = false, x.attributed || at.Incarnation != 0
 		return
 	}
 	p.removeRun(x)
@@ -310,11 +308,11 @@
 	return [...]string{"present", "refused", "room", "old", "unhealthy", "ticket", "unanswered"}[a]
 }
 
-// StopAnswered reports that a worker accepted a stop, at a time on its clock; from then on the worker refuses a start of that run that is
-// still in transit. needsReport is true if only the worker's next report shows whether the run had begun.
-func (p *Pool) StopAnswered(s Stop, clock time.Duration) (needsReport bool) {
+// StopAnswered reports that a worker accepted a stop, with its reading; from then on the worker refuses a start of that run that is still
+// in transit. needsReport is true if only the worker's next report shows whether the run had begun.
+func (p *Pool) StopAnswered(s Stop, at workload.ClockReading, now time.Time) (needsReport bool) {
 	w := p.workers[s.Worker.ID]
-	if w == nil {
+	if w == nil || !p.noticeIncarnation(w, at.Incarnation, now) {
 		return false
 	}
 	x := w.runs[runKey{s.Task, s.Run}]
@@ -322,7 +320,7 @@
 		return false
 	}
 	if x.phase == stopping && x.stopClock == 0 {
-		x.stopClock = clock
+		x.stopClock = at.Clock
 	}
 	return x.startClock == 0
 }
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -48,6 +48,9 @@
 	// uncertain runs may be carried out by a later incarnation of the worker than the one that they were ordered from; the lease end of
 	// their start does not bound when.
 	uncertain bool
+	// attributed is true once an answer or a report of the worker's known incarnation has shown the run. Before that an incarnation of
+	// which this holder does not know may have accepted the start, with a lease end on another clock.
+	attributed bool
 }
 
 // attach adds a run to its worker and its task.
--- a/fleet/dispatch/successor_test.go
+++ b/fleet/dispatch/successor_test.go
@@ -38,7 +38,7 @@
 		t.Errorf("task that no unresponsive worker runs: got on %q, want on the worker that has reported", got)
 	}
 	wantCount(t, "starts", len(b.starts), 2)
-	b.advance(8 * time.Second)
+	b.advance(priorLeases)
 	wantCount(t, "starts after the unresponsive worker's lease has certainly ended", len(b.starts), 3)
 }
 
--- a/fleet/dispatch/uncertainty.go
+++ b/fleet/dispatch/uncertainty.go
@@ -34,8 +34,9 @@
 	for _, w := range p.workers {
 		maps.Copy(u.tasks, w.unknownTasks)
 	}
+	maps.DeleteFunc(p.handedOverLeases, func(worker string, _ time.Time) bool { return p.priorLeaseEnded(worker, now) })
 	if p.priorLeasesEnded(now) {
-		clear(p.endConfirmed)
+		p.addLongLeasedTasks(u)
 		u.allRestored = p.hasPartialReport()
 		return u
 	}
@@ -51,6 +52,17 @@
 	return u
 }
 
+// addLongLeasedTasks adds the tasks that the handover names for workers on which they may run for longer than on the others.
+func (p *Pool) addLongLeasedTasks(u uncertainty) {
+	if len(p.handedOverLeases) == 0 {
+		clear(p.endConfirmed)
+		return
+	}
+	longLeased := maps.Clone(p.handedOver)
+	maps.DeleteFunc(longLeased, func(worker string, _ []workload.TaskID) bool { return p.handedOverLeases[worker].IsZero() })
+	p.addInheritedTasks(u, longLeased)
+}
+
 // hasPartialReport reports whether a worker has listed only some of its ends.
 func (p *Pool) hasPartialReport() bool {
 	return slices.ContainsFunc(p.sortedWorkers(), func(w *worker) bool { return w.partial })
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -64,7 +64,7 @@
 	if load.Known {
 		return load
 	}
-	if _, ended := p.ended[listed]; listed != "" && !ended && now.Before(p.priorLeasesUntil) {
+	if _, ended := p.ended[listed]; listed != "" && !ended && now.Before(p.priorLeaseUntil(listed)) {
 		// The listed worker may have runs of a previous holder.
 		return Load{Known: true, Reason: "worker " + listed + " has not reported yet"}
 	}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -31,8 +31,10 @@
 	// clock is the worker's clock in the last report, reportedAt the local time at which that report arrived.
 	clock      time.Duration
 	reportedAt time.Time
-	// leaseEnd is the latest local time at which the worker's lease may still last.
+	// leaseEnd is the latest local time at which the lease of the incarnations that this holder knows may still last.
 	leaseEnd time.Time
+	// leaseSentAt is when the last order with a lease end was sent.
+	leaseSentAt time.Time
 	// earlierLeaseEnd is the latest time at which a restarted worker may have a run whose start was sent to its previous incarnation.
 	earlierLeaseEnd time.Time
 	runs            map[runKey]*run
@@ -162,12 +164,9 @@
 
 // AwaitingReport returns the workers that may have runs of a previous holder and have not reported to this one.
 func (p *Pool) AwaitingReport(now time.Time) []WorkerIncarnation {
-	if p.priorLeasesEnded(now) {
-		return nil
-	}
 	var list []WorkerIncarnation
 	for _, w := range p.sortedWorkers() {
-		if p.awaitsReport(w.ID) {
+		if !p.priorLeaseEnded(w.ID, now) && p.awaitsReport(w.ID) {
 			list = append(list, WorkerIncarnation{w.Worker, w.knownSince})
 		}
 	}
@@ -212,6 +211,18 @@
 	return list
 }
 
+// noticeIncarnation compares the incarnation that an answer names with the worker's current one: a later one shows that the worker has
+// restarted. It returns false for an answer of an earlier one.
+func (p *Pool) noticeIncarnation(w *worker, incarnation int64, now time.Time) bool {
+	if incarnation > w.Incarnation {
+		if w.Incarnation != 0 || len(w.runs) > 0 {
+			p.workerRestarted(w, incarnation, now)
+		}
+		w.Incarnation = incarnation
+	}
+	return incarnation == 0 || incarnation == w.Incarnation
+}
+
 // workerRestarted handles the restart of a worker under its id; the new incarnation has no state of the previous one.
 func (p *Pool) workerRestarted(w *worker, incarnation int64, now time.Time) {
 	p.emit(Event{Kind: "worker restarted", Worker: w.ID})
@@ -219,7 +230,7 @@
 		if r.progressAt.IsZero() {
 			// No report of the earlier incarnation listed the run, so the new one may have accepted its start, or may still accept it:
 			// its clock starts at zero, far before the lease end of the start.
-			r.uncertain, r.phase, r.startClock, r.stopClock = true, unanswered, 0, 0
+			r.uncertain, r.attributed, r.phase, r.startClock, r.stopClock = true, false, unanswered, 0, 0
 			continue
 		}
 		p.lose(r, "worker restarted")
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -57,7 +57,7 @@
 func (p *pool) markUnsent(a dispatch.Action) {
 	if s, ok := a.(dispatch.Start); ok {
 		p.mu.Lock()
-		p.scheduler.StartAnswered(s, dispatch.Refused, 0, p.node.Clock.Now())
+		p.scheduler.StartAnswered(s, dispatch.Refused, workload.ClockReading{}, p.node.Clock.Now())
 		p.mu.Unlock()
 	}
 }
@@ -99,7 +99,7 @@
 	}
 	now := p.node.Clock.Now()
 	p.mu.Lock()
-	p.scheduler.StartAnswered(s, answer, at.Clock, now)
+	p.scheduler.StartAnswered(s, answer, at, now)
 	if outcome == platform.OtherWorker {
 		p.scheduler.IncarnationEnded(s.Worker, "another worker has its address")
 	}
@@ -123,7 +123,7 @@
 	}
 	if accepted {
 		p.mu.Lock()
-		needsReport := p.scheduler.StopAnswered(s, at.Clock)
+		needsReport := p.scheduler.StopAnswered(s, at, p.node.Clock.Now())
 		p.mu.Unlock()
 		if needsReport {
 			p.poll(ctx, s.Worker.ID)
