--- a/fleet/dispatch/unnoticed_restart_test.go
+++ b/fleet/dispatch/unnoticed_restart_test.go
@@ -4,6 +4,9 @@
 	"slices"
 	"testing"
 	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
 )
 
 // runLosses simulates a scenario after each of the named losses of the first holder.
@@ -116,3 +119,29 @@
 		t.Errorf("worker of the task: got no run on %s, want one after the lease of %s", s.spare.ID, s.subject.ID)
 	}
 }
+
+// Guards against a restarted worker that gets no work, and whose runs are given up and taken over again: a registration that the earlier
+// incarnation wrote arrives after the restart was noticed, and the next report shows the restart once more.
+func TestLateRegistrationOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	b := newBench(t, 2)
+	b.advance(priorLeases)
+	events := map[string]int{}
+	b.pool.OnEvent = func(e dispatch.Event) { events[e.Kind]++ }
+	b.addJob("j", oneTask(16000))
+	starts, _ := b.orders()
+	wantCount(t, "starts", len(starts), 1)
+	s := starts[0]
+	report := func(clock time.Duration) {
+		b.pool.Report(s.Worker.ID, workload.Report{
+			Incarnation: 2, Clock: clock, Active: []workload.ActiveRun{{Task: s.Task, Run: s.Run, Percent: int(clock / time.Millisecond)}},
+		}, b.now)
+	}
+	b.pool.StartAnswered(s, dispatch.Present, workload.ClockReading{Incarnation: 2, Clock: 5 * time.Millisecond}, b.now)
+	report(10 * time.Millisecond)
+	b.pool.SetWorker(s.Worker, b.now)
+	current, _ := b.pool.CurrentIncarnation(s.Worker.ID)
+	wantCount(t, "current incarnation", int(current.Incarnation), 2)
+	report(20 * time.Millisecond)
+	wantCount(t, "restarts", events["worker restarted"], 1)
+	wantCount(t, "runs given up", events["run lost"], 0)
+}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -101,12 +101,14 @@
 		p.emit(Event{Kind: "worker added", Worker: info.ID})
 		return
 	}
-	if info.Incarnation > w.Incarnation && w.Incarnation != 0 {
-		p.workerRestarted(w, info.Incarnation, now)
+	if !p.noticeIncarnation(w, info.Incarnation, now) {
+		// An answer showed the restart before the new incarnation has registered.
+		return
 	}
 	if info.Draining && !w.Draining {
 		p.emit(Event{Kind: "worker drains", Worker: info.ID})
 	}
+	info.Incarnation = w.Incarnation
 	w.Worker, w.missingSince = info, time.Time{}
 }
 
