--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -250,11 +250,19 @@
 	return j.state, true
 }
 
+// QueueKey returns the key of the queue of a job; it is empty for an unknown job, and for one that an older version stored.
+func (p *Pool) QueueKey(id string) string {
+	if j := p.jobs[id]; j != nil {
+		return j.Terms.Key
+	}
+	return ""
+}
+
 // Pending returns the number of accepted jobs of a queue with no started task.
-func (p *Pool) Pending(queue string) int {
+func (p *Pool) Pending(queue workload.Queue) int {
 	n := 0
 	for _, j := range p.active {
-		if j.Queue == queue && !j.started {
+		if j.Terms.Same(&queue) && !j.started {
 			n++
 		}
 	}
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -279,11 +279,11 @@
 }
 
 // ExplainQueue says why the jobs of a queue wait.
-func (p *Pool) ExplainQueue(name string, now time.Time) QueueExplanation {
-	q := QueueExplanation{Queue: name, Pool: p.Name, Reasons: map[WaitReason]int{}}
+func (p *Pool) ExplainQueue(queue workload.Queue, now time.Time) QueueExplanation {
+	q := QueueExplanation{Queue: queue.Name, Pool: p.Name, Reasons: map[WaitReason]int{}}
 	x := p.newExplainer(now)
 	for _, j := range p.active {
-		if j.Queue != name {
+		if !j.Terms.Same(&queue) {
 			continue
 		}
 		q.Jobs++
@@ -292,9 +292,24 @@
 			continue
 		}
 		q.Reasons[e.Reason]++
-		if !e.Since.IsZero() && (q.Longest == nil || e.Since.Before(q.Longest.Since)) {
-			q.Longest = &e
-		}
+		q.addLongest(&e)
 	}
 	return q
 }
+
+// Add adds the jobs of the queue that wait in a pool which the queue has left.
+func (q *QueueExplanation) Add(other QueueExplanation) {
+	q.Jobs += other.Jobs
+	for reason, n := range other.Reasons {
+		q.Reasons[reason] += n
+	}
+	if other.Longest != nil {
+		q.addLongest(other.Longest)
+	}
+}
+
+func (q *QueueExplanation) addLongest(e *Explanation) {
+	if !e.Since.IsZero() && (q.Longest == nil || e.Since.Before(q.Longest.Since)) {
+		q.Longest = e
+	}
+}
--- a/fleet/dispatch/explain_test.go
+++ b/fleet/dispatch/explain_test.go
@@ -87,7 +87,7 @@
 	if got, want := e.EstimatedStart.Sub(b.now), 2*time.Second; got != want {
 		t.Errorf("time to the estimated start: got %v, want %v", got, want)
 	}
-	q := b.pool.ExplainQueue(queue.Name, b.now)
+	q := b.pool.ExplainQueue(queue, b.now)
 	wantCount(t, "jobs of the queue", q.Jobs, 4)
 	wantCount(t, "jobs without enough free capacity", q.Reasons[dispatch.WaitNoCapacity], 3)
 	if q.Longest == nil || q.Longest.Job != "a" {
--- a/fleet/workload/worker.go
+++ b/fleet/workload/worker.go
@@ -1,7 +1,10 @@
 package workload
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -26,7 +29,10 @@
 	Name   string `json:"name"`
 	Host   string `json:"-"`
 	Prefix string `json:"-"`
-	Pool   string `json:"pool"`
+	// Key identifies the queue by the host and the prefix to which callers send. It stays the same when the operator renames the queue or
+	// moves it to another pool; empty in jobs that an older version stored.
+	Key  string `json:"key,omitempty"`
+	Pool string `json:"pool"`
 	// Priority 0 is the highest priority.
 	Priority int `json:"priority,omitempty"`
 	// MaxAttempts is how many runs of a task may fail before its job fails.
@@ -38,6 +44,23 @@
 	Advice *AdviceSettings `json:"advice,omitempty"`
 }
 
+// queueKeyBytes is the length of a queue's key before its encoding, in bytes; a store key has room for twice that many digits.
+const queueKeyBytes = 16
+
+// QueueKey returns the key of the queue to which callers send at a host and a path prefix.
+func QueueKey(host, prefix string) string {
+	sum := sha256.Sum256([]byte(strings.ToLower(host) + "\n" + prefix))
+	return hex.EncodeToString(sum[:queueKeyBytes])
+}
+
+// Same reports whether two descriptions are of the same queue; the name counts if one of them was stored by an older version, without a key.
+func (q *Queue) Same(other *Queue) bool {
+	if q.Key == "" || other.Key == "" {
+		return q.Name == other.Name
+	}
+	return q.Key == other.Key
+}
+
 // AdviceSettings holds the response times of the advice service for a queue, and how long its tickets are valid.
 type AdviceSettings struct {
 	Decide time.Duration `json:"decide"`
--- a/verbenaentry/node/explain.go
+++ b/verbenaentry/node/explain.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
 )
 
 // explainCalls bounds the concurrent calls to holders for one explanation.
@@ -36,10 +38,10 @@
 	return jobExplanation{known, e}
 }
 
-func (p *pool) explainQueue(name string) dispatch.QueueExplanation {
+func (p *pool) explainQueue(q workload.Queue) dispatch.QueueExplanation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.ExplainQueue(name, p.node.Clock.Now())
+	return p.scheduler.ExplainQueue(q, p.node.Clock.Now())
 }
 
 // explainJob asks the holders of all pools why a job waits, since an operator may have its id only.
@@ -79,28 +81,38 @@
 	if held := n.pools.get(pool); held != nil {
 		return held.explainJob(id), nil
 	}
-	return answer, n.callHolder(ctx, pool, methodExplainJob, poolItem{pool, id}, &answer)
+	return answer, n.callHolder(ctx, pool, methodExplainJob, poolItem{Pool: pool, Name: id}, &answer)
 }
 
-// explainQueue asks a queue's holder why its jobs wait.
+// explainQueue asks why the jobs of a queue wait: the holder of its pool, and those of the pools that it has left.
 func (n *Node) explainQueue(ctx context.Context, name string) (answer dispatch.QueueExplanation, err error) {
 	c := n.View.Configuration()
 	if c == nil {
 		return answer, errHoldersMissing
 	}
-	for _, q := range c.Queues {
-		if q.Name != name {
-			continue
-		}
-		if held := n.pools.get(q.Pool); held != nil {
-			return held.explainQueue(name), nil
-		}
-		if err := n.callHolder(ctx, q.Pool, methodExplainQueue, poolItem{q.Pool, name}, &answer); err != nil {
+	i := slices.IndexFunc(c.Queues, func(q workload.Queue) bool { return q.Name == name })
+	if i < 0 {
+		return answer, errUnknownQueue
+	}
+	for at, pool := range n.poolsOf(ctx, &c.Queues[i]) {
+		part, err := n.explainQueueIn(ctx, pool, c.Queues[i])
+		if err != nil {
 			return answer, errors.Join(errHoldersMissing, err)
 		}
-		return answer, nil
+		if at == 0 {
+			answer = part
+		} else {
+			answer.Add(part)
+		}
+	}
+	return answer, nil
+}
+
+func (n *Node) explainQueueIn(ctx context.Context, pool string, q workload.Queue) (answer dispatch.QueueExplanation, err error) {
+	if held := n.pools.get(pool); held != nil {
+		return held.explainQueue(q), nil
 	}
-	return answer, errUnknownQueue
+	return answer, n.callHolder(ctx, pool, methodExplainQueue, poolItem{Pool: pool, Name: q.Name, Queue: q.Key}, &answer)
 }
 
 // routeExplanations serves explanations to operators.
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -78,6 +78,7 @@
 
 	pools         pools
 	claimedOrders newestOrders
+	queuePools    queuePools
 	leaving       atomic.Bool
 	// refusals limits the log lines for refused requests.
 	refusals logs.Budget
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -47,6 +47,8 @@
 type poolItem struct {
 	Pool string `json:"pool"`
 	Name string `json:"name"`
+	// Queue is the key of a queue; empty for a job, and in calls of an older version.
+	Queue string `json:"queue,omitempty"`
 }
 
 type jobAnswer struct {
@@ -188,7 +190,7 @@
 	}
 	return rpc.Answer(params, func(item poolItem) (answer any, err error) {
 		err = n.withPool(item.Pool, func(p *pool) error {
-			answer, err = p.handleCall(method, item.Name)
+			answer, err = p.handleCall(method, item)
 			return err
 		})
 		return answer, err
@@ -205,16 +207,17 @@
 }
 
 // handleCall handles another node's call about a job or a queue.
-func (p *pool) handleCall(method, name string) (any, error) {
+func (p *pool) handleCall(method string, item poolItem) (any, error) {
+	name := item.Name
 	switch method {
 	case methodJobState:
 		return p.jobState(name), nil
 	case methodPending:
-		return p.pending(name)
+		return p.pending(workload.Queue{Name: name, Key: item.Queue}), nil
 	case methodExplainJob:
 		return p.explainJob(name), nil
 	case methodExplainQueue:
-		return p.explainQueue(name), nil
+		return p.explainQueue(workload.Queue{Name: name, Key: item.Queue}), nil
 	case methodCancelled:
 		p.cancelJob(name)
 		return nil, nil
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -289,10 +289,10 @@
 	return jobAnswer{Known: known, State: state}
 }
 
-func (p *pool) pending(queue string) (pendingAnswer, error) {
+func (p *pool) pending(q workload.Queue) pendingAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return pendingAnswer{Pending: p.scheduler.Pending(queue)}, nil
+	return pendingAnswer{Pending: p.scheduler.Pending(q)}
 }
 
 // runPlans plans after each event and at intervals.
--- a/verbenaentry/node/state.go
+++ b/verbenaentry/node/state.go
@@ -14,7 +14,7 @@
 
 // answerState responds with a job's state from the pool's holder, or from the store if the holder does not know the job.
 func (n *Node) answerState(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string) int {
-	state, source, err := n.stateOf(ctx, q.Pool, id)
+	state, source, err := n.stateOf(ctx, q, id)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 		n.Log.Info().Str("job", id).Str("source", source).Msg("state of an unknown job requested")
@@ -37,32 +37,54 @@
 }
 
 // stateOf returns a job's state and where it was read: from the holder or from the store.
-func (n *Node) stateOf(ctx context.Context, pool, id string) (workload.State, string, error) {
-	answer := jobAnswer{}
-	if held := n.pools.get(pool); held != nil {
-		answer = held.jobState(id)
-	} else if err := n.callHolder(ctx, pool, methodJobState, poolItem{pool, id}, &answer); err != nil {
-		n.Log.Debug().Str("job", id).Err(err).Msg("state not received from the holder; reading it from the store")
-	}
-	if answer.Known {
-		return answer.State, "holder", nil
+func (n *Node) stateOf(ctx context.Context, q *workload.Queue, id string) (state workload.State, source string, err error) {
+	if state, known := n.stateFromHolder(ctx, q.Pool, id); known {
+		return state, "holder", nil
 	}
 	for attempt := 1; ; attempt++ {
-		state, err := n.storedState(ctx, pool, id, attempt)
+		state, source, err = n.stateFromStore(ctx, q, id, attempt)
 		if err == nil || errors.Is(err, store.ErrNotFound) {
-			return state, "store", err
+			return state, source, err
 		}
 		if !waitRetry(ctx) {
-			return "", "store", err
+			return "", source, err
 		}
 	}
 }
 
-func (n *Node) storedState(ctx context.Context, pool, id string, attempt int) (workload.State, error) {
+func (n *Node) stateFromHolder(ctx context.Context, pool, id string) (state workload.State, known bool) {
+	answer := jobAnswer{}
+	if held := n.pools.get(pool); held != nil {
+		answer = held.jobState(id)
+	} else if err := n.callHolder(ctx, pool, methodJobState, poolItem{Pool: pool, Name: id}, &answer); err != nil {
+		n.Log.Debug().Str("job", id).Str("pool", pool).Err(err).Msg("state not received from the holder; reading it from the store")
+	}
+	return answer.State, answer.Known
+}
+
+// stateFromStore returns the state of a job that the holder of its queue's pool does not know, or has not answered about. The queue may have
+// been moved since the job was accepted: the job then stays in the pool for which it was stored.
+func (n *Node) stateFromStore(ctx context.Context, q *workload.Queue, id string, attempt int) (state workload.State, source string, err error) {
+	st := n.storeFor(attempt)
+	if state, err = n.storedState(ctx, st, q.Pool, id, attempt); !errors.Is(err, store.ErrNotFound) {
+		return state, "store", err
+	}
+	pool, err := n.acceptedPool(ctx, st, q, id, attempt)
+	if err != nil {
+		return "", "store", err
+	}
+	if state, known := n.stateFromHolder(ctx, pool, id); known {
+		return state, "holder", nil
+	}
+	state, err = n.storedState(ctx, st, pool, id, attempt)
+	return state, "store", err
+}
+
+// storedState reads a job's state from the records of a pool.
+func (n *Node) storedState(ctx context.Context, st storeAccess, pool, id string, attempt int) (workload.State, error) {
 	// One attempt consists of up to two reads.
 	ctx, cancel := context.WithTimeout(ctx, 2*n.StoreTimeout.forAttempt(attempt))
 	defer cancel()
-	st := n.storeFor(attempt)
 	entry, err := st.Get(ctx, stateKey(pool, id))
 	if err == nil {
 		var record dispatch.Record
@@ -83,19 +105,37 @@
 	return workload.Queued, nil
 }
 
+// pendingIn returns the number of jobs of a queue that have not started in a pool.
+func (n *Node) pendingIn(ctx context.Context, pool string, q *workload.Queue) (int, error) {
+	if held := n.pools.get(pool); held != nil {
+		return held.pending(*q).Pending, nil
+	}
+	var answer pendingAnswer
+	err := n.callHolder(ctx, pool, methodPending, poolItem{Pool: pool, Name: q.Name, Queue: q.Key}, &answer)
+	return answer.Pending, err
+}
+
+// pending returns the number of jobs of a queue that have not started, in its pool and in those that it has left.
+func (n *Node) pending(ctx context.Context, q *workload.Queue) (int, error) {
+	total := 0
+	for _, pool := range n.poolsOf(ctx, q) {
+		waiting, err := n.pendingIn(ctx, pool, q)
+		if err != nil {
+			return 0, err
+		}
+		total += waiting
+	}
+	return total, nil
+}
+
 // answerPending responds with the number of jobs of a queue that have not started.
 func (n *Node) answerPending(w http.ResponseWriter, r *http.Request, q *workload.Queue) {
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r)-answerReserve)
 	defer cancel()
-	var answer pendingAnswer
+	var waiting int
 	for {
 		var err error
-		if held := n.pools.get(q.Pool); held != nil {
-			answer, err = held.pending(q.Name)
-		} else {
-			err = n.callHolder(ctx, q.Pool, methodPending, poolItem{q.Pool, q.Name}, &answer)
-		}
-		if err == nil {
+		if waiting, err = n.pending(ctx, q); err == nil {
 			break
 		}
 		if !waitRetry(ctx) {
@@ -104,7 +144,7 @@
 			return
 		}
 	}
-	body, err := platform.EncodePending(answer.Pending)
+	body, err := platform.EncodePending(waiting)
 	if err != nil {
 		n.refuse(w, http.StatusInternalServerError, "count not encoded")
 		return
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -14,7 +13,7 @@
 
 // submit stores a job; the job is accepted only once it is stored.
 func (n *Node) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q *workload.Queue, id string, maxBody int64) int {
-	log := n.Log.With().Str("job", id).Str("queue", q.Name).Logger()
+	log := n.Log.With().Str("job", id).Str("queue", q.Name).Str("pool", q.Pool).Logger()
 	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(maxBody, 1<<10)))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -63,25 +62,24 @@
 	perhapsStored storeOutcome = "perhapsStored"
 )
 
-// storeJob creates the job's key. All attempts have the same condition, so that at most one takes effect; they differ in the fencing token of
+// storeJob creates the job's keys. All attempts have the same condition, so that at most one takes effect; they differ in the fencing token of
 // the pool's holder that is known to the node through which the attempt goes. created is nil unless this call is known to have created the key.
 func (n *Node) storeJob(ctx context.Context, job workload.Job) (outcome storeOutcome, created *storedJob, tries int) {
 	unanswered := false
 	for tries = 1; ; tries++ {
 		access := n.storeFor(tries)
 		job.Fence = access.holderFence(ctx, job.Pool)
-		value, err := json.Marshal(job)
+		accept, err := n.acceptJob(job)
 		if err != nil {
 			n.Log.Error().Err(err).Str("job", job.ID).Msg("job cannot be encoded")
 			return notStored, nil, tries
 		}
 		tryCtx, cancel := context.WithTimeout(ctx, n.StoreTimeout.forAttempt(tries))
-		revision, _, err := access.Apply(tryCtx, store.Transaction{
-			If: []store.Condition{{Key: jobKey(job.Pool, job.ID)}}, Put: []store.Write{{Key: jobKey(job.Pool, job.ID), Value: value}},
-		})
+		revision, _, err := access.Apply(tryCtx, accept)
 		cancel()
 		if err == nil {
-			return stored, &storedJob{Pool: job.Pool, ID: job.ID, Value: value, Revision: revision}, tries
+			n.queuePools.record(job.Terms.Key, job.Pool)
+			return stored, &storedJob{Pool: job.Pool, ID: job.ID, Value: accept.Put[0].Value, Revision: revision}, tries
 		}
 		if errors.Is(err, store.ErrConflict) {
 			return stored, nil, tries
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -171,12 +171,15 @@
 	p.mu.Lock()
 	ids := p.scheduler.ExpiredJobs(now)
 	p.mu.Unlock()
-	const keysPerJob = 3
+	const keysPerJob = 4
 	const perCall = (store.MaxTransaction - 1) / keysPerJob
 	for chunk := range slices.Chunk(ids, perCall) {
 		t := store.Transaction{If: []store.Condition{p.dutyCondition()}}
 		for _, id := range chunk {
 			t.Delete = append(t.Delete, jobKey(p.name, id), stateKey(p.name, id), cancelKey(p.name, id))
+			if queue := p.queueKey(id); queue != "" {
+				t.Delete = append(t.Delete, acceptedKey(queue, id))
+			}
 		}
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, _, err := p.node.Store.Apply(callCtx, t)
@@ -189,6 +192,13 @@
 	}
 }
 
+// queueKey returns the key of the queue of a job.
+func (p *pool) queueKey(id string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.QueueKey(id)
+}
+
 // forgetJobs removes jobs that were deleted from the store.
 func (p *pool) forgetJobs(ids []string) {
 	p.mu.Lock()
