--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -35,6 +35,8 @@
 	WaitTooLarge WaitReason = "tooLarge"
 	// WaitNoCapacity means that the free capacity of no worker suffices.
 	WaitNoCapacity WaitReason = "noCapacity"
+	// WaitOtherWorker means that the task has failed on each worker with enough free capacity, and waits for another one.
+	WaitOtherWorker WaitReason = "otherWorker"
 	// WaitNextPlan means that the task is about to be started.
 	WaitNextPlan WaitReason = "nextPlan"
 )
@@ -199,12 +201,12 @@
 	}
 	e.Since = t.readySince
 	if x.u.mayRun(t) {
-		e.Reason, e.EstimatedStart = WaitUnreported, p.priorLeasesUntil
+		e.Reason, e.EstimatedStart = WaitUnreported, p.priorRunUntil(t)
 		e.Basis = "a worker that has not reported may run the task, at most until then"
 		return
 	}
 	e.Reason = p.placementReason(t, now)
-	e.estimateStart(now)
+	e.estimateStart(t, now)
 }
 
 // earlierStepsLeft estimates how long the steps before a step still run.
@@ -234,7 +236,7 @@
 }
 
 // reasonOrder holds the reasons of single workers: the later one, which more conditions precede, is that of the pool.
-var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitAdvice, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitNextPlan}
+var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitAdvice, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitOtherWorker, WaitNextPlan}
 
 func furthest(a, b WaitReason) WaitReason {
 	return reasonOrder[max(slices.Index(reasonOrder, a), slices.Index(reasonOrder, b))]
@@ -250,15 +252,19 @@
 		return WaitSpread
 	case !w.free().Fits(need):
 		return WaitNoCapacity
+	case slices.Contains(t.failedOn, w.ID):
+		return WaitOtherWorker
 	}
 	return WaitNextPlan
 }
 
 // estimateStart estimates the start of a task that waits for a worker.
-func (e *Explanation) estimateStart(now time.Time) {
+func (e *Explanation) estimateStart(t *task, now time.Time) {
 	switch e.Reason {
 	case WaitNextPlan:
 		e.EstimatedStart, e.Basis = now, "a worker has enough free capacity"
+	case WaitOtherWorker:
+		e.EstimatedStart, e.Basis = t.returnsAt(), "the task then runs again on a worker on which it has failed"
 	case WaitNoCapacity:
 		e.EstimatedStart = now.Add(time.Duration(e.WorkBefore / e.Cores * float64(time.Second)))
 		e.Basis = fmt.Sprintf("%.0f core-seconds of %d jobs are placed before it, on %.0f cores", e.WorkBefore, e.JobsBefore, e.Cores)
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -235,11 +235,35 @@
 	})
 }
 
-// choose returns the worker for a task, or nil. A task runs again where it failed only if no other worker could ever run it: a further
-// failed run may end the job, waiting does not.
+const (
+	// failedTaskWait is how long a task whose run has failed waits for another worker before it runs again on the same one; it doubles with
+	// each failed run, up to maxFailedTaskWait. The other workers may be occupied by tasks that run until they are cancelled.
+	failedTaskWait    = time.Second
+	maxFailedTaskWait = 2 * time.Second
+)
+
+// returnsAt returns when a task may run again on a worker on which it has failed, although another one could run it once it has room.
+func (t *task) returnsAt() time.Time {
+	doublings := max(0, len(t.failedRuns)-1)
+	return t.readySince.Add(min(failedTaskWait<<min(doublings, 8), maxFailedTaskWait))
+}
+
+// choice is the best one of the workers that were offered.
+type choice struct {
+	worker *worker
+	score  float64
+}
+
+func (c *choice) offer(w *worker, score float64) {
+	if c.worker == nil || score < c.score {
+		c.worker, c.score = w, score
+	}
+}
+
+// choose returns the worker for a task, or nil. A task runs again where it failed only if no other worker could ever run it, or if none had
+// room for some time: a further failed run may end the job, waiting does not.
 func (p *Pool) choose(t *task, need workload.Resources, now time.Time) *worker {
-	var best, fallback *worker
-	var bestScore, fallbackScore float64
+	var best, failed choice
 	fitsElsewhere := false
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
 		return nil
@@ -254,18 +278,16 @@
 		if !free.Fits(need) {
 			continue
 		}
-		score := p.score(w, t, free, now)
-		if failedHere && (fallback == nil || score < fallbackScore) {
-			fallback, fallbackScore = w, score
-		}
-		if !failedHere && (best == nil || score < bestScore) {
-			best, bestScore = w, score
+		if score := p.score(w, t, free, now); failedHere {
+			failed.offer(w, score)
+		} else {
+			best.offer(w, score)
 		}
 	}
-	if best == nil && !fitsElsewhere {
-		return fallback
+	if best.worker == nil && (!fitsElsewhere || !now.Before(t.returnsAt())) {
+		return failed.worker
 	}
-	return best
+	return best.worker
 }
 
 // admits reports whether the rules of the step allow a task on a worker.
--- a/fleet/dispatch/uncertainty.go
+++ b/fleet/dispatch/uncertainty.go
@@ -125,3 +125,14 @@
 func (u uncertainty) mayRun(t *task) bool {
 	return u.tasks[t.id] || (t.job.restored && u.allRestored)
 }
+
+// priorRunUntil returns the time until which a run of a task by a previous holder may be present on a worker that has not reported.
+func (p *Pool) priorRunUntil(t *task) time.Time {
+	until := p.priorLeasesUntil
+	for worker, tasks := range p.handedOver {
+		if end := p.priorLeaseUntil(worker); end.After(until) && slices.Contains(tasks, t.id) {
+			until = end
+		}
+	}
+	return until
+}
