--- a/fleet/dispatch/failed_task_test.go
+++ b/fleet/dispatch/failed_task_test.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// Guards against tasks that wait without a reason: the task before them in their step has failed on the only worker with room.
+func TestOtherTasksOfAStepRunWhereOneHasFailed(t *testing.T) {
+	b := occupied(t, true)
+	b.addJob("j", failingStep(2))
+	b.plan()
+	wantCount(t, "starts", len(b.starts), 1)
+	b.end(b.starts[0].Worker.ID, b.starts[0].Task, workload.EndFailed)
+	b.report()
+	b.advance(100 * time.Millisecond)
+	if got, want := len(b.starts), 2; got != want {
+		t.Fatalf("starts after the failure: got %d, want %d", got, want)
+	}
+	if got, failed := b.starts[1].Task.Index, b.starts[0].Task.Index; got == failed {
+		t.Errorf("task of the second start: got %d, which has failed, want the other one", got)
+	}
+}
+
 // Guards against a job that fails because a worker on which all runs fail takes the attempts of its tasks in quick succession: the wait grows
 // with each failure, and stays below the 3 s for which the users let a task wait beside free workers.
 func TestFailedTaskWaitsLongerAfterEachFailure(t *testing.T) {
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -190,6 +190,10 @@
 			if w == nil && t.step.LongRunning && !t.step.Fills {
 				p.preempt(t, now)
 			}
+			if w == nil && len(t.failedOn) > 0 {
+				// Other tasks of the step may run where this one has failed.
+				continue
+			}
 			if w == nil {
 				// The other tasks of the step are equal to this one and cannot be placed either.
 				break
