--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -93,7 +93,7 @@
 	case platform.RefusedFence:
 		answer = dispatch.Refused
 		p.markLost()
-	case platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker, platform.Withheld:
+	case platform.RefusedLate, platform.RefusedInvalid, platform.OtherWorker, platform.OtherIncarnation, platform.Withheld:
 		answer = dispatch.Refused
 	case platform.Unanswered:
 	}
--- a/verbenaentry/node/startattempts.go
+++ b/verbenaentry/node/startattempts.go
@@ -62,10 +62,10 @@
 }
 
 // startSettles reports whether the outcome of one of several attempts is that of the start. While another attempt is unanswered, it may still be
-// carried out after this one was refused, unless the worker has ended or follows a newer holder.
+// carried out after this one was refused, unless its incarnation has ended or follows a newer holder.
 func startSettles(a startAnswer, sent int) bool {
 	switch a.outcome {
-	case platform.Started, platform.OtherWorker, platform.RefusedFence:
+	case platform.Started, platform.OtherWorker, platform.OtherIncarnation, platform.RefusedFence:
 		return true
 	case platform.Unanswered:
 		return false
