--- a/verbenaentry/node/queuepool.go
+++ b/verbenaentry/node/queuepool.go
@@ -12,25 +12,27 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// acceptance is the value of the key that marks an id of a queue as accepted.
+// acceptance is the value of the key that marks an id of a queue as accepted, or as one that will not be.
 type acceptance struct {
-	Pool string `json:"pool"`
+	Pool string `json:"pool,omitempty"`
+	// Cancelled is set for an id whose cancellation was requested before a job with it was stored.
+	Cancelled bool `json:"cancelled,omitempty"`
 }
 
-// acceptedPool returns the pool in which a job runs, which differs from the one that its queue is configured for if the queue was moved after
-// the job was accepted. It returns store.ErrNotFound for a job that was not accepted.
-func (n *Node) acceptedPool(ctx context.Context, st storeAccess, q *workload.Queue, id string, attempt int) (string, error) {
+// acceptanceOf returns whether a job was accepted, and the pool in which it runs, which differs from the one that its queue is configured for if
+// the queue was moved after that. It returns store.ErrNotFound for an id of which nothing is known.
+func (n *Node) acceptanceOf(ctx context.Context, st storeAccess, q *workload.Queue, id string, attempt int) (acceptance, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.StoreTimeout.forAttempt(attempt))
 	defer cancel()
 	entry, err := st.Get(ctx, acceptedKey(q.Key, id))
 	if err != nil {
-		return "", err
+		return acceptance{}, err
 	}
 	var a acceptance
 	if err := json.Unmarshal(entry.Value, &a); err != nil {
-		return "", fmt.Errorf("read pool of job %s: %w", id, err)
+		return acceptance{}, fmt.Errorf("read acceptance of job %s: %w", id, err)
 	}
-	return a.Pool, nil
+	return a, nil
 }
 
 // acceptJob returns the transaction that stores a job unless its id was accepted in the queue before, for this or another pool.
@@ -39,7 +41,7 @@
 	if err != nil {
 		return store.Transaction{}, err
 	}
-	accepted, err := json.Marshal(acceptance{job.Pool})
+	accepted, err := json.Marshal(acceptance{Pool: job.Pool})
 	if err != nil {
 		return store.Transaction{}, err
 	}
--- a/verbenaentry/node/queuepool_test.go
+++ b/verbenaentry/node/queuepool_test.go
@@ -43,9 +43,9 @@
 		}
 	}
 	q := movedJob("fitting").Terms
-	pool, err := n.acceptedPool(s.ctx, directAccess{n.Store, n.Elector}, &q, movedJob("fitting").ID, 1)
-	if err != nil || pool != "cutting" {
-		t.Errorf("pool of the job: got %q and %v, want cutting", pool, err)
+	accepted, err := n.acceptanceOf(s.ctx, directAccess{n.Store, n.Elector}, &q, movedJob("fitting").ID, 1)
+	if err != nil || accepted.Pool != "cutting" {
+		t.Errorf("pool of the job: got %q and %v, want cutting", accepted.Pool, err)
 	}
 }
 
--- a/verbenaentry/node/state.go
+++ b/verbenaentry/node/state.go
@@ -69,14 +69,17 @@
 	if state, err = n.storedState(ctx, st, q.Pool, id, attempt); !errors.Is(err, store.ErrNotFound) {
 		return state, "store", err
 	}
-	pool, err := n.acceptedPool(ctx, st, q, id, attempt)
+	accepted, err := n.acceptanceOf(ctx, st, q, id, attempt)
 	if err != nil {
 		return "", "store", err
 	}
-	if state, known := n.stateFromHolder(ctx, pool, id); known {
+	if accepted.Cancelled {
+		return "", "store", store.ErrNotFound
+	}
+	if state, known := n.stateFromHolder(ctx, accepted.Pool, id); known {
 		return state, "holder", nil
 	}
-	state, err = n.storedState(ctx, st, pool, id, attempt)
+	state, err = n.storedState(ctx, st, accepted.Pool, id, attempt)
 	return state, "store", err
 }
 
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -45,6 +45,9 @@
 	case stored:
 		n.answerJSON(w, []byte("{}"))
 		return http.StatusOK
+	case cancelledBefore:
+		n.refuse(w, http.StatusServiceUnavailable, "the job was cancelled before it was accepted")
+		return http.StatusServiceUnavailable
 	case notStored:
 		n.refuse(w, http.StatusServiceUnavailable, "the store takes no jobs now")
 		return http.StatusServiceUnavailable
@@ -58,6 +61,8 @@
 const (
 	stored    storeOutcome = "stored"
 	notStored storeOutcome = "notStored"
+	// cancelledBefore means that the job's cancellation was requested before; it will not be stored.
+	cancelledBefore storeOutcome = "cancelledBefore"
 	// perhapsStored means that an unanswered attempt may still take effect.
 	perhapsStored storeOutcome = "perhapsStored"
 )
@@ -82,7 +87,15 @@
 			return stored, &storedJob{Pool: job.Pool, ID: job.ID, Value: accept.Put[0].Value, Revision: revision}, tries
 		}
 		if errors.Is(err, store.ErrConflict) {
-			return stored, nil, tries
+			// The id was accepted or cancelled before; either is certain once it is read.
+			accepted, err := n.acceptanceOf(ctx, access, &job.Terms, job.ID, tries)
+			if err == nil && accepted.Cancelled {
+				return cancelledBefore, nil, tries
+			}
+			if err == nil || errors.Is(err, store.ErrNotFound) {
+				return stored, nil, tries
+			}
+			unanswered = true
 		}
 		unanswered = unanswered || errors.Is(err, store.ErrUnavailable)
 		if waitRetry(ctx) {
