--- a/fleet/dispatch/gang.go
+++ b/fleet/dispatch/gang.go
@@ -14,6 +14,10 @@
 			return
 		}
 	}
+	// The tickets are for the step, and so for all tasks of the gang.
+	if st.tasks[0].job.queue.Advice != nil && !p.hasTickets(st.tasks[0], now) {
+		return
+	}
 	chosen := make([]*worker, len(st.tasks))
 	promised := map[*worker]workload.Resources{}
 	racks := []string{""}
