--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -122,7 +122,10 @@
 	if j.Times <= 0 {
 		return time.Time{}
 	}
-	return j.Start.Add(time.Duration(occurrence) * j.Interval)
+	// The time since the start may exceed the longest duration, 292 years.
+	whole, rest := j.Interval/time.Second, j.Interval%time.Second
+	seconds := j.Start.Unix() + int64(occurrence)*int64(whole)
+	return time.Unix(seconds, int64(j.Start.Nanosecond())).Add(time.Duration(occurrence) * rest).In(j.Start.Location())
 }
 
 // LongRunning reports whether the job has a long-running step.
@@ -157,6 +160,9 @@
 	if j.Times > 0 && (j.Start.Year() < minYear || j.Start.Year() > maxYear) {
 		return fmt.Errorf("%w: start in the year %d, want %d to %d", ErrInvalidJob, j.Start.Year(), minYear, maxYear)
 	}
+	if last := j.Due(j.Occurrences() - 1); last.Year() > maxYear {
+		return fmt.Errorf("%w: last occurrence in the year %d, want at most %d", ErrInvalidJob, last.Year(), maxYear)
+	}
 	return nil
 }
 
