--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -240,16 +240,18 @@
 }
 
 const (
-	// failedTaskWait is how long a task whose run has failed waits for another worker before it runs again on the same one; it doubles with
-	// each failed run, up to maxFailedTaskWait. The other workers may be occupied by tasks that run until they are cancelled.
-	failedTaskWait    = time.Second
-	maxFailedTaskWait = 2 * time.Second
+	// failedTaskWait is how long a task whose run has failed waits for another worker before it runs again on the same one, and
+	// failedAgainWait from its second failed run on. The other workers may be occupied by tasks that run until they are cancelled.
+	failedTaskWait  = time.Second
+	failedAgainWait = 2 * time.Second
 )
 
 // returnsAt returns when a task may run again on a worker on which it has failed, although another one could run it once it has room.
 func (t *task) returnsAt() time.Time {
-	doublings := max(0, len(t.failedRuns)-1)
-	return t.readySince.Add(min(failedTaskWait<<min(doublings, 8), maxFailedTaskWait))
+	if len(t.failedRuns) > 1 {
+		return t.readySince.Add(failedAgainWait)
+	}
+	return t.readySince.Add(failedTaskWait)
 }
 
 // choice is the best one of the workers that were offered.
--- a/verbenaentry/node/key.go
+++ b/verbenaentry/node/key.go
@@ -1,7 +1,5 @@
 package node
 
-import "path"
-
 // The keys of a job in the store: the job itself, the record of its progress, and the request to cancel it.
 func jobKey(pool, id string) string    { return "job/" + pool + "/" + id }
 func stateKey(pool, id string) string  { return "state/" + pool + "/" + id }
@@ -16,4 +14,3 @@
 // queuePoolPrefix is the prefix of the keys that name the pools for which jobs of a queue have been stored.
 func queuePoolPrefix(queue string) string    { return "queue/" + queue + "/" }
 func queuePoolKey(queue, pool string) string { return queuePoolPrefix(queue) + pool }
-func poolOfQueuePoolKey(key string) string   { return path.Base(key) }
--- a/verbenaentry/node/queuepool.go
+++ b/verbenaentry/node/queuepool.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -133,7 +134,7 @@
 	}
 	var pools []string
 	for _, e := range page.Entries {
-		pools = append(pools, poolOfQueuePoolKey(e.Key))
+		pools = append(pools, strings.TrimPrefix(e.Key, queuePoolPrefix(queue)))
 	}
 	n.queuePools.record(queue, pools...)
 	n.queuePools.setReadAt(queue, now)
