--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -58,7 +58,7 @@
 		if !c.longRunning && !c.inTime {
 			continue
 		}
-		oc := &c.job.occurrences[c.occurrence]
+		oc := c.occurrence
 		for s := range oc.steps {
 			st := &oc.steps[s]
 			if !st.ready || st.done == len(st.tasks) {
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -68,9 +68,8 @@
 	total float64
 }
 
-func (p *Pool) estimate(j *job, o int, now time.Time) jobEstimate {
+func (p *Pool) estimate(j *job, oc *occurrence, now time.Time) jobEstimate {
 	var e jobEstimate
-	oc := &j.occurrences[o]
 	remainingPaths := make([]time.Duration, len(oc.steps))
 	criticalPaths := make([]time.Duration, len(oc.steps))
 	for s := range oc.steps {
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -123,33 +123,40 @@
 		return e
 	}
 	e.countTasks(j, x.u)
-	o, s, t := nextTask(j)
-	if t == nil {
+	oc, t := nextTask(j)
+	switch {
+	case t != nil:
+		e.explainTask(x, j, oc, t)
+	case j.schedule.next < j.schedule.total:
+		e.explainNotDue(j.Due(j.schedule.next), j.schedule.next)
+	default:
 		e.Reason, e.Basis = WaitNone, "all tasks that are left are running"
-		return e
 	}
-	e.explainTask(x, j, o, s, t)
 	return e
 }
 
-// nextTask returns the first task that is not done and has no run, with the indexes of its occurrence and step; nil if there is none.
-func nextTask(j *job) (occurrence, step int, next *task) {
-	for o := range j.occurrences {
-		for s := range j.occurrences[o].steps {
-			for _, t := range j.occurrences[o].steps[s].tasks {
+func (e *Explanation) explainNotDue(due time.Time, occurrence int) {
+	e.Reason, e.EstimatedStart, e.Basis = WaitNotDue, due, fmt.Sprintf("occurrence %d is due then", occurrence)
+}
+
+// nextTask returns the first task of an open occurrence that is not done and has no run, with its occurrence; nil if there is none.
+func nextTask(j *job) (*occurrence, *task) {
+	for _, oc := range j.schedule.open {
+		for s := range oc.steps {
+			for _, t := range oc.steps[s].tasks {
 				if !t.done && len(t.runs) == 0 {
-					return o, s, t
+					return oc, t
 				}
 			}
 		}
 	}
-	return 0, 0, nil
+	return nil, nil
 }
 
 func (e *Explanation) countTasks(j *job, u uncertainty) {
-	for o := range j.occurrences {
-		for s := range j.occurrences[o].steps {
-			st := &j.occurrences[o].steps[s]
+	for _, oc := range j.schedule.open {
+		for s := range oc.steps {
+			st := &oc.steps[s]
 			for _, t := range st.tasks {
 				if len(t.runs) > 0 {
 					e.Running++
@@ -164,7 +171,7 @@
 // waitingWork returns the work of a candidate's waiting tasks in core-seconds. Long-running tasks keep their cores, and count as work of a second.
 func (p *Pool) waitingWork(c candidate, u uncertainty) float64 {
 	work := 0.0
-	oc := &c.job.occurrences[c.occurrence]
+	oc := c.occurrence
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		if !st.ready {
@@ -184,16 +191,15 @@
 }
 
 // explainTask sets the reason for which a task waits, and the estimate of its start.
-func (e *Explanation) explainTask(x *explainer, j *job, o, s int, t *task) {
-	p, now := x.pool, x.now
-	oc := &j.occurrences[o]
+func (e *Explanation) explainTask(x *explainer, j *job, oc *occurrence, t *task) {
+	p, now, s := x.pool, x.now, t.id.Step
 	switch {
 	case oc.due.After(now):
-		e.Reason, e.EstimatedStart, e.Basis = WaitNotDue, oc.due, fmt.Sprintf("occurrence %d is due then", o)
+		e.explainNotDue(oc.due, oc.number)
 		return
-	case !oc.steps[s].ready:
+	case !t.state.ready:
 		e.Reason, e.Basis = WaitEarlierSteps, fmt.Sprintf("step %d waits for steps %v", s, j.Steps[s].After)
-		if left := p.earlierStepsLeft(j, o, s, now); left > 0 {
+		if left := p.earlierStepsLeft(j, oc, s, now); left > 0 {
 			e.EstimatedStart = now.Add(left)
 			e.Basis += ", by the run times that were learnt"
 		}
@@ -210,10 +216,10 @@
 }
 
 // earlierStepsLeft estimates how long the steps before a step still run.
-func (p *Pool) earlierStepsLeft(j *job, o, s int, now time.Time) time.Duration {
+func (p *Pool) earlierStepsLeft(j *job, oc *occurrence, s int, now time.Time) time.Duration {
 	left := time.Duration(0)
 	for _, a := range j.Steps[s].After {
-		st := &j.occurrences[o].steps[a]
+		st := &oc.steps[a]
 		if st.done < len(st.tasks) && !st.startedAt.IsZero() {
 			left = max(left, p.expectedDuration(st.tasks[0])-now.Sub(st.startedAt))
 		}
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -54,7 +54,8 @@
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		j := p.jobs[id]
 		fmt.Fprintln(&b, id, j.state, j.started, j.restored, j.recordedVersion == j.version, p.dirty[id] != nil)
-		for _, oc := range j.occurrences {
+		fmt.Fprintln(&b, j.schedule.next, j.schedule.done)
+		for _, oc := range j.schedule.open {
 			for _, st := range oc.steps {
 				for _, t := range st.tasks {
 					fmt.Fprintln(&b, t.done, t.failedRuns, t.lastRun, t.failedOn, st.ready)
@@ -64,3 +65,28 @@
 	}
 	return b.String()
 }
+
+// OpenTasks returns the number of tasks that have a state.
+func (p *Pool) OpenTasks() int {
+	n := 0
+	for _, j := range p.jobs {
+		for _, oc := range j.schedule.open {
+			for s := range oc.steps {
+				n += len(oc.steps[s].tasks)
+			}
+		}
+	}
+	return n
+}
+
+// Add adds a number.
+func (r *Ranges) Add(n int) { r.add(n) }
+
+// Contains reports whether a number is in the set.
+func (r Ranges) Contains(n int) bool { return r.contains(n) }
+
+// Size returns how many numbers are in the set.
+func (r Ranges) Size() int { return r.size() }
+
+// Valid reports whether the set is one of numbers from 0 to total - 1.
+func (r Ranges) Valid(total int) bool { return r.valid(total) }
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -13,7 +13,9 @@
 	id   workload.TaskID
 	job  *job
 	step *workload.Step
-	done bool
+	// state is that of the task's step in its occurrence.
+	state *stepState
+	done  bool
 	// failedRuns holds the numbers of the failed runs; workers list them in any order.
 	failedRuns []int
 	lastRun    int
@@ -33,22 +35,16 @@
 	startedAt time.Time
 }
 
-type occurrence struct {
-	due       time.Time
-	steps     []stepState
-	stepsLeft int
-}
-
 type job struct {
 	workload.Job
 	queue   workload.Queue
 	state   workload.State
 	started bool
 	// restored is set if a previous holder may have started tasks of the job.
-	restored    bool
-	occurrences []occurrence
-	finished    time.Time
-	worth       float64
+	restored bool
+	schedule schedule
+	finished time.Time
+	worth    float64
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
 	recordedVersion int
@@ -79,70 +75,70 @@
 		j.Job.Steps, j.Job.Spec = nil, ""
 		return
 	}
-	j.build(now)
+	j.schedule.total = j.Occurrences()
 	if record != nil {
-		p.restore(j, record)
+		p.restore(j, record, now)
 	}
 	p.active = append(p.active, j)
-	for o := range j.occurrences {
-		p.updateReadySteps(j, o, now)
-	}
+	p.openDue(j, now)
 	p.finishIfDone(j, now)
 }
 
-func (j *job) build(now time.Time) {
-	j.occurrences = make([]occurrence, j.Occurrences())
-	for o := range j.occurrences {
-		oc := &j.occurrences[o]
-		oc.due, oc.steps, oc.stepsLeft = j.Due(o), make([]stepState, len(j.Steps)), len(j.Steps)
-		for s := range j.Steps {
-			step := &j.Steps[s]
-			tasks := make([]*task, step.Tasks)
-			block := make([]task, step.Tasks)
-			for i := range tasks {
-				block[i] = task{id: workload.TaskID{Job: j.ID, Occurrence: o, Step: s, Index: i}, job: j, step: step, readySince: now}
-				tasks[i] = &block[i]
-			}
-			oc.steps[s].tasks = tasks
+// restore applies the progress that a previous holder stored.
+func (p *Pool) restore(j *job, r *Record, now time.Time) {
+	j.started = r.Started
+	if r.Done.valid(j.schedule.total) {
+		j.schedule.done = slices.Clone(r.Done)
+	}
+	for i, s := range r.Steps {
+		oc := p.openOccurrence(j, s.Occurrence, now)
+		if oc == nil || !within(s.Step, len(j.Steps)) {
+			continue
+		}
+		oc.steps[s.Step].restore(s)
+		// A record lists the steps of an occurrence one after the other; an older version listed those of all occurrences.
+		if i+1 == len(r.Steps) || r.Steps[i+1].Occurrence != s.Occurrence {
+			p.settle(j, oc, now)
 		}
 	}
 }
 
-func (p *Pool) restore(j *job, r *Record) {
-	j.started = r.Started
-	for _, s := range r.Steps {
-		if !within(s.Occurrence, len(j.occurrences)) || !within(s.Step, len(j.Steps)) {
-			continue
-		}
-		state := &j.occurrences[s.Occurrence].steps[s.Step]
-		for _, i := range s.Done {
-			if within(i, len(state.tasks)) && !state.tasks[i].done {
-				state.tasks[i].done = true
-				state.done++
-			}
+// restore applies the progress of a step that a previous holder stored.
+func (st *stepState) restore(s StepRecord) {
+	for _, i := range s.Done {
+		if within(i, len(st.tasks)) && !st.tasks[i].done {
+			st.tasks[i].done = true
+			st.done++
 		}
-		for _, f := range s.Tasks {
-			if within(f.Index, len(state.tasks)) {
-				t := state.tasks[f.Index]
-				t.failedRuns, t.lastRun, t.checkpoint = f.FailedRuns, f.LastRun, f.Checkpoint
-			}
+	}
+	for _, f := range s.Tasks {
+		if within(f.Index, len(st.tasks)) {
+			t := st.tasks[f.Index]
+			t.failedRuns, t.lastRun, t.checkpoint = f.FailedRuns, f.LastRun, f.Checkpoint
 		}
 	}
-	for o := range j.occurrences {
-		for s := range j.occurrences[o].steps {
-			if st := &j.occurrences[o].steps[s]; st.done == len(st.tasks) {
-				j.occurrences[o].stepsLeft--
-			}
+}
+
+// settle derives the state of a restored occurrence from that of its tasks.
+func (p *Pool) settle(j *job, oc *occurrence, now time.Time) {
+	oc.stepsLeft = len(oc.steps)
+	for s := range oc.steps {
+		if st := &oc.steps[s]; st.done == len(st.tasks) {
+			oc.stepsLeft--
 		}
 	}
+	if oc.stepsLeft == 0 {
+		p.closeOccurrence(j, oc)
+		return
+	}
+	p.updateReadySteps(j, oc, now)
 }
 
 // within reports whether an index of a stored record is one of n elements.
 func within(i, n int) bool { return i >= 0 && i < n }
 
 // updateReadySteps marks the steps of an occurrence as ready that depend on no unfinished step.
-func (p *Pool) updateReadySteps(j *job, o int, now time.Time) {
-	oc := &j.occurrences[o]
+func (p *Pool) updateReadySteps(j *job, oc *occurrence, now time.Time) {
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		if st.ready {
@@ -162,16 +158,16 @@
 	}
 }
 
-func (p *Pool) taskByID(id workload.TaskID) *task {
+func (p *Pool) taskByID(id workload.TaskID, now time.Time) *task {
 	j := p.jobs[id.Job]
-	if j == nil || j.state.Terminal() || id.Occurrence >= len(j.occurrences) || id.Step >= len(j.Steps) {
+	if j == nil || j.state.Terminal() || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Tasks {
 		return nil
 	}
-	tasks := j.occurrences[id.Occurrence].steps[id.Step].tasks
-	if id.Index >= len(tasks) {
+	oc := p.openOccurrence(j, id.Occurrence, now)
+	if oc == nil {
 		return nil
 	}
-	return tasks[id.Index]
+	return oc.steps[id.Step].tasks[id.Index]
 }
 
 func (p *Pool) markDirty(j *job) {
@@ -187,22 +183,22 @@
 	t.done = true
 	j := t.job
 	p.markDirty(j)
-	oc := &j.occurrences[t.id.Occurrence]
-	st := &oc.steps[t.id.Step]
-	st.done++
-	if st.done < len(st.tasks) {
+	t.state.done++
+	if t.state.done < len(t.state.tasks) {
+		return false
+	}
+	oc := j.schedule.find(t.id.Occurrence)
+	if oc.stepsLeft--; oc.stepsLeft > 0 {
+		p.updateReadySteps(j, oc, now)
 		return false
 	}
-	oc.stepsLeft--
-	p.updateReadySteps(j, t.id.Occurrence, now)
+	p.closeOccurrence(j, oc)
 	return p.finishIfDone(j, now)
 }
 
 func (p *Pool) finishIfDone(j *job, now time.Time) bool {
-	for o := range j.occurrences {
-		if j.occurrences[o].stepsLeft > 0 {
-			return false
-		}
+	if !j.schedule.isDone() {
+		return false
 	}
 	p.finish(j, workload.Completed, now)
 	return true
@@ -215,14 +211,15 @@
 	}
 	j.state, j.finished = state, now
 	p.markDirty(j)
-	for o := range j.occurrences {
-		for s := range j.occurrences[o].steps {
-			for _, t := range j.occurrences[o].steps[s].tasks {
+	for _, oc := range j.schedule.open {
+		for s := range oc.steps {
+			for _, t := range oc.steps[s].tasks {
 				for _, r := range t.runs {
 					p.stop(r, string(state))
 				}
 			}
 		}
+		p.dropTickets(j, oc)
 	}
 	if i := slices.Index(p.active, j); i >= 0 {
 		p.active = slices.Delete(p.active, i, i+1)
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -11,7 +11,7 @@
 // candidate is an occurrence of a job with tasks that can be started.
 type candidate struct {
 	job         *job
-	occurrence  int
+	occurrence  *occurrence
 	longRunning bool
 	inTime      bool
 	begun       bool
@@ -25,6 +25,9 @@
 	p.replaceDraining(now)
 	p.countSuspects(now)
 	p.updateMaxFreeCPU(now)
+	for _, j := range p.active {
+		p.openDue(j, now)
+	}
 	u := p.currentUncertainty(now)
 	for _, c := range p.candidates(u, now) {
 		p.place(c, u, now)
@@ -76,8 +79,8 @@
 func (p *Pool) candidates(u uncertainty, now time.Time) []candidate {
 	var list []candidate
 	for _, j := range p.active {
-		for o := range j.occurrences {
-			if c, ok := p.candidate(j, o, u, now); ok {
+		for _, oc := range j.schedule.open {
+			if c, ok := p.candidate(j, oc, u, now); ok {
 				list = append(list, c)
 			}
 		}
@@ -86,8 +89,7 @@
 	return list
 }
 
-func (p *Pool) candidate(j *job, o int, u uncertainty, now time.Time) (candidate, bool) {
-	oc := &j.occurrences[o]
+func (p *Pool) candidate(j *job, oc *occurrence, u uncertainty, now time.Time) (candidate, bool) {
 	if oc.stepsLeft == 0 || oc.due.After(now) {
 		return candidate{}, false
 	}
@@ -108,11 +110,11 @@
 	if !hasWaiting {
 		return candidate{}, false
 	}
-	c := candidate{job: j, occurrence: o, longRunning: longRunning, begun: begun}
+	c := candidate{job: j, occurrence: oc, longRunning: longRunning, begun: begun}
 	if longRunning {
 		return c, true
 	}
-	est := p.estimate(j, o, now)
+	est := p.estimate(j, oc, now)
 	from := j.Accepted
 	if oc.due.After(from) {
 		from = oc.due
@@ -169,7 +171,7 @@
 
 // place starts the tasks of a candidate for which there is free capacity.
 func (p *Pool) place(c candidate, u uncertainty, now time.Time) {
-	oc := &c.job.occurrences[c.occurrence]
+	oc := c.occurrence
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		if !st.ready || st.done == len(st.tasks) {
@@ -229,9 +231,8 @@
 	p.extendLease(w, now, p.Settings.StartLease)
 	w.leaseSentAt = now
 	x.attach()
-	st := &j.occurrences[t.id.Occurrence].steps[t.id.Step]
-	if st.startedAt.IsZero() {
-		st.startedAt = now
+	if t.state.startedAt.IsZero() {
+		t.state.startedAt = now
 	}
 	p.actions = append(p.actions, Start{
 		Worker: w.Worker, Task: t.id, Run: number, Spec: j.Spec, Checkpoint: t.checkpoint, Ticket: p.ticket(t, w, now),
@@ -314,7 +315,7 @@
 // onWorker counts the runs of the task's step and occurrence on a worker.
 func (p *Pool) onWorker(t *task, w *worker) int {
 	n := 0
-	for _, other := range t.job.occurrences[t.id.Occurrence].steps[t.id.Step].tasks {
+	for _, other := range t.state.tasks {
 		for _, x := range other.runs {
 			if x.worker == w {
 				n++
--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -12,7 +12,9 @@
 	State    workload.State `json:"state"`
 	Started  bool           `json:"started,omitempty"`
 	Finished time.Time      `json:"finished,omitzero"`
-	Steps    []StepRecord   `json:"steps,omitempty"`
+	// Done holds the occurrences of a scheduled job whose tasks are all done; Steps has the progress of the others.
+	Done  Ranges       `json:"done,omitempty"`
+	Steps []StepRecord `json:"steps,omitempty"`
 }
 
 // StepRecord is the progress of a step in one occurrence.
@@ -117,16 +119,16 @@
 
 // release drops the tasks and the specification of a job that has ended and has no runs left.
 func (j *job) release() {
-	for o := range j.occurrences {
-		for s := range j.occurrences[o].steps {
-			for _, t := range j.occurrences[o].steps[s].tasks {
+	for _, oc := range j.schedule.open {
+		for s := range oc.steps {
+			for _, t := range oc.steps[s].tasks {
 				if len(t.runs) > 0 {
 					return
 				}
 			}
 		}
 	}
-	j.occurrences, j.Job.Spec = nil, ""
+	j.schedule.open, j.Job.Spec = nil, ""
 }
 
 func (j *job) record() Record {
@@ -135,10 +137,11 @@
 		r.Finished = j.finished
 		return r
 	}
-	for o := range j.occurrences {
-		for s := range j.occurrences[o].steps {
-			step := StepRecord{Occurrence: o, Step: s}
-			for i, t := range j.occurrences[o].steps[s].tasks {
+	r.Done = slices.Clone(j.schedule.done)
+	for _, oc := range j.schedule.open {
+		for s := range oc.steps {
+			step := StepRecord{Occurrence: oc.number, Step: s}
+			for i, t := range oc.steps[s].tasks {
 				switch {
 				case t.done:
 					step.Done = append(step.Done, i)
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -143,7 +143,7 @@
 
 // adopt takes over a run that another holder started, or has it stopped.
 func (p *Pool) adopt(w *worker, a workload.ActiveRun, now time.Time) *run {
-	t := p.taskByID(a.Task)
+	t := p.taskByID(a.Task, now)
 	if p.mayExist(a.Task.Job) {
 		w.addUnknown(a.Task)
 		p.emit(Event{Kind: "run of an unknown job", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
@@ -163,7 +163,7 @@
 // runEnded processes the end of a run that a worker lists for the first time.
 func (p *Pool) runEnded(w *worker, e workload.EndedRun, now time.Time) {
 	x := w.runs[runKey{e.Task, e.Run}]
-	t := p.taskByID(e.Task)
+	t := p.taskByID(e.Task, now)
 	if x != nil {
 		p.removeRun(x)
 		t = x.task
@@ -199,7 +199,7 @@
 	tasks := []*task{t}
 	if t.step.Gang {
 		// The tasks of a gang end together, so one end completes them all.
-		tasks = t.job.occurrences[t.id.Occurrence].steps[t.id.Step].tasks
+		tasks = t.state.tasks
 	}
 	for _, d := range tasks {
 		for _, other := range d.runs {
--- a/fleet/dispatch/upkeep.go
+++ b/fleet/dispatch/upkeep.go
@@ -75,7 +75,7 @@
 // without a bound, such as fillers, are not protected.
 func (p *Pool) unavailableTasks(x *run, w *worker, now time.Time) []string {
 	var unavailable []string
-	for _, t := range x.task.job.occurrences[x.task.id.Occurrence].steps[x.task.id.Step].tasks {
+	for _, t := range x.task.state.tasks {
 		if t == x.task {
 			continue
 		}
--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -13,7 +13,7 @@
 const (
 	maxSteps = 256
 	maxTasks = 4096
-	// maxJobTasks bounds the tasks of all occurrences, since a holder keeps the state of each.
+	// maxJobTasks bounds the tasks of all occurrences.
 	maxJobTasks = 16 * maxTasks
 	// maxSpan bounds an interval and an estimate; sums over all steps of a job still fit into a time.Duration.
 	maxSpan = 366 * 24 * time.Hour
--- a/verbenabench/capacity/capacity.go
+++ b/verbenabench/capacity/capacity.go
@@ -76,7 +76,7 @@
 func (c *Capacity) Measure(ctx context.Context) ([]Slope, error) {
 	var slopes []Slope
 	for _, measure := range []func(context.Context) ([]Slope, error){
-		c.configuration, c.configurationDelay, c.mirrors, c.heartbeats, c.drains, c.duties, c.claims, c.wholeProcess,
+		c.configuration, c.configurationDelay, c.mirrors, c.heartbeats, c.drains, c.duties, c.claims, c.poolMemory, c.wholeProcess,
 	} {
 		measured, err := measure(ctx)
 		if err != nil {
