--- a/fleet/leadership/acquire.go
+++ b/fleet/leadership/acquire.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,7 +16,7 @@
 func (el *Elector) acquireVacant(ctx context.Context) error {
 	for range interval.FromNow(ctx, acquireInterval) {
 		for name, fence := range el.dutiesToAcquire() {
-			el.acquire(ctx, name, fence)
+			el.acquire(ctx, name, fence, vacant)
 		}
 	}
 	return nil
@@ -60,9 +61,9 @@
 }
 
 // acquire writes the duty's key under the lease of this node if the key still has the expected fence.
-func (el *Elector) acquire(ctx context.Context, name string, expect uint64) (fence uint64, ok bool) {
+func (el *Elector) acquire(ctx context.Context, name string, expect uint64, reason takeoverReason) (fence uint64, ok bool) {
 	el.mu.Lock()
-	lease := el.lease
+	lease, former := el.lease, cmp.Or(el.duties[name], el.formerHolders[name])
 	el.mu.Unlock()
 	sent := el.Clock()
 	value, err := json.Marshal(el.Self)
@@ -92,7 +93,12 @@
 		return 0, false
 	}
 	el.notifyTransition("taking "+name, nil)
-	return uint64(revision), el.startDuty(ctx, name, uint64(revision), lease, sent)
+	fence = uint64(revision)
+	if !el.startDuty(ctx, name, fence, lease, sent) {
+		return fence, false
+	}
+	el.emit(Event{Kind: "duty taken", Duty: name, Fence: fence, Former: former, Reason: string(reason)})
+	return fence, true
 }
 
 // startDuty starts the work of an acquired duty; sent is when the call that acquired it was sent.
@@ -106,7 +112,6 @@
 	h := &holding{fence: fence, confirmedAt: sent, cancel: cancel, done: make(chan struct{})}
 	el.held[name], el.holdersStale = h, true
 	el.duties[name] = Duty{el.Self, fence}
-	el.notify("duty taken", name, nil)
 	el.group.Go(func() error {
 		defer close(h.done)
 		err := el.OnAcquired(dutyCtx, name, fence)
--- a/fleet/leadership/confirmation_test.go
+++ b/fleet/leadership/confirmation_test.go
@@ -59,16 +59,16 @@
 	a := n.build("a", time.Minute)
 	n.run(a)
 	first := await(t, "first holder", n.began)
-	at := a.HeldAt("pool", first.fence)
+	at := a.HeldAt("pool", first.fence).At
 	if now := a.Clock(); at.IsZero() || at.After(now) || now.Sub(at) > 2*time.Second {
 		t.Errorf("after the duty was acquired: got %v at %v, want at most 2 s before", at, now)
 	}
 	later := a.Clock()
 	a.MarkHeld("pool", first.fence, later)
-	if got := a.HeldAt("pool", first.fence); !got.Equal(later) {
+	if got := a.HeldAt("pool", first.fence).At; !got.Equal(later) {
 		t.Errorf("after a confirmation: got %v, want %v", got, later)
 	}
-	if got := a.HeldAt("pool", first.fence+1); !got.IsZero() {
+	if got := a.HeldAt("pool", first.fence+1).At; !got.IsZero() {
 		t.Errorf("of another fence: got %v, want none", got)
 	}
 }
--- a/fleet/leadership/failover.go
+++ b/fleet/leadership/failover.go
@@ -243,7 +243,7 @@
 			continue
 		}
 		el.notify(string(reason), name, nil)
-		if fence, ok := el.acquire(ctx, name, d.Fence); ok {
+		if fence, ok := el.acquire(ctx, name, d.Fence, reason); ok {
 			taken[name] = fence
 		}
 	}
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -58,12 +58,14 @@
 	// RequestStatus sends a request to another node. If it is nil, a lost holder is replaced only once its lease has expired.
 	RequestStatus func(ctx context.Context, m Member, q StatusRequest) (Status, error)
 	// OnEvent is called with changes to log; nil ignores them.
-	OnEvent func(event, duty string, err error)
+	OnEvent func(Event)
 
-	mu      sync.Mutex
-	wanted  []string
-	duties  map[string]Duty
-	members map[string]member
+	mu     sync.Mutex
+	wanted []string
+	duties map[string]Duty
+	// formerHolders holds the last known holder of each vacant duty.
+	formerHolders map[string]Duty
+	members       map[string]member
 	// vacantSince is when each vacant duty was first seen without a holder.
 	vacantSince map[string]time.Time
 	held        map[string]*holding
@@ -99,6 +101,9 @@
 	startedAt   time.Time
 	group       *errgroup.Group
 	lastOutcome map[string]string
+	// confirmationLogged is the last logged outcome of a request to the other nodes to confirm the held duties, and when it was logged.
+	confirmationLogged   string
+	confirmationLoggedAt time.Time
 }
 
 // holding is a duty that this node holds.
@@ -124,7 +129,7 @@
 	el.lastTick = el.startedAt
 	el.TTL = cmp.Or(el.TTL, 2500*time.Millisecond)
 	el.duties, el.vacantSince, el.held, el.lastOutcome = map[string]Duty{}, map[string]time.Time{}, map[string]*holding{}, map[string]string{}
-	el.members, el.health = map[string]member{}, map[string]*holderHealth{}
+	el.members, el.health, el.formerHolders = map[string]member{}, map[string]*holderHealth{}, map[string]Duty{}
 	group, groupCtx := errgroup.WithContext(ctx)
 	el.group = group
 	follower := follow.Follower{Store: el.Store, Prefix: controlPrefix, Clock: el.Clock, Apply: el.applyEvents}
@@ -167,15 +172,19 @@
 	return el.tickedRecently(now) && el.confirmedSincePause(h) && now.Before(el.validUntil()) && now.Before(el.confirmedUntil(h))
 }
 
-// HeldAt returns the latest time at which the duty is known to have been held with the fence, or the zero time.
-func (el *Elector) HeldAt(name string, fence uint64) time.Time {
+// HeldAt returns the latest confirmation that the duty was held with the fence, or the zero value.
+func (el *Elector) HeldAt(name string, fence uint64) Confirmation {
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	h := el.held[name]
 	if h == nil || h.fence != fence {
-		return time.Time{}
+		return Confirmation{}
 	}
-	return el.confirmedUntil(h).Add(safety - el.TTL)
+	by := ConfirmedByStore
+	if el.peersConfirmedUntil.After(h.confirmedAt.Add(el.TTL - safety)) {
+		by = ConfirmedByNodes
+	}
+	return Confirmation{At: el.confirmedUntil(h).Add(safety - el.TTL), By: by}
 }
 
 // MarkHeld records that a call that was sent at the given time confirmed the duty as held.
@@ -221,9 +230,13 @@
 	}
 }
 
-func (el *Elector) notify(event, duty string, err error) {
+func (el *Elector) notify(kind, duty string, err error) {
+	el.emit(Event{Kind: kind, Duty: duty, Err: err})
+}
+
+func (el *Elector) emit(e Event) {
 	if el.OnEvent != nil {
-		el.OnEvent(event, duty, err)
+		el.OnEvent(e)
 	}
 }
 
@@ -246,6 +259,9 @@
 func (el *Elector) setDuty(e store.Event, name string) {
 	var d Duty
 	if e.Deleted {
+		if former, ok := el.duties[name]; ok {
+			el.formerHolders[name] = former
+		}
 		delete(el.duties, name)
 		el.vacantSince[name] = el.Clock()
 	} else {
@@ -259,6 +275,7 @@
 		}
 		el.duties[name] = d
 		delete(el.vacantSince, name)
+		delete(el.formerHolders, name)
 	}
 	if h := el.held[name]; h != nil && (e.Deleted || d.Fence > h.fence) {
 		el.drop(name, "duty key deleted or taken over")
--- a/fleet/leadership/leadership_test.go
+++ b/fleet/leadership/leadership_test.go
@@ -215,7 +215,7 @@
 	el := &leadership.Elector{
 		Store: n.store, Self: leadership.Member{Node: name, Session: name, Cores: 1}, TTL: cmp.Or(n.ttl, ttl),
 		Clock:   func() time.Time { return n.now().Add(time.Duration(n.clockOffset.Load())) },
-		OnEvent: func(event, duty string, err error) { n.record(name, event, duty, err) },
+		OnEvent: func(e leadership.Event) { n.record(name, e) },
 	}
 	el.OnAcquired = func(ctx context.Context, _ string, fence uint64) error {
 		n.began <- term{node: name, fence: fence}
@@ -228,9 +228,9 @@
 }
 
 // record logs an event of a node, for the output of a failed test, and records pauses.
-func (n *nodes) record(node, event, duty string, err error) {
-	n.t.Log(time.Now().Format("05.000"), node, event, duty, err)
-	if event == "process was paused" {
+func (n *nodes) record(node string, e leadership.Event) {
+	n.t.Log(time.Now().Format("05.000"), node, e.Kind, e.Duty, e.Err, e.Fence, e.Former.Node, e.Reason, e.Answers)
+	if e.Kind == "process was paused" {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.pauses[node] = true
--- a/fleet/leadership/lease.go
+++ b/fleet/leadership/lease.go
@@ -186,17 +186,21 @@
 // confirmWithPeers reports whether all other nodes answered and none knows a newer holder.
 func (el *Elector) confirmWithPeers(ctx context.Context, q StatusRequest, others []Member) bool {
 	answers := make([]Status, len(others))
+	asked := make([]PeerAnswer, len(others))
 	group, groupCtx := errgroup.WithContext(ctx)
 	for i, m := range others {
 		group.Go(func() error {
 			var err error
 			answers[i], err = el.requestStatus(groupCtx, m, q)
+			asked[i] = PeerAnswer{Node: m.Node, StoreAge: answers[i].StoreAge, Err: err}
 			return err
 		})
 	}
 	if group.Wait() != nil {
+		el.notifyConfirmation("duties not confirmed by other nodes", asked)
 		return false
 	}
+	el.notifyConfirmation("duties confirmed by other nodes", asked)
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	for _, a := range answers {
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -172,14 +172,8 @@
 func newElector(s platform.Settings, f Flags, st *platform.Store, clock *monotonic.Clock, log zerolog.Logger) *leadership.Elector {
 	elector := &leadership.Elector{
 		Store: st, TTL: max(f.DutyTTL, s.MinLeaseTTL), Clock: clock.Now,
-		Self: leadership.Member{Node: s.Node, Session: rand.Text()[:8], Peer: netip.AddrPortFrom(s.IP, s.PeerPorts[0]), Cores: s.Cores},
-		OnEvent: func(event, duty string, err error) {
-			level := zerolog.InfoLevel
-			if err != nil {
-				level = zerolog.WarnLevel
-			}
-			log.WithLevel(level).Str("duty", duty).Err(err).Msg(event)
-		},
+		Self:    leadership.Member{Node: s.Node, Session: rand.Text()[:8], Peer: netip.AddrPortFrom(s.IP, s.PeerPorts[0]), Cores: s.Cores},
+		OnEvent: func(e leadership.Event) { logLeadership(log, e) },
 	}
 	onCall := st.OnCall
 	st.OnCall = func(mechanism, outcome string, took time.Duration) {
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -16,6 +16,7 @@
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/follow"
 	"verbenalanding.example/fleet/interval"
+	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/retry"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -89,6 +90,9 @@
 	mu        sync.Mutex
 	scheduler *dispatch.Pool
 	budget    logs.Budget
+	// confirmedAge is how old the last confirmation of the duty was at the last plan, confirmedBy who gave it.
+	confirmedAge time.Duration
+	confirmedBy  leadership.Confirmer
 	// revisions holds the revision of each job's record in the store.
 	revisions map[string]store.Revision
 	// unresponsiveRevision is the revision of the record of unresponsive workers, unresponsiveTries the number of attempts to write it
@@ -245,6 +249,9 @@
 	if e.Age != 0 {
 		line = line.Dur("age", e.Age)
 	}
+	if e.Kind == "run lost" {
+		line = line.Dur("confirmedAge", p.confirmedAge).Str("confirmedBy", string(p.confirmedBy))
+	}
 	line.Msg(e.Kind)
 }
 
@@ -311,11 +318,12 @@
 	now := p.node.Clock.Now()
 	began := time.Now()
 	takenOver := p.node.pools.get(p.name) == p
-	heldAt := p.node.Elector.HeldAt(p.name, p.fence)
+	held := p.node.Elector.HeldAt(p.name, p.fence)
 	p.mu.Lock()
+	p.confirmedAge, p.confirmedBy = now.Sub(held.At), held.By
 	var actions []dispatch.Action
 	if takenOver {
-		p.scheduler.DutyConfirmed(heldAt)
+		p.scheduler.DutyConfirmed(held.At)
 		actions = p.scheduler.Plan(now)
 	}
 	ended := p.scheduler.HasEndedJobs()
