--- a/fleet/leadership/failover_test.go
+++ b/fleet/leadership/failover_test.go
@@ -19,12 +19,21 @@
 	nodes       map[string]*leadership.Elector
 	partitioned map[string]bool
 	ended       map[string]bool
+	// pairs holds the pairs of nodes that do not reach each other.
+	pairs map[[2]string]bool
 }
 
 var errPartitioned = errors.New("no answer: node is partitioned")
 
 func newNetwork() *network {
-	return &network{nodes: map[string]*leadership.Elector{}, partitioned: map[string]bool{}, ended: map[string]bool{}}
+	return &network{nodes: map[string]*leadership.Elector{}, partitioned: map[string]bool{}, ended: map[string]bool{}, pairs: map[[2]string]bool{}}
+}
+
+// setPair cuts the connection between two nodes, or mends it.
+func (net *network) setPair(a, b string, cut bool) {
+	net.mu.Lock()
+	defer net.mu.Unlock()
+	net.pairs[[2]string{a, b}], net.pairs[[2]string{b, a}] = cut, cut
 }
 
 func (net *network) mark(nodes map[string]bool, node string) {
@@ -44,7 +53,8 @@
 func (net *network) requestStatus(from string) func(context.Context, leadership.Member, leadership.StatusRequest) (leadership.Status, error) {
 	return func(_ context.Context, m leadership.Member, q leadership.StatusRequest) (leadership.Status, error) {
 		net.mu.Lock()
-		to, partitioned, ended := net.nodes[m.Node], net.partitioned[m.Node] || net.partitioned[from], net.ended[m.Node]
+		to, ended := net.nodes[m.Node], net.ended[m.Node]
+		partitioned := net.partitioned[m.Node] || net.partitioned[from] || net.pairs[[2]string{from, m.Node}]
 		net.mu.Unlock()
 		switch {
 		case partitioned || to == nil:
