fix(leadership): let a holder go on without the store only while its recorded witnesses confirm it

The older holder, fence 547, gave the runs up because their workers' leases had ended, 1.2 s after a newer one, fence 1644, had noted the ends.

Cause: while the store did not answer it, a holder asked the nodes that were registered in its own view, which stood still, and took each answer without a newer fence for a confirmation. Four kinds of nodes cannot know of a successor, and confirmed all the same: nodes beside a successor whose registration had gone and come back or that had joined; nodes that were behind; nodes that knew that the successor's key was gone again; and a successor that had started again. A confirmation counted for orders and as proof that a lease had ended while the duty was held.

The store names the witnesses of a duty with its holder. All of them must confirm the holder, and a successor begins only once one of them has promised to confirm it no more or has ended, under the condition that the record has not changed. The two sets always have a node in common, whoever is registered or behind. A node that takes a vacant duty also notifies the former holder, as one that replaces a lost holder does.

--- a/fleet/leadership/acquire.go
+++ b/fleet/leadership/acquire.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
@@ -15,13 +17,33 @@
 // acquireVacant acquires vacant duties once the nodes that rank before this one have had time to acquire them.
 func (el *Elector) acquireVacant(ctx context.Context) error {
 	for range interval.FromNow(ctx, acquireInterval) {
+		var group errgroup.Group
 		for name, fence := range el.dutiesToAcquire() {
-			el.acquire(ctx, name, fence, vacant)
+			group.Go(func() error {
+				el.acquireFormerlyHeld(ctx, name, fence)
+				return nil
+			})
 		}
+		_ = group.Wait()
 	}
 	return nil
 }
 
+// acquireFormerlyHeld acquires a vacant duty, and notifies the node that held it last: its key may have been deleted without its knowledge.
+func (el *Elector) acquireFormerlyHeld(ctx context.Context, name string, expect uint64) {
+	el.mu.Lock()
+	former, known := el.formerHolders[name]
+	el.mu.Unlock()
+	fence, ok := el.acquire(ctx, name, expect, vacant)
+	if !ok || !known || former.Node == el.Self.Node {
+		return
+	}
+	el.group.Go(func() error {
+		el.notifyFormer(ctx, former.Member, map[string]uint64{name: fence})
+		return nil
+	})
+}
+
 // dutiesToAcquire returns the wanted duties that this node should acquire now, with the fences that their keys must have; 0 means no key.
 func (el *Elector) dutiesToAcquire() map[string]uint64 {
 	el.mu.Lock()
@@ -60,56 +82,89 @@
 	return time.Duration(min(el.rank(name, ""), maxRank)) * rankDelay
 }
 
-// acquire writes the duty's key under the lease of this node if the key still has the expected fence.
+// acquire acquires a duty whose key has the expected fence, unless this node is doing so already. Meanwhile it confirms no former holder. If
+// the store has certainly not carried the write out, it may confirm one again.
 func (el *Elector) acquire(ctx context.Context, name string, expect uint64, reason takeoverReason) (fence uint64, ok bool) {
 	el.mu.Lock()
-	lease, former := el.lease, cmp.Or(el.duties[name], el.formerHolders[name])
+	_, busy := el.acquiring[name]
+	if !busy {
+		el.acquiring[name] = 0
+	}
+	el.mu.Unlock()
+	if busy {
+		return 0, false
+	}
+	fence, ok, err := el.writeDuty(ctx, name, expect, reason)
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	if !errors.Is(err, store.ErrRefused) && !errors.Is(err, store.ErrConflict) {
+		el.revoke(name, el.acquiring[name])
+	}
+	delete(el.acquiring, name)
+	return fence, ok
+}
+
+// writeDuty writes the duty's key under the lease of this node if the key still has the expected fence.
+func (el *Elector) writeDuty(ctx context.Context, name string, expect uint64, reason takeoverReason) (fence uint64, ok bool, err error) {
+	el.mu.Lock()
+	lease, former, record := el.lease, cmp.Or(el.duties[name], el.formerHolders[name]), el.records[name]
+	witnesses := el.witnesses(name, nil, record.Holder.Node)
 	el.mu.Unlock()
-	sent := el.Clock()
 	value, err := json.Marshal(el.Self)
-	if err != nil || lease == 0 {
+	newRecord, recordErr := json.Marshal(witnessRecord{Holder: el.Self, Witnesses: witnesses})
+	if err = errors.Join(err, recordErr); err != nil || lease == 0 {
 		el.notify("duty not taken", name, err)
-		return 0, false
+		return 0, false, nil
 	}
+	if !el.revokeConfirmation(ctx, name, former, record) {
+		return 0, false, nil
+	}
+	sent := el.Clock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := Prefix + name
+	key, recordKey := Prefix+name, witnessPrefix+name
 	revision, current, err := el.Store.Apply(callCtx, store.Transaction{
-		If:  []store.Condition{{Key: key, Revision: store.Revision(expect)}},
-		Put: []store.Write{{Key: key, Value: value, Lease: lease}},
+		If:  []store.Condition{{Key: key, Revision: store.Revision(expect)}, {Key: recordKey, Revision: record.revision}},
+		Put: []store.Write{{Key: key, Value: value, Lease: lease}, {Key: recordKey, Value: newRecord}},
 	})
+	h := &holding{confirmedAt: sent, witnessed: witnessed{revision: revision, set: witnesses}}
 	if errors.Is(err, store.ErrConflict) {
 		// The answer to an earlier attempt of this incarnation may have been lost.
 		for _, e := range current {
 			if e.Key == key && string(e.Value) == string(value) && e.Lease == lease {
 				revision, err = e.Revision, nil
+				// The witnesses of that attempt are in the store; maintainWitnesses learns of them.
+				h.witnessed = witnessed{}
 			}
 		}
+		el.adoptRecords(name, current)
 	}
 	if err != nil {
 		if !errors.Is(err, store.ErrConflict) {
 			el.notifyTransition("taking "+name, err)
 		}
-		return 0, false
+		return 0, false, err
 	}
 	el.notifyTransition("taking "+name, nil)
-	fence = uint64(revision)
-	if !el.startDuty(ctx, name, fence, lease, sent) {
-		return fence, false
+	h.fence = uint64(revision)
+	fence = h.fence
+	if !el.startDuty(ctx, name, h, lease) {
+		return fence, false, nil
 	}
-	el.emit(Event{Kind: "duty taken", Duty: name, Fence: fence, Former: former, Reason: string(reason)})
-	return fence, true
+	el.emit(Event{Kind: "duty taken", Duty: name, Fence: fence, Former: former, Reason: string(reason), Witnesses: nodeNames(witnesses)})
+	return fence, true, nil
 }
 
-// startDuty starts the work of an acquired duty; sent is when the call that acquired it was sent.
-func (el *Elector) startDuty(ctx context.Context, name string, fence uint64, lease store.LeaseID, sent time.Time) bool {
+// startDuty starts the work of an acquired duty.
+func (el *Elector) startDuty(ctx context.Context, name string, h *holding, lease store.LeaseID) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
+	fence := h.fence
 	if el.leaving || el.lease != lease || el.held[name] != nil || el.duties[name].Fence > fence {
 		return false
 	}
 	dutyCtx, cancel := context.WithCancelCause(ctx)
-	h := &holding{fence: fence, confirmedAt: sent, cancel: cancel, done: make(chan struct{})}
+	h.cancel, h.done = cancel, make(chan struct{})
 	el.held[name], el.holdersStale = h, true
 	el.duties[name] = Duty{el.Self, fence}
 	el.group.Go(func() error {
--- a/fleet/leadership/balance.go
+++ b/fleet/leadership/balance.go
@@ -3,13 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
 
 	"verbenalanding.example/fleet/interval"
-	"verbenalanding.example/fleet/store"
 )
 
 const (
@@ -87,10 +85,7 @@
 	case <-ctx.Done():
 		return
 	}
-	_, _, err := el.Store.Apply(ctx, store.Transaction{
-		If: []store.Condition{{Key: Prefix + name, Revision: store.Revision(h.fence)}}, Delete: []string{Prefix + name},
-	})
-	if err != nil && !errors.Is(err, store.ErrConflict) {
+	if err := el.deleteKey(ctx, name, h); err != nil {
 		el.notify("key of the released duty not deleted", name, err)
 		return
 	}
--- a/fleet/leadership/confirmation.go
+++ b/fleet/leadership/confirmation.go
@@ -26,14 +26,18 @@
 	readCheckInterval = 0.02
 )
 
-// confirmedUntil returns the time until which the last confirmation of the store or the other nodes permits orders for a duty; the lock must
-// be held. The lease alone is no confirmation: a standby may take over from a holder whose lease is still valid and renewed.
+// confirmedUntil returns the time until which the last confirmation of the store or the witnesses permits orders for a duty; the lock must be
+// held. The lease alone is no confirmation: a standby may take over from a holder whose lease is still valid and renewed.
 func (el *Elector) confirmedUntil(h *holding) time.Time {
-	until := h.confirmedAt.Add(el.TTL - safety)
-	if el.peersConfirmedUntil.After(until) {
-		return el.peersConfirmedUntil
+	return h.lastConfirmation().At.Add(el.TTL - safety)
+}
+
+// lastConfirmation returns the latest confirmation of the duty; the lock must be held.
+func (h *holding) lastConfirmation() Confirmation {
+	if h.peersConfirmedAt.After(h.confirmedAt) {
+		return Confirmation{At: h.peersConfirmedAt, By: ConfirmedByNodes}
 	}
-	return until
+	return Confirmation{At: h.confirmedAt, By: ConfirmedByStore}
 }
 
 // maintainConfirmations reads the keys of the held duties regularly, since the watch that reports a loss may receive nothing.
--- a/fleet/leadership/event.go
+++ b/fleet/leadership/event.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -15,10 +17,20 @@
 	Fence  uint64
 	Former Duty
 	Reason string
+	// Witnesses are the nodes that confirm a duty that was taken while the store does not answer its holder.
+	Witnesses []string
 	// Answers are those of the other nodes that were asked to confirm the held duties.
 	Answers []PeerAnswer
 }
 
+func nodeNames(list []Member) []string {
+	names := make([]string, 0, len(list))
+	for _, m := range list {
+		names = append(names, m.Node)
+	}
+	return names
+}
+
 // PeerAnswer is the answer of another node that was asked to confirm the held duties.
 type PeerAnswer struct {
 	Node string
@@ -57,7 +69,12 @@
 const confirmationLogInterval = time.Second
 
 // notifyConfirmation reports who was asked to confirm the held duties, and with which outcome.
-func (el *Elector) notifyConfirmation(kind string, answers []PeerAnswer) {
+func (el *Elector) notifyConfirmation(kind string, queries map[process]*witnessQuery) {
+	answers := make([]PeerAnswer, 0, len(queries))
+	for _, q := range queries {
+		answers = append(answers, PeerAnswer{Node: q.witness.Node, StoreAge: q.answer.StoreAge, Err: q.err})
+	}
+	slices.SortFunc(answers, func(a, b PeerAnswer) int { return strings.Compare(a.Node, b.Node) })
 	outcome := kind
 	for _, a := range answers {
 		outcome += fmt.Sprintf(" %s %t", a.Node, a.Err != nil)
--- a/fleet/leadership/failover.go
+++ b/fleet/leadership/failover.go
@@ -18,17 +18,26 @@
 	From string `json:"from"`
 	// Duties names the duties whose newest known fences are requested.
 	Duties []string `json:"duties,omitempty"`
+	// Held holds the fences with which the requesting node holds duties that the asked node is to confirm as their witness.
+	Held map[string]uint64 `json:"held,omitempty"`
+	// Revoke holds the revisions up to which the asked node must confirm no holder of a duty any more, and must hold it no more itself.
+	Revoke map[string]uint64 `json:"revoke,omitempty"`
 	// Taken holds the fences of duties that the requesting node has taken over.
 	Taken map[string]uint64 `json:"taken,omitempty"`
 }
 
 // Status is the reply of a node to a StatusRequest.
 type Status struct {
+	// Node and Session name the process that answers.
+	Node    string `json:"node"`
+	Session string `json:"session"`
+	// Refused names the duties that the node does not confirm.
+	Refused []string `json:"refused,omitempty"`
 	// StoreAge is how long ago the store last answered the node.
 	StoreAge time.Duration `json:"storeAge"`
 	// LastContact holds how long ago each holder that the node monitors last answered it.
 	LastContact map[string]time.Duration `json:"heard,omitempty"`
-	// Fences holds the newest known fences of the requested duties.
+	// Fences holds, for each requested duty, the newest known fence or, if it is later, the revision at which the duty's key was deleted.
 	Fences map[string]uint64 `json:"fences,omitempty"`
 }
 
@@ -250,8 +259,16 @@
 	if len(taken) == 0 {
 		return
 	}
-	if _, err := el.requestStatus(ctx, holder, StatusRequest{From: el.Self.Node, Taken: taken}); err != nil {
-		el.notify("lost holder not notified", holder.Node, nil)
+	el.notifyFormer(ctx, holder, taken)
+}
+
+// notifyFormer notifies a node of the duties that were taken over from it.
+func (el *Elector) notifyFormer(ctx context.Context, former Member, taken map[string]uint64) {
+	if el.RequestStatus == nil {
+		return
+	}
+	if _, err := el.requestStatus(ctx, former, StatusRequest{From: el.Self.Node, Taken: taken}); err != nil {
+		el.notify("lost holder not notified", former.Node, nil)
 	}
 }
 
@@ -278,12 +295,18 @@
 			el.drop(name, "another node holds the duty")
 		}
 	}
-	s := Status{StoreAge: el.storeContactAge(now), LastContact: map[string]time.Duration{}, Fences: map[string]uint64{}}
+	for name, revision := range q.Revoke {
+		el.revoke(name, revision)
+	}
+	s := Status{Node: el.Self.Node, Session: el.Self.Session, StoreAge: el.storeContactAge(now), LastContact: map[string]time.Duration{}, Fences: map[string]uint64{}}
 	for node, h := range el.health {
 		s.LastContact[node] = now.Sub(h.lastContact)
 	}
 	for _, name := range q.Duties {
-		s.Fences[name] = el.duties[name].Fence
+		s.Fences[name] = max(el.duties[name].Fence, el.vacatedAt[name])
+		if fence, asked := q.Held[name]; asked && fence <= max(el.revoked[name], el.acquiring[name]) {
+			s.Refused = append(s.Refused, name)
+		}
 	}
 	return s
 }
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -63,9 +63,17 @@
 	mu     sync.Mutex
 	wanted []string
 	duties map[string]Duty
-	// formerHolders holds the last known holder of each vacant duty.
+	// formerHolders holds the last known holder of each vacant duty, vacatedAt the revision at which its key was deleted.
 	formerHolders map[string]Duty
-	members       map[string]member
+	vacatedAt     map[string]uint64
+	// records holds the witnesses of each duty, as last read from the store.
+	records map[string]witnessRecord
+	// revoked holds, for each duty, the fencing token up to which this node confirms no holder any more; acquiring holds the same for the
+	// duties that this node is acquiring.
+	revoked   map[string]uint64
+	acquiring map[string]uint64
+	unproven  map[string]unproven
+	members   map[string]member
 	// vacantSince is when each vacant duty was first seen without a holder.
 	vacantSince map[string]time.Time
 	held        map[string]*holding
@@ -74,8 +82,6 @@
 	registeredLease store.LeaseID
 	// leaseUntil is when the lease may expire.
 	leaseUntil time.Time
-	// peersConfirmedUntil is the time until which orders may be given because all other nodes confirmed that they hold none of the duties.
-	peersConfirmedUntil time.Time
 	// renewedAt is when the last successful renewal was sent.
 	renewedAt time.Time
 	// lastTick is the last time at which the process recorded that it runs.
@@ -84,9 +90,6 @@
 	pauses int
 	// resumedAt is when the last pause was detected.
 	resumedAt time.Time
-	// peersConfirmedAt is the send time of the last request after a pause to which all other nodes replied that they hold none of the
-	// duties.
-	peersConfirmedAt time.Time
 	// lastStoreContact is when the store last answered any call of the node.
 	lastStoreContact time.Time
 	health           map[string]*holderHealth
@@ -109,8 +112,11 @@
 // holding is a duty that this node holds.
 type holding struct {
 	fence uint64
-	// confirmedAt is the send time of the last call that confirmed the fence of the duty's key.
-	confirmedAt time.Time
+	// confirmedAt is the send time of the last call that confirmed the fence of the duty's key, peersConfirmedAt that of the last request
+	// to which all witnesses agreed.
+	confirmedAt      time.Time
+	peersConfirmedAt time.Time
+	witnessed        witnessed
 	// readAt is when the last read of the key was sent.
 	readAt time.Time
 	cancel context.CancelCauseFunc
@@ -129,7 +135,9 @@
 	el.lastTick = el.startedAt
 	el.TTL = cmp.Or(el.TTL, 2500*time.Millisecond)
 	el.duties, el.vacantSince, el.held, el.lastOutcome = map[string]Duty{}, map[string]time.Time{}, map[string]*holding{}, map[string]string{}
-	el.members, el.health, el.formerHolders = map[string]member{}, map[string]*holderHealth{}, map[string]Duty{}
+	el.members, el.health, el.formerHolders, el.vacatedAt = map[string]member{}, map[string]*holderHealth{}, map[string]Duty{}, map[string]uint64{}
+	el.records, el.revoked, el.unproven = map[string]witnessRecord{}, map[string]uint64{}, map[string]unproven{}
+	el.acquiring = map[string]uint64{}
 	group, groupCtx := errgroup.WithContext(ctx)
 	el.group = group
 	follower := follow.Follower{Store: el.Store, Prefix: controlPrefix, Clock: el.Clock, Apply: el.applyEvents}
@@ -138,6 +146,7 @@
 	group.Go(func() error { return el.acquireVacant(groupCtx) })
 	group.Go(func() error { return el.monitorHolders(groupCtx) })
 	group.Go(func() error { return el.maintainPeerConfirmation(groupCtx) })
+	group.Go(func() error { return el.maintainWitnesses(groupCtx) })
 	group.Go(func() error { return el.balance(groupCtx) })
 	group.Go(func() error { return el.detectPauses(groupCtx) })
 	group.Go(func() error { return el.maintainConfirmations(groupCtx) })
@@ -169,7 +178,7 @@
 		return false
 	}
 	now := el.Clock()
-	return el.tickedRecently(now) && el.confirmedSincePause(h) && now.Before(el.validUntil()) && now.Before(el.confirmedUntil(h))
+	return el.tickedRecently(now) && el.confirmedSincePause(h) && now.Before(el.validUntil(h)) && now.Before(el.confirmedUntil(h))
 }
 
 // HeldAt returns the latest confirmation that the duty was held with the fence, or the zero value.
@@ -180,11 +189,7 @@
 	if h == nil || h.fence != fence {
 		return Confirmation{}
 	}
-	by := ConfirmedByStore
-	if el.peersConfirmedUntil.After(h.confirmedAt.Add(el.TTL - safety)) {
-		by = ConfirmedByNodes
-	}
-	return Confirmation{At: el.confirmedUntil(h).Add(safety - el.TTL), By: by}
+	return h.lastConfirmation()
 }
 
 // MarkHeld records that a call that was sent at the given time confirmed the duty as held.
@@ -225,11 +230,38 @@
 	if lease == 0 {
 		return
 	}
+	el.deleteKeys(ctx, holdings)
 	if err := el.Store.Revoke(ctx, lease); err != nil {
 		el.notify("duties not released", "", err)
 	}
 }
 
+// deleteKeys deletes the keys of duties whose work has ended, so that a successor needs no answer of a witness.
+func (el *Elector) deleteKeys(ctx context.Context, ended map[string]*holding) {
+	var group errgroup.Group
+	for name, h := range ended {
+		group.Go(func() error {
+			if err := el.deleteKey(ctx, name, h); err != nil {
+				el.notify("key of the released duty not deleted", name, err)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// deleteKey deletes the keys of a duty whose work has ended, unless another node holds it.
+func (el *Elector) deleteKey(ctx context.Context, name string, h *holding) error {
+	key := Prefix + name
+	_, _, err := el.Store.Apply(ctx, store.Transaction{
+		If: []store.Condition{{Key: key, Revision: store.Revision(h.fence)}}, Delete: []string{key, witnessPrefix + name},
+	})
+	if errors.Is(err, store.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
 func (el *Elector) notify(kind, duty string, err error) {
 	el.emit(Event{Kind: kind, Duty: duty, Err: err})
 }
@@ -249,6 +281,8 @@
 	for _, e := range events {
 		if node, ok := strings.CutPrefix(e.Entry.Key, nodePrefix); ok {
 			el.setMember(e, node, initial)
+		} else if name, ok := strings.CutPrefix(e.Entry.Key, witnessPrefix); ok {
+			el.setWitnesses(e, name)
 		} else if name, ok := strings.CutPrefix(e.Entry.Key, Prefix); ok {
 			el.setDuty(e, name)
 		}
@@ -262,6 +296,7 @@
 		if former, ok := el.duties[name]; ok {
 			el.formerHolders[name] = former
 		}
+		el.vacatedAt[name] = max(el.vacatedAt[name], uint64(e.Entry.Revision))
 		delete(el.duties, name)
 		el.vacantSince[name] = el.Clock()
 	} else {
--- a/fleet/leadership/lease.go
+++ b/fleet/leadership/lease.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
@@ -48,23 +46,22 @@
 	return nil
 }
 
-// validUntil returns the time until which the lease or the confirmation of the other nodes permits orders; the lock must be held.
-func (el *Elector) validUntil() time.Time {
-	if el.peersConfirmedUntil.After(el.leaseUntil) {
-		return el.peersConfirmedUntil
+// validUntil returns the time until which the lease or the confirmation of the witnesses permits orders for a duty; the lock must be held.
+func (el *Elector) validUntil(h *holding) time.Time {
+	if until := h.peersConfirmedAt.Add(el.TTL - safety); until.After(el.leaseUntil) {
+		return until
 	}
 	return el.leaseUntil
 }
 
-// expire drops all duties once another node may have acquired them.
+// expire drops each duty once another node may have acquired it.
 func (el *Elector) expire(now time.Time) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	if now.Before(el.validUntil()) {
-		return
-	}
 	for _, name := range slices.Collect(maps.Keys(el.held)) {
-		el.drop(name, "lease not renewed in time")
+		if !now.Before(el.validUntil(el.held[name])) {
+			el.drop(name, "lease not renewed in time")
+		}
 	}
 }
 
@@ -113,7 +110,10 @@
 		el.notifyTransition("lease", err)
 		if errors.Is(err, store.ErrLeaseExpired) {
 			el.mu.Lock()
-			el.lease, el.leaseUntil, el.peersConfirmedUntil = 0, time.Time{}, time.Time{}
+			el.lease, el.leaseUntil = 0, time.Time{}
+			for _, h := range el.held {
+				h.peersConfirmedAt = time.Time{}
+			}
 			el.mu.Unlock()
 			el.expire(el.Clock())
 		}
@@ -126,90 +126,24 @@
 	return true
 }
 
-// maintainPeerConfirmation lets the node keep its duties while no node reaches the store. A successor waits for one lease after it has
-// acquired a duty, so orders are safe for one lease after all other nodes confirmed that they hold none of these duties.
+// maintainPeerConfirmation lets the node keep its duties while the store does not answer it. A successor begins only once a witness of the duty
+// confirms its holder no more, and waits for one lease from then on, so orders are safe for one lease after all witnesses have agreed.
 func (el *Elector) maintainPeerConfirmation(ctx context.Context) error {
 	var requestedAt time.Time
 	for range interval.Each(ctx, peerConfirmCheckInterval) {
-		sent := el.Clock()
-		if sent.Sub(requestedAt) < peerConfirmInterval {
-			continue
-		}
-		q, others := el.peerConfirmationDue(sent)
-		if len(others) == 0 {
-			continue
-		}
-		requestedAt = sent
-		if !el.confirmWithPeers(ctx, q, others) {
+		now := el.Clock()
+		if now.Sub(requestedAt) < peerConfirmInterval || el.renewedRecently(now) {
 			continue
 		}
-		el.mu.Lock()
-		if el.lease != 0 && sent.Before(el.validUntil()) {
-			el.peersConfirmedUntil = sent.Add(el.TTL - safety)
-		}
-		el.mu.Unlock()
+		requestedAt = now
+		el.confirmWithWitnesses(ctx)
 	}
 	return nil
 }
 
-// peerConfirmationDue returns the confirmation request and the nodes to send it to, or no nodes if the lease was renewed recently.
-func (el *Elector) peerConfirmationDue(now time.Time) (StatusRequest, []Member) {
-	el.mu.Lock()
-	recent := el.renewalAge(now) < fraction(el.TTL, peerConfirmAfter)
-	el.mu.Unlock()
-	if recent {
-		return StatusRequest{}, nil
-	}
-	return el.confirmationRequest()
-}
-
-// confirmationRequest returns the request that asks all other nodes for newer holders of the held duties, and these nodes.
-func (el *Elector) confirmationRequest() (StatusRequest, []Member) {
+// renewedRecently reports whether the lease was renewed so recently that no confirmation of witnesses is needed.
+func (el *Elector) renewedRecently(now time.Time) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	q := StatusRequest{From: el.Self.Node}
-	if el.RequestStatus == nil || el.leaving || len(el.held) == 0 {
-		return q, nil
-	}
-	for name := range el.held {
-		q.Duties = append(q.Duties, name)
-	}
-	var others []Member
-	for node, m := range el.members {
-		if node != el.Self.Node {
-			others = append(others, m.Member)
-		}
-	}
-	return q, others
-}
-
-// confirmWithPeers reports whether all other nodes answered and none knows a newer holder.
-func (el *Elector) confirmWithPeers(ctx context.Context, q StatusRequest, others []Member) bool {
-	answers := make([]Status, len(others))
-	asked := make([]PeerAnswer, len(others))
-	group, groupCtx := errgroup.WithContext(ctx)
-	for i, m := range others {
-		group.Go(func() error {
-			var err error
-			answers[i], err = el.requestStatus(groupCtx, m, q)
-			asked[i] = PeerAnswer{Node: m.Node, StoreAge: answers[i].StoreAge, Err: err}
-			return err
-		})
-	}
-	if group.Wait() != nil {
-		el.notifyConfirmation("duties not confirmed by other nodes", asked)
-		return false
-	}
-	el.notifyConfirmation("duties confirmed by other nodes", asked)
-	el.mu.Lock()
-	defer el.mu.Unlock()
-	for _, a := range answers {
-		for name, fence := range a.Fences {
-			if h := el.held[name]; h != nil && fence > h.fence {
-				el.drop(name, "another node holds the duty")
-				return false
-			}
-		}
-	}
-	return true
+	return el.renewalAge(now) < fraction(el.TTL, peerConfirmAfter)
 }
--- a/fleet/leadership/pause.go
+++ b/fleet/leadership/pause.go
@@ -19,10 +19,10 @@
 // tickedRecently reports whether the process has recorded within pauseThreshold that it runs; the lock must be held.
 func (el *Elector) tickedRecently(now time.Time) bool { return now.Sub(el.lastTick) < pauseThreshold }
 
-// confirmedSincePause reports whether the store or all other nodes confirmed a duty by calls that were sent after the last pause was
-// detected; the lock must be held.
+// confirmedSincePause reports whether the store or all witnesses confirmed a duty by calls that were sent after the last pause was detected;
+// the lock must be held.
 func (el *Elector) confirmedSincePause(h *holding) bool {
-	return !h.confirmedAt.Before(el.resumedAt) || !el.peersConfirmedAt.Before(el.resumedAt)
+	return !h.lastConfirmation().At.Before(el.resumedAt)
 }
 
 // detectPauses detects pauses of the process, for example while the machine is suspended. Another node may have taken over its duties
@@ -77,17 +77,9 @@
 	return true
 }
 
-// confirmHeldDuties reads the keys of the held duties; if any read fails, it asks all other nodes.
+// confirmHeldDuties reads the keys of the held duties; if any read fails, it asks the witnesses.
 func (el *Elector) confirmHeldDuties(ctx context.Context) {
-	if el.readDuties(ctx) {
-		return
+	if !el.readDuties(ctx) {
+		el.confirmWithWitnesses(ctx)
 	}
-	sent := el.Clock()
-	q, others := el.confirmationRequest()
-	if len(others) == 0 || !el.confirmWithPeers(ctx, q, others) {
-		return
-	}
-	el.mu.Lock()
-	defer el.mu.Unlock()
-	el.peersConfirmedAt = sent
 }
--- a/fleet/leadership/superseded_test.go
+++ b/fleet/leadership/superseded_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package leadership_test
 
 import (
--- a/fleet/leadership/validity_test.go
+++ b/fleet/leadership/validity_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Guards against a holder that is not valid at some time while the store is down and all other nodes confirm the duty.
+// Guards against a holder that is not valid at some time while the store is down and all witnesses confirm the duty.
 func TestHolderStaysValidWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := startWithoutStore(t)
--- /dev/null
+++ b/fleet/leadership/witness.go
@@ -0,0 +1,288 @@
+package leadership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/interval"
+	"verbenalanding.example/fleet/store"
+)
+
+const (
+	// witnessPrefix is the key prefix of the records of who confirms a duty while the store does not answer its holder.
+	witnessPrefix = controlPrefix + "witnesses/"
+	// witnessCount is the number of witnesses of a duty. All must agree for a confirmation; a successor needs one of them.
+	witnessCount = standbyCount
+	// witnessInterval is how often the witnesses of the held duties are compared with the registered nodes.
+	witnessInterval = 250 * time.Millisecond
+	// unprovenAfter is how long a node waits before it takes a duty although neither a witness nor the former holder answers, in leases.
+	// All of them may be gone for good.
+	unprovenAfter = 6
+)
+
+// witnessRecord names the holder of a duty and its witnesses. The holder may go on without the store only while all witnesses confirm it, and
+// a successor begins only once one of them has promised to confirm it no more, or has ended. The record is under no lease, so that it outlives
+// the keys of the holder.
+type witnessRecord struct {
+	Holder    Member   `json:"holder"`
+	Witnesses []Member `json:"witnesses"`
+	revision  store.Revision
+}
+
+// witnessed is what the holder of a duty knows of its witnesses.
+type witnessed struct {
+	// revision is that of the record with set as witnesses; 0 while the record is not known.
+	revision store.Revision
+	set      []Member
+	// unanswered is the set of a write that was not answered: it may be in the store, or come into it as long as the record's revision
+	// does not change.
+	unanswered []Member
+}
+
+// all returns the nodes that must agree to a confirmation.
+func (w *witnessed) all() []Member {
+	list := slices.Clone(w.set)
+	for _, m := range w.unanswered {
+		if !slices.ContainsFunc(list, m.sameProcess) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// adopt records that a set of witnesses is in the store.
+func (w *witnessed) adopt(revision store.Revision, set []Member) {
+	if revision > w.revision {
+		w.revision, w.set, w.unanswered = revision, set, nil
+	}
+}
+
+// sameProcess reports whether two registrations are of the same incarnation of a node.
+func (m Member) sameProcess(other Member) bool {
+	return m.Node == other.Node && m.Session == other.Session
+}
+
+// witnesses returns the nodes that should confirm a duty of this node: those that are kept, then the ones that rank first. The lock must be
+// held.
+func (el *Elector) witnesses(name string, kept []Member, except string) []Member {
+	if el.RequestStatus == nil {
+		return nil
+	}
+	list := make([]Member, 0, witnessCount)
+	for _, m := range kept {
+		if el.members[m.Node].sameProcess(m) {
+			list = append(list, m)
+		}
+	}
+	for _, c := range el.candidates(name, el.Self.Node) {
+		m := el.members[c.node].Member
+		if len(list) < witnessCount && c.node != except && !slices.ContainsFunc(list, m.sameProcess) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// setWitnesses updates the record of a duty's witnesses from a change in the store; the lock must be held.
+func (el *Elector) setWitnesses(e store.Event, name string) {
+	if e.Deleted {
+		delete(el.records, name)
+		return
+	}
+	if record, ok := el.decodeWitnesses(e.Entry, name); ok && record.revision > el.records[name].revision {
+		el.records[name] = record
+	}
+}
+
+// decodeWitnesses decodes a record; if this node holds the duty, it learns that the record is in the store. The lock must be held.
+func (el *Elector) decodeWitnesses(entry store.Entry, name string) (witnessRecord, bool) {
+	record := witnessRecord{revision: entry.Revision}
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		el.notify("record of witnesses not decoded", name, err)
+		return witnessRecord{}, false
+	}
+	if h := el.held[name]; h != nil && record.Holder.sameProcess(el.Self) && uint64(entry.Revision) >= h.fence {
+		h.witnessed.adopt(entry.Revision, record.Witnesses)
+	}
+	return record, true
+}
+
+// maintainWitnesses replaces witnesses that are not registered any more while the store answers.
+func (el *Elector) maintainWitnesses(ctx context.Context) error {
+	for range interval.Each(ctx, witnessInterval) {
+		var group errgroup.Group
+		for name, h := range el.dutiesWithoutWitnesses() {
+			group.Go(func() error {
+				el.replaceWitnesses(ctx, name, h)
+				return nil
+			})
+		}
+		_ = group.Wait()
+	}
+	return nil
+}
+
+// dutiesWithoutWitnesses returns the held duties that lack a witness, or whose witnesses are not known to be in the store.
+func (el *Elector) dutiesWithoutWitnesses() map[string]*holding {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	due := map[string]*holding{}
+	if el.leaving || !el.storeReachable(el.Clock()) {
+		return due
+	}
+	for name, h := range el.held {
+		w := &h.witnessed
+		if w.unanswered != nil || !slices.EqualFunc(w.set, el.witnesses(name, w.set, ""), Member.sameProcess) {
+			due[name] = h
+		}
+	}
+	return due
+}
+
+// replaceWitnesses writes the record of a held duty with witnesses that are registered. An unanswered write is repeated with the same set, so
+// that at most two sets may be in the store.
+func (el *Elector) replaceWitnesses(ctx context.Context, name string, h *holding) {
+	el.mu.Lock()
+	w := &h.witnessed
+	set, condition := w.unanswered, w.revision
+	if set == nil {
+		set = el.witnesses(name, w.set, "")
+	}
+	value, err := json.Marshal(witnessRecord{Holder: el.Self, Witnesses: set})
+	if err == nil {
+		w.unanswered = set
+	}
+	el.mu.Unlock()
+	if err != nil {
+		el.notify("witnesses not replaced", name, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	revision, current, err := el.Store.Apply(ctx, store.Transaction{
+		If:  []store.Condition{{Key: Prefix + name, Revision: store.Revision(h.fence)}, {Key: witnessPrefix + name, Revision: condition}},
+		Put: []store.Write{{Key: witnessPrefix + name, Value: value}},
+	})
+	if errors.Is(err, store.ErrConflict) {
+		el.adoptRecords(name, current)
+	}
+	if err != nil {
+		return
+	}
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	w.adopt(revision, set)
+}
+
+// adoptRecords applies the record of a duty's witnesses that a conflict has shown.
+func (el *Elector) adoptRecords(name string, current []store.Entry) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	for _, e := range current {
+		if e.Key == witnessPrefix+name && e.Revision != 0 {
+			el.setWitnesses(store.Event{Entry: e}, name)
+		}
+	}
+}
+
+// revokeConfirmation makes sure that no confirmation of other nodes lets the former holder of a duty go on: from then on its orders end within a
+// lease. That is so once a witness has promised to confirm it no more, or has ended, or the former holder has dropped the duty or ended.
+func (el *Elector) revokeConfirmation(ctx context.Context, name string, former Duty, record witnessRecord) bool {
+	if former.Node != "" && !former.sameProcess(record.Holder) {
+		// A holder of an older version leaves the record of an earlier one in the store.
+		return true
+	}
+	if len(record.Witnesses) == 0 || record.Holder.Node == el.Self.Node || el.revokeOwn(name, record) {
+		return true
+	}
+	if el.RequestStatus == nil {
+		return el.unprovenLongEnough(name, record)
+	}
+	if el.revokedByAny(ctx, name, record, record.Witnesses) || el.revokedByAny(ctx, name, record, []Member{record.Holder}) {
+		return true
+	}
+	return el.unprovenLongEnough(name, record)
+}
+
+// revokeOwn reports whether this node is a witness, or was one before it started again; it then confirms the holder no more.
+func (el *Elector) revokeOwn(name string, record witnessRecord) bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	isOwn := func(m Member) bool { return m.Node == el.Self.Node }
+	if !slices.ContainsFunc(record.Witnesses, isOwn) {
+		return false
+	}
+	el.acquiring[name] = uint64(record.revision)
+	return true
+}
+
+// revoke ends the confirmation of holders of a duty with fencing tokens up to the given revision; the lock must be held.
+func (el *Elector) revoke(name string, revision uint64) {
+	el.revoked[name] = max(el.revoked[name], revision)
+	if h := el.held[name]; h != nil && h.fence <= revision {
+		el.drop(name, "another node takes the duty")
+	}
+}
+
+// revokedByAny asks nodes to confirm the former holder no more, and reports whether one of them does so or has ended.
+func (el *Elector) revokedByAny(ctx context.Context, name string, record witnessRecord, nodes []Member) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	q := StatusRequest{From: el.Self.Node, Revoke: map[string]uint64{name: uint64(record.revision)}}
+	revoked := make(chan bool, len(nodes))
+	var group errgroup.Group
+	for _, m := range nodes {
+		group.Go(func() error {
+			answer, err := el.requestStatus(ctx, el.reachable(m), q)
+			// Another incarnation of the node shows that the witness has ended.
+			revoked <- err == nil && answer.Node == m.Node
+			return nil
+		})
+	}
+	for range nodes {
+		if <-revoked {
+			return true
+		}
+	}
+	_ = group.Wait()
+	return false
+}
+
+// reachable returns a node with the address of its registration, or the one in the record if it is not registered.
+func (el *Elector) reachable(m Member) Member {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	if registered, ok := el.members[m.Node]; ok {
+		return registered.Member
+	}
+	return m
+}
+
+// unproven is since when a duty could not be taken because neither a witness nor its former holder answers.
+type unproven struct {
+	revision store.Revision
+	since    time.Time
+}
+
+// unprovenLongEnough reports whether neither a witness nor the former holder has answered for so long that all of them count as ended.
+func (el *Elector) unprovenLongEnough(name string, record witnessRecord) bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	now := el.Clock()
+	u, known := el.unproven[name]
+	if !known || u.revision != record.revision {
+		el.unproven[name] = unproven{revision: record.revision, since: now}
+		el.notify("duty not taken: no witness of its holder answers", name, nil)
+		return false
+	}
+	if now.Sub(u.since) < unprovenAfter*el.TTL {
+		return false
+	}
+	el.notify("duty taken without an answer of a witness", name, nil)
+	return true
+}
--- a/verbenaentry/node/leadershiplog.go
+++ b/verbenaentry/node/leadershiplog.go
@@ -14,7 +14,7 @@
 	}
 	line := log.WithLevel(level).Str("duty", e.Duty).Err(e.Err)
 	if e.Fence != 0 {
-		line = line.Uint64("fence", e.Fence).Str("former", e.Former.Node).Uint64("formerFence", e.Former.Fence).Str("reason", e.Reason)
+		line = line.Uint64("fence", e.Fence).Str("former", e.Former.Node).Uint64("formerFence", e.Former.Fence).Str("reason", e.Reason).Strs("witnesses", e.Witnesses)
 	}
 	if len(e.Answers) > 0 {
 		answers := zerolog.Arr()
