fix(dispatch): give runs up for the end of their worker only once the duty is confirmed after it

A holder gives orders for up to 2.35 s after the last confirmation of its duty. When a lease ends, it waits for a confirmation after that end; when the list of machines, a restart or another worker at the address shows that a worker has ended, it did not. Its successor may have received the end of the run as done from that worker, noted it and moved the idle machine; the superseded holder then starts the task on a worker that has not heard of the successor.

A run whose worker has ended keeps its task from starting until a confirmation that is younger than the moment at which the end was seen; the same holds for what the end of a worker says of runs of previous holders, and for the first list of machines after a takeover. The key of the duty is read at once when something waits for that.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -129,8 +129,9 @@
 	registrationsListed bool
 	// ended holds the last incarnations of workers that have certainly ended while their registration may still exist.
 	ended map[string]workload.Worker
-	// endConfirmed holds the workers whose end was confirmed while runs of a previous holder might be present on them.
-	endConfirmed map[string]bool
+	// endConfirmed holds the workers whose end was confirmed while runs of a previous holder might be present on them, with the time of the
+	// first plan after that.
+	endConfirmed map[string]time.Time
 	// maxFreeCPU is the largest free CPU of a worker that takes starts; -1 if no worker takes any.
 	maxFreeCPU int64
 	// suspectCount is the number of suspected workers.
@@ -156,6 +157,10 @@
 	handedOver TasksByWorker
 	// liveWorkers holds the live workers, registered or not, that have not reported yet; nil before the list of workers arrived.
 	liveWorkers map[string]bool
+	// liveWorkersSeenAt is the time of the first plan after that list arrived.
+	liveWorkersSeenAt time.Time
+	// endedRuns holds the runs that have ended with their worker and wait for a confirmation of the duty.
+	endedRuns []endedRun
 	// departed holds the workers that were removed because their registration is gone and their lease has ended, with the time until
 	// which the record for a successor names them.
 	departed map[string]time.Time
@@ -191,7 +196,7 @@
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
 	p.ended = map[string]workload.Worker{}
-	p.endConfirmed = map[string]bool{}
+	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
 	p.jobs = map[string]*job{}
 	p.absentJobs = map[string]time.Time{}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -259,24 +259,24 @@
 }
 
 func (p *Pool) stop(r *run, reason string) {
-	if r.phase != stopping {
+	if r.phase != stopping && r.phase != ended {
 		r.phase, r.stopReason, r.stopSent = stopping, reason, time.Time{}
 	}
 }
 
 // removeRun removes a run and frees the capacity that it reserved.
 func (p *Pool) removeRun(r *run) {
-	w := r.worker
-	delete(w.runs, runKey{r.task.id, r.number})
-	w.used = w.used.Minus(r.task.step.Reserved())
-	if i := slices.Index(r.task.runs, r); i >= 0 {
-		r.task.runs = slices.Delete(r.task.runs, i, i+1)
-	}
+	r.detach()
+	r.task.removeRun(r)
 }
 
 // lose removes a run that ended without a result; its task may be started again.
 func (p *Pool) lose(r *run, reason string) {
 	p.removeRun(r)
+	p.emitLost(r, reason)
+}
+
+func (p *Pool) emitLost(r *run, reason string) {
 	p.emit(Event{Kind: "run lost", Job: r.task.id.Job, Task: r.task.id, Run: r.number, Worker: r.worker.ID, Reason: reason})
 }
 
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -20,6 +20,7 @@
 
 // Plan returns the orders that are due and reserves the capacity of its starts.
 func (p *Pool) Plan(now time.Time) []Action {
+	p.confirmEnds(now)
 	p.checkLeases(now)
 	p.repeatStops(now)
 	p.replaceDraining(now)
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -20,6 +21,8 @@
 	unanswered
 	present
 	stopping
+	// ended runs have ended with their worker.
+	ended
 )
 
 type run struct {
@@ -61,3 +64,15 @@
 	x.task.lastRun = max(x.task.lastRun, x.number)
 	x.task.job.started = true
 }
+
+// detach removes a run from its worker and frees the capacity that it reserved.
+func (x *run) detach() {
+	delete(x.worker.runs, runKey{x.task.id, x.number})
+	x.worker.used = x.worker.used.Minus(x.task.step.Reserved())
+}
+
+func (t *task) removeRun(x *run) {
+	if i := slices.Index(t.runs, x); i >= 0 {
+		t.runs = slices.Delete(t.runs, i, i+1)
+	}
+}
--- a/fleet/dispatch/uncertainty.go
+++ b/fleet/dispatch/uncertainty.go
@@ -11,7 +11,7 @@
 // SetLiveWorkers sets the live workers, from a source that does not depend on their registrations: a worker whose heartbeats are lost
 // keeps running.
 func (p *Pool) SetLiveWorkers(ids []string) {
-	p.liveWorkers = map[string]bool{}
+	p.liveWorkers, p.liveWorkersSeenAt = map[string]bool{}, time.Time{}
 	for _, id := range ids {
 		if p.awaitsReport(id) {
 			p.liveWorkers[id] = true
@@ -70,7 +70,7 @@
 
 // mayHaveUnrecordedRuns reports whether there may be a worker that accepts orders of a lost holder and whose runs no holder has recorded.
 func (p *Pool) mayHaveUnrecordedRuns(inherited TasksByWorker) bool {
-	if len(p.workers) == 0 || (p.AwaitWorkerList && p.liveWorkers == nil) {
+	if len(p.workers) == 0 || (p.AwaitWorkerList && (p.liveWorkers == nil || !p.confirmedSince(p.liveWorkersSeenAt))) {
 		return true
 	}
 	for _, w := range p.workers {
@@ -116,9 +116,10 @@
 // awaitsReport reports whether this holder has neither a complete report of a worker nor a confirmation of its end.
 func (p *Pool) awaitsReport(id string) bool {
 	if w := p.workers[id]; w != nil {
-		return w.reportedAt.IsZero() || w.partial
+		return w.reportedAt.IsZero() || w.partial || (w.endedEarlier && !p.confirmedSince(w.endedEarlierSeenAt))
 	}
-	return !p.endConfirmed[id]
+	seenAt, ended := p.endConfirmed[id]
+	return !ended || !p.confirmedSince(seenAt)
 }
 
 // mayRun reports whether a run of the task that a previous holder started may be present on a worker that has not reported.
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -57,6 +57,10 @@
 	confirmation confirmation
 	// restarted workers have restarted while runs of a previous holder might be present, and have not reported since.
 	restarted bool
+	// endedEarlier workers have restarted while runs of a previous holder might be present; endedEarlierSeenAt is the time of the first plan
+	// after that. A newer holder may have received the ends of these runs.
+	endedEarlier       bool
+	endedEarlierSeenAt time.Time
 	// lapsed workers have not reported since their lease certainly ended.
 	lapsed bool
 	// excluded workers get no starts: the record in the store names them as unresponsive, or may do so, or no write has confirmed the duty
@@ -134,10 +138,10 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
-		p.lose(r, reason)
+		p.loseWithWorker(r, reason)
 	}
 	p.removeWorker(id)
-	p.ended[id], p.endConfirmed[id] = w.Worker, true
+	p.ended[id], p.endConfirmed[id] = w.Worker, time.Time{}
 	delete(p.liveWorkers, id)
 	p.emit(Event{Kind: "worker ended", Worker: id, Reason: reason})
 }
@@ -235,11 +239,14 @@
 			r.uncertain, r.attributed, r.phase, r.startClock, r.stopClock = true, false, unanswered, 0, 0
 			continue
 		}
-		p.lose(r, "worker restarted")
+		p.loseWithWorker(r, "worker restarted")
 	}
 	w.Incarnation, w.knownSince, w.processed, w.recorded, w.clock, w.synced = incarnation, now, 0, 0, 0, false
 	w.excluded, w.confirmation = true, confirmationNeeded
 	w.resetUnknown()
+	if now.Before(p.priorLeasesUntil) {
+		w.endedEarlier, w.endedEarlierSeenAt = true, time.Time{}
+	}
 	// The lease ends in orders to the previous incarnation refer to a clock that was further ahead.
 	w.earlierLeaseEnd = now.Add(p.longestElapsed(p.Settings.MaxLease))
 	if w.earlierLeaseEnd.After(w.leaseEnd) {
--- a/fleet/leadership/confirmation.go
+++ b/fleet/leadership/confirmation.go
@@ -89,6 +89,22 @@
 	return !el.confirmedSincePause(h) && now.Sub(el.resumedAt) < el.TTL && now.Sub(h.readAt) >= fraction(el.TTL, urgentReadInterval)
 }
 
+// RequestConfirmation reads the key of a held duty soon, since something waits for a confirmation that is younger than now.
+func (el *Elector) RequestConfirmation(ctx context.Context, name string, fence uint64) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	h, now := el.held[name], el.Clock()
+	if h == nil || h.fence != fence || now.Sub(h.readAt) < fraction(el.TTL, urgentReadInterval) {
+		return
+	}
+	h.readAt = now
+	el.group.Go(func() error {
+		// A read that is not answered is repeated with the next request.
+		_ = el.readDuty(ctx, name, h)
+		return nil
+	})
+}
+
 // readDuties reads the keys of the held duties and drops those that another node holds; it reports whether the store answered all reads.
 func (el *Elector) readDuties(ctx context.Context) bool {
 	el.mu.Lock()
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -326,8 +326,11 @@
 		p.scheduler.DutyConfirmed(held.At)
 		actions = p.scheduler.Plan(now)
 	}
-	ended := p.scheduler.HasEndedJobs()
+	ended, unconfirmed := p.scheduler.HasEndedJobs(), p.scheduler.NeedsConfirmation()
 	p.mu.Unlock()
+	if unconfirmed {
+		p.node.Elector.RequestConfirmation(ctx, p.name, p.fence)
+	}
 	pause := max(planPause, planPauseFactor*time.Since(began))
 	if ended {
 		_ = p.writeNow.Offer(struct{}{})
