--- a/fleet/leadership/acquire.go
+++ b/fleet/leadership/acquire.go
@@ -116,7 +116,7 @@
 		el.notify("duty not taken", name, err)
 		return 0, false, nil
 	}
-	if !el.revokeConfirmation(ctx, name, former, record) {
+	if !el.revokeConfirmation(ctx, name, former, record, reason) {
 		return 0, false, nil
 	}
 	sent := el.Clock()
@@ -160,7 +160,8 @@
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	fence := h.fence
-	if el.leaving || el.lease != lease || el.held[name] != nil || el.duties[name].Fence > fence {
+	if el.leaving || el.lease != lease || el.held[name] != nil || el.duties[name].Fence > fence || el.revoked[name] >= fence {
+		// This node may have promised to drop the duty before it knew that it holds it.
 		return false
 	}
 	dutyCtx, cancel := context.WithCancelCause(ctx)
--- a/fleet/leadership/failover.go
+++ b/fleet/leadership/failover.go
@@ -18,7 +18,7 @@
 	From string `json:"from"`
 	// Duties names the duties whose newest known fences are requested.
 	Duties []string `json:"duties,omitempty"`
-	// Held holds the fences with which the requesting node holds duties that the asked node is to confirm as their witness.
+	// Held holds, for each duty that the asked node is to confirm as a witness, the revision of the record that names it.
 	Held map[string]uint64 `json:"held,omitempty"`
 	// Revoke holds the revisions up to which the asked node must confirm no holder of a duty any more, and must hold it no more itself.
 	Revoke map[string]uint64 `json:"revoke,omitempty"`
@@ -289,6 +289,7 @@
 func (el *Elector) HandleStatusRequest(q StatusRequest) Status {
 	el.mu.Lock()
 	defer el.mu.Unlock()
+	el.initialise()
 	now := el.Clock()
 	for name, fence := range q.Taken {
 		if h := el.held[name]; h != nil && fence > h.fence {
@@ -304,7 +305,7 @@
 	}
 	for _, name := range q.Duties {
 		s.Fences[name] = max(el.duties[name].Fence, el.vacatedAt[name])
-		if fence, asked := q.Held[name]; asked && fence <= max(el.revoked[name], el.acquiring[name]) {
+		if record, asked := q.Held[name]; asked && record <= max(el.revoked[name], el.acquiring[name]) {
 			s.Refused = append(s.Refused, name)
 		}
 	}
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -131,13 +131,12 @@
 
 // Run acquires and holds duties until the context ends.
 func (el *Elector) Run(ctx context.Context) error {
+	el.mu.Lock()
+	el.initialise()
 	el.startedAt = el.Clock()
 	el.lastTick = el.startedAt
 	el.TTL = cmp.Or(el.TTL, 2500*time.Millisecond)
-	el.duties, el.vacantSince, el.held, el.lastOutcome = map[string]Duty{}, map[string]time.Time{}, map[string]*holding{}, map[string]string{}
-	el.members, el.health, el.formerHolders, el.vacatedAt = map[string]member{}, map[string]*holderHealth{}, map[string]Duty{}, map[string]uint64{}
-	el.records, el.revoked, el.unproven = map[string]witnessRecord{}, map[string]uint64{}, map[string]unproven{}
-	el.acquiring = map[string]uint64{}
+	el.mu.Unlock()
 	group, groupCtx := errgroup.WithContext(ctx)
 	el.group = group
 	follower := follow.Follower{Store: el.Store, Prefix: controlPrefix, Clock: el.Clock, Apply: el.applyEvents}
@@ -153,6 +152,17 @@
 	return group.Wait()
 }
 
+// initialise creates the maps, unless a request of another node that arrived before Run has done so; the lock must be held.
+func (el *Elector) initialise() {
+	if el.held != nil {
+		return
+	}
+	el.duties, el.vacantSince, el.held, el.lastOutcome = map[string]Duty{}, map[string]time.Time{}, map[string]*holding{}, map[string]string{}
+	el.members, el.health, el.formerHolders, el.vacatedAt = map[string]member{}, map[string]*holderHealth{}, map[string]Duty{}, map[string]uint64{}
+	el.records, el.revoked, el.acquiring = map[string]witnessRecord{}, map[string]uint64{}, map[string]uint64{}
+	el.unproven = map[string]unproven{}
+}
+
 // SetDuties sets the names of the duties that need a holder.
 func (el *Elector) SetDuties(names []string) {
 	el.mu.Lock()
--- a/fleet/leadership/peerconfirmation.go
+++ b/fleet/leadership/peerconfirmation.go
@@ -18,8 +18,10 @@
 type witnessQuery struct {
 	witness Member
 	request StatusRequest
-	answer  Status
-	err     error
+	// fences holds the fences with which the duties were held when the request was made.
+	fences map[string]uint64
+	answer Status
+	err    error
 }
 
 // confirmWithWitnesses asks the witnesses of all held duties, and records the confirmation of each duty to which all of its witnesses agree.
@@ -38,6 +40,9 @@
 	}
 	_ = group.Wait()
 	confirmed := el.applyConfirmations(queries, sent)
+	if el.renewedRecently(sent) {
+		return
+	}
 	kind := "duties confirmed by other nodes"
 	if !confirmed {
 		kind = "duties not confirmed by other nodes"
@@ -57,11 +62,12 @@
 		for _, m := range h.witnessed.all() {
 			q := queries[m.process()]
 			if q == nil {
-				q = &witnessQuery{witness: m, request: StatusRequest{From: el.Self.Node, Held: map[string]uint64{}}}
+				q = &witnessQuery{witness: m, request: StatusRequest{From: el.Self.Node, Held: map[string]uint64{}}, fences: map[string]uint64{}}
 				queries[m.process()] = q
 			}
 			q.request.Duties = append(q.request.Duties, name)
-			q.request.Held[name] = h.fence
+			q.request.Held[name] = uint64(h.witnessed.revision)
+			q.fences[name] = h.fence
 		}
 	}
 	return queries
@@ -78,6 +84,7 @@
 		if el.dropIfLost(name, h, queries) {
 			continue
 		}
+		h.noteRefusals(name, queries)
 		confirmed := el.lease != 0 && sent.Before(el.validUntil(h)) && h.agreedBy(name, queries)
 		if confirmed && sent.After(h.peersConfirmedAt) {
 			h.peersConfirmedAt = sent
@@ -90,7 +97,7 @@
 // dropIfLost drops a duty of which a witness knows a newer holder, or that its key was deleted; the lock must be held.
 func (el *Elector) dropIfLost(name string, h *holding, queries map[process]*witnessQuery) bool {
 	for _, q := range queries {
-		if q.err == nil && q.request.Held[name] == h.fence && q.answer.Fences[name] > h.fence {
+		if q.err == nil && q.fences[name] == h.fence && q.answer.Fences[name] > h.fence {
 			el.drop(name, "another node holds the duty")
 			return true
 		}
@@ -98,15 +105,26 @@
 	return false
 }
 
+// noteRefusals records that a witness refuses under the present record; the lock must be held.
+func (h *holding) noteRefusals(name string, queries map[process]*witnessQuery) {
+	for _, q := range queries {
+		if q.err == nil && q.request.Held[name] == uint64(h.witnessed.revision) && slices.Contains(q.answer.Refused, name) {
+			h.witnessed.refused = true
+		}
+	}
+}
+
 // agreedBy reports whether all witnesses of a duty confirmed it. A witness that has started again does not: its earlier incarnation may have
 // promised not to, or may have been the successor.
 func (h *holding) agreedBy(name string, queries map[process]*witnessQuery) bool {
-	witnesses := h.witnessed.all()
-	for _, m := range witnesses {
+	if !h.witnessed.usable() {
+		return false
+	}
+	for _, m := range h.witnessed.all() {
 		q := queries[m.process()]
-		if q == nil || q.err != nil || q.request.Held[name] != h.fence || q.answer.Session != m.Session || slices.Contains(q.answer.Refused, name) {
+		if q == nil || q.err != nil || q.request.Held[name] != uint64(h.witnessed.revision) || q.answer.Session != m.Session || slices.Contains(q.answer.Refused, name) {
 			return false
 		}
 	}
-	return h.witnessed.revision != 0 && len(witnesses) > 0
+	return true
 }
--- a/fleet/leadership/superseded_test.go
+++ b/fleet/leadership/superseded_test.go
@@ -138,7 +138,9 @@
 	f.store.mu.Lock()
 	lease := f.store.entries["control/node/"+name].Lease
 	f.store.mu.Unlock()
-	f.store.expireLease(lease)
+	if lease != 0 {
+		f.store.expireLease(lease)
+	}
 }
 
 // assertSuperseded asserts that a gives no orders once its successor takes them for ended, and does not take its duty for held after the
--- a/fleet/leadership/witness.go
+++ b/fleet/leadership/witness.go
@@ -39,6 +39,8 @@
 	// revision is that of the record with set as witnesses; 0 while the record is not known.
 	revision store.Revision
 	set      []Member
+	// refused is true if a witness does not confirm the holder under this revision.
+	refused bool
 	// unanswered is the set of a write that was not answered: it may be in the store, or come into it as long as the record's revision
 	// does not change.
 	unanswered []Member
@@ -55,10 +57,15 @@
 	return list
 }
 
+// usable reports whether each set that may be in the store names a witness: a successor needs no promise for one that names none.
+func (w *witnessed) usable() bool {
+	return w.revision != 0 && len(w.set) > 0 && (w.unanswered == nil || len(w.unanswered) > 0)
+}
+
 // adopt records that a set of witnesses is in the store.
 func (w *witnessed) adopt(revision store.Revision, set []Member) {
 	if revision > w.revision {
-		w.revision, w.set, w.unanswered = revision, set, nil
+		w.revision, w.set, w.unanswered, w.refused = revision, set, nil, false
 	}
 }
 
@@ -112,9 +119,16 @@
 	return record, true
 }
 
-// maintainWitnesses replaces witnesses that are not registered any more while the store answers.
+// maintainWitnesses replaces witnesses that are not registered any more, and records them anew when one of them refuses, while the store answers.
 func (el *Elector) maintainWitnesses(ctx context.Context) error {
+	var checkedAt time.Time
 	for range interval.Each(ctx, witnessInterval) {
+		// A witness that has promised a node not to confirm the holder, and was not told that this node has not taken the duty, confirms it
+		// again once the record was written anew.
+		if now := el.Clock(); now.Sub(checkedAt) >= el.TTL && el.StoreReachable() {
+			checkedAt = now
+			el.confirmWithWitnesses(ctx)
+		}
 		var group errgroup.Group
 		for name, h := range el.dutiesWithoutWitnesses() {
 			group.Go(func() error {
@@ -137,7 +151,7 @@
 	}
 	for name, h := range el.held {
 		w := &h.witnessed
-		if w.unanswered != nil || !slices.EqualFunc(w.set, el.witnesses(name, w.set, ""), Member.sameProcess) {
+		if w.refused || w.unanswered != nil || !slices.EqualFunc(w.set, el.witnesses(name, w.set, ""), Member.sameProcess) {
 			due[name] = h
 		}
 	}
@@ -192,8 +206,8 @@
 
 // revokeConfirmation makes sure that no confirmation of other nodes lets the former holder of a duty go on: from then on its orders end within a
 // lease. That is so once a witness has promised to confirm it no more, or has ended, or the former holder has dropped the duty or ended.
-func (el *Elector) revokeConfirmation(ctx context.Context, name string, former Duty, record witnessRecord) bool {
-	if former.Node != "" && !former.sameProcess(record.Holder) {
+func (el *Elector) revokeConfirmation(ctx context.Context, name string, former Duty, record witnessRecord, reason takeoverReason) bool {
+	if former.Fence > uint64(record.revision) {
 		// A holder of an older version leaves the record of an earlier one in the store.
 		return true
 	}
@@ -203,7 +217,15 @@
 	if el.RequestStatus == nil {
 		return el.unprovenLongEnough(name, record)
 	}
-	if el.revokedByAny(ctx, name, record, record.Witnesses) || el.revokedByAny(ctx, name, record, []Member{record.Holder}) {
+	revoked := el.revokedByAny(ctx, name, record, record.Witnesses)
+	if !revoked && (reason == vacant || reason == holderDisconnected) {
+		// An answer of a holder that counts as lost for its silence would show that it need not be replaced.
+		revoked = el.revokedByAny(ctx, name, record, []Member{record.Holder})
+	}
+	if revoked {
+		el.mu.Lock()
+		defer el.mu.Unlock()
+		delete(el.unproven, name)
 		return true
 	}
 	return el.unprovenLongEnough(name, record)
@@ -221,7 +243,7 @@
 	return true
 }
 
-// revoke ends the confirmation of holders of a duty with fencing tokens up to the given revision; the lock must be held.
+// revoke ends the confirmation of holders of a duty whose record of witnesses has at most the given revision; the lock must be held.
 func (el *Elector) revoke(name string, revision uint64) {
 	el.revoked[name] = max(el.revoked[name], revision)
 	if h := el.held[name]; h != nil && h.fence <= revision {
@@ -263,10 +285,10 @@
 	return m
 }
 
-// unproven is since when a duty could not be taken because neither a witness nor its former holder answers.
+// unproven is since when a duty could not be taken because neither a witness nor its former holder answers, and when that was last tried.
 type unproven struct {
-	revision store.Revision
-	since    time.Time
+	revision     store.Revision
+	since, tried time.Time
 }
 
 // unprovenLongEnough reports whether neither a witness nor the former holder has answered for so long that all of them count as ended.
@@ -274,12 +296,14 @@
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	now := el.Clock()
-	u, known := el.unproven[name]
-	if !known || u.revision != record.revision {
-		el.unproven[name] = unproven{revision: record.revision, since: now}
+	u := el.unproven[name]
+	if u.revision != record.revision || now.Sub(u.tried) > el.TTL {
+		el.unproven[name] = unproven{revision: record.revision, since: now, tried: now}
 		el.notify("duty not taken: no witness of its holder answers", name, nil)
 		return false
 	}
+	u.tried = now
+	el.unproven[name] = u
 	if now.Sub(u.since) < unprovenAfter*el.TTL {
 		return false
 	}
