fix(leadership): ask the standbys of a silent holder, in place of nodes that do not monitor it

Operators see a healthy holder replaced by a standby that alone does not reach it. Before it replaces a silent holder, a standby asks others when that one last answered them; it asked the first candidates for a duty without a name, and took an answer that does not mention the holder for a confirmation. TestNodesThatDoNotMonitorTheHolderConfirmNothing failed before. It asks the standbys of the holder's duties now, and at least one that monitors the holder has to answer.

--- a/fleet/leadership/failover.go
+++ b/fleet/leadership/failover.go
@@ -211,31 +211,43 @@
 	}
 }
 
-// confirmUnresponsive asks the other likely successors when the holder last answered them, and reports whether none had a recent answer.
-// At least one must reply: a node that receives no reply from any other is disconnected itself.
+// confirmUnresponsive asks the other standbys of a holder when it last answered them, and reports whether none had a recent answer. At least one
+// that monitors the holder must reply: a node that receives no reply from any other is disconnected itself.
 func (el *Elector) confirmUnresponsive(ctx context.Context, holder Member) bool {
-	el.mu.Lock()
-	var others []Member
-	for _, c := range el.candidates("", holder.Node) {
-		if c.node != el.Self.Node && len(others) < standbyCount {
-			others = append(others, el.members[c.node].Member)
-		}
-	}
-	el.mu.Unlock()
 	answered := false
-	for _, m := range others {
+	for _, m := range el.standbysOf(holder) {
 		status, err := el.requestStatus(ctx, m, StatusRequest{From: el.Self.Node})
 		if err != nil {
 			continue
 		}
-		answered = true
-		if age, ok := status.LastContact[holder.Node]; ok && age < recentContact {
+		age, monitored := status.LastContact[holder.Node]
+		if monitored && age < recentContact {
 			return false
 		}
+		answered = answered || monitored
 	}
 	return answered
 }
 
+// standbysOf returns the other nodes that monitor a holder, those of each of its duties.
+func (el *Elector) standbysOf(holder Member) []Member {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	var list []Member
+	for name, d := range el.duties {
+		if !d.sameProcess(holder) {
+			continue
+		}
+		for i, c := range el.candidates(name, holder.Node) {
+			m := el.members[c.node].Member
+			if i < standbyCount && c.node != el.Self.Node && !slices.ContainsFunc(list, m.sameProcess) {
+				list = append(list, m)
+			}
+		}
+	}
+	return list
+}
+
 // takeOver acquires those duties of a lost holder that no standby of higher rank acquires first, and notifies the holder.
 func (el *Elector) takeOver(ctx context.Context, holder Member, reason takeoverReason) {
 	taken := map[string]uint64{}
