--- a/verbenabench/days/fault.go
+++ b/verbenabench/days/fault.go
@@ -25,32 +25,37 @@
 
 // The kinds of fault, as in the report.
 const (
-	nodeKilled                = "nodeKilled"
-	nodePaused                = "nodePaused"
-	nodesStoppedInTurn        = "nodesStoppedInTurn"
-	allNodesLost              = "allNodesLost"
-	holderKilled              = "holderKilled"
-	holderPaused              = "holderPaused"
-	holderStopped             = "holderStopped"
-	holdersLostInTurn         = "holdersLostInTurn"
-	holderCutWorkersRestarted = "holderCutWorkersReborn"
-	storeDown                 = "storeDown"
-	storeDownForSome          = "storeDownForSome"
-	storeLosesAnswers         = "storeLosesAnswers"
-	storeWritesLate           = "storeWritesLate"
-	storeSlow                 = "storeSlow"
-	storeForgets              = "storeForgets"
-	nodesCut                  = "nodesCut"
-	storeCut                  = "storeCut"
-	workersCut                = "workersCut"
-	workerRestarted           = "workerReborn"
-	workerCrashed             = "workerCrashed"
-	workerCutAndRestarted     = "workerCutAndReborn"
-	startsLate                = "startsLate"
-	workerAnswersLost         = "workerAnswersLost"
-	registrationsLapse        = "registrationsLapse"
-	machineLost               = "machineLost"
-	connectionsReset          = "connectionsReset"
+	nodeKilled                 = "nodeKilled"
+	nodePaused                 = "nodePaused"
+	nodesStoppedInTurn         = "nodesStoppedInTurn"
+	allNodesLost               = "allNodesLost"
+	holderKilled               = "holderKilled"
+	holderPaused               = "holderPaused"
+	holderStopped              = "holderStopped"
+	holdersLostInTurn          = "holdersLostInTurn"
+	holderCutWorkersRestarted  = "holderCutWorkersReborn"
+	storeDown                  = "storeDown"
+	storeDownForSome           = "storeDownForSome"
+	storeLosesAnswers          = "storeLosesAnswers"
+	storeWritesLate            = "storeWritesLate"
+	storeSlow                  = "storeSlow"
+	storeForgets               = "storeForgets"
+	nodesCut                   = "nodesCut"
+	storeCut                   = "storeCut"
+	workersCut                 = "workersCut"
+	workerRestarted            = "workerReborn"
+	workerCrashed              = "workerCrashed"
+	workerCutAndRestarted      = "workerCutAndReborn"
+	startsLate                 = "startsLate"
+	workerAnswersLost          = "workerAnswersLost"
+	registrationsLapse         = "registrationsLapse"
+	machineLost                = "machineLost"
+	connectionsReset           = "connectionsReset"
+	keysRevoked                = "keysRevoked"
+	nodesRestartedWithoutStore = "nodesRestartedWithoutStore"
+	storeServesOne             = "storeServesOne"
+	holderCutFromWorkers       = "holderCutFromWorkers"
+	standbyReturns             = "standbyReturns"
 )
 
 // drawFaults generates the faults of the given time. Their rate and the weights of their groups differ between days. If every day lost
@@ -58,7 +63,7 @@
 func (s *script) drawFaults(random *rand.Rand, duration time.Duration) {
 	var draws []func(*rand.Rand, *fault)
 	for len(draws) == 0 {
-		for _, draw := range []func(*rand.Rand, *fault){s.drawNode, s.drawHolder, s.drawStore, s.drawPartition, s.drawWorkers} {
+		for _, draw := range []func(*rand.Rand, *fault){s.drawNode, s.drawHolder, s.drawStore, s.drawPartition, s.drawWorkers, s.drawDisconnection} {
 			draws = append(draws, slices.Repeat([]func(*rand.Rand, *fault){draw}, random.IntN(maxWeight+1))...)
 		}
 	}
