--- a/verbenabench/days/disconnection.go
+++ b/verbenabench/days/disconnection.go
@@ -16,6 +16,12 @@
 	maxDisconnection = 12 * time.Second
 	// maxReturnDelay is the longest time until the nodes whose keys were revoked reach the store again, which is longer than a lease of 2.5 s.
 	maxReturnDelay = 4 * time.Second
+	// maxStopDelay is the longest time from the loss of the store until nodes stop. It is shorter than the validity of a confirmation, 2.35 s, so
+	// that a holder which does not reach these nodes until then still holds its duty.
+	maxStopDelay = 2200 * time.Millisecond
+	// revocationDelay is the time from the rejection of nodes to the end of their leases. Answers that were under way have arrived by then, so
+	// that the nodes do not learn of it.
+	revocationDelay = 20 * time.Millisecond
 	// maxCutDelay is the longest time from the loss of the store until a holder loses a part of its workers, which is shorter than a worker's
 	// lease of 3.5 s.
 	maxCutDelay = 3 * time.Second
@@ -37,10 +43,14 @@
 		f.run = func(ctx context.Context, d *day) { loss(ctx, d, -1) }
 		return
 	}
+	s.drawSplitBeside(random, f, loss)
+}
+
+// drawSplitBeside adds to a loss of the store that the holder of a pool, which loses the store too, loses a part of the workers.
+func (s *script) drawSplitBeside(random *rand.Rand, f *fault, loss storeLoss) {
 	split, delay := s.drawSplit(random), between(random, 0, maxCutDelay)
 	duration := f.duration - delay
-	f.detail = fmt.Sprintf("%s: %s; %v after %v", f.kind, f.detail, split, delay)
-	f.kind = holderCutFromWorkers
+	f.kind, f.detail = holderCutFromWorkers, fmt.Sprintf("%s: %s; %v after %v", f.kind, f.detail, split, delay)
 	f.run = func(ctx context.Context, d *day) {
 		holder := d.holderIndex(split.pool)
 		var parts parallel
@@ -69,26 +79,58 @@
 	}
 }
 
-// drawRestartsWithoutStore generates stops of nodes while the other nodes do not reach the store. In half of the draws the stopped nodes
-// start without the store too.
+// drawRestartsWithoutStore generates stops of nodes before or after all other nodes lose the store.
 func (s *script) drawRestartsWithoutStore(random *rand.Rand, f *fault) storeLoss {
-	stopped, duration, down := s.drawSomeNodes(random), f.duration, between(random, 50*time.Millisecond, maxDowntime)
-	wait, killed, startsWithStore := between(random, 0, maxReturnDelay), random.IntN(2) == 0, random.IntN(2) == 0
 	f.kind = nodesRestartedWithoutStore
-	f.detail = fmt.Sprintf("%v after %v for %v, killed %v, with the store at the start %v", stopped, wait, down, killed, startsWithStore)
+	if random.IntN(2) == 0 {
+		return s.drawStopsBeforeLoss(random, f)
+	}
+	return s.drawStopsAfterLoss(random, f)
+}
+
+// drawStopsBeforeLoss generates planned stops of nodes, which have deregistered when the other nodes lose the store. These then do not know the
+// nodes that start again.
+func (s *script) drawStopsBeforeLoss(random *rand.Rand, f *fault) storeLoss {
+	stopped, revoked, duration := s.drawSomeNodes(random), random.IntN(2) == 0, f.duration
+	lossDelay, down := between(random, 200*time.Millisecond, maxDowntime), between(random, 50*time.Millisecond, time.Second)
+	f.detail = fmt.Sprintf("%v, others lose the store after %v, revoked %v, down %v", stopped, lossDelay, revoked, down)
+	return func(ctx context.Context, d *day, spared int) {
+		nodes := without(stopped, spared)
+		var parts parallel
+		defer parts.wait()
+		for _, i := range nodes {
+			parts.start(func() { d.processes[i].terminate(ctx, down) })
+		}
+		if sleep(ctx, lossDelay) == nil {
+			d.loseStore(ctx, without(nodeIndexes(len(s.cores)), nodes...), revoked, duration-lossDelay)
+		}
+	}
+}
+
+// drawStopsAfterLoss generates stops of nodes that alone reach the store. Most start without it. In half of the draws a holder that loses the
+// store does not reach them until they stop, so that they do not report its successor.
+func (s *script) drawStopsAfterLoss(random *rand.Rand, f *fault) storeLoss {
+	stopped, revoked, duration := s.drawSomeNodes(random), random.IntN(2) == 0, f.duration
+	stopDelay, down := between(random, 200*time.Millisecond, maxStopDelay), between(random, 50*time.Millisecond, time.Second)
+	killed, startsWithStore, partitioned := random.IntN(2) == 0, random.IntN(4) == 0, random.IntN(2) == 0
+	f.detail = fmt.Sprintf("%v, stopped %v after others lost the store, revoked %v, killed %v, down %v, with the store at the start %v, partitioned from holder %v",
+		stopped, stopDelay, revoked, killed, down, startsWithStore, partitioned)
 	return func(ctx context.Context, d *day, spared int) {
 		nodes := without(stopped, spared)
 		var parts parallel
 		defer parts.wait()
-		parts.start(func() { d.loseStore(ctx, without(nodeIndexes(len(s.cores)), nodes...), false, duration) })
-		if sleep(ctx, wait) != nil {
+		parts.start(func() { d.loseStore(ctx, without(nodeIndexes(len(s.cores)), nodes...), revoked, duration) })
+		if partitioned && spared >= 0 {
+			parts.start(func() { d.partition(ctx, stopDelay, bothDirections, []netip.Addr{nodeAddr(spared)}, nodeAddrs(nodes)) })
+		}
+		if sleep(ctx, stopDelay) != nil {
 			return
 		}
 		for _, i := range nodes {
 			parts.start(func() { d.stopNode(ctx, i, killed, down) })
 		}
 		if !startsWithStore {
-			d.loseStore(ctx, nodes, false, duration-wait)
+			d.loseStore(ctx, nodes, false, duration-stopDelay)
 		}
 	}
 }
@@ -191,15 +233,18 @@
 	parts.start(func() { d.partition(ctx, duration, bothDirections, others, d.machineAddrs(w.second)) })
 }
 
-// loseStore makes the store reject nodes for a time. If revoked is true, their leases end at its start.
+// loseStore makes the store reject nodes for a time. If revoked is true, their leases end soon after its start.
 func (d *day) loseStore(ctx context.Context, nodes []int, revoked bool, duration time.Duration) {
 	for _, i := range nodes {
 		d.rejectNode(i, 1)
-		if revoked {
+	}
+	_ = sleep(ctx, min(revocationDelay, duration))
+	if revoked {
+		for _, i := range nodes {
 			d.processes[i].gate.EndLeases()
 		}
 	}
-	_ = sleep(ctx, duration)
+	_ = sleep(ctx, duration-revocationDelay)
 	for _, i := range nodes {
 		d.rejectNode(i, -1)
 	}
