--- a/verbenabench/days/simulate.go
+++ b/verbenabench/days/simulate.go
@@ -43,14 +43,19 @@
 // Simulate simulates the day of a seed with faults for the given time. It must be called in a synctest bubble. All goroutines that it
 // started have ended when it returns.
 func Simulate(ctx context.Context, seed uint64, duration time.Duration) (Result, error) {
+	return newScript(seed, duration).simulate(ctx)
+}
+
+// simulate simulates the day of a script; see Simulate.
+func (s *script) simulate(ctx context.Context) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d := &day{script: newScript(seed, duration)}
+	d := &day{script: s}
 	var groupCtx context.Context
 	d.group, groupCtx = errgroup.WithContext(ctx)
 	startTime := time.Now()
 	if err := d.start(groupCtx); err != nil {
-		return Result{}, fmt.Errorf("seed %d: %w", seed, err)
+		return Result{}, fmt.Errorf("seed %d: %w", s.seed, err)
 	}
 	callers, callersCtx := errgroup.WithContext(groupCtx)
 	callers.Go(func() error { return d.injectFaults(callersCtx) })
