feat(soak): revoke the keys of a standby, then cut the holder and the other processes from the store and divide the workers

Its faults end before a worker's lease does, and another one soon follows, so that no holder without the store stays confirmed for that long. The new fault waits for the end of the others and is alone; its time is added to that of the run.

--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -24,18 +24,28 @@
 	end      func()
 	run      func(ctx context.Context) error
 	duration time.Duration
+	// alone is true for a fault that begins once all others have ended, and during which no other begins.
+	alone bool
 }
 
-// injectAll injects faults until their time is over, and returns once the active ones have ended.
+// injectAll injects faults until their time is over, and returns once the active ones have ended. The time of faults that are alone is added.
 func (s *Soak) injectAll(ctx context.Context, random *rand.Rand) error {
-	group, groupCtx := errgroup.WithContext(ctx)
+	// A fault returns an error only if the context has ended.
+	var group errgroup.Group
 	for end := time.Now().Add(s.Duration); time.Now().Before(end); {
 		for _, f := range s.drawFaults(random) {
+			if f.alone {
+				_ = group.Wait()
+				end = end.Add(f.duration)
+			}
 			s.record.note(fmt.Sprintf("fault %s for %v", f.name, f.duration.Round(time.Millisecond)), &s.record.faults)
 			if f.begin != nil {
 				f.begin()
 			}
-			group.Go(func() error { return f.runToEnd(groupCtx) })
+			group.Go(func() error { return f.runToEnd(ctx) })
+			if f.alone {
+				_ = group.Wait()
+			}
 		}
 		if err := sleep(ctx, time.Duration(random.ExpFloat64()*float64(faultInterval))); err != nil {
 			return err
@@ -60,7 +70,7 @@
 // drawFaults chooses the next faults: one, or several that disturb a takeover together.
 func (s *Soak) drawFaults(random *rand.Rand) []fault {
 	duration := time.Duration(200+random.IntN(3300)) * time.Millisecond
-	switch random.IntN(33) {
+	switch random.IntN(34) {
 	case 14, 15:
 		return s.takeoverFaults(random)
 	case 16:
@@ -78,6 +88,8 @@
 		return s.allKilled(random)
 	case 31, 32:
 		return []fault{s.missedConfigurations(random)}
+	case 33:
+		return []fault{s.standbyReturns(random)}
 	case 20:
 		return []fault{s.registrationsLapse(random, duration)}
 	case 21, 22:
