--- a/verbenabench/days/disconnection.go
+++ b/verbenabench/days/disconnection.go
@@ -22,13 +22,20 @@
 	// revocationDelay is the time from the rejection of nodes to the end of their leases. Answers that were under way have arrived by then, so
 	// that the nodes do not learn of it.
 	revocationDelay = 20 * time.Millisecond
-	// maxCutDelay is the longest time from the loss of the store until a holder loses a part of its workers, which is shorter than a worker's
+	// maxSplitLead is the longest time from the loss of a part of the workers to the takeover by another node, which is shorter than a worker's
 	// lease of 3.5 s.
-	maxCutDelay = 3 * time.Second
+	maxSplitLead = 3 * time.Second
+	// stopTime is the time that a planned stop takes.
+	stopTime = 2600 * time.Millisecond
 )
 
-// storeLoss takes the store from some nodes for a time. The node with the index spared, if it is not negative, is among those that lose it.
-type storeLoss func(ctx context.Context, d *day, spared int)
+// storeLoss takes the store from some nodes for a time.
+type storeLoss struct {
+	// takeover is the time until other nodes can take the duties over.
+	takeover time.Duration
+	// run takes the store away. The holder with the given index, if it is not negative, is among the nodes that lose it.
+	run func(ctx context.Context, d *day, holder int)
+}
 
 // drawDisconnection generates the loss of the store for most nodes. A holder without the store then relies on nodes without it, while others
 // take over its duties. In most draws the holder of a pool loses the connections to a part of the workers too.
@@ -40,7 +47,7 @@
 	}
 	loss := []func(*rand.Rand, *fault) storeLoss{s.drawRevocation, s.drawRestartsWithoutStore, s.drawSingleNode}[random.IntN(3)](random, f)
 	if random.IntN(3) == 0 {
-		f.run = func(ctx context.Context, d *day) { loss(ctx, d, -1) }
+		f.run = func(ctx context.Context, d *day) { loss.run(ctx, d, -1) }
 		return
 	}
 	s.drawSplitBeside(random, f, loss)
@@ -48,14 +55,14 @@
 
 // drawSplitBeside adds to a loss of the store that the holder of a pool, which loses the store too, loses a part of the workers.
 func (s *script) drawSplitBeside(random *rand.Rand, f *fault, loss storeLoss) {
-	split, delay := s.drawSplit(random), between(random, 0, maxCutDelay)
+	split, delay := s.drawSplit(random), between(random, max(0, loss.takeover-maxSplitLead), loss.takeover+time.Millisecond)
 	duration := f.duration - delay
 	f.kind, f.detail = holderCutFromWorkers, fmt.Sprintf("%s: %s; %v after %v", f.kind, f.detail, split, delay)
 	f.run = func(ctx context.Context, d *day) {
 		holder := d.holderIndex(split.pool)
 		var parts parallel
 		defer parts.wait()
-		parts.start(func() { loss(ctx, d, holder) })
+		parts.start(func() { loss.run(ctx, d, holder) })
 		if sleep(ctx, delay) == nil {
 			d.splitWorkers(ctx, split, holder, duration)
 		}
@@ -66,17 +73,18 @@
 func (s *script) drawRevocation(random *rand.Rand, f *fault) storeLoss {
 	revoked, duration := s.drawSomeNodes(random), f.duration
 	cutDelay, returnDelay, revokeAll := between(random, 0, time.Second), between(random, 0, maxReturnDelay), random.IntN(2) == 0
+	takeover := cutDelay + returnDelay
 	f.kind = keysRevoked
 	f.detail = fmt.Sprintf("%v, others lose the store after %v, revoked too %v, first ones back after %v", revoked, cutDelay, revokeAll, returnDelay)
-	return func(ctx context.Context, d *day, spared int) {
-		first := without(revoked, spared)
+	return storeLoss{takeover, func(ctx context.Context, d *day, holder int) {
+		first := without(revoked, holder)
 		var parts parallel
 		defer parts.wait()
 		parts.start(func() { d.loseStore(ctx, first, true, cutDelay+returnDelay) })
 		if sleep(ctx, cutDelay) == nil {
 			d.loseStore(ctx, without(nodeIndexes(len(s.cores)), first...), revokeAll, duration-cutDelay)
 		}
-	}
+	}}
 }
 
 // drawRestartsWithoutStore generates stops of nodes before or after all other nodes lose the store.
@@ -93,9 +101,10 @@
 func (s *script) drawStopsBeforeLoss(random *rand.Rand, f *fault) storeLoss {
 	stopped, revoked, duration := s.drawSomeNodes(random), random.IntN(2) == 0, f.duration
 	lossDelay, down := between(random, 200*time.Millisecond, maxDowntime), between(random, 50*time.Millisecond, time.Second)
+	takeover := stopTime + down
 	f.detail = fmt.Sprintf("%v, others lose the store after %v, revoked %v, down %v", stopped, lossDelay, revoked, down)
-	return func(ctx context.Context, d *day, spared int) {
-		nodes := without(stopped, spared)
+	return storeLoss{takeover, func(ctx context.Context, d *day, holder int) {
+		nodes := without(stopped, holder)
 		var parts parallel
 		defer parts.wait()
 		for _, i := range nodes {
@@ -104,7 +113,7 @@
 		if sleep(ctx, lossDelay) == nil {
 			d.loseStore(ctx, without(nodeIndexes(len(s.cores)), nodes...), revoked, duration-lossDelay)
 		}
-	}
+	}}
 }
 
 // drawStopsAfterLoss generates stops of nodes that alone reach the store. Most start without it. In half of the draws a holder that loses the
@@ -113,15 +122,16 @@
 	stopped, revoked, duration := s.drawSomeNodes(random), random.IntN(2) == 0, f.duration
 	stopDelay, down := between(random, 200*time.Millisecond, maxStopDelay), between(random, 50*time.Millisecond, time.Second)
 	killed, startsWithStore, partitioned := random.IntN(2) == 0, random.IntN(4) == 0, random.IntN(2) == 0
+	const takeover = 100 * time.Millisecond
 	f.detail = fmt.Sprintf("%v, stopped %v after others lost the store, revoked %v, killed %v, down %v, with the store at the start %v, partitioned from holder %v",
 		stopped, stopDelay, revoked, killed, down, startsWithStore, partitioned)
-	return func(ctx context.Context, d *day, spared int) {
-		nodes := without(stopped, spared)
+	return storeLoss{takeover, func(ctx context.Context, d *day, holder int) {
+		nodes := without(stopped, holder)
 		var parts parallel
 		defer parts.wait()
 		parts.start(func() { d.loseStore(ctx, without(nodeIndexes(len(s.cores)), nodes...), revoked, duration) })
-		if partitioned && spared >= 0 {
-			parts.start(func() { d.partition(ctx, stopDelay, bothDirections, []netip.Addr{nodeAddr(spared)}, nodeAddrs(nodes)) })
+		if partitioned && holder >= 0 {
+			parts.start(func() { d.partition(ctx, stopDelay, bothDirections, []netip.Addr{nodeAddr(holder)}, nodeAddrs(nodes)) })
 		}
 		if sleep(ctx, stopDelay) != nil {
 			return
@@ -132,7 +142,7 @@
 		if !startsWithStore {
 			d.loseStore(ctx, nodes, false, duration-stopDelay)
 		}
-	}
+	}}
 }
 
 func (d *day) stopNode(ctx context.Context, i int, killed bool, down time.Duration) {
@@ -146,16 +156,17 @@
 // drawSingleNode generates the loss of the store for all nodes but one, and in half of the draws for all but another one after that.
 func (s *script) drawSingleNode(random *rand.Rand, f *fault) storeLoss {
 	served, duration := random.Perm(len(s.cores))[:1+random.IntN(2)], f.duration
+	const takeover = time.Second
 	f.kind, f.detail = storeServesOne, fmt.Sprintf("%v in turn", served)
-	return func(ctx context.Context, d *day, spared int) {
+	return storeLoss{takeover, func(ctx context.Context, d *day, holder int) {
 		for _, i := range served {
 			nodes := without(nodeIndexes(len(s.cores)), i)
-			if i == spared {
+			if i == holder {
 				nodes = without(nodeIndexes(len(s.cores)), (i+1)%len(s.cores))
 			}
 			d.loseStore(ctx, nodes, false, duration/time.Duration(len(served)))
 		}
-	}
+	}}
 }
 
 // drawReturnOfStandby generates the revocation of a standby's keys, after which all other nodes lose the store and the holder a part of its
