--- a/verbenabench/days/superseded_test.go
+++ b/verbenabench/days/superseded_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package days
 
 import (
