fix(soak): ask all processes for the newest configuration at the same time

Cause: the check asked one process after the other and began again at the first one that did not serve the queue. Until 4.65 s after the last fault that was n0, which started late, so n7 was not asked before; it was then asked once, and a request without an answer within 3.5 s counted like the answer of an older configuration. Why n7 did not answer cannot be told from the logs: it wrote no line of any kind for 6.6 s, while the other processes ran in bursts and logged pauses of up to 3.2 s.

The check now asks all processes at the same time. It holds once the latest answer of the present incarnation of each one shows the configuration in force; a process that is behind, returns to an older configuration or no longer answers fails it, and the error tells which of these it was. All processes are asked again at the end of the run, so that one that hangs after its answer fails it too. For each request without an answer the event log has the time for which the process ran and waited for a processor, which tells a process that hangs from one that the machine does not run.

The old check fails TestAllProcessesAreAsked (0 requests) and the case of TestAwaitVersions in which a late process is followed by one without an answer.

--- a/verbenabench/soak/caller.go
+++ b/verbenabench/soak/caller.go
@@ -197,6 +197,15 @@
 
 // sendRequest sends a request to a process. It returns status 0 if no complete answer arrived.
 func (s *Soak) sendRequest(ctx context.Context, i int, method, path string, body any) (int, []byte) {
+	status, answer, err := s.exchange(ctx, i, method, path, body)
+	if err != nil {
+		return 0, nil
+	}
+	return status, answer
+}
+
+// exchange sends a request to a process and returns its answer, or the reason why no complete answer arrived and status 0.
+func (s *Soak) exchange(ctx context.Context, i int, method, path string, body any) (int, []byte, error) {
 	p := s.processes[i%len(s.processes)]
 	content, err := json.Marshal(body)
 	if err != nil {
@@ -207,9 +216,9 @@
 	}
 	status, answer, err := standin.Request{Method: method, Host: host, Path: path, Body: content}.Send(ctx, p.client, p.settings.Entry)
 	if err != nil {
-		return 0, nil
+		return 0, nil, err
 	}
-	return status, answer
+	return status, answer, nil
 }
 
 // awaitJobs waits until each accepted job has completed, failed, or was cancelled by its caller. Long-running jobs end only by
--- a/verbenabench/soak/configuration.go
+++ b/verbenabench/soak/configuration.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"verbenalanding.example/fleet/interval"
-	"verbenalanding.example/platform/standin"
 )
 
 const (
@@ -41,33 +39,3 @@
 		},
 	}
 }
-
-// awaitVersions checks that all processes have the newest configuration in force in time after the last fault.
-func (s *Soak) awaitVersions(ctx context.Context) error {
-	s.mu.Lock()
-	newest := s.version
-	s.mu.Unlock()
-	prefix := standin.VersionPrefix(newest)
-	for end := time.Now().Add(versionLimit); ; {
-		behind := s.processWithout(ctx, prefix)
-		if behind == "" {
-			return nil
-		}
-		if time.Now().After(end) {
-			return fmt.Errorf("%w: configuration %d is not in force on %s %v after the last fault", ErrPromise, newest, behind, versionLimit)
-		}
-		if err := sleep(ctx, retryDelay); err != nil {
-			return err
-		}
-	}
-}
-
-// processWithout returns the name of a process that does not serve the queue with a prefix, or an empty string.
-func (s *Soak) processWithout(ctx context.Context, prefix string) string {
-	for i, p := range s.processes {
-		if !s.servesQueue(ctx, i, prefix) {
-			return p.settings.Node
-		}
-	}
-	return ""
-}
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -160,7 +160,7 @@
 	}
 	s.configure()
 	for i := range s.Nodes {
-		p, err := s.newProcess(fmt.Sprintf("n%d", i), group)
+		p, err := s.newProcess(nodeName(i), group)
 		if err != nil {
 			return err
 		}
@@ -190,10 +190,12 @@
 	return s.settle(ctx)
 }
 
-// settle ends all faults and checks that the newest configuration is in force, and that all accepted jobs and all waves end without violations.
+// settle ends all faults and checks that the newest configuration is in force, also at the end, and that all accepted jobs and all waves end
+// without violations.
 func (s *Soak) settle(ctx context.Context) error {
 	s.endFaults()
-	if err := s.awaitVersions(ctx); err != nil {
+	s.record.note("faults ended", nil)
+	if err := s.awaitVersions(ctx, versionLimit); err != nil {
 		return err
 	}
 	jobs, jobsCtx := errgroup.WithContext(ctx)
@@ -205,12 +207,18 @@
 	if err := s.awaitWaves(ctx); err != nil {
 		return err
 	}
+	// A process that no longer answers, or has lost the configuration, can have been replaced by the others until here.
+	if err := s.awaitVersions(ctx, versionLimit); err != nil {
+		return fmt.Errorf("at the end of the run: %w", err)
+	}
 	for _, v := range s.platform.Violations() {
 		return fmt.Errorf("%w: %s", ErrPromise, v)
 	}
 	return nil
 }
 
+func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
+
 func (s *Soak) endFaults() {
 	s.platform.Store.SetFaults(standin.StoreFaults{})
 	s.mu.Lock()
