refactor(workload): check the bounds of resources in one place

The bounds of a step's need and of a worker's capacity stood in workload.checkStep and in platform.validResources. The errors of both are unchanged.

--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -46,6 +46,11 @@
 	return need.CPU <= r.CPU && need.MemoryMB <= r.MemoryMB && need.GPU <= r.GPU
 }
 
+// Valid reports whether each amount is from 0 to MaxResource.
+func (r Resources) Valid() bool {
+	return min(r.CPU, r.MemoryMB, r.GPU) >= 0 && max(r.CPU, r.MemoryMB, r.GPU) <= MaxResource
+}
+
 // Plus returns the sum of r and o.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{CPU: r.CPU + o.CPU, MemoryMB: r.MemoryMB + o.MemoryMB, GPU: r.GPU + o.GPU}
@@ -177,7 +182,7 @@
 	if s.Estimate > maxSpan {
 		return fmt.Errorf("%w: step %d has an estimate of %v, want at most %v", ErrInvalidJob, i, s.Estimate, maxSpan)
 	}
-	if max(s.Need.CPU, s.Need.MemoryMB, s.Need.GPU) > MaxResource {
+	if !s.Need.Valid() {
 		return fmt.Errorf("%w: step %d needs %+v, want at most %d of each", ErrInvalidJob, i, s.Need, MaxResource)
 	}
 	for _, a := range s.After {
