--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"verbenalanding.example/fleet/internal/clock"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/store"
 )
@@ -76,13 +77,10 @@
 
 func (f *Follower) follow(ctx context.Context, done func() bool) error {
 	f.Wait = cmp.Or(f.Wait, 2*time.Second)
-	if f.Clock == nil {
-		f.Clock = time.Now
-	}
 	backoff := firstBackoff
 	for ctx.Err() == nil && !done() {
 		var err error
-		sent := f.Clock()
+		sent := clock.Now(f.Clock)
 		if f.listed && !f.listIsShorter(sent) {
 			err = f.watch(ctx)
 		} else {
@@ -109,7 +107,7 @@
 }
 
 func (f *Follower) notifyState(err error) {
-	now := f.Clock()
+	now := clock.Now(f.Clock)
 	changed := (err != nil) != f.failing
 	repeated := err != nil && now.Sub(f.failureReportedAt) >= failureInterval
 	if f.OnStateChange != nil && (changed || repeated) {
@@ -135,7 +133,7 @@
 	if f.watched {
 		latest = sent.Add(f.Wait)
 	}
-	if now := f.Clock(); now.Before(latest) {
+	if now := clock.Now(f.Clock); now.Before(latest) {
 		latest = now
 	}
 	f.OnConfirmed(latest)
