refactor(verbenaentry): ask other nodes in one loop

The holder of a duty and the newest configuration were asked from other nodes in two loops that ended at the first answer. The order, the timeouts and what counts as an answer are unchanged; the debug line of a failed call names the method.

--- a/verbenaentry/node/peerconfiguration.go
+++ b/verbenaentry/node/peerconfiguration.go
@@ -48,18 +48,13 @@
 }
 
 func (n *Node) askPeersForConfiguration(ctx context.Context, version int64) {
-	for _, m := range n.others(maxRelayNodes) {
-		asked := n.Clock.Now()
-		var answer configurationAnswer
-		if err := n.Peers.callWithin(ctx, peerTimeout, m.Peer, methodConfiguration, version, &answer); err != nil {
-			n.Log.Debug().Err(err).Str("peer", m.Node).Msg("configuration not received from another node")
-			continue
+	// Without an answer that can be applied, the next round asks again.
+	_ = askOthers(ctx, n, methodConfiguration, version, func(a othersAnswer[configurationAnswer]) bool {
+		if len(a.value.Value) > 0 && !n.View.configure(a.value.Value) {
+			return false
 		}
-		if len(answer.Value) > 0 && !n.View.configure(answer.Value) {
-			continue
-		}
-		n.View.confirm(asked.Add(-answer.Age))
-		n.Log.Info().Str("peer", m.Node).Int64("version", n.View.Configuration().Version).Dur("age", n.View.age()).Msg("configuration confirmed by another node")
-		return
-	}
+		n.View.confirm(a.sent.Add(-a.value.Age))
+		n.Log.Info().Str("peer", a.from.Node).Int64("version", n.View.Configuration().Version).Dur("age", n.View.age()).Msg("configuration confirmed by another node")
+		return true
+	})
 }
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -108,14 +108,15 @@
 func (n *Node) holderFromPeers(ctx context.Context, pool string) (leadership.Duty, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	err := fmt.Errorf("ask for holder of %s: %w", pool, errStoreUnreachable)
-	for _, m := range n.others(maxRelayNodes) {
-		var holder leadership.Duty
-		if err = n.Peers.call(ctx, m.Peer, methodHolder, pool, &holder); err == nil {
-			return holder, nil
-		}
+	var holder leadership.Duty
+	err := askOthers(ctx, n, methodHolder, pool, func(a othersAnswer[leadership.Duty]) bool {
+		holder = a.value
+		return true
+	})
+	if err != nil {
+		return leadership.Duty{}, fmt.Errorf("ask for holder of %s: %w", pool, err)
 	}
-	return leadership.Duty{}, err
+	return holder, nil
 }
 
 // presentHolder answers methodHolder.
--- a/verbenaentry/node/relay.go
+++ b/verbenaentry/node/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/rpc"
@@ -104,6 +105,32 @@
 	return list
 }
 
+// othersAnswer is what another node has answered to a call that was sent at a time.
+type othersAnswer[A any] struct {
+	from  leadership.Member
+	sent  time.Time
+	value A
+}
+
+// askOthers calls other nodes one after the other, each for at most peerTimeout, until use accepts an answer. It returns the last error, or
+// errStoreUnreachable if there is no other node or no answer was accepted.
+func askOthers[A any](ctx context.Context, n *Node, method string, params any, use func(othersAnswer[A]) bool) error {
+	err := errStoreUnreachable
+	for _, m := range n.others(maxRelayNodes) {
+		a := othersAnswer[A]{from: m, sent: n.Clock.Now()}
+		err = n.Peers.callWithin(ctx, peerTimeout, m.Peer, method, params, &a.value)
+		if err == nil && use(a) {
+			return nil
+		}
+		if err == nil {
+			err = errStoreUnreachable
+			continue
+		}
+		n.Log.Debug().Err(err).Str("peer", m.Node).Str("method", method).Msg("call not answered by another node")
+	}
+	return err
+}
+
 // relayAttempt is the number of the attempt whose timeout applies to a relayed call, which is made only once.
 const relayAttempt = 2
 
