fix(deferred): list the shard again after an interruption

What a caller would have seen: after an interruption of the holder's connection to the store, deferred work stays in the state waiting for as long as the holder keeps its duty.

The holder asked for all changes since the last answer in one call, whose whole answer has to arrive in time. What is owed grows with the time since the last answer, and the repeated watch asks for more each time. A list began anew after each page that was lost, so that a long backlog was never listed beside lost answers.

The limit stands in fleet/store for both.

--- a/fleet/deferred/holder.go
+++ b/fleet/deferred/holder.go
@@ -108,9 +108,11 @@
 	return err
 }
 
-// follow lists the shard once and then watches it for changes; after a compaction it lists the shard again.
+// follow lists the shard once and then watches it for changes; after a compaction, or store.ReplayLimit without an answer, it lists the shard
+// again.
 func (h *Holder) follow(ctx context.Context) error {
 	after, listed, wait := store.Revision(0), false, pollInterval
+	answeredAt := h.Now()
 	for {
 		var batch store.Batch
 		var err error
@@ -123,13 +125,13 @@
 			return ctx.Err()
 		}
 		if err != nil {
-			listed = listed && !errors.Is(err, store.ErrCompacted)
+			listed = listed && !errors.Is(err, store.ErrCompacted) && h.Now().Sub(answeredAt) < store.ReplayLimit
 			if err := interval.Backoff(ctx, &wait, maxBackoff); err != nil {
 				return err
 			}
 			continue
 		}
-		listed, after, wait = true, batch.Revision, pollInterval
+		listed, after, wait, answeredAt = true, batch.Revision, pollInterval, h.Now()
 		for h.events.Offer(batch) != nil {
 			if err := interval.Backoff(ctx, &wait, maxBackoff); err != nil {
 				return err
@@ -139,17 +141,22 @@
 	}
 }
 
-// list returns the records of the shard as a batch, without the bodies.
+// list returns the records of the shard as a batch, without the bodies. A page that is not answered is read again, so that a long backlog is
+// listed although some answers are lost; pages are not a snapshot, and the watch returns what has changed since the first one.
 func (h *Holder) list(ctx context.Context) (store.Batch, error) {
 	var batch store.Batch
-	from := ""
+	from, wait := "", pollInterval
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		page, err := h.Store.List(callCtx, Prefix(h.Shard), from, pageLimit)
 		cancel()
 		if err != nil {
-			return store.Batch{}, fmt.Errorf("list deferred shard %d: %w", h.Shard, err)
+			if err := interval.Backoff(ctx, &wait, maxBackoff); err != nil {
+				return store.Batch{}, fmt.Errorf("list deferred shard %d: %w", h.Shard, err)
+			}
+			continue
 		}
+		wait = pollInterval
 		if from == "" {
 			batch.Revision = page.Revision
 		}
--- a/fleet/mirror/mirror.go
+++ b/fleet/mirror/mirror.go
@@ -24,9 +24,6 @@
 	// within 10 s after the store is available again.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 3 * time.Second
-	// replayLimit is the time without an answer after which the records are read again: the changes since then may be more than one answer
-	// transfers in the time of a call, and a repeated watch would ask for more of them each time.
-	replayLimit = 15 * time.Second
 )
 
 // Mirror is a copy of the records under a prefix, keyed by the part of the key after the prefix.
@@ -66,7 +63,7 @@
 			loaded = false
 			continue
 		}
-		loaded = loaded && time.Since(m.LastContact()) < replayLimit
+		loaded = loaded && time.Since(m.LastContact()) < store.ReplayLimit
 		if ctx.Err() == nil {
 			m.Log.Debug().Err(err).Str("prefix", m.Prefix).Msg("list or watch of records failed")
 		}
