fix(jobs): list the records of a shard again after an interruption

What a caller would have seen: after an interruption of the holder's connection to the store, jobs stay accepted and none is started for as long as the holder keeps its duty, since each failed read counts the store as down.

--- a/fleet/jobs/jobs.go
+++ b/fleet/jobs/jobs.go
@@ -144,6 +144,8 @@
 	excluded      exclusions
 	calls         []*call
 	watchRevision store.Revision
+	// syncedAt is when the store last answered a list or a watch of the shard's records.
+	syncedAt      time.Time
 	storeDown     bool
 	retryAt       time.Time
 	storeFailures int
--- a/fleet/jobs/sync.go
+++ b/fleet/jobs/sync.go
@@ -66,12 +66,12 @@
 	return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 }
 
-// syncRecords reads the shard's records: all of them the first time, then only changes.
+// syncRecords reads the shard's records: all of them the first time and after store.ReplayLimit without an answer, otherwise only changes.
 func (h *Holder) syncRecords(ctx context.Context) error {
 	if h.storeDown && h.now.Before(h.retryAt) {
 		return nil
 	}
-	if !h.ready {
+	if !h.ready || h.now.Sub(h.syncedAt) >= store.ReplayLimit {
 		return h.load(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.Timing.StoreTimeout)
@@ -93,7 +93,7 @@
 			return err
 		}
 	}
-	h.watchRevision = changes.Revision
+	h.watchRevision, h.syncedAt = changes.Revision, h.now
 	return nil
 }
 
@@ -115,7 +115,7 @@
 			return err
 		}
 	}
-	h.watchRevision = revision
+	h.watchRevision, h.syncedAt = revision, h.now
 	h.ready = true
 	return nil
 }
