--- a/fleet/maintenance/fleet.go
+++ b/fleet/maintenance/fleet.go
@@ -45,17 +45,20 @@
 	prefix   string
 	entries  map[string]Versioned[T]
 	revision store.Revision
+	// answeredAt is the time of the last refresh that the store answered.
+	answeredAt time.Time
 	// changes counts the refreshes that changed an entry.
 	changes uint64
 }
 
-func (m *recordCache[T]) refresh(ctx context.Context, s store.Store) error {
-	if m.entries == nil {
-		return m.reload(ctx, s)
+// refresh reads the changes since the last refresh. It reads all records the first time and after store.ReplayLimit without an answer.
+func (m *recordCache[T]) refresh(ctx context.Context, s store.Store, now time.Time) error {
+	if m.entries == nil || now.Sub(m.answeredAt) >= store.ReplayLimit {
+		return m.reload(ctx, s, now)
 	}
 	batch, err := s.Watch(ctx, m.prefix, m.revision, 0)
 	if errors.Is(err, store.ErrCompacted) {
-		return m.reload(ctx, s)
+		return m.reload(ctx, s, now)
 	}
 	if err != nil {
 		return fmt.Errorf("watch %s: %w", m.prefix, err)
@@ -72,11 +75,11 @@
 		}
 		m.entries = entries
 	}
-	m.revision = max(m.revision, batch.Revision)
+	m.revision, m.answeredAt = max(m.revision, batch.Revision), now
 	return nil
 }
 
-func (m *recordCache[T]) reload(ctx context.Context, s store.Store) error {
+func (m *recordCache[T]) reload(ctx context.Context, s store.Store, now time.Time) error {
 	list, revision, err := store.ListAll(ctx, s, m.prefix)
 	if err != nil {
 		return fmt.Errorf("list %s: %w", m.prefix, err)
@@ -87,7 +90,7 @@
 			return err
 		}
 	}
-	m.entries, m.revision = entries, revision
+	m.entries, m.revision, m.answeredAt = entries, revision, now
 	m.changes++
 	return nil
 }
@@ -176,8 +179,9 @@
 	f.budgets.prefix = record.BudgetPrefix
 	f.waves.prefix = record.WavePrefix
 	f.moves.prefix = record.MovePrefix
-	return errors.Join(f.instances.refresh(ctx, f.Store), f.budgets.refresh(ctx, f.Store),
-		f.waves.refresh(ctx, f.Store), f.moves.refresh(ctx, f.Store))
+	now := f.now()
+	return errors.Join(f.instances.refresh(ctx, f.Store, now), f.budgets.refresh(ctx, f.Store, now),
+		f.waves.refresh(ctx, f.Store, now), f.moves.refresh(ctx, f.Store, now))
 }
 
 func (f *Fleet) refreshList(ctx context.Context) error {
@@ -210,7 +214,7 @@
 func (f *Fleet) refreshBudget(ctx context.Context) (map[string]Versioned[record.Budget], error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := f.budgets.refresh(ctx, f.Store); err != nil {
+	if err := f.budgets.refresh(ctx, f.Store, f.now()); err != nil {
 		return nil, err
 	}
 	return f.budgets.entries, nil
