--- a/fleet/claim/segment.go
+++ b/fleet/claim/segment.go
@@ -1,5 +1,7 @@
 package claim
 
+import "time"
+
 // closedSegment is a segment to which no more lines are added.
 type closedSegment struct {
 	number uint64
