--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -233,16 +233,17 @@
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
 		return WaitAdvice
 	}
-	usable := slices.DeleteFunc(slices.Clone(p.sortedWorkers()), func(w *worker) bool { return !p.usable(w, now) })
 	reason := WaitNoWorker
-	for _, w := range usable {
-		reason = furthest(reason, p.workerReason(w, t, need))
+	for _, w := range p.sortedWorkers() {
+		if p.usable(w, now) {
+			reason = furthest(reason, p.workerReason(w, t, need))
+		}
 	}
 	return reason
 }
 
 // reasonOrder holds the reasons of single workers: the later one, which more conditions precede, is that of the pool.
-var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitAdvice, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitOtherWorker, WaitNextPlan}
+var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitOtherWorker, WaitNextPlan}
 
 func furthest(a, b WaitReason) WaitReason {
 	return reasonOrder[max(slices.Index(reasonOrder, a), slices.Index(reasonOrder, b))]
