--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -58,20 +59,28 @@
 		if !c.longRunning && !c.inTime {
 			continue
 		}
-		oc := c.occurrence
-		for s := range oc.steps {
-			st := &oc.steps[s]
+		for t := range c.waitingTasks(u) {
+			sum += t.step.Reserved().CPU
+		}
+	}
+	return sum
+}
+
+// waitingTasks yields the waiting tasks of the candidate's steps that are ready.
+func (c *candidate) waitingTasks(u uncertainty) iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for s := range c.occurrence.steps {
+			st := &c.occurrence.steps[s]
 			if !st.ready || st.done == len(st.tasks) {
 				continue
 			}
 			for _, t := range st.tasks {
-				if waiting(t, u) {
-					sum += t.step.Reserved().CPU
+				if waiting(t, u) && !yield(t) {
+					return
 				}
 			}
 		}
 	}
-	return sum
 }
 
 // MachineOf returns the machine of a worker, or an empty string for an unknown worker.
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -171,21 +171,12 @@
 // waitingWork returns the work of a candidate's waiting tasks in core-seconds. Long-running tasks keep their cores, and count as work of a second.
 func (p *Pool) waitingWork(c candidate, u uncertainty) float64 {
 	work := 0.0
-	oc := c.occurrence
-	for s := range oc.steps {
-		st := &oc.steps[s]
-		if !st.ready {
-			continue
-		}
-		for _, t := range st.tasks {
-			if waiting(t, u) {
-				took := p.expectedDuration(t)
-				if t.step.LongRunning {
-					took = time.Second
-				}
-				work += float64(t.step.Reserved().CPU) / milliPerCore * took.Seconds()
-			}
+	for t := range c.waitingTasks(u) {
+		took := p.expectedDuration(t)
+		if t.step.LongRunning {
+			took = time.Second
 		}
+		work += float64(t.step.Reserved().CPU) / milliPerCore * took.Seconds()
 	}
 	return work
 }
