fix(rpc): write lines about disturbed connections to the log

What an operator saw: lines such as "2026/12/05 19:56:53 jsonrpc2: protocol error: ..." in plain text between the JSON lines of a node's output, without a limit of their number, of their length for a message that quotes what the other process sent, and without the address of that process.

Users of the package that have no log keep the library's standard error.

--- a/fleet/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -126,7 +126,7 @@
 // Run answers peers and sends heartbeats until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	server := &rpc.Server{Listener: n.Listener, Handler: n.handle, Sentinels: sentinels}
+	server := &rpc.Server{Listener: n.Listener, Handler: n.handle, Sentinels: sentinels, Log: n.connectionLog()}
 	group.Go(func() error { return server.Run(ctx) })
 	group.Go(func() error { return n.runHeartbeats(ctx) })
 	return group.Wait()
@@ -304,12 +304,21 @@
 	}
 	c, ok := n.clients[addr]
 	if !ok {
-		c = &rpc.Client{Addr: addr, Sentinels: sentinels}
+		c = &rpc.Client{Addr: addr, Sentinels: sentinels, Log: n.connectionLog()}
 		n.clients[addr] = c
 	}
 	return c
 }
 
+// connectionLines is the number of log lines per second about a disturbed connection.
+const connectionLines = 10
+
+// connectionLog returns the log of the server's connections, or of those to one peer.
+func (n *Node) connectionLog() *zerolog.Logger {
+	log := n.Log.Sample(&zerolog.BurstSampler{Burst: connectionLines, Period: time.Second})
+	return &log
+}
+
 func (n *Node) closeAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -23,6 +24,8 @@
 	Sentinels Sentinels
 	// Dial opens a connection; nil opens a TCP connection.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Log gets a line for each message that cannot be decoded or has no call; nil writes to standard error.
+	Log *zerolog.Logger
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -102,7 +105,7 @@
 		return nil, err
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall))
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall), logOption(c.Log, raw))
 	return c.conn, nil
 }
 
--- a/fleet/rpc/fuzz_test.go
+++ b/fleet/rpc/fuzz_test.go
@@ -30,6 +30,10 @@
 	closed chan struct{}
 }
 
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
@@ -72,7 +76,7 @@
 	f.Add(append(binary.AppendUvarint(nil, 1<<63), '{'))
 	f.Add(bytes.Repeat([]byte{0xff}, 12))
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		listener := newPipeListener()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
 		var group errgroup.Group
--- a/fleet/rpc/server.go
+++ b/fleet/rpc/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
 )
@@ -16,6 +17,8 @@
 	Listener  net.Listener
 	Handler   Handler
 	Sentinels Sentinels
+	// Log gets a line for each message that cannot be decoded, or whose answer cannot be sent; nil writes to standard error.
+	Log *zerolog.Logger
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
@@ -49,7 +52,7 @@
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
-	c := jsonrpc2.NewConn(ctx, stream, handler)
+	c := jsonrpc2.NewConn(ctx, stream, handler, logOption(s.Log, conn))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropClosed()
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/rpc"
 	"verbenalanding.example/fleet/store"
@@ -67,6 +69,8 @@
 	Handler rpc.Handler
 	// Dial opens connections to other nodes; nil uses net.Dialer.
 	Dial Dial
+	// Log gets the lines about disturbed connections, at most connectionLines a second.
+	Log zerolog.Logger
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*rpc.Client
@@ -74,13 +78,17 @@
 
 var peerSentinels = rpc.Sentinels{ErrNotHolder, errStoreUnreachable, store.ErrNotFound, store.ErrConflict, store.ErrRefused, store.ErrUnavailable}
 
-func newPeers(elector *leadership.Elector, e Environment) *Peers {
-	return &Peers{Elector: elector, Dial: e.Dial, clients: map[netip.AddrPort]*rpc.Client{}}
+// connectionLines is the number of log lines per second about disturbed connections to other nodes.
+const connectionLines = 10
+
+func newPeers(elector *leadership.Elector, e Environment, log zerolog.Logger) *Peers {
+	log = log.Sample(&zerolog.BurstSampler{Burst: connectionLines, Period: time.Second})
+	return &Peers{Elector: elector, Dial: e.Dial, Log: log, clients: map[netip.AddrPort]*rpc.Client{}}
 }
 
 // Serve serves the calls of other nodes until the context ends.
 func (p *Peers) Serve(ctx context.Context, l net.Listener) error {
-	server := rpc.Server{Listener: l, Sentinels: peerSentinels, Handler: func(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	server := rpc.Server{Listener: l, Sentinels: peerSentinels, Log: &p.Log, Handler: func(ctx context.Context, method string, params json.RawMessage) (any, error) {
 		return p.Handler(ctx, method, params)
 	}}
 	return server.Run(ctx)
@@ -163,7 +171,7 @@
 	defer p.mu.Unlock()
 	c := p.clients[addr]
 	if c == nil {
-		c = &rpc.Client{Addr: addr, Sentinels: peerSentinels, Dial: p.Dial}
+		c = &rpc.Client{Addr: addr, Sentinels: peerSentinels, Dial: p.Dial, Log: &p.Log}
 		p.clients[addr] = c
 	}
 	return c
