--- a/verbenabench/soak/versioncheck.go
+++ b/verbenabench/soak/versioncheck.go
@@ -45,14 +45,10 @@
 // so, and its process has not restarted since.
 func (c *versionCheck) record(i int, a versionAnswer) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.latest[i] = a
-	for i, p := range c.processes {
-		if !c.latest[i].inForce() || c.latest[i].incarnation != p.currentIncarnation() {
-			return false
-		}
-	}
-	return true
+	c.mu.Unlock()
+	p, _ := c.behind()
+	return p == nil
 }
 
 // behind returns the first process that has not shown that the configuration is in force, and its latest answer.
@@ -90,7 +86,7 @@
 		})
 	}
 	_ = group.Wait()
-	if err := ctx.Err(); err != nil {
+	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
 	if asking.Err() != nil {
