fix(verbenaentry): close the listeners of a node that cannot open all of them

A process that starts a node again on other addresses, as testfleet does, kept the listeners of the failed start. Found while comparing the two uses of ErrListen; the daemon closes its own already. TestListenersAreClosedIfOneCannotBeOpened failed before: 2 opened, 0 closed.

--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -251,6 +251,7 @@
 	}{{n.Settings.Entry, &l.entry}, {n.Settings.Readiness, &l.readiness}, {n.Elector.Self.Peer, &l.peer}} {
 		listener, err := n.listenAt(e.addr)
 		if err != nil {
+			l.close()
 			return l, fmt.Errorf("%w: %w", ErrListen, err)
 		}
 		*e.listener = listener
@@ -258,6 +259,14 @@
 	return l, nil
 }
 
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.entry, l.readiness, l.peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
 // awaitSignal shuts the node down gracefully after a signal to stop: it releases the duties immediately and serves requests until the load
 // balancer has removed the node. After SIGHUP it reads the settings file again.
 func (n *Node) awaitSignal(ctx context.Context, signals <-chan os.Signal, servers []shutdowner) error {
--- a/verbenaentry/node/node_test.go
+++ b/verbenaentry/node/node_test.go
@@ -1,11 +1,16 @@
 package node
 
 import (
+	"errors"
 	"io"
+	"net"
+	"net/netip"
+	"syscall"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/verbenaentry/logs"
 )
@@ -24,3 +29,33 @@
 	}
 	_ = group.Wait()
 }
+
+// closeCounter is a listener that counts its closing.
+type closeCounter struct {
+	net.Listener
+	closed *int
+}
+
+func (c closeCounter) Close() error {
+	*c.closed++
+	return nil
+}
+
+// Guards against listeners that stay open in a process that starts a node again because one of its addresses was in use.
+func TestListenersAreClosedIfOneCannotBeOpened(t *testing.T) {
+	opened, closed := 0, 0
+	const addresses = 3
+	n := &Node{Elector: &leadership.Elector{}, listenAt: func(netip.AddrPort) (net.Listener, error) {
+		if opened == addresses-1 {
+			return nil, syscall.EADDRINUSE
+		}
+		opened++
+		return closeCounter{closed: &closed}, nil
+	}}
+	if _, err := n.listen(); !errors.Is(err, ErrListen) || !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("listen: got %v, want %v and %v", err, ErrListen, syscall.EADDRINUSE)
+	}
+	if opened != addresses-1 || closed != opened {
+		t.Errorf("listeners: got %d opened and %d closed, want %d of each", opened, closed, addresses-1)
+	}
+}
