--- a/verbenalanding/demo/auditor.go
+++ b/verbenalanding/demo/auditor.go
@@ -35,6 +35,10 @@
 func (a *auditor) run(ctx context.Context) error {
 	for range interval.Each(ctx, auditInterval) {
 		instances, err := a.deployment.instances(ctx)
+		if ctx.Err() != nil {
+			// The demonstration has ended; a store whose caller has gone gives no answer.
+			return nil
+		}
 		if err != nil {
 			return err
 		}
