--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -171,21 +171,12 @@
 // waitingWork returns the work of a candidate's waiting tasks in core-seconds. Long-running tasks keep their cores, and count as work of a second.
 func (p *Pool) waitingWork(c candidate, u uncertainty) float64 {
 	work := 0.0
-	oc := c.occurrence
-	for s := range oc.steps {
-		st := &oc.steps[s]
-		if !st.ready {
-			continue
-		}
-		for _, t := range st.tasks {
-			if waiting(t, u) {
-				took := p.expectedDuration(t)
-				if t.step.LongRunning {
-					took = time.Second
-				}
-				work += float64(t.step.Reserved().CPU) / milliPerCore * took.Seconds()
-			}
+	for t := range c.waitingTasks(u) {
+		took := p.expectedDuration(t)
+		if t.step.LongRunning {
+			took = time.Second
 		}
+		work += float64(t.step.Reserved().CPU) / milliPerCore * took.Seconds()
 	}
 	return work
 }
@@ -233,16 +224,17 @@
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
 		return WaitAdvice
 	}
-	usable := slices.DeleteFunc(slices.Clone(p.sortedWorkers()), func(w *worker) bool { return !p.usable(w, now) })
 	reason := WaitNoWorker
-	for _, w := range usable {
-		reason = furthest(reason, p.workerReason(w, t, need))
+	for _, w := range p.sortedWorkers() {
+		if p.usable(w, now) {
+			reason = furthest(reason, p.workerReason(w, t, need))
+		}
 	}
 	return reason
 }
 
 // reasonOrder holds the reasons of single workers: the later one, which more conditions precede, is that of the pool.
-var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitAdvice, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitOtherWorker, WaitNextPlan}
+var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitOtherWorker, WaitNextPlan}
 
 func furthest(a, b WaitReason) WaitReason {
 	return reasonOrder[max(slices.Index(reasonOrder, a), slices.Index(reasonOrder, b))]
