fix(leadership): take a process of the same name for a witness's next incarnation only at the witness's address

By reading in the review: a node that is replaced by one of the same name at another address may still run and confirm a holder, while its replacement counted as the proof that it had ended.

--- a/fleet/leadership/witness.go
+++ b/fleet/leadership/witness.go
@@ -211,7 +211,7 @@
 		// A holder of an older version leaves the record of an earlier one in the store.
 		return true
 	}
-	if len(record.Witnesses) == 0 || record.Holder.Node == el.Self.Node || el.revokeOwn(name, record) {
+	if len(record.Witnesses) == 0 || el.wasSelf(record.Holder) || el.revokeOwn(name, record) {
 		return true
 	}
 	if el.RequestStatus == nil {
@@ -231,12 +231,17 @@
 	return el.unprovenLongEnough(name, record)
 }
 
+// wasSelf reports whether a registration is that of this node's process, or of one whose address this process has now, so that it has ended. A
+// process of the same name at another address may still run.
+func (el *Elector) wasSelf(m Member) bool {
+	return m.sameProcess(el.Self) || (m.Node == el.Self.Node && m.Peer == el.Self.Peer)
+}
+
 // revokeOwn reports whether this node is a witness, or was one before it started again; it then confirms the holder no more.
 func (el *Elector) revokeOwn(name string, record witnessRecord) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	isOwn := func(m Member) bool { return m.Node == el.Self.Node }
-	if !slices.ContainsFunc(record.Witnesses, isOwn) {
+	if !slices.ContainsFunc(record.Witnesses, el.wasSelf) {
 		return false
 	}
 	el.acquiring[name] = uint64(record.revision)
@@ -260,9 +265,11 @@
 	var group errgroup.Group
 	for _, m := range nodes {
 		group.Go(func() error {
-			answer, err := el.requestStatus(ctx, el.reachable(m), q)
-			// Another incarnation of the node shows that the witness has ended.
-			revoked <- err == nil && answer.Node == m.Node
+			asked := el.reachable(m)
+			answer, err := el.requestStatus(ctx, asked, q)
+			// Another incarnation of the node at the witness's address shows that the witness has ended.
+			ended := answer.Node == m.Node && asked.Peer == m.Peer
+			revoked <- err == nil && (ended || answer.Session == m.Session)
 			return nil
 		})
 	}
--- a/fleet/leadership/witnessgaps_test.go
+++ b/fleet/leadership/witnessgaps_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -278,3 +279,20 @@
 		t.Errorf("confirmation after a promise: got %v refused, want pool", status.Refused)
 	}
 }
+
+// Guards against a process that takes the answer of a new process of the same name for the end of a witness, which still runs at another address.
+func TestWitnessOfTheSameNameAtAnotherAddressMayStillRun(t *testing.T) {
+	t.Parallel()
+	f := newSupersededFleet(t, "b")
+	f.cut("a", "b")
+	for _, name := range []string{"a", "b"} {
+		f.net.mark(f.net.partitioned, name)
+	}
+	el := f.build("b", 0)
+	el.Self.Session, el.Self.Peer = "b2", netip.MustParseAddrPort("127.0.0.1:9")
+	el.RequestStatus = func(context.Context, leadership.Member, leadership.StatusRequest) (leadership.Status, error) {
+		return leadership.Status{}, errPartitioned
+	}
+	f.run(el)
+	assertNoSuccessor(t, f.nodes, 2*supersededTTL)
+}
