fix(verbenaentry): keep the age of a list of machines when the next one fails

Operators could see more machines down than a wave allows, and a machine taken away from the pool to which another holder had just moved it. A request for the list that failed set the time of the list in force. A slot was freed by a state from before the upkeep, and an order of another holder that was older than a second no longer went before the stale list. A partial list freed slots of the machines that it lacks.

The time of the list and that of the last request are now separate, a failed request is repeated after at most a second, and a machine that a partial list lacks does not count as back. TestFailedListOfMachinesKeepsTheAgeOfTheOneBefore and TestSlotIsNotFreedWithoutAWholeListOfMachines failed before.

--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -51,7 +51,8 @@
 	mu       sync.Mutex
 	orders   map[string]lastOrder
 	byID     map[string]workload.Machine
-	listedAt time.Time
+	// listedAt is when the present list was requested, triedAt when one was last requested.
+	listedAt, triedAt time.Time
 	// listFailed is true if the last request for the list of machines failed, listPartial if the list lacks machines.
 	listFailed, listPartial bool
 	// incarnations holds, for each machine, the newest worker that registered in the pool.
@@ -110,11 +111,16 @@
 	}
 }
 
-// refresh requests the platform's list of machines if the current list is older than age.
+// listRetryPause is how long after a request for the list of machines that failed the next one is made, where a list is wanted that is younger
+// than the present one.
+const listRetryPause = time.Second
+
+// refresh requests the platform's list of machines if the current list is older than age. After a failed request the previous list remains,
+// with its own age.
 func (mt *machineTracker) refresh(ctx context.Context, age time.Duration) {
 	now := mt.pool.node.Clock.Now()
 	mt.mu.Lock()
-	fresh := now.Sub(mt.listedAt) < age
+	fresh := now.Sub(mt.listedAt) < age || now.Sub(mt.triedAt) < min(age, listRetryPause)
 	mt.mu.Unlock()
 	if fresh {
 		return
@@ -122,14 +128,15 @@
 	list, err := mt.pool.node.Machines.List(ctx)
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
-	mt.listPartial = errors.Is(err, platform.ErrPartialList)
-	mt.listedAt, mt.listFailed = now, err != nil && !mt.listPartial
+	partial := errors.Is(err, platform.ErrPartialList)
+	mt.triedAt, mt.listFailed = now, err != nil && !partial
 	if err != nil {
-		mt.pool.log.Warn().Err(err).Bool("partial", mt.listPartial).Msg("list of machines not received")
+		mt.pool.log.Warn().Err(err).Bool("partial", partial).Msg("list of machines not received")
 	}
 	if mt.listFailed {
 		return
 	}
+	mt.listedAt, mt.listPartial = now, partial
 	clear(mt.byID)
 	for _, m := range list {
 		mt.byID[m.ID] = m
--- a/verbenaentry/node/upkeep.go
+++ b/verbenaentry/node/upkeep.go
@@ -57,7 +57,8 @@
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
 	m, listed := mt.byID[s.Machine]
-	return s.finished(now, u.pool.node.Settings.Bounds.Upkeep, mt.incarnations[s.Machine], mt.listedAt, listed, m.State)
+	// A machine that a partial list lacks may be in upkeep.
+	return s.finished(now, u.pool.node.Settings.Bounds.Upkeep, mt.incarnations[s.Machine], mt.listedAt, listed || mt.listPartial, m.State)
 }
 
 // begin repeats unconfirmed upkeep orders of the pool's slots, and orders the upkeep of the machines that are next in the wave's plan.
