fix(verbenaentry): count a wave's machine as gone only by a whole and recent list

An operator saw a wave reported as completed although its machines had no upkeep: each machine that the cached list lacks counted as gone. The list may be up to a second older than a machine that has just joined, may be from before a series of failures, or may lack entries. A machine counts as gone now only by a whole list that was requested at least listLag after the holder first saw the wave. TestWaveIsNotCompletedByAListThatMayLackItsMachines failed before in three of its four cases; the fourth guards the completion of a wave whose machines are gone.

--- a/verbenaentry/node/machinelist_test.go
+++ b/verbenaentry/node/machinelist_test.go
@@ -9,6 +9,7 @@
 
 	"verbenalanding.example/fleet/monotonic"
 	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/wire"
 )
@@ -100,3 +101,36 @@
 		})
 	}
 }
+
+// Guards against a wave that is reported as completed although machines of it have had no upkeep: a machine that the list of machines did not
+// show counted as gone, although the list was older than the machine, or lacked entries.
+func TestWaveIsNotCompletedByAListThatMayLackItsMachines(t *testing.T) {
+	w := workload.Wave{ID: "1", Machines: []string{"new"}, MaxDown: 1, Within: time.Minute}
+	other := wire.Machine{Machine: "other", Pool: "cutting", State: "up"}
+	for _, c := range []struct {
+		name  string
+		since time.Duration
+		spoil func(*machineListFixture)
+		want  bool
+	}{
+		{"the list may be older than the machine", listLag / 2, func(*machineListFixture) {}, false},
+		{"the list fails since then", 3 * listLag, func(f *machineListFixture) { f.failing = true }, false},
+		{"the list lacks entries", 3 * listLag, func(f *machineListFixture) { f.unnamed = true }, false},
+		{"the list shows that the machine is gone", 3 * listLag, func(*machineListFixture) {}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newMachineListFixture(t, other)
+			f.pool.node.View = &View{waves: map[string]workload.Wave{w.ID: w}}
+			f.pool.node.View.currentRoutes.Store(newRoutes(&workload.Configuration{Pools: []workload.PoolSettings{{Name: "cutting"}}}))
+			f.pool.machines.refresh(f.ctx, 0)
+			f.pool.upkeeps.firstSeen[w.ID] = f.now()
+			c.spoil(f)
+			f.elapsed += c.since
+			f.pool.machines.refresh(f.ctx, 0)
+			f.pool.upkeeps.reportStatus(f.ctx, w)
+			if got := f.pool.upkeeps.completed[w.ID]; got != c.want {
+				t.Errorf("wave reported as completed: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -166,6 +166,22 @@
 // listLag is how far the list of machines may lag behind: it shows all orders and registrations that are at least this old.
 const listLag = time.Second
 
+// gone returns the machines of a wave that the list of machines shows as gone; the wave was known at a time, and so were its machines. known is
+// false without a list.
+func (mt *machineTracker) gone(ids []string, knownAt time.Time) (gone map[string]bool, known bool) {
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	gone = map[string]bool{}
+	if mt.listPartial || mt.listedAt.Before(knownAt.Add(listLag)) {
+		return gone, len(mt.byID) > 0
+	}
+	for _, id := range ids {
+		_, listed := mt.byID[id]
+		gone[id] = !listed
+	}
+	return gone, len(mt.byID) > 0
+}
+
 // get returns a machine from the list, with the pool of the last order if the list may not show it yet; the lock must be held.
 func (mt *machineTracker) get(id string) (workload.Machine, bool) {
 	m, ok := mt.byID[id]
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -163,16 +163,13 @@
 	if c == nil || len(c.Pools) == 0 || c.Pools[0].Name != u.pool.name {
 		return
 	}
-	u.pool.machines.mu.Lock()
-	completed := len(u.pool.machines.byID) > 0
-	listed := make(map[string]bool, len(w.Machines))
-	for _, id := range w.Machines {
-		_, listed[id] = u.pool.machines.byID[id]
-	}
-	u.pool.machines.mu.Unlock()
+	u.mu.Lock()
+	firstSeen := u.firstSeen[w.ID]
+	u.mu.Unlock()
+	gone, completed := u.pool.machines.gone(w.Machines, firstSeen)
 	u.mu.Lock()
 	for _, id := range w.Machines {
-		if listed[id] && !u.done[w.ID][id] {
+		if !gone[id] && !u.done[w.ID][id] {
 			completed = false
 		}
 	}
