--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -48,9 +48,9 @@
 type machineTracker struct {
 	pool *pool
 
-	mu       sync.Mutex
-	orders   map[string]lastOrder
-	byID     map[string]workload.Machine
+	mu     sync.Mutex
+	orders map[string]lastOrder
+	byID   map[string]workload.Machine
 	// listedAt is when the present list was requested, triedAt when one was last requested.
 	listedAt, triedAt time.Time
 	// listFailed is true if the last request for the list of machines failed, listPartial if the list lacks machines.
