fix(verbenaentry): look up again whether an accepted upkeep order has ended its worker

A worker that kept running after an upkeep order which the platform had already carried out got no starts any more if the list of machines failed just then: it is cordoned with the order, and the one lookup that frees it was not repeated. With a partial list that lacks its machine it got starts although it might be ending. The lookup is now repeated with the lists that follow until one shows the machine. The fixture of incarnation_test.go uses the pool's own upkeeps, since pending lookups belong to them.

--- a/verbenaentry/node/incarnation_test.go
+++ b/verbenaentry/node/incarnation_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	p := &incarnationFixture{takeoverFixture: newTakeoverFixture(t)}
 	p.pool.node.Workers = &platform.Workers{Client: platform.NewClient()}
-	p.pool.machines = newMachineTracker(p.pool)
+	p.pool.machines, p.pool.upkeeps = newMachineTracker(p.pool), newUpkeeps(p.pool)
 	p.worker = workload.Worker{ID: "w", Machine: "m", Pool: "cutting", Capacity: workload.Resources{CPU: 1000}}
 	return p
 }
@@ -135,7 +135,7 @@
 		p.t.Fatalf("incarnation of w: got none, want one")
 	}
 	p.pool.scheduler.Cordon("w", true)
-	newUpkeeps(p.pool).confirmEnd(p.ctx, incarnation)
+	p.pool.upkeeps.confirmEnd(p.ctx, incarnation)
 }
 
 // wantStarts checks that the scheduler starts a new task on the worker.
--- a/verbenaentry/node/machinelist_test.go
+++ b/verbenaentry/node/machinelist_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -134,3 +135,32 @@
 		})
 	}
 }
+
+// Guards against a worker that gets no starts any more: it kept running after an upkeep order that the platform had already carried out, and the
+// list of machines that would have shown so failed, or lacked its machine.
+func TestWorkerIsUncordonedOnceAListShowsThatItRuns(t *testing.T) {
+	for name, spoil := range map[string]func(*machineListFixture){
+		"the list fails":      func(f *machineListFixture) { f.failing = true },
+		"the list is partial": func(f *machineListFixture) { f.listed, f.unnamed = nil, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newMachineListFixture(t)
+			p := &incarnationFixture{takeoverFixture: f.takeoverFixture, worker: workload.Worker{ID: "w", Machine: "m", Pool: "cutting", Capacity: workload.Resources{CPU: 1000}}}
+			p.receiveReport(time.Now().Add(-time.Minute), netip.AddrPort{})
+			spoil(f)
+			p.confirmEnd()
+			now := f.now()
+			p.pool.scheduler.AddJob(workload.Job{ID: "early", Pool: "cutting", Accepted: now, Steps: []workload.Step{{Tasks: 1}}}, nil, false, now)
+			if got := p.pool.scheduler.Plan(now); len(got) != 0 {
+				t.Errorf("orders while no list shows the worker: got %v, want none", got)
+			}
+			p.pool.scheduler.Cancel("early", now)
+			f.failing, f.unnamed, f.listed = false, false, []wire.Machine{{Machine: "m", Pool: "cutting", State: "up", ID: "w"}}
+			f.elapsed += 2 * machineListInterval
+			p.pool.upkeeps.confirmEnds(f.ctx)
+			p.receiveReport(time.Now().Add(-time.Minute), netip.AddrPort{})
+			p.wantRunning()
+			p.wantStarts()
+		})
+	}
+}
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -144,23 +144,25 @@
 }
 
 // ended returns the workers that have ended according to the list of machines; known is false unless the list was requested at the given
-// time or later.
+// time or later and shows all their machines.
 func (mt *machineTracker) ended(workers []dispatch.WorkerIncarnation, requested time.Time) (ended []workload.Worker, known bool) {
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
 	if mt.listFailed || mt.listedAt.Before(requested) {
 		return nil, false
 	}
+	known = true
 	for _, w := range workers {
 		m, listed := mt.byID[w.Machine]
 		if !listed && mt.listPartial {
+			known = false
 			continue
 		}
 		if listedAsEnded(w, m, listed, requested) {
 			ended = append(ended, w.Worker)
 		}
 	}
-	return ended, true
+	return ended, known
 }
 
 // listLag is how far the list of machines may lag behind: it shows all orders and registrations that are at least this old.
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -40,6 +40,8 @@
 	firstSeen map[string]time.Time
 	// running and completed hold the waves that were reported to the operator as running or completed.
 	running, completed map[string]bool
+	// unconfirmed holds the workers that are cordoned until a list of machines shows whether an upkeep order has ended them, by id.
+	unconfirmed map[string]unconfirmedEnd
 	// waitLogged is when the reason for waiting machines was last logged.
 	waitLogged time.Time
 }
@@ -47,7 +49,7 @@
 func newUpkeeps(p *pool) *upkeeps {
 	return &upkeeps{
 		pool: p, slots: map[string]reservedSlot{}, done: map[string]map[string]bool{}, firstSeen: map[string]time.Time{},
-		running: map[string]bool{}, completed: map[string]bool{},
+		running: map[string]bool{}, completed: map[string]bool{}, unconfirmed: map[string]unconfirmedEnd{},
 	}
 }
 
@@ -100,6 +102,7 @@
 
 func (u *upkeeps) run(ctx context.Context) error {
 	for range interval.Each(ctx, waveInterval) {
+		u.confirmEnds(ctx)
 		for _, w := range u.pool.node.View.Waves() {
 			if u.pool.active() {
 				u.processWave(ctx, w)
