fix(rpc): end a call with its context while its write blocks

A node whose peer reads nothing any more, as a suspended process, waited for that peer as long as the connection lasted, whatever the timeout of the call said; all later calls to that peer waited behind it. The library ignores the context while it writes. A write that blocks when the context ends is now ended by closing the connection, which the next call opens again; a call whose context has ended before is not sent. TestCallEndsWithItsContextWhileAWriteBlocks and TestCallWithAnEndedContextIsNotSent failed before.

--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -35,15 +35,30 @@
 // Call sends a call and decodes its result; it returns ErrUnreachable when no answer arrived before the context ended.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
 	conn, err := c.connect(ctx)
+	if err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w: %w", ErrUnreachable, ErrNotSent, err)
 	}
-	if err := conn.Call(ctx, method, params, result); err != nil {
+	sent, err := dispatch(ctx, conn, method, params)
+	if err == nil {
+		err = sent.Wait(ctx, result)
+	}
+	if err != nil {
 		return c.Sentinels.decode(err)
 	}
 	return nil
 }
 
+// dispatch writes a call. A write that blocks when the context ends is ended with its connection: the other process does not read, and the calls
+// that follow would wait behind the write.
+func dispatch(ctx context.Context, conn *jsonrpc2.Conn, method string, params any) (jsonrpc2.Waiter, error) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	return conn.DispatchCall(ctx, method, params)
+}
+
 // Close ends the connection; a later call opens a new one.
 func (c *Client) Close() error {
 	c.mu.Lock()
