fix(verbenaentry): close a silent connection after a relayed call without an answer

A node that the store rejects relays its writes through others. A relayed call that got no answer left its connection open, unlike all other calls between nodes, so that on a dead connection, as to a machine without power, hand-ins were answered with 504 until another call closed it. Closing it after each timeout would take the answers from the relayed calls beside it while the store is slow; so it is closed only if nothing arrived on it during the call.

--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -24,6 +25,9 @@
 	// Dial opens a connection; nil opens a TCP connection.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
+	// received counts the messages that the other process sent.
+	received atomic.Int64
+
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
 	// dialing is closed when the current connection attempt ends; nil when there is none.
@@ -59,6 +63,10 @@
 	return conn.DispatchCall(ctx, method, params)
 }
 
+// Received returns how many messages the other process has sent. A call without an answer during which none arrived may have been sent on a dead
+// connection.
+func (c *Client) Received() int64 { return c.received.Load() }
+
 // Close ends the connection; a later call opens a new one.
 func (c *Client) Close() error {
 	c.mu.Lock()
@@ -117,7 +125,8 @@
 		return nil, err
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall))
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall),
+		jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { c.received.Add(1) }))
 	return c.conn, nil
 }
 
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -157,6 +157,18 @@
 	return err
 }
 
+// callRelay calls a node that answers only once the store has answered it. A call without an answer closes the connection only if nothing else
+// arrived on it either: with a slow store the calls beside it are still to be answered.
+func (p *Peers) callRelay(ctx context.Context, addr netip.AddrPort, method string, params, result any) error {
+	client := p.client(addr)
+	received := client.Received()
+	err := client.Call(ctx, method, params, result)
+	if errors.Is(err, rpc.ErrUnreachable) && client.Received() == received {
+		_ = client.Close()
+	}
+	return err
+}
+
 func (p *Peers) client(addr netip.AddrPort) *rpc.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/verbenaentry/node/relay.go
+++ b/verbenaentry/node/relay.go
@@ -76,7 +76,7 @@
 // call returns store.ErrRefused when no other node has relayed the call to the store, and store.ErrUnavailable when one may have.
 func (r relay) call(ctx context.Context, method string, params, result any) error {
 	for _, m := range r.node.others(maxRelayNodes) {
-		err := r.node.Peers.client(m.Peer).Call(ctx, method, params, result)
+		err := r.node.Peers.callRelay(ctx, m.Peer, method, params, result)
 		switch {
 		case errors.Is(err, rpc.ErrNotSent), errors.Is(err, errStoreUnreachable):
 			count(r.node.Registry, "relayed.cutOff")
