fix(verbenaentry): keep a record that the store never accepts from stopping its pool

All jobs of a pool stopped if one job's record outgrew the store's largest value: more than some 17,000 tasks of one occurrence that had failed once or had checkpoints. The store refused each write of it, and no end of the pool was acknowledged any more, since a worker's ends are acknowledged in their order.

If it still does not fit, checkpoints are left out, and then the job ends as failed, with one log line; its record is then small, and the ends of its neighbours are acknowledged with it. A transaction that the store refuses as invalid (400 or 413) is written record by record; a record that is refused 20 times while the store serves other calls ends its job. The values of a transaction are together no larger than one may be.

What cannot be carried is refused with 413 and the reason when it is handed in: a job that is larger than a value, for which the caller got 503 for ever before, and one with more tasks than a record has room for.

--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -36,8 +36,10 @@
 
 // Change is a record that has to be written.
 type Change struct {
-	Job     string
-	Record  Record
+	Job    string
+	Record Record
+	// Value is the encoded record; the one that writes it sets it.
+	Value   []byte
 	version int
 }
 
@@ -78,6 +80,21 @@
 	return b
 }
 
+// RefuseRecord ends a job whose record cannot be stored: without a record its ends could not be acknowledged, nor those of other jobs on the same
+// workers. It returns false for a job that has ended, whose record is then left out from now on.
+func (p *Pool) RefuseRecord(id string, now time.Time) bool {
+	j := p.jobs[id]
+	if j == nil {
+		return false
+	}
+	if j.state.Terminal() {
+		delete(p.dirty, id)
+		return false
+	}
+	p.finish(j, workload.Failed, now)
+	return true
+}
+
 // HasEndedJobs reports whether a job has ended whose record is not written yet.
 func (p *Pool) HasEndedJobs() bool {
 	for _, j := range p.dirty {
--- a/fleet/store/store.go
+++ b/fleet/store/store.go
@@ -24,6 +24,8 @@
 	ErrTooLarge = errors.New("value too large")
 	// ErrRefused is returned when the store rejected the call; it was not applied.
 	ErrRefused = errors.New("refused by the store")
+	// ErrInvalid is returned with ErrRefused when the store will never accept the call.
+	ErrInvalid = errors.New("invalid call")
 	// ErrOverShare is returned by Metered when a mechanism has used up its share; the call was not sent.
 	ErrOverShare = errors.New("call rate above the mechanism's share")
 )
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
@@ -101,6 +100,8 @@
 	unresponsiveTries    int
 	// registrationsListed is true once the first list of registrations has been applied.
 	registrationsListed bool
+	// refusedWrites counts, for each job, how often the store has refused its record as invalid since the last success.
+	refusedWrites map[string]int
 	// writeTries is the number of the current attempt to write records since the last success.
 	writeTries int
 	// startBudget limits the repetitions of unanswered starts.
@@ -123,7 +124,7 @@
 func (n *Node) holdPool(ctx context.Context, name string, fence uint64) error {
 	p := &pool{
 		node: n, name: name, fence: fence, takenAt: n.Clock.Now(), log: n.Log.With().Str("pool", name).Uint64("fence", fence).Logger(),
-		revisions: map[string]store.Revision{}, leased: map[string]bool{}, startBudget: newStartBudget(),
+		revisions: map[string]store.Revision{}, refusedWrites: map[string]int{}, leased: map[string]bool{}, startBudget: newStartBudget(),
 		planNow: ring.New[struct{}](1), writeNow: ring.New[struct{}](1), recordNow: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(maxOrders)
@@ -185,8 +186,8 @@
 	records, invalid = map[string]dispatch.Record{}, map[string]bool{}
 	for _, e := range entries {
 		id := strings.TrimPrefix(e.Key, prefix)
-		var r dispatch.Record
-		if err := json.Unmarshal(e.Value, &r); err != nil {
+		r, err := dispatch.DecodeRecord(e.Value)
+		if err != nil {
 			p.log.Error().Err(err).Str("job", id).Msg("record of a job cannot be decoded")
 			invalid[id] = true
 			continue
--- a/verbenaentry/node/state.go
+++ b/verbenaentry/node/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 
@@ -90,8 +89,8 @@
 	defer cancel()
 	entry, err := st.Get(ctx, stateKey(pool, id))
 	if err == nil {
-		var record dispatch.Record
-		if err := json.Unmarshal(entry.Value, &record); err != nil {
+		record, err := dispatch.DecodeRecord(entry.Value)
+		if err != nil {
 			return "", err
 		}
 		if record.State == workload.Queued && record.Started {
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"net/http"
 
 	"verbenalanding.example/fleet/store"
@@ -32,6 +34,11 @@
 		return http.StatusBadRequest
 	}
 	job.ID, job.Queue, job.Pool, job.Terms, job.Accepted = id, q.Name, q.Pool, *q, n.Clock.Now()
+	if err := n.checkSize(job); err != nil {
+		log.Info().Err(err).Msg("job refused: too large to be stored")
+		n.refuse(w, http.StatusRequestEntityTooLarge, err.Error())
+		return http.StatusRequestEntityTooLarge
+	}
 	outcome, created, tries := n.storeJob(ctx, *job)
 	if created != nil {
 		n.notifyHolder(q.Pool, methodStored, created, func(p *pool) {
@@ -56,6 +63,33 @@
 	return http.StatusGatewayTimeout
 }
 
+// recordTaskBytes is the room in a compressed record for a task that has failed twice, in runs with any number.
+const recordTaskBytes = 16
+
+var errJobTooLarge = errors.New("job too large")
+
+// checkSize refuses a job that the store cannot take, or whose record it could not take once the tasks have failed.
+func (n *Node) checkSize(job *workload.Job) error {
+	stored := *job
+	stored.Fence = math.MaxUint64
+	accept, err := n.acceptJob(stored)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errJobTooLarge, err)
+	}
+	limit := n.maxValueBytes()
+	if size := len(accept.Put[0].Value); size > limit {
+		return fmt.Errorf("%w: %d bytes as it is stored, want at most %d", errJobTooLarge, size, limit)
+	}
+	tasks := 0
+	for i := range job.Steps {
+		tasks += job.Steps[i].Tasks
+	}
+	if tasks *= job.Occurrences(); tasks > limit/recordTaskBytes {
+		return fmt.Errorf("%w: %d tasks in all occurrences, want at most %d", errJobTooLarge, tasks, limit/recordTaskBytes)
+	}
+	return nil
+}
+
 type storeOutcome string
 
 const (
--- a/verbenaentry/node/unknownjobs.go
+++ b/verbenaentry/node/unknownjobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -119,10 +118,11 @@
 	if err != nil {
 		return jobSnapshot{}, err
 	}
-	snapshot.record = &dispatch.Record{}
-	if err := json.Unmarshal(state.Value, snapshot.record); err != nil {
+	record, err := dispatch.DecodeRecord(state.Value)
+	if err != nil {
 		return jobSnapshot{}, fmt.Errorf("read record of job %s: %w", id, err)
 	}
+	snapshot.record = &record
 	return snapshot, nil
 }
 
--- a/verbenaentry/node/write.go
+++ b/verbenaentry/node/write.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"strings"
@@ -82,11 +82,43 @@
 	}
 }
 
+// writeOnce writes the changes once. A job whose record cannot be stored ends by that, which is written instead.
 func (p *pool) writeOnce(ctx context.Context, changes func() dispatch.Batch) error {
+	for {
+		p.mu.Lock()
+		batch := changes()
+		p.mu.Unlock()
+		err := p.encode(batch)
+		if err == nil {
+			return p.writeBatch(ctx, batch, p.writeRecords)
+		}
+		if !errors.Is(err, dispatch.ErrRecordTooLarge) {
+			return err
+		}
+	}
+}
+
+// encode encodes the records of a batch. It ends a job whose record is larger than a value of the store, and returns an error for it.
+func (p *pool) encode(batch dispatch.Batch) error {
+	for i := range batch.Changes {
+		c := &batch.Changes[i]
+		value, err := c.Record.Encode(p.node.maxValueBytes())
+		if err != nil {
+			p.refuseRecord(c.Job, err)
+			return err
+		}
+		c.Value = value
+	}
+	return nil
+}
+
+// refuseRecord ends a job whose record the store cannot take.
+func (p *pool) refuseRecord(job string, cause error) {
 	p.mu.Lock()
-	batch := changes()
+	failed := p.scheduler.RefuseRecord(job, p.node.Clock.Now())
 	p.mu.Unlock()
-	return p.writeBatch(ctx, batch, p.writeRecords)
+	delete(p.refusedWrites, job)
+	p.log.Error().Err(cause).Str("job", job).Bool("failed", failed).Msg("record of a job cannot be stored")
 }
 
 // writeBatch writes a batch in chunks. Each chunk is acknowledged as soon as it is written: while the store loses answers, almost every
@@ -95,15 +127,22 @@
 // The ended runs of a batch without changes are acknowledged without a confirmation of the duty. That is safe even for a holder that has
 // lost its duty: such ends change nothing, because the end of the task or job, or the counted failure, was written while the duty was held.
 func (p *pool) writeBatch(ctx context.Context, batch dispatch.Batch, write func(context.Context, []dispatch.Change) error) error {
-	for from := 0; from < len(batch.Changes); from += recordsPerWrite {
-		chunk := batch.Changes[from:min(from+recordsPerWrite, len(batch.Changes))]
-		if err := write(ctx, chunk); err != nil {
+	var refused error
+	for rest := batch.Changes; len(rest) > 0; {
+		n := p.chunkSize(rest)
+		chunk := rest[:n]
+		rest = rest[n:]
+		err := p.writeChunk(ctx, chunk, write)
+		if errors.Is(err, store.ErrInvalid) {
+			refused = err
+			continue
+		}
+		if err != nil {
 			return err
 		}
-		p.writeTries = 1
-		p.mu.Lock()
-		p.scheduler.BatchRecorded(dispatch.Batch{Changes: chunk})
-		p.mu.Unlock()
+	}
+	if refused != nil {
+		return refused
 	}
 	p.mu.Lock()
 	p.scheduler.BatchRecorded(batch)
@@ -111,6 +150,60 @@
 	return nil
 }
 
+// chunkSize returns how many of the changes go into the next transaction, whose values together are no larger than a single one may be.
+func (p *pool) chunkSize(changes []dispatch.Change) int {
+	size := 0
+	for n, c := range changes {
+		size += len(c.Value)
+		if n > 0 && (n == recordsPerWrite || size > p.node.maxValueBytes()) {
+			return n
+		}
+	}
+	return len(changes)
+}
+
+// maxRefusedWrites is how often in a row the store refuses a record as invalid until its job is ended. That takes 2 s or more, in which a store
+// that refuses all calls shows so at the renewals of the lease.
+const maxRefusedWrites = 20
+
+// writeChunk writes a chunk. One that the store refuses as invalid is written record by record, so that a record that it never accepts holds up
+// no others.
+func (p *pool) writeChunk(ctx context.Context, chunk []dispatch.Change, write func(context.Context, []dispatch.Change) error) error {
+	err := write(ctx, chunk)
+	if err == nil {
+		p.writeTries = 1
+		p.mu.Lock()
+		p.scheduler.BatchRecorded(dispatch.Batch{Changes: chunk})
+		p.mu.Unlock()
+		return nil
+	}
+	if !errors.Is(err, store.ErrInvalid) {
+		return err
+	}
+	if len(chunk) == 1 {
+		job := chunk[0].Job
+		if p.refusedWrites[job]++; p.refusedWrites[job] >= maxRefusedWrites && p.node.Elector.StoreReachable() {
+			p.refuseRecord(job, err)
+		}
+		return err
+	}
+	var refused error
+	for i := range chunk {
+		err := p.writeChunk(ctx, chunk[i:i+1], write)
+		if errors.Is(err, store.ErrInvalid) {
+			refused = err
+			continue
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return refused
+}
+
+// maxValueBytes is the largest value that the store accepts.
+func (n *Node) maxValueBytes() int { return cmp.Or(n.Settings.MaxValueBytes, store.MaxValueSize) }
+
 func (p *pool) dutyCondition() store.Condition {
 	return store.Condition{Key: leadership.Prefix + p.name, Revision: store.Revision(p.fence)}
 }
@@ -120,13 +213,9 @@
 func (p *pool) writeRecords(ctx context.Context, changes []dispatch.Change) error {
 	t := store.Transaction{If: []store.Condition{p.dutyCondition()}}
 	for _, c := range changes {
-		value, err := json.Marshal(c.Record)
-		if err != nil {
-			return err
-		}
 		key := stateKey(p.name, c.Job)
 		t.If = append(t.If, store.Condition{Key: key, Revision: p.revisions[c.Job]})
-		t.Put = append(t.Put, store.Write{Key: key, Value: value})
+		t.Put = append(t.Put, store.Write{Key: key, Value: c.Value})
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.node.StoreTimeout.forAttempt(p.writeTries))
 	defer cancel()
@@ -141,6 +230,7 @@
 	p.node.Elector.MarkHeld(p.name, p.fence, sent)
 	for _, c := range changes {
 		p.revisions[c.Job] = revision
+		delete(p.refusedWrites, c.Job)
 		p.log.Debug().Str("job", c.Job).Str("state", string(c.Record.State)).Uint64("revision", uint64(revision)).Msg("record written")
 	}
 	return nil
