fix(dispatch): bound the tasks of which a pool keeps the state

Many accepted jobs that are all due at once exceeded the memory of their holder, and of each successor in turn: it built the state of each task of each job, 409,600 in the test. A pool now keeps the state of 65,536 tasks (13.1 MB), over all jobs that go before a job or have its priority; the others follow as tasks end, and are explained as jobs that wait for capacity. Long-running jobs and those of a higher priority have a state at once. What has not begun within a second, as jobs that no worker can run, makes room for others that may start.

TestManyJobsThatAreDueKeepTheStateOfSome failed before. TestJobsThatCannotStartLeaveTheBacklogToOthers failed with the bound alone; TestBacklogHoldsUpNoJobThatGoesBeforeIt and TestRunOfAJobInTheBacklogIsAdopted guard it.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -172,6 +172,10 @@
 	actions       []Action
 	// dirty holds the jobs whose record in the store is out of date.
 	dirty map[string]*job
+	// backlog counts the tasks with a state as of the last plan, and those that got one since.
+	backlog backlog
+	// backlogFull is true if an occurrence got no state since the last plan, because the backlog was full.
+	backlogFull bool
 }
 
 // Event is a decision to be logged.
@@ -198,6 +202,7 @@
 	p.means = map[string]*runningMean{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
+	p.backlog = backlog{}
 	p.priorOrdersUntil = now.Add(p.Settings.Takeover)
 	// The lost holder may have started a task on an incarnation of a worker of which neither holder knows.
 	p.priorLeasesUntil = p.priorOrdersUntil.Add(p.longestElapsed(p.Settings.MaxLease))
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -75,6 +75,8 @@
 	u    uncertainty
 	// before holds, for each job with waiting tasks, how many jobs are placed before it and their work in core-seconds.
 	before map[*job]workBefore
+	// all holds what all jobs with waiting tasks have.
+	all workBefore
 	// cores is the capacity of the workers that take starts, free what no task has reserved.
 	cores, free float64
 }
@@ -100,6 +102,7 @@
 		before.jobs++
 		before.work += p.waitingWork(c, x.u)
 	}
+	x.all = before
 	return x
 }
 
@@ -127,6 +130,9 @@
 	switch {
 	case t != nil:
 		e.explainTask(x, j, oc, t)
+	case j.schedule.next < j.schedule.total && !j.Due(j.schedule.next).After(x.now):
+		e.Reason, e.JobsBefore, e.WorkBefore = WaitNoCapacity, x.all.jobs, x.all.work
+		e.Basis = fmt.Sprintf("the pool keeps the state of %d tasks; the job follows as others end", maxOpenTasks)
 	case j.schedule.next < j.schedule.total:
 		e.explainNotDue(j.Due(j.schedule.next), j.schedule.next)
 	default:
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -25,6 +25,8 @@
 	p.replaceDraining(now)
 	p.countSuspects(now)
 	p.updateMaxFreeCPU(now)
+	p.backlog = p.countBacklog()
+	p.rotateBacklog(now)
 	for _, j := range p.active {
 		p.openDue(j, now)
 	}
