fix(dispatch): keep a gang off workers on which it failed

A worker on which everything fails used up all attempts of a gang beside free workers: a gang took the first workers with room each time, and one of its tasks always went to that worker. A single task is kept off it, for 1 s and from the second failure on for 2 s, as long as other workers could run it. The same now holds for a gang, for all of its tasks, since they are equal. TestGangAvoidsWorkersOnWhichItFailed and one case of TestGangReturnsToWorkersOnWhichItFailed failed before; the other one guards a gang that needs the worker.

--- a/fleet/dispatch/gang.go
+++ b/fleet/dispatch/gang.go
@@ -18,40 +18,92 @@
 	if st.tasks[0].job.queue.Advice != nil && !p.hasTickets(st.tasks[0], now) {
 		return
 	}
-	chosen := make([]*worker, len(st.tasks))
-	promised := map[*worker]workload.Resources{}
+	chosen := p.chooseGang(st, now)
+	if chosen == nil {
+		return
+	}
+	number := 0
+	checkpoint := ""
+	for _, t := range st.tasks {
+		number = max(number, p.nextRun(t))
+		checkpoint = max(checkpoint, t.checkpoint)
+	}
+	for i, t := range st.tasks {
+		t.checkpoint = checkpoint
+		p.start(t, chosen[i], number, now)
+	}
+}
+
+// gangFit says which workers a gang may use.
+type gangFit struct {
+	// avoided are left out.
+	avoided []string
+	// empty assumes that no other tasks run.
+	empty bool
+}
+
+// chooseGang returns the workers for the tasks of a gang, or nil. Like a single task, a gang runs again on a worker on which it failed only if the
+// other workers could never run it, or if they had no room for some time. Its tasks are equal, so a worker on which one of them failed is left out
+// for all.
+func (p *Pool) chooseGang(st *stepState, now time.Time) []*worker {
+	failedOn, returnsAt := gangFailures(st)
+	if chosen := p.fitGang(st, gangFit{avoided: failedOn}, now); chosen != nil || len(failedOn) == 0 {
+		return chosen
+	}
+	if now.Before(returnsAt) && p.fitGang(st, gangFit{avoided: failedOn, empty: true}, now) != nil {
+		return nil
+	}
+	return p.fitGang(st, gangFit{}, now)
+}
+
+// gangFailures returns the workers on which a task of a gang failed, and when the gang may run there again although others could run it.
+func gangFailures(st *stepState) (failedOn []string, returnsAt time.Time) {
+	failures := 0
+	var endedAt time.Time
+	for _, t := range st.tasks {
+		failures += len(t.failedRuns)
+		for _, id := range t.failedOn {
+			if !slices.Contains(failedOn, id) {
+				failedOn = append(failedOn, id)
+			}
+		}
+		if t.readySince.After(endedAt) {
+			endedAt = t.readySince
+		}
+	}
+	return failedOn, endedAt.Add(waitAfterFailures(failures))
+}
+
+// fitGang returns workers with room for all tasks of a gang, on one rack if it wants that and one has room, or nil.
+func (p *Pool) fitGang(st *stepState, f gangFit, now time.Time) []*worker {
 	racks := []string{""}
 	if st.tasks[0].step.SameRack {
 		racks = p.racks()
 	}
 	for _, rack := range racks {
-		clear(promised)
-		if p.fitGang(st, rack, chosen, promised, now) {
-			number := 0
-			checkpoint := ""
-			for _, t := range st.tasks {
-				number = max(number, p.nextRun(t))
-				checkpoint = max(checkpoint, t.checkpoint)
-			}
-			for i, t := range st.tasks {
-				t.checkpoint = checkpoint
-				p.start(t, chosen[i], number, now)
-			}
-			return
+		if chosen := p.fitGangOn(st, rack, f, now); chosen != nil {
+			return chosen
 		}
 	}
+	return nil
 }
 
-func (p *Pool) fitGang(st *stepState, rack string, chosen []*worker, promised map[*worker]workload.Resources, now time.Time) bool {
+// fitGangOn returns workers of a rack with room for all tasks of a gang, or nil; an empty rack stands for all.
+func (p *Pool) fitGangOn(st *stepState, rack string, f gangFit, now time.Time) []*worker {
+	chosen := make([]*worker, len(st.tasks))
+	promised := map[*worker]workload.Resources{}
 	perWorker := map[*worker]int{}
 	for i, t := range st.tasks {
-		chosen[i] = nil
 		need := t.step.Reserved()
 		for _, w := range p.sortedWorkers() {
-			if rack != "" && w.Rack != rack {
+			if (rack != "" && w.Rack != rack) || slices.Contains(f.avoided, w.ID) || !p.usable(w, now) || !p.admits(w, t, now) {
 				continue
 			}
-			if !p.usable(w, now) || !p.admits(w, t, now) || !w.free().Minus(promised[w]).Fits(need) {
+			room := w.free()
+			if f.empty {
+				room = w.Capacity
+			}
+			if !room.Minus(promised[w]).Fits(need) {
 				continue
 			}
 			if limit := t.step.MaxPerWorker; limit > 0 && perWorker[w] >= limit {
@@ -61,12 +113,12 @@
 			break
 		}
 		if chosen[i] == nil {
-			return false
+			return nil
 		}
 		promised[chosen[i]] = promised[chosen[i]].Plus(need)
 		perWorker[chosen[i]]++
 	}
-	return true
+	return chosen
 }
 
 func (p *Pool) racks() []string {
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -251,10 +251,15 @@
 
 // returnsAt returns when a task may run again on a worker on which it has failed, although another one could run it once it has room.
 func (t *task) returnsAt() time.Time {
-	if len(t.failedRuns) > 1 {
-		return t.readySince.Add(failedAgainWait)
+	return t.readySince.Add(waitAfterFailures(len(t.failedRuns)))
+}
+
+// waitAfterFailures returns how long other workers are waited for after a number of failed runs.
+func waitAfterFailures(failures int) time.Duration {
+	if failures > 1 {
+		return failedAgainWait
 	}
-	return t.readySince.Add(failedTaskWait)
+	return failedTaskWait
 }
 
 // choice is the best one of the workers that were offered.
