fix(dispatch): place a gang on the rack of its data

A gang with Affinity ran on the first workers with room, whichever rack they were on, and so several times slower than it could; the preferences of single tasks, as for workers that are neither slow nor suspected, did not hold for it either. The workers for a gang are now tried in the order of their score, and with SameRack the rack of the data first.

--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -35,6 +35,8 @@
 	stalled bool
 	reports int
 	metric  float64
+	// advice is how long the tickets of the advice service are valid, which it gives for each worker; 0 if it does not answer.
+	advice time.Duration
 }
 
 var queue = workload.Queue{Name: "recut", Pool: "cutting", MaxAttempts: 2, Stretch: 1.6, TargetDuration: 600 * time.Millisecond}
@@ -112,10 +114,23 @@
 		case dispatch.Pace:
 			b.paces = append(b.paces, a)
 		case dispatch.AdviceRequest:
+			b.answerAdvice(a)
 		}
 	}
 }
 
+// answerAdvice answers a request for tickets.
+func (b *bench) answerAdvice(r dispatch.AdviceRequest) {
+	if b.advice == 0 {
+		return
+	}
+	tickets := map[string]string{}
+	for _, id := range r.Workers {
+		tickets[id] = "ticket-" + id
+	}
+	b.pool.AdviceReceived(r, tickets, b.now.Add(b.advice), b.now)
+}
+
 // end has a worker list the end of its run of a task.
 func (b *bench) end(worker string, task workload.TaskID, how workload.RunEnd) {
 	b.t.Helper()
--- a/fleet/dispatch/gang.go
+++ b/fleet/dispatch/gang.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -77,8 +78,8 @@
 // fitGang returns workers with room for all tasks of a gang, on one rack if it wants that and one has room, or nil.
 func (p *Pool) fitGang(st *stepState, f gangFit, now time.Time) []*worker {
 	racks := []string{""}
-	if st.tasks[0].step.SameRack {
-		racks = p.racks()
+	if step := st.tasks[0].step; step.SameRack {
+		racks = p.racks(step.DataRack)
 	}
 	for _, rack := range racks {
 		if chosen := p.fitGangOn(st, rack, f, now); chosen != nil {
@@ -93,10 +94,11 @@
 	chosen := make([]*worker, len(st.tasks))
 	promised := map[*worker]workload.Resources{}
 	perWorker := map[*worker]int{}
+	workers := p.preferredWorkers(st.tasks[0], now)
 	for i, t := range st.tasks {
 		need := t.step.Reserved()
-		for _, w := range p.sortedWorkers() {
-			if (rack != "" && w.Rack != rack) || slices.Contains(f.avoided, w.ID) || !p.usable(w, now) || !p.admits(w, t, now) {
+		for _, w := range workers {
+			if (rack != "" && w.Rack != rack) || slices.Contains(f.avoided, w.ID) || !p.admits(w, t, now) {
 				continue
 			}
 			room := w.free()
@@ -121,14 +123,31 @@
 	return chosen
 }
 
-func (p *Pool) racks() []string {
+// preferredWorkers returns the workers that may take starts, the best ones for a task first.
+func (p *Pool) preferredWorkers(t *task, now time.Time) []*worker {
+	var list []*worker
+	scores := map[*worker]float64{}
+	for _, w := range p.sortedWorkers() {
+		if p.usable(w, now) {
+			list = append(list, w)
+			scores[w] = p.score(w, t, w.free(), now)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(scores[a], scores[b]) })
+	return list
+}
+
+// racks returns the racks of the workers, a preferred one first.
+func (p *Pool) racks(preferred string) []string {
 	var list []string
 	for _, w := range p.workers {
 		if !slices.Contains(list, w.Rack) {
 			list = append(list, w.Rack)
 		}
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(compareTrueFirst(a == preferred, b == preferred), cmp.Compare(a, b))
+	})
 	// Tasks that fit on no single rack still run across racks, only slower.
 	return append(list, "")
 }
