fix(dispatch): prefer the rack of their step for tasks that belong on one rack

Tasks of a step with SameRack that is no gang were spread over racks, on which they run several times slower: the property was handled where gangs are placed only. Such a task now prefers the rack on which another task of its step runs. Six cases of TestEachKindOfJobWithEachProperty/*/SameRack failed before; their check, which was limited to gangs, holds for all kinds now.

--- a/fleet/dispatch/pairs_test.go
+++ b/fleet/dispatch/pairs_test.go
@@ -101,7 +101,7 @@
 	}},
 	{"SameRack", func(p *pair) { p.steps(func(s *workload.Step) { s.SameRack, s.MaxPerWorker = true, 1 }) }, func(p *pair) {
 		p.wantStarts("are on the rack of their step", func(s dispatch.Start) bool {
-			return !p.job.Steps[0].Gang || s.Worker.Rack == p.startsOf(workload.TaskID{Job: "j", Occurrence: s.Task.Occurrence, Step: s.Task.Step})[0].Worker.Rack
+			return s.Worker.Rack == p.startsOf(workload.TaskID{Job: "j", Occurrence: s.Task.Occurrence, Step: s.Task.Step})[0].Worker.Rack
 		})
 	}},
 	{"MaxPerServer", func(p *pair) { p.steps(func(s *workload.Step) { s.MaxPerWorker = 1 }) }, nil},
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -282,6 +282,7 @@
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
 		return nil
 	}
+	siblings := siblingRack(t)
 	for _, w := range p.sortedWorkers() {
 		if !p.usable(w, now) || !p.admits(w, t, now) {
 			continue
@@ -292,7 +293,11 @@
 		if !free.Fits(need) {
 			continue
 		}
-		if score := p.score(w, t, free, now); failedHere {
+		score := p.score(w, t, free, now)
+		if siblings != "" && siblings != w.Rack {
+			score += scoreOtherRack
+		}
+		if failedHere {
 			failed.offer(w, score)
 		} else {
 			best.offer(w, score)
@@ -304,6 +309,21 @@
 	return best.worker
 }
 
+// siblingRack returns the rack on which another task of a step runs whose tasks belong on one rack; empty if there is none.
+func siblingRack(t *task) string {
+	if !t.step.SameRack {
+		return ""
+	}
+	for _, other := range t.state.tasks {
+		for _, x := range other.runs {
+			if other != t && x.phase != stopping {
+				return x.worker.Rack
+			}
+		}
+	}
+	return ""
+}
+
 // admits reports whether the rules of the step allow a task on a worker.
 func (p *Pool) admits(w *worker, t *task, now time.Time) bool {
 	step := t.step
--- a/fleet/dispatch/score.go
+++ b/fleet/dispatch/score.go
@@ -11,6 +11,7 @@
 	scoreSuspect    = 50
 	scoreFailures   = 5
 	scoreRemoteData = 20
+	scoreOtherRack  = 20
 	scoreSibling    = 10
 	scoreSlow       = 8
 	scoreUpkeepDue  = 15
