fix(dispatch): request tickets for as many workers as a gang needs

A gang on a queue with Advice that needs more than 30 workers was accepted and never started: a request for advice names at most 30 workers, and each answer took the place of the one before. A request for a gang now names as many workers as it has tasks, up to the 100 that the service takes, and one that cannot be placed on the workers with valid tickets requests some for further ones. TestGangOfMoreWorkersThanARequestForAdviceNames failed before, with 40 tasks and with the 140 that it has now.

--- a/fleet/dispatch/advice.go
+++ b/fleet/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,6 +23,8 @@
 const (
 	// adviceWorkers is the largest number of workers in a request: each adds to the response time of the service.
 	adviceWorkers = 30
+	// maxAdviceWorkers is the largest number of workers in a request that the service takes.
+	maxAdviceWorkers = 100
 	// adviceRetry is the time after which an unanswered request is repeated.
 	adviceRetry = 3 * time.Second
 	// ticketReserve is how long before its expiry a ticket is used no more, so that it is still valid when the start arrives.
@@ -50,8 +53,23 @@
 	if now.Before(s.until) && len(s.tickets) > 0 {
 		return true
 	}
+	if !p.requestTickets(t, s, now) {
+		clear(s.denied)
+	}
+	return false
+}
+
+// requestMoreTickets requests tickets for further workers, beside the valid ones, which are too few for a gang.
+func (p *Pool) requestMoreTickets(t *task, now time.Time) {
+	if s := p.tickets[stepKey{t.id.Job, t.id.Occurrence, t.id.Step}]; s != nil {
+		p.requestTickets(t, s, now)
+	}
+}
+
+// requestTickets requests tickets, unless a request is outstanding; it returns false if there is no worker for which it could.
+func (p *Pool) requestTickets(t *task, s *ticketSet, now time.Time) bool {
 	if !s.requestedAt.IsZero() && now.Sub(s.requestedAt) < adviceRetry {
-		return false
+		return true
 	}
 	names := p.adviceCandidates(t, s, now)
 	if len(names) == 0 {
@@ -59,28 +77,39 @@
 	}
 	s.requestedAt = now
 	p.actions = append(p.actions, AdviceRequest{Job: t.id.Job, Occurrence: t.id.Occurrence, Step: t.id.Step, Workers: names})
-	return false
+	return true
 }
 
-// adviceCandidates returns the workers with the most free CPU that could run the task and were not denied.
+// adviceCandidates returns the workers with the most free CPU that could run the task, and that were neither denied nor have a valid ticket.
 func (p *Pool) adviceCandidates(t *task, s *ticketSet, now time.Time) []string {
 	var list []*worker
 	for _, w := range p.sortedWorkers() {
+		if now.Before(s.until) && s.tickets[w.ID] != "" {
+			continue
+		}
 		if p.usable(w, now) && !s.denied[w.ID] && w.Capacity.Fits(t.step.Reserved()) && (t.step.RequiredLabel == "" || slices.Contains(w.Labels, t.step.RequiredLabel)) {
 			list = append(list, w)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *worker) int { return int(b.free().CPU - a.free().CPU) })
-	names := make([]string, 0, adviceWorkers)
-	for _, w := range list[:min(adviceWorkers, len(list))] {
-		names = append(names, w.ID)
+	limit := adviceWorkers
+	if t.step.Gang {
+		limit = min(max(limit, t.step.Tasks), maxAdviceWorkers)
 	}
-	if len(names) == 0 && len(s.denied) > 0 {
-		clear(s.denied)
+	names := make([]string, 0, limit)
+	for _, w := range list[:min(limit, len(list))] {
+		names = append(names, w.ID)
 	}
 	return names
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // AdviceReceived applies the answer of the advice service; a nil map means that no answer arrived.
 func (p *Pool) AdviceReceived(a AdviceRequest, tickets map[string]string, until, now time.Time) {
 	s := p.tickets[stepKey{a.Job, a.Occurrence, a.Step}]
@@ -92,7 +121,13 @@
 		s.requestedAt = now
 		return
 	}
-	s.tickets, s.until = tickets, until.Add(-ticketReserve)
+	until = until.Add(-ticketReserve)
+	if now.Before(s.until) && len(s.tickets) > 0 {
+		maps.Copy(s.tickets, tickets)
+		s.until = earlier(s.until, until)
+	} else {
+		s.tickets, s.until = tickets, until
+	}
 	for _, id := range a.Workers {
 		if tickets[id] == "" {
 			s.denied[id] = true
--- a/fleet/dispatch/gang.go
+++ b/fleet/dispatch/gang.go
@@ -21,6 +21,9 @@
 	}
 	chosen := p.chooseGang(st, now)
 	if chosen == nil {
+		if st.tasks[0].job.queue.Advice != nil {
+			p.requestMoreTickets(st.tasks[0], now)
+		}
 		return
 	}
 	number := 0
--- a/fleet/dispatch/gang_advice_test.go
+++ b/fleet/dispatch/gang_advice_test.go
@@ -37,3 +37,16 @@
 		}
 	}
 }
+
+// Guards against an accepted gang that never starts, because a request for advice names fewer workers than it needs.
+func TestGangOfMoreWorkersThanARequestForAdviceNames(t *testing.T) {
+	const tasks = 140
+	b := newBench(t, tasks+2)
+	advised := queue
+	advised.Advice = &workload.AdviceSettings{Decide: 20 * time.Millisecond, Each: time.Millisecond, Valid: 3 * time.Second}
+	b.advice = advised.Advice.Valid
+	b.pool.SetQueues([]workload.Queue{advised})
+	b.addJob("j", workload.Step{Tasks: tasks, Gang: true, Need: workload.Resources{CPU: 9000}, Estimate: time.Second})
+	b.advance(10 * time.Second)
+	wantCount(t, "starts", len(b.starts), tasks)
+}
