--- a/fleet/dispatch/pairs_test.go
+++ b/fleet/dispatch/pairs_test.go
@@ -78,6 +78,17 @@
 	{"checkpointing", func(p *pair) {
 		p.job.Steps[0].Checkpointing, p.checkpoint = true, "half"
 	}},
+	{"scheduled gang", func(p *pair) {
+		p.job.Steps[0].Gang, p.job.Times, p.job.Start, p.job.Interval = true, 3, p.now, 500*time.Millisecond
+	}},
+	{"checkpointing gang", func(p *pair) {
+		p.job.Steps[0].Gang, p.job.Steps[0].Checkpointing, p.checkpoint = true, true, "half"
+	}},
+	{"long-running gang", func(p *pair) { p.job.Steps[0].Gang, p.job.Steps[0].LongRunning = true, true }},
+	{"gang after a step", func(p *pair) {
+		p.job.Steps = []workload.Step{p.job.Steps[0], p.job.Steps[0]}
+		p.job.Steps[1].After, p.job.Steps[1].Gang = []int{0}, true
+	}},
 }
 
 // properties are those of a queue or a step. check checks the starts of the job.
@@ -158,11 +169,14 @@
 			p.breakGang()
 		}
 		return workload.EndFailed, true
-	case p.failOnce && gang:
-		return "", false
-	case p.checkpoint != "" && first && !p.stopped && due:
+	case p.checkpoint != "" && !p.failOnce && first && !p.stopped && due:
 		p.stopped = true
+		if gang {
+			p.breakGang()
+		}
 		return workload.EndStopped, true
+	case gang && (p.failOnce || (p.checkpoint != "" && !p.stopped)):
+		return "", false
 	case p.job.Steps[task.Step].LongRunning:
 		return "", false
 	}
@@ -173,7 +187,7 @@
 func (p *pair) breakGang() {
 	for id, runs := range p.present {
 		for task := range runs {
-			if task.Job == p.job.ID && task.Index > 0 {
+			if task.Job == p.job.ID && task.Occurrence == 0 && task.Index > 0 {
 				delete(p.early, task)
 				p.end(id, task, workload.EndBroken)
 			}
