fix(sizing): bound the machines that a pool may need

One caller's job ended each holder of its pool in turn: a task with Cpu 1e12 needs some hundred million machines, and the tracker keeps a time for each size (24 bytes; 2 GB). A registration whose capacity is a thousandth of a core ended each holder by a division by zero, if no larger worker was in the pool. The size is bounded now (16,384 machines), and a machine is usable for at least a thousandth of a core.

--- a/fleet/sizing/sizing.go
+++ b/fleet/sizing/sizing.go
@@ -113,14 +113,17 @@
 // growthWindow is the time over which the growth of the demand is measured.
 const growthWindow = time.Second
 
+// maxMachines bounds the size of a pool: a caller's tasks may need any amount, and the tracker keeps a time for each size.
+const maxMachines = 1 << 14
+
 // Decide returns what to do with the pool's machines now.
 func (t *Tracker) Decide(in Input) Decision {
 	s := t.Settings.Default()
 	if in.MachineCPU <= 0 {
 		return Decision{}
 	}
-	usable := in.MachineCPU * s.Utilization / 100
-	machinesFor := func(demand int64) int { return max(int((demand+usable-1)/usable), in.Spread, 1) }
+	usable := max(1, in.MachineCPU*s.Utilization/100)
+	machinesFor := func(demand int64) int { return min(max(int((demand+usable-1)/usable), in.Spread, 1), maxMachines) }
 	need := machinesFor(in.Demand)
 	want := machinesFor(in.Demand + t.growth(in, s.LookAhead))
 	for len(t.lastNeeded) < max(want, in.Machines) {
