--- a/fleet/dispatch/advice.go
+++ b/fleet/dispatch/advice.go
@@ -121,16 +121,29 @@
 		s.requestedAt = now
 		return
 	}
-	until = until.Add(-ticketReserve)
-	if now.Before(s.until) && len(s.tickets) > 0 {
-		maps.Copy(s.tickets, tickets)
-		s.until = earlier(s.until, until)
-	} else {
-		s.tickets, s.until = tickets, until
-	}
 	for _, id := range a.Workers {
 		if tickets[id] == "" {
 			s.denied[id] = true
 		}
 	}
+	stillValid := now.Before(s.until) && len(s.tickets) > 0
+	if len(tickets) == 0 {
+		if !stillValid {
+			s.tickets = tickets
+		}
+		return
+	}
+	valid := until.Sub(now)
+	if valid <= 0 {
+		// Nothing can be started with such tickets; the next ones may be valid.
+		s.requestedAt = now
+		return
+	}
+	until = until.Add(-min(ticketReserve, valid/2))
+	if stillValid {
+		maps.Copy(s.tickets, tickets)
+		s.until = earlier(s.until, until)
+	} else {
+		s.tickets, s.until = tickets, until
+	}
 }
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"verbenalanding.example/fleet/workload"
 )
 
 // runningMean is a learned mean: of the ratio of measured to declared run time for the tasks of one image, or of the work per job of one
@@ -53,7 +55,7 @@
 func (p *Pool) expectedDuration(t *task) time.Duration {
 	d := declaredDuration(t)
 	if f := p.means[meanKey(t)]; f != nil {
-		return time.Duration(float64(d) * f.mean)
+		return min(workload.Scale(d, f.mean), workload.MaxEstimate)
 	}
 	return d
 }
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -278,7 +278,7 @@
 	case WaitOtherWorker:
 		e.EstimatedStart, e.Basis = t.returnsAt(), "the task then runs again on a worker on which it has failed"
 	case WaitNoCapacity:
-		e.EstimatedStart = now.Add(time.Duration(e.WorkBefore / e.Cores * float64(time.Second)))
+		e.EstimatedStart = now.Add(workload.Scale(time.Second, e.WorkBefore/e.Cores))
 		e.Basis = fmt.Sprintf("%.0f core-seconds of %d jobs are placed before it, on %.0f cores", e.WorkBefore, e.JobsBefore, e.Cores)
 	default:
 		e.Basis = "no estimate: it depends on a change of the workers"
--- a/fleet/dispatch/pace.go
+++ b/fleet/dispatch/pace.go
@@ -14,12 +14,14 @@
 	paceUpWait = time.Second
 )
 
+const milliPerSecond = 1000
+
 // adjustPace slows the fillers of a worker whose serving tasks come near their target tail latency, and speeds them up again.
 func (p *Pool) adjustPace(w *worker, now time.Time) {
 	worst := 0.0
 	for _, x := range w.runs {
 		if t := x.task.step.TargetTail; t > 0 && x.phase == present {
-			worst = max(worst, x.metric/float64(t.Milliseconds()))
+			worst = max(worst, x.metric/(t.Seconds()*milliPerSecond))
 		}
 	}
 	for _, x := range w.sortedRuns() {
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -121,7 +121,7 @@
 	if oc.due.After(from) {
 		from = oc.due
 	}
-	target := from.Add(time.Duration(j.queue.Stretch*float64(est.criticalPath)) + j.queue.TargetDuration)
+	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
 	c.inTime = !now.Add(est.remainingPath).After(target)
 	c.density = p.worth(j, est) / max(est.work, 0.001)
 	return c, true
--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -114,6 +115,22 @@
 	Fence uint64 `json:"fence,omitempty"`
 }
 
+// maxScaled is the longest duration that Scale returns. It exceeds the estimates of the steps of any job together; with a target of 10 years it still fits
+// into a time.Duration.
+const maxScaled = 280 * 366 * 24 * time.Hour
+
+// Scale returns the product of a duration and a factor, at most some 280 years: estimates and factors are chosen by callers and operators.
+func Scale(d time.Duration, factor float64) time.Duration {
+	product := float64(d) * factor
+	if math.IsNaN(product) {
+		return 0
+	}
+	return time.Duration(max(-float64(maxScaled), min(product, float64(maxScaled))))
+}
+
+// MaxEstimate is the longest estimate of a task; sums over all steps of a job still fit into a time.Duration.
+const MaxEstimate = maxSpan
+
 // Occurrences returns how many times the job runs.
 func (j *Job) Occurrences() int { return max(1, j.Times) }
 
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -138,11 +138,12 @@
 func truncate(s string) string { return s[:min(len(s), maxLoggedText)] }
 
 func deadline(r *http.Request) time.Duration {
-	ms, err := strconv.Atoi(r.Header.Get(platform.DeadlineHeader))
-	if err != nil || ms <= 0 {
+	ms, err := strconv.ParseInt(r.Header.Get(platform.DeadlineHeader), 10, 64)
+	waits := platform.CallerDeadline(ms)
+	if err != nil || waits == 0 {
 		return defaultDeadline
 	}
-	return max(time.Duration(ms)*time.Millisecond, 2*answerReserve)
+	return max(waits, 2*answerReserve)
 }
 
 func validID(id string) bool {
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -16,7 +16,7 @@
 // submit stores a job; the job is accepted only once it is stored.
 func (n *Node) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q *workload.Queue, id string, maxBody int64) int {
 	log := n.Log.With().Str("job", id).Str("queue", q.Name).Str("pool", q.Pool).Logger()
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(maxBody, 1<<10)))
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, n.maxBodyBytes(maxBody)))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		status := http.StatusBadRequest
@@ -63,6 +63,17 @@
 	return http.StatusGatewayTimeout
 }
 
+const (
+	minBodyBytes = 1 << 10
+	// maxBodyValues is the largest body as a multiple of the largest value of the store, which a body of spaces only may exceed.
+	maxBodyValues = 4
+)
+
+// maxBodyBytes returns the largest body that is read; the operator's limit may be any number.
+func (n *Node) maxBodyBytes(limit int64) int64 {
+	return min(max(limit, minBodyBytes), int64(maxBodyValues*n.maxValueBytes()))
+}
+
 // recordTaskBytes is the room in a compressed record for a task that has failed twice, in runs with any number.
 const recordTaskBytes = 16
 
