fix(dispatch): drop the state of an ended job with its last run

A holder kept the state of all tasks of a job that had been cancelled or had failed while some of them ran, 820 kB for 4,096 tasks, until the job's id was forgotten: the state was dropped once its end was recorded, and only if no run was left then. TestStateOfAnEndedJobIsDroppedWithItsLastRun failed before.

--- a/fleet/dispatch/backlog_test.go
+++ b/fleet/dispatch/backlog_test.go
@@ -110,3 +110,17 @@
 		b.wantState(fmt.Sprintf("j%02d", i), workload.Queued)
 	}
 }
+
+// Guards against a holder that keeps the state of all tasks of jobs which were cancelled while some of them ran, until their ids are forgotten.
+func TestStateOfAnEndedJobIsDroppedWithItsLastRun(t *testing.T) {
+	b := newBench(t, 1)
+	b.addJob("j", workload.Step{Tasks: 4096, Need: workload.Resources{CPU: 8000}, Estimate: time.Hour})
+	b.plan()
+	wantCount(t, "starts", len(b.starts), 2)
+	b.pool.Cancel("j", b.now)
+	b.record()
+	wantCount(t, "tasks with a state while runs are left", b.pool.OpenTasks(), 4096)
+	b.advance(time.Second)
+	wantCount(t, "runs that are left", len(b.present["w0"]), 0)
+	wantCount(t, "tasks with a state after the last run", b.pool.OpenTasks(), 0)
+}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -272,6 +272,9 @@
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
 	}
+	if j := r.task.job; j.state.Terminal() && j.recordedVersion == j.version {
+		j.release()
+	}
 }
 
 // lose removes a run that ended without a result; its task may be started again.
--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -84,10 +84,7 @@
 // workers. It returns false for a job that has ended, whose record is then left out from now on.
 func (p *Pool) RefuseRecord(id string, now time.Time) bool {
 	j := p.jobs[id]
-	if j == nil {
-		return false
-	}
-	if j.state.Terminal() {
+	if j == nil || j.state.Terminal() {
 		delete(p.dirty, id)
 		return false
 	}
