fix(upkeep): compute the time of a wave without an overflow

Busy machines of a wave never got their upkeep if UpkeepS times the machines exceeds 292 years: the product became negative, so that no time seemed to be needed. TestPlanWithALongCycle failed before.

--- a/fleet/upkeep/upkeep.go
+++ b/fleet/upkeep/upkeep.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
 )
 
 // Candidate is a machine of the pool whose upkeep is still pending.
@@ -92,12 +93,12 @@
 	if left <= 0 {
 		return len(in.Candidates)
 	}
-	work := time.Duration(len(in.Candidates)) * (in.Cycle + drainTime)
-	return int((work + left - 1) / left)
+	work := workload.Scale(in.Cycle+drainTime, float64(len(in.Candidates)))
+	return int(min((work-1)/left+1, time.Duration(len(in.Candidates))))
 }
 
 // near reports whether half of the time that is left is needed for a machine and those before it.
-func (in Input) near(c Candidate) bool { return in.available() <= 2*in.needed(c) }
+func (in Input) near(c Candidate) bool { return in.available() <= workload.Scale(in.needed(c), 2) }
 
 // tight reports whether all of the time that is left is needed.
 func (in Input) tight(c Candidate) bool { return in.available() <= in.needed(c) }
@@ -109,7 +110,7 @@
 		// The machines with long-running tasks go one after the other if their tasks must not be unavailable together.
 		rounds = max(rounds, in.withLongRunning())
 	}
-	return time.Duration(rounds) * in.Cycle
+	return workload.Scale(in.Cycle, float64(rounds))
 }
 
 func (in Input) withLongRunning() int {
