--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -26,6 +26,8 @@
 	p.replaceDraining(now)
 	p.countSuspects(now)
 	p.updateMaxFreeCPU(now)
+	p.backlog = p.countBacklog()
+	p.rotateBacklog(now)
 	for _, j := range p.active {
 		p.openDue(j, now)
 	}
@@ -120,7 +122,7 @@
 	if oc.due.After(from) {
 		from = oc.due
 	}
-	target := from.Add(time.Duration(j.queue.Stretch*float64(est.criticalPath)) + j.queue.TargetDuration)
+	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
 	c.inTime = !now.Add(est.remainingPath).After(target)
 	c.density = p.worth(j, est) / max(est.work, 0.001)
 	return c, true
@@ -250,10 +252,15 @@
 
 // returnsAt returns when a task may run again on a worker on which it has failed, although another one could run it once it has room.
 func (t *task) returnsAt() time.Time {
-	if len(t.failedRuns) > 1 {
-		return t.readySince.Add(failedAgainWait)
+	return t.readySince.Add(waitAfterFailures(len(t.failedRuns)))
+}
+
+// waitAfterFailures returns how long other workers are waited for after a number of failed runs.
+func waitAfterFailures(failures int) time.Duration {
+	if failures > 1 {
+		return failedAgainWait
 	}
-	return t.readySince.Add(failedTaskWait)
+	return failedTaskWait
 }
 
 // choice is the best one of the workers that were offered.
@@ -276,6 +283,7 @@
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
 		return nil
 	}
+	siblings := siblingRack(t)
 	for _, w := range p.sortedWorkers() {
 		if !p.usable(w, now) || !p.admits(w, t, now) {
 			continue
@@ -286,7 +294,11 @@
 		if !free.Fits(need) {
 			continue
 		}
-		if score := p.score(w, t, free, now); failedHere {
+		score := p.score(w, t, free, now)
+		if siblings != "" && siblings != w.Rack {
+			score += scoreOtherRack
+		}
+		if failedHere {
 			failed.offer(w, score)
 		} else {
 			best.offer(w, score)
@@ -298,6 +310,21 @@
 	return best.worker
 }
 
+// siblingRack returns the rack on which another task of a step runs whose tasks belong on one rack; empty if there is none.
+func siblingRack(t *task) string {
+	if !t.step.SameRack {
+		return ""
+	}
+	for _, other := range t.state.tasks {
+		for _, x := range other.runs {
+			if other != t && x.phase != stopping {
+				return x.worker.Rack
+			}
+		}
+	}
+	return ""
+}
+
 // admits reports whether the rules of the step allow a task on a worker.
 func (p *Pool) admits(w *worker, t *task, now time.Time) bool {
 	step := t.step
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -71,8 +71,12 @@
 	x.worker.used = x.worker.used.Minus(x.task.step.Reserved())
 }
 
+// removeRun removes a run from its task; a job that has ended is released with its last run.
 func (t *task) removeRun(x *run) {
 	if i := slices.Index(t.runs, x); i >= 0 {
 		t.runs = slices.Delete(t.runs, i, i+1)
 	}
+	if j := t.job; j.state.Terminal() && j.recordedVersion == j.version {
+		j.release()
+	}
 }
--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,6 +28,9 @@
 	// Log gets a line for each message that cannot be decoded or has no call; nil writes to standard error.
 	Log *zerolog.Logger
 
+	// received counts the messages that the other process sent.
+	received atomic.Int64
+
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
 	// dialing is closed when the current connection attempt ends; nil when there is none.
@@ -38,15 +42,34 @@
 // Call sends a call and decodes its result; it returns ErrUnreachable when no answer arrived before the context ended.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
 	conn, err := c.connect(ctx)
+	if err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w: %w", ErrUnreachable, ErrNotSent, err)
 	}
-	if err := conn.Call(ctx, method, params, result); err != nil {
+	sent, err := dispatch(ctx, conn, method, params)
+	if err == nil {
+		err = sent.Wait(ctx, result)
+	}
+	if err != nil {
 		return c.Sentinels.decode(err)
 	}
 	return nil
 }
 
+// dispatch writes a call. A write that blocks when the context ends is ended with its connection: the other process does not read, and the calls
+// that follow would wait behind the write.
+func dispatch(ctx context.Context, conn *jsonrpc2.Conn, method string, params any) (jsonrpc2.Waiter, error) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	return conn.DispatchCall(ctx, method, params)
+}
+
+// Received returns how many messages the other process has sent. A call without an answer during which none arrived may have been sent on a dead
+// connection.
+func (c *Client) Received() int64 { return c.received.Load() }
+
 // Close ends the connection; a later call opens a new one.
 func (c *Client) Close() error {
 	c.mu.Lock()
@@ -105,7 +128,8 @@
 		return nil, err
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall), logOption(c.Log, raw))
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall), logOption(c.Log, raw),
+		jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { c.received.Add(1) }))
 	return c.conn, nil
 }
 
--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -48,10 +48,11 @@
 type machineTracker struct {
 	pool *pool
 
-	mu       sync.Mutex
-	orders   map[string]lastOrder
-	byID     map[string]workload.Machine
-	listedAt time.Time
+	mu     sync.Mutex
+	orders map[string]lastOrder
+	byID   map[string]workload.Machine
+	// listedAt is when the present list was requested, triedAt when one was last requested.
+	listedAt, triedAt time.Time
 	// listFailed is true if the last request for the list of machines failed, listPartial if the list lacks machines.
 	listFailed, listPartial bool
 	// incarnations holds, for each machine, the newest worker that registered in the pool.
@@ -110,11 +111,16 @@
 	}
 }
 
-// refresh requests the platform's list of machines if the current list is older than age.
+// listRetryPause is how long after a request for the list of machines that failed the next one is made, where a list is wanted that is younger
+// than the present one.
+const listRetryPause = time.Second
+
+// refresh requests the platform's list of machines if the current list is older than age. After a failed request the previous list remains,
+// with its own age.
 func (mt *machineTracker) refresh(ctx context.Context, age time.Duration) {
 	now := mt.pool.node.Clock.Now()
 	mt.mu.Lock()
-	fresh := now.Sub(mt.listedAt) < age
+	fresh := now.Sub(mt.listedAt) < age || now.Sub(mt.triedAt) < min(age, listRetryPause)
 	mt.mu.Unlock()
 	if fresh {
 		return
@@ -122,14 +128,15 @@
 	list, err := mt.pool.node.Machines.List(ctx)
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
-	mt.listPartial = errors.Is(err, platform.ErrPartialList)
-	mt.listedAt, mt.listFailed = now, err != nil && !mt.listPartial
+	partial := errors.Is(err, platform.ErrPartialList)
+	mt.triedAt, mt.listFailed = now, err != nil && !partial
 	if err != nil {
-		mt.pool.log.Warn().Err(err).Bool("partial", mt.listPartial).Msg("list of machines not received")
+		mt.pool.log.Warn().Err(err).Bool("partial", partial).Msg("list of machines not received")
 	}
 	if mt.listFailed {
 		return
 	}
+	mt.listedAt, mt.listPartial = now, partial
 	clear(mt.byID)
 	for _, m := range list {
 		mt.byID[m.ID] = m
@@ -137,28 +144,46 @@
 }
 
 // ended returns the workers that have ended according to the list of machines; known is false unless the list was requested at the given
-// time or later.
+// time or later and shows all their machines.
 func (mt *machineTracker) ended(workers []dispatch.WorkerIncarnation, requested time.Time) (ended []workload.Worker, known bool) {
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
 	if mt.listFailed || mt.listedAt.Before(requested) {
 		return nil, false
 	}
+	known = true
 	for _, w := range workers {
 		m, listed := mt.byID[w.Machine]
 		if !listed && mt.listPartial {
+			known = false
 			continue
 		}
 		if listedAsEnded(w, m, listed, requested) {
 			ended = append(ended, w.Worker)
 		}
 	}
-	return ended, true
+	return ended, known
 }
 
 // listLag is how far the list of machines may lag behind: it shows all orders and registrations that are at least this old.
 const listLag = time.Second
 
+// gone returns the machines of a wave that the list of machines shows as gone; the wave was known at a time, and so were its machines. known is
+// false without a list.
+func (mt *machineTracker) gone(ids []string, knownAt time.Time) (gone map[string]bool, known bool) {
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	gone = map[string]bool{}
+	if mt.listPartial || mt.listedAt.Before(knownAt.Add(listLag)) {
+		return gone, len(mt.byID) > 0
+	}
+	for _, id := range ids {
+		_, listed := mt.byID[id]
+		gone[id] = !listed
+	}
+	return gone, len(mt.byID) > 0
+}
+
 // get returns a machine from the list, with the pool of the last order if the list may not show it yet; the lock must be held.
 func (mt *machineTracker) get(id string) (workload.Machine, bool) {
 	m, ok := mt.byID[id]
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -40,6 +40,8 @@
 	firstSeen map[string]time.Time
 	// running and completed hold the waves that were reported to the operator as running or completed.
 	running, completed map[string]bool
+	// unconfirmed holds the workers that are cordoned until a list of machines shows whether an upkeep order has ended them, by id.
+	unconfirmed map[string]unconfirmedEnd
 	// waitLogged is when the reason for waiting machines was last logged.
 	waitLogged time.Time
 }
@@ -47,7 +49,7 @@
 func newUpkeeps(p *pool) *upkeeps {
 	return &upkeeps{
 		pool: p, slots: map[string]reservedSlot{}, done: map[string]map[string]bool{}, firstSeen: map[string]time.Time{},
-		running: map[string]bool{}, completed: map[string]bool{},
+		running: map[string]bool{}, completed: map[string]bool{}, unconfirmed: map[string]unconfirmedEnd{},
 	}
 }
 
@@ -100,6 +102,7 @@
 
 func (u *upkeeps) run(ctx context.Context) error {
 	for range interval.Each(ctx, waveInterval) {
+		u.confirmEnds(ctx)
 		for _, w := range u.pool.node.View.Waves() {
 			if u.pool.active() {
 				u.processWave(ctx, w)
@@ -163,16 +166,13 @@
 	if c == nil || len(c.Pools) == 0 || c.Pools[0].Name != u.pool.name {
 		return
 	}
-	u.pool.machines.mu.Lock()
-	completed := len(u.pool.machines.byID) > 0
-	listed := make(map[string]bool, len(w.Machines))
-	for _, id := range w.Machines {
-		_, listed[id] = u.pool.machines.byID[id]
-	}
-	u.pool.machines.mu.Unlock()
+	u.mu.Lock()
+	firstSeen := u.firstSeen[w.ID]
+	u.mu.Unlock()
+	gone, completed := u.pool.machines.gone(w.Machines, firstSeen)
 	u.mu.Lock()
 	for _, id := range w.Machines {
-		if listed[id] && !u.done[w.ID][id] {
+		if !gone[id] && !u.done[w.ID][id] {
 			completed = false
 		}
 	}
