--- a/verbenaentry/node/recordsize_test.go
+++ b/verbenaentry/node/recordsize_test.go
@@ -142,6 +142,17 @@
 	}
 }
 
+// Guards against a long schedule that is refused as too large for a record, though the record names only the occurrences that have begun.
+func TestLongScheduleIsNotTooLarge(t *testing.T) {
+	n := newTakeoverFixture(t).pool.node
+	n.Settings.MaxValueBytes = 1 << 20
+	job := &workload.Job{ID: "5c0e7a21d94b36f8", Times: 525600, Interval: time.Minute, Terms: movedJob("cutting").Terms}
+	job.Steps = []workload.Step{{Tasks: 8}}
+	if err := n.checkSize(job); err != nil {
+		t.Errorf("8 tasks each minute for a year: got %v, want accepted", err)
+	}
+}
+
 // Guards against a job that is accepted although the store can take neither it nor its record, and against one that is refused with 503 for ever.
 func TestJobThatCannotBeStoredIsRefused(t *testing.T) {
 	for _, c := range []struct {
