fix(dispatch): count the failures of a gang together

Callers see a gang run more often than its queue allows when different tasks of it fail. The users' page counts a gang like a task ("a task, or a gang, has failed MaxAttempts times"); each task was counted alone. A run of a gang in which tasks failed counts once now, by its number, which all of its tasks share. TestFailuresOfAGangCountTogether failed before ("running" after two failed runs of two).

--- a/fleet/dispatch/gang_failure_test.go
+++ b/fleet/dispatch/gang_failure_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,12 +9,12 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// failGang ends the runs of a gang: the run of one of its tasks fails, and the others are broken with it.
-func failGang(b *bench, starts []dispatch.Start, failed int) {
+// failGang ends the runs of a gang: the runs of some of its tasks fail, and the others are broken with them.
+func failGang(b *bench, starts []dispatch.Start, failed ...int) {
 	b.t.Helper()
 	for _, s := range starts {
 		how := workload.EndBroken
-		if s.Task.Index == failed {
+		if slices.Contains(failed, s.Task.Index) {
 			how = workload.EndFailed
 		}
 		b.end(s.Worker.ID, s.Task, how)
@@ -21,21 +22,32 @@
 	b.report()
 }
 
-// Guards against a gang that is ended before one of its tasks has failed as often as its queue allows, as failures of different tasks of a step are
-// not added up either, and against one that goes on after that.
-func TestFailuresOfAGangCountForTheTaskThatFailed(t *testing.T) {
-	b := newBench(t, 4)
-	b.addJob("j", workload.Step{Tasks: 2, Gang: true, Need: workload.Resources{CPU: 9000}, Estimate: time.Second})
-	for attempt, failed := range []int{0, 1, 0} {
-		b.starts = nil
-		b.advance(3 * time.Second)
-		if got := len(b.starts); got != 2 {
-			t.Fatalf("starts of attempt %d: got %d, want 2", attempt+1, got)
-		}
-		failGang(b, b.starts, failed)
+// Guards against a gang that runs more often than its queue allows, since each of its tasks has failed less often, and against one whose run counts
+// twice since two of its tasks failed in it.
+func TestFailuresOfAGangCountTogether(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		attempts [][]int
+	}{
+		{"different tasks fail", [][]int{{0}, {1}}},
+		{"two tasks fail in one run", [][]int{{0, 1}, {1}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 4)
+			b.addJob("j", workload.Step{Tasks: 2, Gang: true, Need: workload.Resources{CPU: 9000}, Estimate: time.Second})
+			for attempt, failed := range c.attempts {
+				b.starts = nil
+				b.advance(3 * time.Second)
+				if got := len(b.starts); got != 2 {
+					t.Fatalf("starts of attempt %d: got %d, want 2", attempt+1, got)
+				}
+				b.wantState("j", workload.Running)
+				failGang(b, b.starts, failed...)
+			}
+			b.record()
+			b.wantState("j", workload.Failed)
+		})
 	}
-	b.record()
-	b.wantState("j", workload.Failed)
 }
 
 // Guards against a gang that fails for good beside free workers, because all its attempts go to a worker on which everything fails, whichever of its
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -222,7 +222,7 @@
 		t.failedOn = append(t.failedOn, w.ID)
 	}
 	p.recordFailure(w, t, now)
-	if len(t.failedRuns) >= t.job.queue.MaxAttempts {
+	if t.failedAttempts() >= t.job.queue.MaxAttempts {
 		p.finish(t.job, workload.Failed, now)
 	}
 }
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -80,3 +80,16 @@
 		j.release()
 	}
 }
+
+// failedAttempts returns how often a task has failed, or its gang: the tasks of one run of a gang have the same number.
+func (t *task) failedAttempts() int {
+	if !t.step.Gang {
+		return len(t.failedRuns)
+	}
+	var runs []int
+	for _, member := range t.state.tasks {
+		runs = append(runs, member.failedRuns...)
+	}
+	slices.Sort(runs)
+	return len(slices.Compact(runs))
+}
