--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -131,8 +131,10 @@
 	ended map[string]workload.Worker
 	// endConfirmed holds the workers whose end was confirmed while runs of a previous holder might be present on them.
 	endConfirmed map[string]bool
-	// maxFreeCPU is the largest free CPU of a worker that takes starts; -1 if no worker takes any.
-	maxFreeCPU int64
+	// index holds the workers that take starts while a plan places tasks; nil at other times.
+	index *workerIndex
+	// startsLeft is how many tasks the present plan may still start.
+	startsLeft int
 	// suspectCount is the number of suspected workers.
 	suspectCount int
 	// sortedByID caches the workers sorted by id; it is nil after a change.
@@ -170,6 +172,8 @@
 	// knownObsolete is true while a record in the store may name workers that are gone.
 	knownObsolete bool
 	actions       []Action
+	// stops holds the runs that are to be stopped, so that a plan does not look for them among all runs; some may have ended since.
+	stops []*run
 	// dirty holds the jobs whose record in the store is out of date.
 	dirty map[string]*job
 }
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -81,7 +81,7 @@
 		remaining := each
 		if st.done == len(st.tasks) {
 			remaining = 0
-		} else if !st.startedAt.IsZero() && !anyWaiting(st) {
+		} else if !st.startedAt.IsZero() && st.withoutRun == 0 {
 			remaining = max(0, each-now.Sub(st.startedAt))
 		}
 		for _, a := range j.Steps[s].After {
@@ -93,12 +93,3 @@
 	}
 	return e
 }
-
-func anyWaiting(st *stepState) bool {
-	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -90,3 +90,75 @@
 
 // Valid reports whether the set is one of numbers from 0 to total - 1.
 func (r Ranges) Valid(total int) bool { return r.valid(total) }
+
+// SetPenalty sets what a worker's score depends on besides its free capacity.
+func (p *Pool) SetPenalty(id string, failures, slowness float64, suspectUntil time.Time) {
+	w := p.workers[id]
+	w.failures, w.slowness, w.suspectUntil = failures, slowness, suspectUntil
+}
+
+// PlaceByBoth places the waiting tasks, and returns for each the worker that a plan chooses and the one that a look at each worker gives.
+func (p *Pool) PlaceByBoth(now time.Time) (planned, ofAll []string) {
+	p.countSuspects(now)
+	u := p.currentUncertainty(now)
+	p.index = p.newIndex(now)
+	defer func() { p.index = nil }()
+	for _, c := range p.candidates(u, now) {
+		for s := range c.occurrence.steps {
+			for _, t := range c.occurrence.steps[s].tasks {
+				if !c.occurrence.steps[s].ready || !waiting(t, u) {
+					continue
+				}
+				need := t.step.Reserved()
+				planned = append(planned, idOf(p.choose(t, need, now)))
+				w := p.chooseOfAll(t, need, now)
+				ofAll = append(ofAll, idOf(w))
+				if w != nil {
+					p.start(t, w, p.nextRun(t), now)
+				}
+			}
+		}
+	}
+	return planned, ofAll
+}
+
+func idOf(w *worker) string {
+	if w == nil {
+		return "none"
+	}
+	return w.ID
+}
+
+// CheckCounts returns an error if the number of tasks without a run of a step, or the list of stops, does not agree with the tasks and runs.
+func (p *Pool) CheckCounts() error {
+	listed := map[*run]bool{}
+	for _, x := range p.stops {
+		if listed[x] {
+			return fmt.Errorf("run %v is listed twice as one to stop", x.task.id)
+		}
+		listed[x] = true
+	}
+	for _, w := range p.workers {
+		for _, x := range w.runs {
+			if x.phase == stopping && !listed[x] {
+				return fmt.Errorf("run %v is to be stopped and is not listed", x.task.id)
+			}
+		}
+	}
+	for _, j := range p.jobs {
+		for _, oc := range j.schedule.open {
+			for s := range oc.steps {
+				want := 0
+				for _, t := range oc.steps[s].tasks {
+					if !t.done && len(t.runs) == 0 {
+						want++
+					}
+				}
+				if got := oc.steps[s].withoutRun; got != want {
+					return fmt.Errorf("job %s, occurrence %d, step %d: %d tasks without a run counted, want %d", j.ID, oc.number, s, got, want)
+				}
+			}
+		}
+	}
+	return nil
+}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -29,6 +29,8 @@
 type stepState struct {
 	tasks []*task
 	done  int
+	// withoutRun is the number of tasks that are not done and have no run.
+	withoutRun int
 	// ready is true once all steps that this one depends on are done.
 	ready bool
 	// startedAt is when this holder first started a task of the step.
@@ -109,6 +111,7 @@
 		if within(i, len(st.tasks)) && !st.tasks[i].done {
 			st.tasks[i].done = true
 			st.done++
+			st.withoutRun--
 		}
 	}
 	for _, f := range s.Tasks {
@@ -181,6 +184,9 @@
 		return false
 	}
 	t.done = true
+	if len(t.runs) == 0 {
+		t.state.withoutRun--
+	}
 	j := t.job
 	p.markDirty(j)
 	t.state.done++
@@ -261,6 +267,10 @@
 func (p *Pool) stop(r *run, reason string) {
 	if r.phase != stopping {
 		r.phase, r.stopReason, r.stopSent = stopping, reason, time.Time{}
+		if !r.inStops {
+			r.inStops = true
+			p.stops = append(p.stops, r)
+		}
 	}
 }
 
@@ -271,6 +281,9 @@
 	w.used = w.used.Minus(r.task.step.Reserved())
 	if i := slices.Index(r.task.runs, r); i >= 0 {
 		r.task.runs = slices.Delete(r.task.runs, i, i+1)
+		if !r.task.done && len(r.task.runs) == 0 {
+			r.task.state.withoutRun++
+		}
 	}
 }
 
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -162,7 +162,11 @@
 }
 
 func (m *model) plan(h *holder) {
-	for _, a := range h.pool.Plan(m.now) {
+	actions := h.pool.Plan(m.now)
+	if err := h.pool.CheckCounts(); err != nil {
+		m.t.Fatalf("counts of the pool: %v", err)
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case dispatch.Start:
 			m.start(h, a)
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -18,37 +19,40 @@
 	density     float64
 }
 
+// maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. Nodes send
+// 512 orders at once, so that further starts of a plan would wait; the next plan gives them.
+const maxStarts = 1000
+
 // Plan returns the orders that are due and reserves the capacity of its starts.
 func (p *Pool) Plan(now time.Time) []Action {
 	p.checkLeases(now)
 	p.repeatStops(now)
 	p.replaceDraining(now)
 	p.countSuspects(now)
-	p.updateMaxFreeCPU(now)
 	for _, j := range p.active {
 		p.openDue(j, now)
 	}
 	u := p.currentUncertainty(now)
+	p.index, p.startsLeft = p.newIndex(now), maxStarts
 	for _, c := range p.candidates(u, now) {
 		p.place(c, u, now)
 	}
+	p.index = nil
 	actions := p.actions
 	p.actions = nil
 	return actions
 }
 
 func (p *Pool) repeatStops(now time.Time) {
-	for _, w := range p.sortedWorkers() {
-		var due []*run
-		for _, x := range w.runs {
-			if x.phase == stopping && now.Sub(x.stopSent) >= p.Settings.StopRetry {
-				due = append(due, x)
-			}
-		}
-		slices.SortFunc(due, compareRuns)
-		for _, x := range due {
+	p.stops = slices.DeleteFunc(p.stops, func(x *run) bool {
+		x.inStops = x.phase == stopping && x.worker.runs[runKey{x.task.id, x.number}] == x
+		return !x.inStops
+	})
+	slices.SortFunc(p.stops, func(a, b *run) int { return cmp.Or(strings.Compare(a.worker.ID, b.worker.ID), compareRuns(a, b)) })
+	for _, x := range p.stops {
+		if now.Sub(x.stopSent) >= p.Settings.StopRetry {
 			x.stopSent = now
-			p.actions = append(p.actions, Stop{Worker: w.Worker, Task: x.task.id, Run: x.number, Reason: x.stopReason})
+			p.actions = append(p.actions, Stop{Worker: x.worker.Worker, Task: x.task.id, Run: x.number, Reason: x.stopReason})
 		}
 	}
 }
@@ -99,7 +103,7 @@
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		begun = begun || st.done > 0 || !st.startedAt.IsZero()
-		if !st.ready || st.done == len(st.tasks) {
+		if !st.ready || st.withoutRun == 0 {
 			continue
 		}
 		if slices.ContainsFunc(st.tasks, func(t *task) bool { return waiting(t, u) }) {
@@ -174,19 +178,25 @@
 	oc := c.occurrence
 	for s := range oc.steps {
 		st := &oc.steps[s]
-		if !st.ready || st.done == len(st.tasks) {
+		if !st.ready || st.withoutRun == 0 {
 			continue
 		}
+		if p.startsLeft <= 0 {
+			return
+		}
 		if c.job.Steps[s].Gang {
 			p.placeGang(st, u, now)
 			continue
 		}
 		for _, t := range st.tasks {
+			if p.startsLeft <= 0 {
+				return
+			}
 			if !waiting(t, u) {
 				continue
 			}
 			var w *worker
-			if t.step.Reserved().CPU <= p.maxFreeCPU {
+			if t.step.Reserved().CPU <= p.index.maxFreeCPU() {
 				w = p.choose(t, t.step.Reserved(), now)
 			}
 			if w == nil && t.step.LongRunning && !t.step.Fills {
@@ -201,17 +211,6 @@
 				break
 			}
 			p.start(t, w, p.nextRun(t), now)
-			p.updateMaxFreeCPU(now)
-		}
-	}
-}
-
-// updateMaxFreeCPU updates the largest free CPU, so that tasks which fit nowhere are skipped without a search.
-func (p *Pool) updateMaxFreeCPU(now time.Time) {
-	p.maxFreeCPU = -1
-	for _, w := range p.sortedWorkers() {
-		if p.usable(w, now) {
-			p.maxFreeCPU = max(p.maxFreeCPU, w.free().CPU)
 		}
 	}
 }
@@ -230,7 +229,12 @@
 	x.startLeaseEnd = w.clockAt(now) + p.Settings.StartLease
 	p.extendLease(w, now, p.Settings.StartLease)
 	w.leaseSentAt = now
+	p.startsLeft--
+	freeBefore := w.free().CPU
 	x.attach()
+	if p.index != nil {
+		p.index.started(p, w, freeBefore, now)
+	}
 	if t.state.startedAt.IsZero() {
 		t.state.startedAt = now
 	}
@@ -255,14 +259,14 @@
 	return t.readySince.Add(failedTaskWait)
 }
 
-// choice is the best one of the workers that were offered.
+// choice is the best one of the workers that were offered; of those with equal scores the one with the lowest id.
 type choice struct {
 	worker *worker
 	score  float64
 }
 
 func (c *choice) offer(w *worker, score float64) {
-	if c.worker == nil || score < c.score {
+	if c.worker == nil || score < c.score || (score == c.score && w.ID < c.worker.ID) {
 		c.worker, c.score = w, score
 	}
 }
@@ -270,6 +274,14 @@
 // choose returns the worker for a task, or nil. A task runs again where it failed only if no other worker could ever run it, or if none had
 // room for some time: a further failed run may end the job, waiting does not.
 func (p *Pool) choose(t *task, need workload.Resources, now time.Time) *worker {
+	if p.index != nil && !t.step.LongRunning && len(t.failedOn) == 0 && t.job.queue.Advice == nil {
+		return p.indexedChoice(t, need, now)
+	}
+	return p.chooseOfAll(t, need, now)
+}
+
+// chooseOfAll looks at each worker.
+func (p *Pool) chooseOfAll(t *task, need workload.Resources, now time.Time) *worker {
 	var best, failed choice
 	fitsElsewhere := false
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
--- a/fleet/dispatch/plan_bench_test.go
+++ b/fleet/dispatch/plan_bench_test.go
@@ -35,7 +35,7 @@
 }
 
 func BenchmarkPlanOverloaded(b *testing.B) {
-	for _, size := range []struct{ workers, jobs int }{{9, 100}, {85, 400}, {85, 1600}} {
+	for _, size := range []struct{ workers, jobs int }{{9, 100}, {85, 400}, {85, 1600}, {540, 250}, {1500, 250}, {4300, 250}} {
 		b.Run(fmt.Sprintf("%d workers, %d jobs", size.workers, size.jobs), func(b *testing.B) {
 			p, now := overloaded(size.workers, size.jobs)
 			p.Plan(now)
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -39,7 +39,9 @@
 	presentAt  time.Time
 	stopSent   time.Time
 	stopReason string
-	percent    int
+	// inStops is true while the pool's list of stops holds the run.
+	inStops bool
+	percent int
 	// progressAt is when a report last showed a change of the percentage; zero before the first report of the run.
 	progressAt time.Time
 	metric     float64
@@ -57,6 +59,9 @@
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
 	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
+	if !x.task.done && len(x.task.runs) == 0 {
+		x.task.state.withoutRun--
+	}
 	x.task.runs = append(x.task.runs, x)
 	x.task.lastRun = max(x.task.lastRun, x.number)
 	x.task.job.started = true
--- a/fleet/dispatch/schedule.go
+++ b/fleet/dispatch/schedule.go
@@ -105,7 +105,7 @@
 			}
 			tasks[i] = &block[i]
 		}
-		oc.steps[s].tasks = tasks
+		oc.steps[s].tasks, oc.steps[s].withoutRun = tasks, step.Tasks
 	}
 	return oc
 }
--- a/fleet/dispatch/score.go
+++ b/fleet/dispatch/score.go
@@ -29,15 +29,21 @@
 			score += scoreUpkeepDue
 		}
 	}
-	if now.Before(w.suspectUntil) {
-		score += scoreSuspect
-	}
-	score += scoreFailures * w.failures
+	score += w.penalty(now)
 	if t.step.DataRack != "" && t.step.DataRack != w.Rack {
 		score += scoreRemoteData
 	}
+	return score
+}
+
+// penalty is the part of a worker's score that depends on neither the task nor the free capacity.
+func (w *worker) penalty(now time.Time) float64 {
+	penalty := scoreFailures * w.failures
+	if now.Before(w.suspectUntil) {
+		penalty += scoreSuspect
+	}
 	if w.slowness > 1.5 {
-		score += scoreSlow * w.slowness
+		penalty += scoreSlow * w.slowness
 	}
-	return score
+	return penalty
 }
--- a/fleet/dispatch/suspect.go
+++ b/fleet/dispatch/suspect.go
@@ -20,7 +20,7 @@
 // countSuspects counts the suspected workers.
 func (p *Pool) countSuspects(now time.Time) {
 	p.suspectCount = 0
-	for _, w := range p.workers {
+	for _, w := range p.sortedWorkers() {
 		if w.suspected(now) {
 			p.suspectCount++
 		}
--- a/fleet/dispatch/uncertainty.go
+++ b/fleet/dispatch/uncertainty.go
@@ -31,8 +31,10 @@
 // currentUncertainty returns which runs of previous holders are uncertain now; after a complete handover only those that it names are.
 func (p *Pool) currentUncertainty(now time.Time) uncertainty {
 	u := uncertainty{tasks: map[workload.TaskID]bool{}}
-	for _, w := range p.workers {
-		maps.Copy(u.tasks, w.unknownTasks)
+	for _, w := range p.sortedWorkers() {
+		if len(w.unknownTasks) > 0 {
+			maps.Copy(u.tasks, w.unknownTasks)
+		}
 	}
 	maps.DeleteFunc(p.handedOverLeases, func(worker string, _ time.Time) bool { return p.priorLeaseEnded(worker, now) })
 	if p.priorLeasesEnded(now) {
@@ -73,7 +75,7 @@
 	if len(p.workers) == 0 || (p.AwaitWorkerList && p.liveWorkers == nil) {
 		return true
 	}
-	for _, w := range p.workers {
+	for _, w := range p.sortedWorkers() {
 		if w.restarted || (p.awaitsReport(w.ID) && !p.runsRecorded(w.ID, w.Incarnation, inherited)) {
 			return true
 		}
--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -14,6 +15,7 @@
 	"verbenalanding.example/verbenabench/jobload"
 	"verbenalanding.example/verbenabench/moves"
 	"verbenalanding.example/verbenabench/placement"
+	"verbenalanding.example/verbenabench/planstep"
 	"verbenalanding.example/verbenabench/platform"
 	"verbenalanding.example/verbenabench/rollout"
 	"verbenalanding.example/verbenabench/soak"
@@ -32,6 +34,7 @@
 		{"moves", "Move instances with demand and compare with static pools and a threshold rule", &movesCommand{streams: s}},
 		{"assignment", "Compare a balanced stream assignment with shared dispatch", &assignmentCommand{streams: s}},
 		{"placement", "Place jobs and compare the policy with first fit", &placementCommand{streams: s}},
+		{"steps", "Measure the steps of the scheduler of a pool, by its number of workers", &stepsCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
 		{"soak", "Run entry instances as processes under random faults and check the promises", &soakCommand{streams: s}},
 		{"days", "Simulate whole days of entry instances under random faults and check the promises", &daysCommand{streams: s}},
@@ -189,6 +192,24 @@
 	return b.Run(c.ctx)
 }
 
+type stepsCommand struct {
+	streams
+	Seed    uint64 `long:"seed" default:"1" description:"seed of all random numbers"`
+	JSON    bool   `long:"json" description:"print the report as JSON"`
+	Workers []int  `long:"workers" default:"540" default:"1500" default:"4300" description:"numbers of workers to measure"`
+	Waiting int    `long:"waiting" default:"2000" description:"number of tasks that wait before each step"`
+	Steps   int    `long:"steps" default:"200" description:"number of measured steps of each row"`
+}
+
+// Execute runs the measurement.
+func (c *stepsCommand) Execute([]string) error {
+	if len(c.Workers) == 0 || slices.Min(c.Workers) < 1 || c.Waiting < 1 || c.Steps < 1 {
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "--workers, --waiting and --steps must be at least 1"}
+	}
+	b := &planstep.Bench{Seed: c.Seed, Workers: c.Workers, Waiting: c.Waiting, Steps: c.Steps, JSON: c.JSON, Out: c.out}
+	return b.Run(c.ctx)
+}
+
 type capacityCommand struct {
 	streams
 	commonFlags
--- /dev/null
+++ b/verbenabench/planstep/doc.go
@@ -0,0 +1,2 @@
+// Package planstep measures the steps of the scheduler of one pool: the time of one plan with many waiting tasks, by the number of workers.
+package planstep
--- a/verbenabench/target/time.go
+++ b/verbenabench/target/time.go
@@ -20,7 +20,7 @@
 // within a round. For each smaller size, as many fleets are measured as have the workers of the largest size together, so that all sizes
 // use the same amount of memory. The growth is the median of all rounds.
 func Measure(sizes []int, prepare func(workers int) func(round int)) (Measurement, error) {
-	return MeasureWith(threadTime, sizes, prepare)
+	return MeasureWith(ThreadTime, sizes, prepare)
 }
 
 // Meter returns the processor time, or another measure of the work, that has been used so far.
@@ -73,8 +73,8 @@
 	return (after - before) / time.Duration(len(steps)), nil
 }
 
-// threadTime returns the processor time of the calling thread. Unlike the elapsed time it does not include work of other processes.
-func threadTime() (time.Duration, error) {
+// ThreadTime returns the processor time of the calling thread. Unlike the elapsed time it does not include work of other processes.
+func ThreadTime() (time.Duration, error) {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
 		return 0, fmt.Errorf("read processor time: %w", err)
