fix(node): the status of a wave that is done needs no list of machines

Operators saw waves of which every machine was done in time that were not said to be completed. The status is written by the holder of the first pool, each 100 ms until the store has taken it. When that holder was lost after the last machine was back, its successor knew from the store that all were done, and still asked for the list of machines first (up to 1.5 s a page, again each second while it fails) and reported the wave as running until a list had arrived. The holders of all other pools asked for the list each second for as long as the wave's key existed.

A wave whose machines the store all names as done, with no slot reserved, is reported at once, without the list. Both cases of TestStatusOfAWaveThatIsDoneNeedsNoListOfMachines failed before: "running" after 1.5 s.

--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -143,6 +143,13 @@
 		u.pool.node.Registry.Unregister("waveMachinesLeft." + w.ID)
 		return
 	}
+	if u.allDone(w) {
+		// The list of machines can say nothing more, and may be unanswered for seconds.
+		u.evacuateDue(now)
+		u.pool.node.Registry.Unregister("waveMachinesLeft." + w.ID)
+		u.reportStatus(ctx, w)
+		return
+	}
 	u.pool.machines.refresh(ctx, machineListInterval)
 	u.finish(ctx, w, now)
 	u.evacuateDue(now)
@@ -181,6 +188,7 @@
 	}
 	running := u.running[w.ID]
 	u.mu.Unlock()
+	completed = completed || u.allDone(w)
 	if running && !completed {
 		return
 	}
