fix(node): a successor finishes the upkeep of a machine that was back before its holder was lost

After the loss of the holder of a pool, the slot of a machine whose upkeep had ended stayed reserved: the successor orders the upkeep again, and then waited for the time of a whole upkeep, since the answer does not tell an upkeep that begins now from one that was carried out before. The wave was late by that time.

A list of machines that was requested listLag (1 s) after the accepted repetition shows the order. If it has the machine up with the worker that it had before the order, the order changed nothing and the upkeep of the earlier one has ended. Other states, another worker and first orders wait as before.

TestRepeatedUpkeepOrderThatChangedNothingIsFinished covers the rule by its cases; the whole course with a lost holder was not played.

--- a/verbenaentry/node/slot.go
+++ b/verbenaentry/node/slot.go
@@ -44,6 +44,14 @@
 	orderedAt time.Time
 	// since is when this holder first read the slot with its machine.
 	since time.Time
+	// repeatedOn is the worker that the list of machines showed when this holder repeated an order, with the machine up; empty otherwise.
+	repeatedOn string
+}
+
+// carriedOutBefore reports whether a repeated order has changed nothing, so that the upkeep of an earlier one has finished: a list that shows
+// the order has the machine up, with the same worker as before it.
+func (s reservedSlot) carriedOutBefore(listedAt time.Time, m workload.Machine) bool {
+	return s.repeatedOn != "" && !s.orderedAt.IsZero() && listedAt.Sub(s.orderedAt) >= listLag && m.State == workload.MachineUp && m.Worker == s.repeatedOn
 }
 
 // finished reports whether the upkeep has finished, according to the newest registered worker of the slot's machine or the list of machines.
--- a/verbenaentry/node/upkeep.go
+++ b/verbenaentry/node/upkeep.go
@@ -57,7 +57,7 @@
 	mt.mu.Lock()
 	defer mt.mu.Unlock()
 	m, listed := mt.byID[s.Machine]
-	return s.finished(now, u.pool.node.Settings.Bounds.Upkeep, mt.incarnations[s.Machine], mt.listedAt, listed, m.State)
+	return (listed && s.carriedOutBefore(mt.listedAt, m)) || s.finished(now, u.pool.node.Settings.Bounds.Upkeep, mt.incarnations[s.Machine], mt.listedAt, listed, m.State)
 }
 
 // begin repeats unconfirmed upkeep orders of the pool's slots, and orders the upkeep of the machines that are next in the wave's plan.
@@ -70,6 +70,7 @@
 		}
 		fence, err := u.pool.machines.claim(ctx, s.Machine, u.upkeepOrder(), store.Transaction{If: []store.Condition{{Key: key, Revision: s.revision}}})
 		if err == nil {
+			u.noteRepetition(key, s.Machine)
 			u.order(ctx, w, key, s, fence)
 		}
 	}
@@ -85,6 +86,24 @@
 	}
 }
 
+// noteRepetition records the worker that the list of machines shows for a machine whose upkeep is about to be ordered again.
+func (u *upkeeps) noteRepetition(key, machine string) {
+	mt := u.pool.machines
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	s, reserved := u.slots[key]
+	if !reserved {
+		return
+	}
+	s.repeatedOn = ""
+	if m := mt.byID[machine]; m.State == workload.MachineUp {
+		s.repeatedOn = m.Worker
+	}
+	u.slots[key] = s
+}
+
 var errNoSlot = errors.New("all slots of the wave are reserved")
 
 // reserveSlot reserves a free slot of the wave for a machine and orders its upkeep.
--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -75,7 +75,7 @@
 		if old.Machine == s.Machine {
 			since = old.since
 		}
-		u.slots[e.Entry.Key] = reservedSlot{slot: s, revision: e.Entry.Revision, orderedAt: old.orderedAt, since: since}
+		u.slots[e.Entry.Key] = reservedSlot{slot: s, revision: e.Entry.Revision, orderedAt: old.orderedAt, since: since, repeatedOn: old.repeatedOn}
 	}
 }
 
--- a/verbenaentry/node/wavestatus_test.go
+++ b/verbenaentry/node/wavestatus_test.go
@@ -92,3 +92,32 @@
 	s.pool.upkeeps.processWave(s.ctx, w)
 	s.assertWaveStatus(w, false)
 }
+
+// Guards against a successor that waits for the time of a whole upkeep, until it says that a machine is done which was back before its
+// holder was lost.
+func TestRepeatedUpkeepOrderThatChangedNothingIsFinished(t *testing.T) {
+	ordered := time.Unix(1_790_000_000, 0)
+	up := workload.Machine{ID: "m0", State: workload.MachineUp, Worker: "w1"}
+	for _, c := range []struct {
+		name      string
+		repeated  string
+		machine   workload.Machine
+		listedAge time.Duration
+		want      bool
+	}{
+		{"the machine is up with the same worker", "w1", up, listLag, true},
+		{"the list may lag behind the order", "w1", up, listLag - time.Millisecond, false},
+		{"the machine has another worker", "w0", up, listLag, false},
+		{"the machine is in upkeep", "w1", workload.Machine{ID: "m0", State: workload.MachineUpkeep, Worker: "w1"}, listLag, false},
+		{"the machine is not listed", "w1", workload.Machine{}, listLag, false},
+		{"the order was the first one", "", up, listLag, false},
+		{"the machine had no worker", "", workload.Machine{ID: "m0", State: workload.MachineUp}, listLag, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := reservedSlot{slot: slot{Machine: "m0", Worker: "w0"}, orderedAt: ordered, repeatedOn: c.repeated}
+			if got := s.carriedOutBefore(ordered.Add(c.listedAge), c.machine); got != c.want {
+				t.Errorf("upkeep was carried out before: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
