--- a/verbenaentry/testfleet/testfleet.go
+++ b/verbenaentry/testfleet/testfleet.go
@@ -105,6 +105,15 @@
 	return err
 }
 
+// AddNodes starts instances at the same time and waits until all are ready.
+func (f *Fleet) AddNodes(names ...string) error {
+	var group errgroup.Group
+	for _, name := range names {
+		group.Go(func() error { return f.AddNode(name) })
+	}
+	return group.Wait()
+}
+
 func (f *Fleet) addNode(name string) error {
 	var ports [3]netip.AddrPort
 	for i := range ports {
