feat(dispatch): the time to the first run of a job by cause

A lookup that its caller gave up had only one figure, the wait of a task before its start: whether the store, a lost holder, full workers, other jobs or an unanswered order took the time was not told. The scheduler now gives each interval between a job's hand-in (or due time) and its first known run to a cause, as the plans saw it; the holder counts it in verbena_firstStarts_seconds and logs `first run of the job`, one line a job within the budget of decisions. Jobs that a previous holder may have started are left out.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -120,6 +120,8 @@
 	AwaitConfirmation bool
 	// OnEvent receives each decision that concerns a job, and each change of the assumed state of a worker; it may be nil.
 	OnEvent func(Event)
+	// OnFirstStart receives how long each job has waited for its first run, unless a previous holder may have started it; it may be nil.
+	OnFirstStart func(FirstStart)
 
 	queues  map[string]workload.Queue
 	workers map[string]*worker
@@ -135,6 +137,10 @@
 	index *workerIndex
 	// startsLeft is how many tasks the present plan may still start.
 	startsLeft int
+	// freeAtFirst is the largest free CPU of a worker before the present plan placed its first task.
+	freeAtFirst int64
+	// begunAt is when this holder took the pool over.
+	begunAt time.Time
 	// suspectCount is the number of suspected workers.
 	suspectCount int
 	// sortedByID caches the workers sorted by id; it is nil after a change.
@@ -194,6 +200,7 @@
 // Begin initialises the pool at a takeover of its duty.
 func (p *Pool) Begin(now time.Time) {
 	p.Settings = p.Settings.Default()
+	p.begunAt = now
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
 	p.ended = map[string]workload.Worker{}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -52,7 +52,9 @@
 	restored bool
 	schedule schedule
 	finished time.Time
-	worth    float64
+	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
+	first *firstWait
+	worth float64
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
 	recordedVersion int
@@ -84,6 +86,9 @@
 		return
 	}
 	j.schedule.total = j.Occurrences()
+	if record == nil || !record.Started {
+		p.beginFirstWait(j, now)
+	}
 	if record != nil {
 		p.restore(j, record, now)
 	}
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -34,6 +34,7 @@
 	}
 	u := p.currentUncertainty(now)
 	p.index, p.startsLeft = p.newIndex(now), maxStarts
+	p.freeAtFirst = p.index.maxFreeCPU()
 	for _, c := range p.candidates(u, now) {
 		p.place(c, u, now)
 	}
@@ -100,7 +101,7 @@
 	if oc.stepsLeft == 0 || oc.due.After(now) {
 		return candidate{}, false
 	}
-	hasWaiting := false
+	hasWaiting, uncertain := false, false
 	begun := false
 	longRunning := false
 	for s := range oc.steps {
@@ -109,12 +110,16 @@
 		if !st.ready || st.withoutRun == 0 {
 			continue
 		}
+		uncertain = true
 		if slices.ContainsFunc(st.tasks, func(t *task) bool { return waiting(t, u) }) {
 			hasWaiting = true
 			longRunning = longRunning || j.Steps[s].LongRunning
 		}
 	}
 	if !hasWaiting {
+		if uncertain && !j.started {
+			j.first.change(CauseUnreported, now)
+		}
 		return candidate{}, false
 	}
 	c := candidate{job: j, occurrence: oc, longRunning: longRunning, begun: begun}
@@ -185,10 +190,12 @@
 			continue
 		}
 		if p.startsLeft <= 0 {
+			p.noteWait(c.job, 0, now)
 			return
 		}
 		if c.job.Steps[s].Gang {
 			p.placeGang(st, u, now)
+			p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
 			continue
 		}
 		for _, t := range st.tasks {
@@ -205,6 +212,9 @@
 			if w == nil && t.step.LongRunning && !t.step.Fills {
 				p.preempt(t, now)
 			}
+			if w == nil {
+				p.noteWait(c.job, t.step.Reserved().CPU, now)
+			}
 			if w == nil && len(t.failedOn) > 0 {
 				// Other tasks of the step may run where this one has failed.
 				continue
@@ -233,6 +243,9 @@
 	p.extendLease(w, now, p.Settings.StartLease)
 	w.leaseSentAt = now
 	p.startsLeft--
+	if !j.started {
+		j.first.change(CauseOrders, now)
+	}
 	freeBefore := w.free().CPU
 	x.attach()
 	if p.index != nil {
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -124,6 +124,7 @@
 	}
 	if x.phase == ordered || x.phase == unanswered {
 		x.phase = present
+		p.firstRunPresent(x.task.job, now)
 	}
 	x.uncertain, x.attributed = false, true
 	if x.presentAt.IsZero() {
@@ -156,6 +157,7 @@
 	}
 	x := &run{task: t, number: a.Run, worker: w, phase: present, orderedAt: now, presentAt: now, startClock: w.clock, pace: 100, adopted: true, attributed: true}
 	x.attach()
+	t.job.first = nil
 	p.emit(Event{Kind: "run taken over", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID})
 	return x
 }
@@ -172,6 +174,10 @@
 	if t == nil || t.job.state.Terminal() || t.done {
 		return
 	}
+	if x != nil {
+		p.firstRunPresent(t.job, now)
+	}
+	t.job.first = nil
 	t.lastRun = max(t.lastRun, e.Run)
 	t.readySince = now
 	t.job.started = true
@@ -284,6 +290,7 @@
 		return
 	}
 	if a == Present {
+		p.firstRunPresent(x.task.job, now)
 		if x.phase == ordered || x.phase == unanswered {
 			x.phase = present
 		}
--- a/verbenaentry/node/metrics_test.go
+++ b/verbenaentry/node/metrics_test.go
@@ -32,6 +32,20 @@
 	wantMetrics(t, n, always, held)
 }
 
+// Guards against late starts whose cause is in no metric.
+func TestMetricsShowFirstStartsByCause(t *testing.T) {
+	n := &Node{Registry: metrics.NewRegistry()}
+	p := &pool{node: n, name: "cutting", budget: logs.Budget{PerSecond: decisionLines}}
+	p.observeFirstStart(dispatch.FirstStart{Job: "j", Wait: 3 * time.Second, Causes: map[dispatch.WaitCause]time.Duration{
+		dispatch.CauseNoHolder: 2 * time.Second, dispatch.CauseNoRoom: time.Second,
+	}})
+	p.observeFirstStart(dispatch.FirstStart{Job: "k", Wait: time.Second, Causes: map[dispatch.WaitCause]time.Duration{dispatch.CauseNoRoom: time.Second}})
+	wantMetrics(t, n, []string{
+		`verbena_firstStarts_seconds_count{kind="all"} 2`, `verbena_firstStarts_seconds{kind="noHolder",quantile="0.99"} 2`,
+		`verbena_firstStarts_seconds_count{kind="noRoom"} 2`, `verbena_firstStarts_seconds{kind="noRoom",quantile="0.5"} 1`,
+	}, []string{`kind="orders"`})
+}
+
 func wantMetrics(t *testing.T, n *Node, present, absent []string) {
 	t.Helper()
 	w := httptest.NewRecorder()
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -127,7 +127,7 @@
 		planNow: ring.New[struct{}](1), writeNow: ring.New[struct{}](1), recordNow: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(maxOrders)
-	p.scheduler = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), OnEvent: p.logEvent, AwaitConfirmation: true}
+	p.scheduler = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), OnEvent: p.logEvent, OnFirstStart: p.observeFirstStart, AwaitConfirmation: true}
 	p.scheduler.AwaitWorkerList = n.Settings.Machines.IsValid()
 	p.scheduler.RecordWorkers = !p.scheduler.AwaitWorkerList
 	p.scheduler.Begin(p.takenAt)
@@ -255,6 +255,26 @@
 	line.Msg(e.Kind)
 }
 
+// observeFirstStart counts and logs how long a job has waited for its first run, by cause.
+func (p *pool) observeFirstStart(s dispatch.FirstStart) {
+	observe(p.node.Registry, "firstStarts.all", s.Wait)
+	for cause, took := range s.Causes {
+		observe(p.node.Registry, "firstStarts."+string(cause), took)
+	}
+	leftOut, ok := p.budget.Allow(time.Now())
+	if !ok {
+		return
+	}
+	line := p.log.Info().Str("job", s.Job).Dur("age", s.Wait)
+	if leftOut > 0 {
+		line = line.Int64("linesLeftOut", leftOut)
+	}
+	for _, cause := range slices.Sorted(maps.Keys(s.Causes)) {
+		line = line.Dur(string(cause), s.Causes[cause])
+	}
+	line.Msg("first run of the job")
+}
+
 // valid reports whether the node may still give orders for the duty.
 func (p *pool) valid() bool { return p.node.Elector.Valid(p.name, p.fence) }
 
