feat(verbenabench): the error of the estimated start of an explained job

docs/OPERATIONS.md said that it was not measured. `verbenabench estimates` plays a pool that gets more work than it can do, then half of it, and compares the actual with the estimated waits of explained jobs. The estimate leaves out later work that is placed first; not mended.

--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -35,6 +35,7 @@
 		{"assignment", "Compare a balanced stream assignment with shared dispatch", &assignmentCommand{streams: s}},
 		{"placement", "Place jobs and compare the policy with first fit", &placementCommand{streams: s}},
 		{"steps", "Measure the steps of the scheduler of a pool, by its number of workers", &stepsCommand{streams: s}},
+		{"estimates", "Compare the estimated starts of explained jobs with the actual ones", &estimatesCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
 		{"soak", "Run entry instances as processes under random faults and check the promises", &soakCommand{streams: s}},
 		{"days", "Simulate whole days of entry instances under random faults and check the promises", &daysCommand{streams: s}},
@@ -210,6 +211,22 @@
 	return b.Run(c.ctx)
 }
 
+type estimatesCommand struct {
+	streams
+	Seed    uint64 `long:"seed" default:"1" description:"seed of all random numbers"`
+	JSON    bool   `long:"json" description:"print the report as JSON"`
+	Workers []int  `long:"workers" default:"50" default:"540" description:"numbers of workers to measure"`
+}
+
+// Execute runs the measurement.
+func (c *estimatesCommand) Execute([]string) error {
+	if len(c.Workers) == 0 || slices.Min(c.Workers) < 1 {
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "--workers must be at least 1"}
+	}
+	e := &planstep.Estimates{Seed: c.Seed, Workers: c.Workers, JSON: c.JSON, Out: c.out}
+	return e.Run(c.ctx)
+}
+
 type capacityCommand struct {
 	streams
 	commonFlags
--- a/verbenabench/planstep/model.go
+++ b/verbenabench/planstep/model.go
@@ -36,6 +36,8 @@
 	byID    map[string]*modelWorker
 	jobs    int
 	waiting int
+	// runTime returns how long a task of a job runs; nil draws a time that the job does not declare.
+	runTime func(job string) time.Duration
 }
 
 type modelWorker struct {
@@ -136,9 +138,16 @@
 		m.waiting--
 		w := m.byID[s.Worker.ID]
 		w.active = append(w.active, modelRun{
-			ActiveRun: workload.ActiveRun{Task: s.Task, Run: s.Run, Percent: 1}, ends: m.now.Add(minRun + time.Duration(m.random.Int64N(int64(maxRun-minRun)))),
+			ActiveRun: workload.ActiveRun{Task: s.Task, Run: s.Run, Percent: 1}, ends: m.now.Add(m.drawRunTime(s.Task.Job)),
 		})
 		m.pool.StartAnswered(s, dispatch.Present, workload.ClockReading{Incarnation: 1, Clock: m.now.Sub(m.began)}, m.now)
 	}
 	return starts
 }
+
+func (m *model) drawRunTime(job string) time.Duration {
+	if m.runTime != nil {
+		return m.runTime(job)
+	}
+	return minRun + time.Duration(m.random.Int64N(int64(maxRun-minRun)))
+}
--- a/verbenabench/planstep/planstep.go
+++ b/verbenabench/planstep/planstep.go
@@ -163,8 +163,8 @@
 	return Quantiles{P50: quantile(times, 0.5), P99: quantile(times, 0.99), Worst: times[len(times)-1]}
 }
 
-// quantile returns the smallest of the sorted times that at least a share q of them does not exceed.
-func quantile(times []time.Duration, q float64) time.Duration {
+// quantile returns the smallest of the sorted values that at least a share q of them does not exceed.
+func quantile[T any](times []T, q float64) T {
 	return times[max(0, int(math.Ceil(q*float64(len(times))))-1)]
 }
 
