perf(dispatch): tasks that have failed use the index, and a plan starts at most 512 tasks

Tasks that had failed on a worker looked at all workers each; they now take the best of the others from the index, and only tasks that are left with workers on which they have failed look at all. Lists of a plan keep their memory. 512 starts a plan are what a pool has in flight.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -135,6 +135,9 @@
 	endConfirmed map[string]bool
 	// index holds the workers that take starts while a plan places tasks; nil at other times.
 	index *workerIndex
+	// indexBuffer and candidateBuffer keep the memory of the longest lists of a plan for the next one.
+	indexBuffer     []indexed
+	candidateBuffer []candidate
 	// startsLeft is how many tasks the present plan may still start.
 	startsLeft int
 	// freeAtFirst is the largest free CPU of a worker before the present plan placed its first task.
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -19,9 +19,9 @@
 	density     float64
 }
 
-// maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. Nodes send
-// 512 orders at once, so that further starts of a plan would wait; the next plan gives them.
-const maxStarts = 1000
+// maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. A pool has
+// at most 512 orders in flight, so that further starts of a plan would wait; the next plan gives them.
+const maxStarts = 512
 
 // Plan returns the orders that are due and reserves the capacity of its starts.
 func (p *Pool) Plan(now time.Time) []Action {
@@ -38,6 +38,7 @@
 	for _, c := range p.candidates(u, now) {
 		p.place(c, u, now)
 	}
+	p.indexBuffer = p.index.release()
 	p.index = nil
 	actions := p.actions
 	p.actions = nil
@@ -81,8 +82,9 @@
 	return !t.done && len(t.runs) == 0 && !u.mayRun(t)
 }
 
+// candidates returns the candidates in the order in which they are placed; the list is valid until the next call.
 func (p *Pool) candidates(u uncertainty, now time.Time) []candidate {
-	var list []candidate
+	list := p.candidateBuffer[:0]
 	for _, j := range p.active {
 		if j.schedule.withoutRun == 0 {
 			continue
@@ -94,6 +96,9 @@
 		}
 	}
 	slices.SortStableFunc(list, compareCandidates)
+	// What is left of a longer list would keep jobs that have ended.
+	clear(list[len(list):cap(list)])
+	p.candidateBuffer = list
 	return list
 }
 
@@ -294,8 +299,12 @@
 		if p.index.missed(need) {
 			return nil
 		}
-		if !t.step.LongRunning && len(t.failedOn) == 0 {
-			return p.indexedChoice(t, need, now)
+		if !t.step.LongRunning {
+			w := p.indexedChoice(t, need, now)
+			if w != nil || len(t.failedOn) == 0 {
+				return w
+			}
+			// Only workers on which the task has failed are left.
 		}
 	}
 	return p.chooseOfAll(t, need, now)
--- a/fleet/dispatch/workerindex.go
+++ b/fleet/dispatch/workerindex.go
@@ -17,6 +17,8 @@
 	// list holds the classes in the order in which they were found.
 	list   []*classMembers
 	byRack map[string][]*worker
+	// buffer is the memory for the first class.
+	buffer []indexed
 	// misses holds needs for which no worker has enough free capacity.
 	misses []workload.Resources
 }
@@ -44,7 +46,7 @@
 const maxMisses = 32
 
 func (p *Pool) newIndex(now time.Time) *workerIndex {
-	x := &workerIndex{workers: p.sortedWorkers(), classes: map[workerClass]*classMembers{}}
+	x := &workerIndex{workers: p.sortedWorkers(), classes: map[workerClass]*classMembers{}, buffer: p.indexBuffer}
 	var last workerClass
 	var members *classMembers
 	for i, w := range x.workers {
@@ -63,6 +65,14 @@
 	return x
 }
 
+// release returns the memory of the first class, empty, for the next index.
+func (x *workerIndex) release() []indexed {
+	if len(x.list) == 0 {
+		return x.buffer
+	}
+	return x.list[0].sorted[:0]
+}
+
 func (w *worker) class(now time.Time) workerClass { return workerClass{w.Capacity.CPU, w.penalty(now)} }
 
 func (x *workerIndex) membersOf(class workerClass) *classMembers {
@@ -71,7 +81,7 @@
 		members = &classMembers{}
 		if len(x.list) == 0 {
 			// Most workers have no penalty and the same capacity.
-			members.sorted = make([]indexed, 0, len(x.workers))
+			members.sorted = slices.Grow(x.buffer, len(x.workers))
 		}
 		x.classes[class] = members
 		x.list = append(x.list, members)
@@ -129,23 +139,25 @@
 	}
 }
 
-// indexedChoice returns the worker that choose returns for a finite task that has not failed and needs no advice.
+// indexedChoice returns the best worker on which a finite task that needs no advice has not failed; nil if there is none with enough free
+// capacity.
 func (p *Pool) indexedChoice(t *task, need workload.Resources, now time.Time) *worker {
 	x := p.index
 	var best choice
+	admitted := func(w *worker) bool { return !slices.Contains(t.failedOn, w.ID) && p.admits(w, t, now) }
 	if rack := t.step.DataRack; rack != "" {
 		for _, w := range x.onRack(rack) {
-			if free := w.free(); free.Fits(need) && p.usable(w, now) && p.admits(w, t, now) {
+			if free := w.free(); free.Fits(need) && p.usable(w, now) && admitted(w) {
 				best.offer(w, p.score(w, t, free, now))
 			}
 		}
 	}
 	for _, members := range x.list {
-		if w := x.fullest(members, need, func(w *worker) bool { return p.admits(w, t, now) }); w != nil {
+		if w := x.fullest(members, need, admitted); w != nil {
 			best.offer(w, p.score(w, t, w.free(), now))
 		}
 	}
-	if best.worker == nil && t.step.RequiredLabel == "" && t.step.MaxPerWorker == 0 {
+	if best.worker == nil && len(t.failedOn) == 0 && t.step.RequiredLabel == "" && t.step.MaxPerWorker == 0 {
 		x.addMiss(need)
 	}
 	return best.worker
