--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -120,6 +120,8 @@
 	AwaitConfirmation bool
 	// OnEvent receives each decision that concerns a job, and each change of the assumed state of a worker; it may be nil.
 	OnEvent func(Event)
+	// OnFirstStart receives how long each job has waited for its first run, unless a previous holder may have started it; it may be nil.
+	OnFirstStart func(FirstStart)
 
 	queues  map[string]workload.Queue
 	workers map[string]*worker
@@ -132,8 +134,17 @@
 	// endConfirmed holds the workers whose end was confirmed while runs of a previous holder might be present on them, with the time of the
 	// first plan after that.
 	endConfirmed map[string]time.Time
-	// maxFreeCPU is the largest free CPU of a worker that takes starts; -1 if no worker takes any.
-	maxFreeCPU int64
+	// index holds the workers that take starts while a plan places tasks; nil at other times.
+	index *workerIndex
+	// indexBuffer and candidateBuffer keep the memory of the longest lists of a plan for the next one.
+	indexBuffer     []indexed
+	candidateBuffer []candidate
+	// startsLeft is how many tasks the present plan may still start.
+	startsLeft int
+	// freeAtFirst is the largest free CPU of a worker before the present plan placed its first task.
+	freeAtFirst int64
+	// begunAt is when this holder took the pool over.
+	begunAt time.Time
 	// suspectCount is the number of suspected workers.
 	suspectCount int
 	// sortedByID caches the workers sorted by id; it is nil after a change.
@@ -142,8 +153,10 @@
 	active     []*job
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
-	means      map[string]*runningMean
-	tickets    map[stepKey]*ticketSet
+	// means holds the learned run times, queueWork the learned work per job of each queue.
+	means     map[meanKey]*runningMean
+	queueWork map[string]*runningMean
+	tickets   map[stepKey]*ticketSet
 	// priorLeasesUntil is the time until which runs of a previous holder may be present on workers that have not reported;
 	// handedOverLeases holds the workers on which those that the handover names may be present for longer.
 	priorLeasesUntil time.Time
@@ -175,6 +188,8 @@
 	// knownObsolete is true while a record in the store may name workers that are gone.
 	knownObsolete bool
 	actions       []Action
+	// stops holds the runs that are to be stopped, so that a plan does not look for them among all runs; some may have ended since.
+	stops []*run
 	// dirty holds the jobs whose record in the store is out of date.
 	dirty map[string]*job
 	// backlog counts the tasks with a state as of the last plan, and those that got one since.
@@ -197,6 +212,7 @@
 // Begin initialises the pool at a takeover of its duty.
 func (p *Pool) Begin(now time.Time) {
 	p.Settings = p.Settings.Default()
+	p.begunAt = now
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
 	p.ended = map[string]workload.Worker{}
@@ -204,7 +220,7 @@
 	p.departed = map[string]time.Time{}
 	p.jobs = map[string]*job{}
 	p.absentJobs = map[string]time.Time{}
-	p.means = map[string]*runningMean{}
+	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
 	p.backlog = backlog{}
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -22,7 +22,10 @@
 	minRatio        = 0.1
 )
 
-func meanKey(t *task) string { return t.job.Queue + "\x00" + t.step.Image }
+// meanKey identifies the tasks whose run times are learned together.
+type meanKey struct{ queue, image string }
+
+func (t *task) meanKey() meanKey { return meanKey{t.job.Queue, t.step.Image} }
 
 func (p *Pool) learnDuration(x *run, now time.Time) {
 	if x.presentAt.IsZero() || x.task.step.LongRunning || x.task.checkpoint != "" {
@@ -30,7 +33,7 @@
 	}
 	took := now.Sub(x.presentAt)
 	declared := declaredDuration(x.task)
-	key := meanKey(x.task)
+	key := x.task.meanKey()
 	f := p.means[key]
 	if f == nil {
 		f = &runningMean{mean: 1}
@@ -54,7 +57,7 @@
 // expectedDuration returns how long a task is likely to run.
 func (p *Pool) expectedDuration(t *task) time.Duration {
 	d := declaredDuration(t)
-	if f := p.means[meanKey(t)]; f != nil {
+	if f := p.means[t.meanKey()]; f != nil {
 		return min(workload.Scale(d, f.mean), workload.MaxEstimate)
 	}
 	return d
@@ -83,7 +86,7 @@
 		remaining := each
 		if st.done == len(st.tasks) {
 			remaining = 0
-		} else if !st.startedAt.IsZero() && !anyWaiting(st) {
+		} else if !st.startedAt.IsZero() && st.withoutRun == 0 {
 			remaining = max(0, each-now.Sub(st.startedAt))
 		}
 		for _, a := range j.Steps[s].After {
@@ -95,12 +98,3 @@
 	}
 	return e
 }
-
-func anyWaiting(st *stepState) bool {
-	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -26,9 +26,17 @@
 	readySince time.Time
 }
 
+// countWithoutRun changes the numbers of tasks that are not done and have no run.
+func (t *task) countWithoutRun(change int) {
+	t.state.withoutRun += change
+	t.job.schedule.withoutRun += change
+}
+
 type stepState struct {
 	tasks []*task
 	done  int
+	// withoutRun is the number of tasks that are not done and have no run.
+	withoutRun int
 	// ready is true once all steps that this one depends on are done.
 	ready bool
 	// startedAt is when this holder first started a task of the step.
@@ -44,7 +52,9 @@
 	restored bool
 	schedule schedule
 	finished time.Time
-	worth    float64
+	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
+	first *firstWait
+	worth float64
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
 	recordedVersion int
@@ -76,6 +86,9 @@
 		return
 	}
 	j.schedule.total = j.Occurrences()
+	if record == nil || !record.Started {
+		p.beginFirstWait(j, now)
+	}
 	if record != nil {
 		p.restore(j, record, now)
 	}
@@ -109,6 +122,7 @@
 		if within(i, len(st.tasks)) && !st.tasks[i].done {
 			st.tasks[i].done = true
 			st.done++
+			st.tasks[i].countWithoutRun(-1)
 		}
 	}
 	for _, f := range s.Tasks {
@@ -181,6 +195,9 @@
 		return false
 	}
 	t.done = true
+	if len(t.runs) == 0 {
+		t.countWithoutRun(-1)
+	}
 	j := t.job
 	p.markDirty(j)
 	t.state.done++
@@ -261,6 +278,10 @@
 func (p *Pool) stop(r *run, reason string) {
 	if r.phase != stopping && r.phase != ended {
 		r.phase, r.stopReason, r.stopSent = stopping, reason, time.Time{}
+		if !r.inStops {
+			r.inStops = true
+			p.stops = append(p.stops, r)
+		}
 	}
 }
 
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -18,6 +19,10 @@
 	density     float64
 }
 
+// maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. A pool has
+// at most 512 orders in flight, so that further starts of a plan would wait; the next plan gives them.
+const maxStarts = 512
+
 // Plan returns the orders that are due and reserves the capacity of its starts.
 func (p *Pool) Plan(now time.Time) []Action {
 	p.confirmEnds(now)
@@ -25,33 +30,34 @@
 	p.repeatStops(now)
 	p.replaceDraining(now)
 	p.countSuspects(now)
-	p.updateMaxFreeCPU(now)
 	p.backlog = p.countBacklog()
 	p.rotateBacklog(now)
 	for _, j := range p.active {
 		p.openDue(j, now)
 	}
 	u := p.currentUncertainty(now)
+	p.index, p.startsLeft = p.newIndex(now), maxStarts
+	p.freeAtFirst = p.index.maxFreeCPU()
 	for _, c := range p.candidates(u, now) {
 		p.place(c, u, now)
 	}
+	p.indexBuffer = p.index.release()
+	p.index = nil
 	actions := p.actions
 	p.actions = nil
 	return actions
 }
 
 func (p *Pool) repeatStops(now time.Time) {
-	for _, w := range p.sortedWorkers() {
-		var due []*run
-		for _, x := range w.runs {
-			if x.phase == stopping && now.Sub(x.stopSent) >= p.Settings.StopRetry {
-				due = append(due, x)
-			}
-		}
-		slices.SortFunc(due, compareRuns)
-		for _, x := range due {
+	p.stops = slices.DeleteFunc(p.stops, func(x *run) bool {
+		x.inStops = x.phase == stopping && x.worker.runs[runKey{x.task.id, x.number}] == x
+		return !x.inStops
+	})
+	slices.SortFunc(p.stops, func(a, b *run) int { return cmp.Or(strings.Compare(a.worker.ID, b.worker.ID), compareRuns(a, b)) })
+	for _, x := range p.stops {
+		if now.Sub(x.stopSent) >= p.Settings.StopRetry {
 			x.stopSent = now
-			p.actions = append(p.actions, Stop{Worker: w.Worker, Task: x.task.id, Run: x.number, Reason: x.stopReason})
+			p.actions = append(p.actions, Stop{Worker: x.worker.Worker, Task: x.task.id, Run: x.number, Reason: x.stopReason})
 		}
 	}
 }
@@ -79,9 +85,13 @@
 	return !t.done && len(t.runs) == 0 && !u.mayRun(t)
 }
 
+// candidates returns the candidates in the order in which they are placed; the list is valid until the next call.
 func (p *Pool) candidates(u uncertainty, now time.Time) []candidate {
-	var list []candidate
+	list := p.candidateBuffer[:0]
 	for _, j := range p.active {
+		if j.schedule.withoutRun == 0 {
+			continue
+		}
 		for _, oc := range j.schedule.open {
 			if c, ok := p.candidate(j, oc, u, now); ok {
 				list = append(list, c)
@@ -89,6 +99,9 @@
 		}
 	}
 	slices.SortStableFunc(list, compareCandidates)
+	// What is left of a longer list would keep jobs that have ended.
+	clear(list[len(list):cap(list)])
+	p.candidateBuffer = list
 	return list
 }
 
@@ -96,21 +109,25 @@
 	if oc.stepsLeft == 0 || oc.due.After(now) {
 		return candidate{}, false
 	}
-	hasWaiting := false
+	hasWaiting, uncertain := false, false
 	begun := false
 	longRunning := false
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		begun = begun || st.done > 0 || !st.startedAt.IsZero()
-		if !st.ready || st.done == len(st.tasks) {
+		if !st.ready || st.withoutRun == 0 {
 			continue
 		}
+		uncertain = true
 		if slices.ContainsFunc(st.tasks, func(t *task) bool { return waiting(t, u) }) {
 			hasWaiting = true
 			longRunning = longRunning || j.Steps[s].LongRunning
 		}
 	}
 	if !hasWaiting {
+		if uncertain && !j.started {
+			j.first.change(CauseUnreported, now)
+		}
 		return candidate{}, false
 	}
 	c := candidate{job: j, occurrence: oc, longRunning: longRunning, begun: begun}
@@ -136,10 +153,10 @@
 )
 
 func (p *Pool) worth(j *job, est jobEstimate) float64 {
-	f := p.means[j.Queue]
+	f := p.queueWork[j.Queue]
 	if f == nil {
 		f = &runningMean{mean: est.total}
-		p.means[j.Queue] = f
+		p.queueWork[j.Queue] = f
 	}
 	if j.worth == 0 {
 		f.samples++
@@ -177,24 +194,35 @@
 	oc := c.occurrence
 	for s := range oc.steps {
 		st := &oc.steps[s]
-		if !st.ready || st.done == len(st.tasks) {
+		if !st.ready || st.withoutRun == 0 {
 			continue
 		}
+		if p.startsLeft <= 0 {
+			p.noteWait(c.job, 0, now)
+			return
+		}
 		if c.job.Steps[s].Gang {
 			p.placeGang(st, u, now)
+			p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
 			continue
 		}
 		for _, t := range st.tasks {
+			if p.startsLeft <= 0 {
+				return
+			}
 			if !waiting(t, u) {
 				continue
 			}
 			var w *worker
-			if t.step.Reserved().CPU <= p.maxFreeCPU {
+			if t.step.Reserved().CPU <= p.index.maxFreeCPU() {
 				w = p.choose(t, t.step.Reserved(), now)
 			}
 			if w == nil && t.step.LongRunning && !t.step.Fills {
 				p.preempt(t, now)
 			}
+			if w == nil {
+				p.noteWait(c.job, t.step.Reserved().CPU, now)
+			}
 			if w == nil && len(t.failedOn) > 0 {
 				// Other tasks of the step may run where this one has failed.
 				continue
@@ -204,17 +232,6 @@
 				break
 			}
 			p.start(t, w, p.nextRun(t), now)
-			p.updateMaxFreeCPU(now)
-		}
-	}
-}
-
-// updateMaxFreeCPU updates the largest free CPU, so that tasks which fit nowhere are skipped without a search.
-func (p *Pool) updateMaxFreeCPU(now time.Time) {
-	p.maxFreeCPU = -1
-	for _, w := range p.sortedWorkers() {
-		if p.usable(w, now) {
-			p.maxFreeCPU = max(p.maxFreeCPU, w.free().CPU)
 		}
 	}
 }
@@ -233,7 +250,15 @@
 	x.startLeaseEnd = w.clockAt(now) + p.Settings.StartLease
 	p.extendLease(w, now, p.Settings.StartLease)
 	w.leaseSentAt = now
+	p.startsLeft--
+	if !j.started {
+		j.first.change(CauseOrders, now)
+	}
+	freeBefore := w.free().CPU
 	x.attach()
+	if p.index != nil {
+		p.index.started(p, w, freeBefore, now)
+	}
 	if t.state.startedAt.IsZero() {
 		t.state.startedAt = now
 	}
@@ -263,14 +288,14 @@
 	return failedTaskWait
 }
 
-// choice is the best one of the workers that were offered.
+// choice is the best one of the workers that were offered; of those with equal scores the one with the lowest id.
 type choice struct {
 	worker *worker
 	score  float64
 }
 
 func (c *choice) offer(w *worker, score float64) {
-	if c.worker == nil || score < c.score {
+	if c.worker == nil || score < c.score || (score == c.score && w.ID < c.worker.ID) {
 		c.worker, c.score = w, score
 	}
 }
@@ -278,6 +303,23 @@
 // choose returns the worker for a task, or nil. A task runs again where it failed only if no other worker could ever run it, or if none had
 // room for some time: a further failed run may end the job, waiting does not.
 func (p *Pool) choose(t *task, need workload.Resources, now time.Time) *worker {
+	if p.index != nil && t.job.queue.Advice == nil {
+		if p.index.missed(need) {
+			return nil
+		}
+		if !t.step.LongRunning && siblingRack(t) == "" {
+			w := p.indexedChoice(t, need, now)
+			if w != nil || len(t.failedOn) == 0 {
+				return w
+			}
+			// Only workers on which the task has failed are left.
+		}
+	}
+	return p.chooseOfAll(t, need, now)
+}
+
+// chooseOfAll looks at each worker.
+func (p *Pool) chooseOfAll(t *task, need workload.Resources, now time.Time) *worker {
 	var best, failed choice
 	fitsElsewhere := false
 	if t.job.queue.Advice != nil && !p.hasTickets(t, now) {
@@ -317,7 +359,7 @@
 	}
 	for _, other := range t.state.tasks {
 		for _, x := range other.runs {
-			if other != t && x.phase != stopping {
+			if other != t && x.phase != stopping && x.phase != ended {
 				return x.worker.Rack
 			}
 		}
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -42,7 +42,9 @@
 	presentAt  time.Time
 	stopSent   time.Time
 	stopReason string
-	percent    int
+	// inStops is true while the pool's list of stops holds the run.
+	inStops bool
+	percent int
 	// progressAt is when a report last showed a change of the percentage; zero before the first report of the run.
 	progressAt time.Time
 	metric     float64
@@ -60,6 +62,9 @@
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
 	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
+	if !x.task.done && len(x.task.runs) == 0 {
+		x.task.countWithoutRun(-1)
+	}
 	x.task.runs = append(x.task.runs, x)
 	x.task.lastRun = max(x.task.lastRun, x.number)
 	x.task.job.started = true
@@ -75,6 +80,9 @@
 func (t *task) removeRun(x *run) {
 	if i := slices.Index(t.runs, x); i >= 0 {
 		t.runs = slices.Delete(t.runs, i, i+1)
+		if !t.done && len(t.runs) == 0 {
+			t.countWithoutRun(1)
+		}
 	}
 	if j := t.job; j.state.Terminal() && j.recordedVersion == j.version {
 		j.release()
--- a/fleet/dispatch/schedule.go
+++ b/fleet/dispatch/schedule.go
@@ -69,6 +69,8 @@
 // schedule holds the occurrences of a job. Only those have a state that have begun or are due soon: a job may be declared for years.
 type schedule struct {
 	total int
+	// withoutRun is the number of tasks of open occurrences that are not done and have no run.
+	withoutRun int
 	// open holds the occurrences with a state, by ascending number.
 	open []*occurrence
 	// next is the number of the first occurrence that was not opened in its turn yet.
@@ -101,21 +103,6 @@
 // isDone reports whether all occurrences are done.
 func (s *schedule) isDone() bool { return len(s.open) == 0 && s.done.size() == s.total }
 
-// waitingTasks returns the number of tasks of open occurrences that have no run.
-func (s *schedule) waitingTasks() int {
-	n := 0
-	for _, oc := range s.open {
-		for i := range oc.steps {
-			for _, t := range oc.steps[i].tasks {
-				if !t.done && len(t.runs) == 0 {
-					n++
-				}
-			}
-		}
-	}
-	return n
-}
-
 // backlogTurn is how long a job of a full backlog keeps the state of an occurrence of which nothing has started, while other jobs have none. Tasks may
 // wait 3 s beside free workers.
 const backlogTurn = time.Second
@@ -147,6 +134,7 @@
 			return dropped
 		}
 		p.backlog[j.level()] -= oc.size()
+		s.withoutRun -= oc.size()
 		p.dropTickets(j, oc)
 		s.open = s.open[:len(s.open)-1]
 		s.next--
@@ -178,7 +166,7 @@
 			p.backlogFull = true
 			return
 		}
-		if len(s.open) > 0 && s.waitingTasks() >= maxWaitingTasks {
+		if len(s.open) > 0 && s.withoutRun >= maxWaitingTasks {
 			return
 		}
 		p.openOccurrence(j, s.next, now)
@@ -215,7 +203,8 @@
 			}
 			tasks[i] = &block[i]
 		}
-		oc.steps[s].tasks = tasks
+		oc.steps[s].tasks, oc.steps[s].withoutRun = tasks, step.Tasks
+		j.schedule.withoutRun += step.Tasks
 	}
 	return oc
 }
