fix(leadership): take duties soon whose holder and witnesses all refuse connections

Nobody is there to promise anything, and the machines refuse connections. One lease of refusals by all of them counts as their end now; silence still takes six. A partition may refuse connections too, so that the window of docs/platform.md is shorter in that form. A node whose next incarnation has another address is asked at the address of the record.

--- a/fleet/leadership/witness.go
+++ b/fleet/leadership/witness.go
@@ -21,8 +21,9 @@
 	// witnessInterval is how often the witnesses of the held duties are compared with the registered nodes.
 	witnessInterval = 250 * time.Millisecond
 	// unprovenAfter is how long a node waits before it takes a duty although neither a witness nor the former holder answers, in leases.
-	// All of them may be gone for good.
+	// All of them may be gone for good. refusedAfter applies instead while the machines of all of them refuse connections.
 	unprovenAfter = 6
+	refusedAfter  = 1
 )
 
 // witnessRecord names the holder of a duty and its witnesses. The holder may go on without the store only while all witnesses confirm it, and
@@ -215,12 +216,14 @@
 		return true
 	}
 	if el.RequestStatus == nil {
-		return el.unprovenLongEnough(name, record)
+		return el.unprovenLongEnough(name, record, false)
 	}
-	revoked := el.revokedByAny(ctx, name, record, record.Witnesses)
+	revoked, refused := el.revokedByAny(ctx, name, record, record.Witnesses)
 	if !revoked && (reason == vacant || reason == holderDisconnected) {
 		// An answer of a holder that counts as lost for its silence would show that it need not be replaced.
-		revoked = el.revokedByAny(ctx, name, record, []Member{record.Holder})
+		var holderRefused bool
+		revoked, holderRefused = el.revokedByAny(ctx, name, record, []Member{record.Holder})
+		refused = refused && holderRefused
 	}
 	if revoked {
 		el.mu.Lock()
@@ -228,7 +231,7 @@
 		delete(el.unproven, name)
 		return true
 	}
-	return el.unprovenLongEnough(name, record)
+	return el.unprovenLongEnough(name, record, refused && reason != holderUnresponsive)
 }
 
 // wasSelf reports whether a registration is that of this node's process, or of one whose address this process has now, so that it has ended. A
@@ -256,12 +259,14 @@
 	}
 }
 
-// revokedByAny asks nodes to confirm the former holder no more, and reports whether one of them does so or has ended.
-func (el *Elector) revokedByAny(ctx context.Context, name string, record witnessRecord, nodes []Member) bool {
+// revokedByAny asks nodes to confirm the former holder no more, and reports whether one of them does so or has ended, and whether all of them
+// refuse connections.
+func (el *Elector) revokedByAny(ctx context.Context, name string, record witnessRecord, nodes []Member) (revoked, refused bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	q := StatusRequest{From: el.Self.Node, Revoke: map[string]uint64{name: uint64(record.revision)}}
-	revoked := make(chan bool, len(nodes))
+	type outcome struct{ revoked, refused bool }
+	outcomes := make(chan outcome, len(nodes))
 	var group errgroup.Group
 	for _, m := range nodes {
 		group.Go(func() error {
@@ -269,49 +274,59 @@
 			answer, err := el.requestStatus(ctx, asked, q)
 			// Another incarnation of the node at the witness's address shows that the witness has ended.
 			ended := answer.Node == m.Node && asked.Peer == m.Peer
-			revoked <- err == nil && (ended || answer.Session == m.Session)
+			outcomes <- outcome{err == nil && (ended || answer.Session == m.Session), errors.Is(err, ErrNoProcess)}
 			return nil
 		})
 	}
+	refused = true
 	for range nodes {
-		if <-revoked {
-			return true
+		o := <-outcomes
+		if o.revoked {
+			return true, false
 		}
+		refused = refused && o.refused
 	}
 	_ = group.Wait()
-	return false
+	return false, refused
 }
 
-// reachable returns a node with the address of its registration, or the one in the record if it is not registered.
+// reachable returns a node with the address of its registration, or the one in the record if that process is not registered.
 func (el *Elector) reachable(m Member) Member {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	if registered, ok := el.members[m.Node]; ok {
+	if registered := el.members[m.Node]; registered.sameProcess(m) {
 		return registered.Member
 	}
 	return m
 }
 
-// unproven is since when a duty could not be taken because neither a witness nor its former holder answers, and when that was last tried.
+// unproven is since when a duty could not be taken because neither a witness nor its former holder answers, since when all of them have refused
+// connections, and when that was last tried.
 type unproven struct {
-	revision     store.Revision
-	since, tried time.Time
+	revision                   store.Revision
+	since, refusedSince, tried time.Time
 }
 
 // unprovenLongEnough reports whether neither a witness nor the former holder has answered for so long that all of them count as ended.
-func (el *Elector) unprovenLongEnough(name string, record witnessRecord) bool {
+func (el *Elector) unprovenLongEnough(name string, record witnessRecord, refused bool) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	now := el.Clock()
 	u := el.unproven[name]
 	if u.revision != record.revision || now.Sub(u.tried) > el.TTL {
-		el.unproven[name] = unproven{revision: record.revision, since: now, tried: now}
+		u = unproven{revision: record.revision, since: now}
 		el.notify("duty not taken: no witness of its holder answers", name, nil)
-		return false
 	}
 	u.tried = now
+	switch {
+	case !refused:
+		u.refusedSince = time.Time{}
+	case u.refusedSince.IsZero():
+		u.refusedSince = now
+	}
 	el.unproven[name] = u
-	if now.Sub(u.since) < unprovenAfter*el.TTL {
+	goneForGood := !u.refusedSince.IsZero() && now.Sub(u.refusedSince) >= refusedAfter*el.TTL
+	if !goneForGood && now.Sub(u.since) < unprovenAfter*el.TTL {
 		return false
 	}
 	el.notify("duty taken without an answer of a witness", name, nil)
--- a/fleet/leadership/witness_test.go
+++ b/fleet/leadership/witness_test.go
@@ -98,3 +98,19 @@
 		t.Errorf("successor: got %s, want e", successor.node)
 	}
 }
+
+// Guards against a fleet whose nodes were all replaced at one moment and that waits for the former ones: their machines refuse connections.
+func TestDutyWhoseWitnessesHaveAllEnded(t *testing.T) {
+	t.Parallel()
+	f := newSupersededFleet(t, "b", "c")
+	f.cut("a", "b", "c")
+	began := time.Now()
+	for _, name := range []string{"a", "b", "c"} {
+		f.net.mark(f.net.ended, name)
+	}
+	f.join("e", "e")
+	awaitWithin(t, "successor", f.began, 3*supersededTTL)
+	if waited := time.Since(began); waited < supersededTTL {
+		t.Errorf("duty taken after %v, want %v or more without an answer", waited, supersededTTL)
+	}
+}
