--- a/fleet/leadership/chaos_test.go
+++ b/fleet/leadership/chaos_test.go
@@ -100,8 +100,9 @@
 	})
 }
 
-// call makes a call to the store as the node's access allows.
-func (n *chaosNode) call(ctx context.Context, carryOut func() error) error {
+// call makes a call to the store as the node's access allows. What a call brings that is carried out without an answer is lost.
+func call[T any](ctx context.Context, n *chaosNode, carryOut func() (T, error)) (T, error) {
+	var none T
 	f := n.fleet
 	f.mu.Lock()
 	mode := n.store
@@ -109,31 +110,27 @@
 	f.delay(ctx)
 	switch mode {
 	case refused:
-		return store.ErrRefused
+		return none, store.ErrRefused
 	case unanswered:
 		switch f.pick(4) {
 		case 0:
-			_ = carryOut()
+			_, _ = carryOut()
 		case 1:
-			f.later(time.Duration(f.pick(4000))*time.Millisecond, func() { _ = carryOut() })
+			f.later(time.Duration(f.pick(4000))*time.Millisecond, func() { _, _ = carryOut() })
 		}
 		f.wait(ctx, 500*time.Millisecond)
-		return store.ErrUnavailable
+		return none, store.ErrUnavailable
 	}
-	err := carryOut()
+	result, err := carryOut()
 	f.delay(ctx)
-	return err
+	return result, err
 }
 
-func (n *chaosNode) List(ctx context.Context, prefix, _ string, _ int) (page store.Page, err error) {
-	err = n.call(ctx, func() (err error) {
-		page, err = n.fleet.store.List(ctx, prefix, "", 0)
-		return err
-	})
-	return page, err
+func (n *chaosNode) List(ctx context.Context, prefix, _ string, _ int) (store.Page, error) {
+	return call(ctx, n, func() (store.Page, error) { return n.fleet.store.List(ctx, prefix, "", 0) })
 }
 
-func (n *chaosNode) Watch(ctx context.Context, prefix string, after store.Revision, _ time.Duration) (batch store.Batch, err error) {
+func (n *chaosNode) Watch(ctx context.Context, prefix string, after store.Revision, _ time.Duration) (store.Batch, error) {
 	f := n.fleet
 	f.wait(ctx, 20*time.Millisecond)
 	f.mu.Lock()
@@ -146,30 +143,25 @@
 	if compacted {
 		return store.Batch{}, store.ErrCompacted
 	}
-	err = n.call(ctx, func() (err error) {
-		batch, err = f.store.Watch(ctx, prefix, after, 0)
-		return err
-	})
-	return batch, err
+	return call(ctx, n, func() (store.Batch, error) { return f.store.Watch(ctx, prefix, after, 0) })
 }
 
-func (n *chaosNode) Get(ctx context.Context, key string) (entry store.Entry, err error) {
-	err = n.call(ctx, func() (err error) {
-		entry, err = n.fleet.store.Get(ctx, key)
-		return err
-	})
-	return entry, err
+func (n *chaosNode) Get(ctx context.Context, key string) (store.Entry, error) {
+	return call(ctx, n, func() (store.Entry, error) { return n.fleet.store.Get(ctx, key) })
+}
+
+// applied is the result of a transaction.
+type applied struct {
+	revision store.Revision
+	current  []store.Entry
 }
 
-func (n *chaosNode) Apply(ctx context.Context, t store.Transaction) (revision store.Revision, current []store.Entry, err error) {
-	err = n.call(ctx, func() (err error) {
-		revision, current, err = n.fleet.apply(t)
-		return err
+func (n *chaosNode) Apply(ctx context.Context, t store.Transaction) (store.Revision, []store.Entry, error) {
+	a, err := call(ctx, n, func() (a applied, err error) {
+		a.revision, a.current, err = n.fleet.apply(t)
+		return a, err
 	})
-	if err != nil {
-		revision = 0
-	}
-	return revision, current, err
+	return a.revision, a.current, err
 }
 
 // apply carries a transaction out, and records the fencing token that it gives.
@@ -202,13 +194,12 @@
 	return revision, nil, nil
 }
 
-func (n *chaosNode) Grant(ctx context.Context, ttl time.Duration) (id store.LeaseID, err error) {
-	err = n.call(ctx, func() (err error) {
-		id, err = n.fleet.store.Grant(ctx, ttl)
+func (n *chaosNode) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	return call(ctx, n, func() (store.LeaseID, error) {
+		id, err := n.fleet.store.Grant(ctx, ttl)
 		n.fleet.renew(id)
-		return err
+		return id, err
 	})
-	return id, err
 }
 
 func (f *chaosFleet) renew(id store.LeaseID) {
@@ -218,17 +209,19 @@
 }
 
 func (n *chaosNode) Renew(ctx context.Context, id store.LeaseID) error {
-	return n.call(ctx, func() error {
+	_, err := call(ctx, n, func() (struct{}, error) {
 		err := n.fleet.store.Renew(ctx, id)
 		if err == nil {
 			n.fleet.renew(id)
 		}
-		return err
+		return struct{}{}, err
 	})
+	return err
 }
 
 func (n *chaosNode) Revoke(ctx context.Context, id store.LeaseID) error {
-	return n.call(ctx, func() error { return n.fleet.store.Revoke(ctx, id) })
+	_, err := call(ctx, n, func() (struct{}, error) { return struct{}{}, n.fleet.store.Revoke(ctx, id) })
+	return err
 }
 
 func (n *chaosNode) Put(context.Context, store.PutRequest) (store.Revision, error) {
