--- a/fleet/leadership/witness.go
+++ b/fleet/leadership/witness.go
@@ -23,7 +23,7 @@
 	// unprovenAfter is how long a node waits before it takes a duty although neither a witness nor the former holder answers, in leases.
 	// All of them may be gone for good. refusedAfter applies instead while the machines of all of them refuse connections.
 	unprovenAfter = 6
-	refusedAfter  = 1
+	refusedAfter  = 0.2
 )
 
 // witnessRecord names the holder of a duty and its witnesses. The holder may go on without the store only while all witnesses confirm it, and
@@ -325,7 +325,7 @@
 		u.refusedSince = now
 	}
 	el.unproven[name] = u
-	goneForGood := !u.refusedSince.IsZero() && now.Sub(u.refusedSince) >= refusedAfter*el.TTL
+	goneForGood := !u.refusedSince.IsZero() && now.Sub(u.refusedSince) >= fraction(el.TTL, refusedAfter)
 	if !goneForGood && now.Sub(u.since) < unprovenAfter*el.TTL {
 		return false
 	}
