--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -53,8 +53,10 @@
 	processes []*process
 	// mu is locked by AdvertisedAddr, which the platform calls while holding its own lock. Call no method that locks the platform while
 	// holding mu.
-	mu      sync.Mutex
-	proxies []*proxy
+	mu sync.Mutex
+	// configuring is held while a configuration is written, so that versions are written in order.
+	configuring sync.Mutex
+	proxies     []*proxy
 	// workers holds the workers' proxies in start order. unproxied holds the addresses of workers that started before the processes were
 	// created and get their proxies later.
 	workers   []workerProxies
@@ -240,11 +242,16 @@
 	}
 }
 
+// configure writes the next configuration. The stand-in calls back under its own lock when a worker starts, and takes s.mu then, so that s.mu must
+// not be held while the stand-in is called.
 func (s *Soak) configure() {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.version++
-	s.platform.Configure(s.version, host, attempts)
+	version := s.version
+	s.mu.Unlock()
+	s.platform.Configure(version, host, attempts)
 }
 
 func (s *Soak) summarize(err error) {
