--- /dev/null
+++ b/review/ground/cases.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// upkeepCase: the answer to one upkeep order is lost with its connection, after the order was carried out.
+func upkeepCase(w *world) {
+	w.mu.Lock()
+	w.standby = "spare"
+	w.configure("desk", "spare")
+	w.pool("desk", 6, 64000, 131072)
+	w.mu.Unlock()
+	w.startNodes(7)
+	id := "5c0e7a21d94b36f8"
+	w.submit("desk", id, &job{Spec: "0", Steps: []step{{Count: 5, Cpu: 5400, MemMb: 17000, LongRunning: true, MaxPerServer: 1, MayMiss: 1}}})
+	w.await("5 tasks are at work", 10*time.Second, func() bool { return w.working(id) == 5 })
+	time.Sleep(5 * time.Second)
+	lost := 0
+	w.mu.Lock()
+	w.lost = func(m *machine, _, what string) bool {
+		// The first machine on which a task was at work.
+		if strings.HasPrefix(what, "upkeep") && lost == 0 && len(w.away) > 0 {
+			lost++
+			return true
+		}
+		return false
+	}
+	var machines []string
+	for id := range w.machines {
+		machines = append(machines, id)
+	}
+	w.kv.put("op/wave/7", map[string]any{"Wave": 7, "Machines": machines, "WithinS": 40, "MaxCount": 3})
+	w.say("operator: wave 7 for %d machines, MaxCount 3, WithinS 40", len(machines))
+	w.mu.Unlock()
+	w.await("the wave is completed", 60*time.Second, func() bool {
+		var s struct{ State string }
+		return json.Unmarshal(w.kv.items["status/wave/7"].Value, &s) == nil && s.State == "completed"
+	})
+	w.await("5 tasks are at work", 10*time.Second, func() bool { return w.working(id) == 5 })
+}
+
+// moveCase: the answers to the moves of lent machines are lost with their connections, after the moves were carried out.
+func moveCase(w *world) {
+	w.mu.Lock()
+	w.standby = "spare"
+	w.configure("desk", "hall", "spare")
+	w.pool("desk", 3, 64000, 131072)
+	w.pool("hall", 2, 64000, 131072)
+	w.pool("spare", 3, 64000, 131072)
+	w.mu.Unlock()
+	w.startNodes(7)
+	time.Sleep(4 * time.Second)
+	w.mu.Lock()
+	w.lost = func(m *machine, from, what string) bool { return from == "hall" && what == "move to desk" }
+	w.mu.Unlock()
+	w.submit("hall", "1111111111111111", &job{Spec: "13000", together: true, Steps: []step{{Count: 5, Cpu: 57000, MemMb: 1000, EstimateMs: 12000}}})
+	w.await("hall has 5 machines at work", 15*time.Second, func() bool {
+		n := 0
+		for _, k := range w.workers {
+			if k.up && k.m.pool == "hall" && len(k.runs) > 0 {
+				n++
+			}
+		}
+		return n == 5
+	})
+	time.Sleep(10 * time.Second)
+	id := "5c0e7a21d94b36f8"
+	w.submit("desk", id, &job{Spec: "0", Steps: []step{{Count: 5, Cpu: 5400, MemMb: 17000, LongRunning: true, MaxPerServer: 1, MayMiss: 1}}})
+	w.await("5 tasks are at work", 30*time.Second, func() bool { return w.working(id) == 5 })
+	time.Sleep(12 * time.Second)
+}
+
+// pendingCase: a worker refuses all starts, and some jobs can run on it only.
+func pendingCase(w *world) {
+	w.mu.Lock()
+	w.standby = "spare"
+	w.configure("desk", "spare")
+	w.pool("desk", 13, 64000, 131072)
+	only := w.machines["m-desk-12"]
+	w.mu.Unlock()
+	w.startNodes(7)
+	time.Sleep(4 * time.Second)
+	if w.trouble {
+		w.mu.Lock()
+		only.worker.refuses = true
+		w.say("TROUBLE: worker %s answers starts with 503 for 6.5 s", only.worker.id)
+		w.mu.Unlock()
+		w.after(6500*time.Millisecond, func() {
+			only.worker.refuses = false
+			w.say("TROUBLE ends")
+		})
+	}
+	const jobs = 6
+	for i := range jobs {
+		id := fmt.Sprintf("%016x", 0x5c0e0000+i)
+		w.submit("desk", id, &job{Spec: "700", Steps: []step{{Count: 2, Cpu: 3500, MemMb: 5000, EstimateMs: 640, RequiredLabel: only.rack}}})
+	}
+	time.Sleep(5200 * time.Millisecond)
+	for i := range w.nodes {
+		w.mu.Lock()
+		waiting := 0
+		for _, j := range w.jobs {
+			if !j.begun && time.Since(j.accepted) > 5*time.Second {
+				waiting++
+			}
+		}
+		w.mu.Unlock()
+		status, body := w.call(i, http.MethodGet, "/desk/", nil)
+		var a struct{ Pending int }
+		if status != 200 || json.Unmarshal(body, &a) != nil {
+			continue
+		}
+		w.mu.Lock()
+		if 2*a.Pending < waiting {
+			w.breaks("MIXED", "%s gives %d as Pending, although %d jobs were accepted more than visible_ms + 2 s before and have not begun", w.nodes[i].name, a.Pending, waiting)
+		}
+		w.mu.Unlock()
+	}
+	w.call(0, http.MethodGet, fmt.Sprintf("/desk/%016x", 0x5c0e0000), nil)
+	w.await("all jobs have begun", 15*time.Second, func() bool {
+		for _, j := range w.jobs {
+			if !j.begun {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func kindCase(w *world) {}
