--- a/review/ground/cases.go
+++ b/review/ground/cases.go
@@ -132,4 +132,47 @@
 	})
 }
 
-func kindCase(w *world) {}
+// kindCase: two of 12 workers are cut off from the store, crash behind the cut and start again under their ids, as workers of another kind.
+func kindCase(w *world) {
+	const workers = 12
+	w.mu.Lock()
+	w.standby = "spare"
+	w.configure("desk", "spare")
+	w.pool("desk", workers, 64000, 131072)
+	var cut []*worker
+	for i := 1; i < workers; i += 2 {
+		k := w.machines[fmt.Sprintf("m-desk-%d", i)].worker
+		k.kind = "b"
+		k.register()
+		if len(cut) < 2 {
+			cut = append(cut, k)
+		}
+	}
+	w.mu.Unlock()
+	w.startNodes(7)
+	time.Sleep(4 * time.Second)
+	stop := time.Now().Add(12 * time.Second)
+	if w.trouble {
+		w.after(3*time.Second, func() {
+			for _, k := range cut {
+				w.say("TROUBLE: worker %s is cut off from the store for 5 s, crashes, and starts again under its id as one of kind a in place of %s", k.id, k.kind)
+				k.beatless = true
+				k.closeAll()
+				k.kind = "a"
+				k.begin()
+			}
+		})
+		w.after(8*time.Second, func() {
+			w.say("TROUBLE ends")
+			for _, k := range cut {
+				k.beatless = false
+				k.register()
+			}
+		})
+	}
+	for n := 0; time.Now().Before(stop); n++ {
+		w.submit("desk", fmt.Sprintf("%016x", 0x5c0e0000+n), &job{Spec: "1000", Steps: []step{{Count: 4, Cpu: 30000, MemMb: 5000, EstimateMs: 1000, RequiredLabel: "b"}}})
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+}
--- a/review/ground/store.go
+++ b/review/ground/store.go
@@ -23,6 +23,8 @@
 type lease struct {
 	ttl time.Duration
 	end time.Time
+	// node is the one to which the lease was granted.
+	node any
 }
 
 // kv is the platform's store. The lock of the world guards it.
@@ -30,15 +32,23 @@
 	items    map[string]item
 	history  []item
 	revision uint64
-	changed  chan struct{}
-	leases   map[uint64]*lease
-	last     uint64
+	// compacted is the revision up to which the history is dropped.
+	compacted uint64
+	changed   chan struct{}
+	leases    map[uint64]*lease
+	last      uint64
 }
 
 func newKV() *kv {
 	return &kv{items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), revision: 1}
 }
 
+// compact drops the history.
+func (s *kv) compact() {
+	s.history, s.compacted = nil, s.revision
+	s.notify()
+}
+
 func (s *kv) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -149,6 +159,9 @@
 
 func (w *world) serveStore(rw http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	if w.soak && w.disturbStore(rw, r) {
+		return
+	}
 	if r.URL.Path == "/api/kv-watch" {
 		w.watch(rw, r)
 		return
@@ -199,7 +212,7 @@
 		w.mu.Lock()
 		w.kv.last++
 		ttl := time.Duration(max(l.TtlMs, 1000)) * time.Millisecond
-		w.kv.leases[w.kv.last] = &lease{ttl, time.Now().Add(ttl)}
+		w.kv.leases[w.kv.last] = &lease{ttl, time.Now().Add(ttl), r.Context().Value(nodeKey{})}
 		status, body = 200, map[string]any{"Lease": w.kv.last, "TtlMs": ttl.Milliseconds()}
 		w.mu.Unlock()
 	case strings.HasPrefix(p, "/api/kv-keep/"), strings.HasPrefix(p, "/api/kv-lease-end/"):
@@ -236,8 +249,20 @@
 				events = append(events, w.kv.history[n])
 			}
 		}
-		revision, changed := w.kv.revision, w.kv.changed
+		revision, changed, gone := w.kv.revision, w.kv.changed, after < w.kv.compacted
+		if w.f.deaf {
+			events, revision, gone = nil, after, false
+		}
+		node, _ := r.Context().Value(nodeKey{}).(string)
+		down := w.f.storeDown != "" || w.f.cutNodes[node] != ""
 		w.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		if gone {
+			rw.WriteHeader(410)
+			return
+		}
 		for a, b := 0, len(events)-1; a < b; a, b = a+1, b-1 {
 			events[a], events[b] = events[b], events[a]
 		}
@@ -252,6 +277,9 @@
 			}
 		}
 		if done {
+			if events == nil {
+				events = []item{}
+			}
 			reply(rw, 200, map[string]any{"events": events, "StoreRevision": revision})
 			return
 		}
--- a/review/ground/worker.go
+++ b/review/ground/worker.go
@@ -18,20 +18,26 @@
 	MaxPerServer  int    `json:",omitempty"`
 	LongRunning   bool   `json:",omitempty"`
 	MayMiss       int    `json:",omitempty"`
+	After         []int  `json:",omitempty"`
+	Gang          bool   `json:",omitempty"`
 }
 
 // job is a job as a client hands it in. Spec holds how long a task runs, in milliseconds.
 type job struct {
-	Spec  string
-	Steps []step
+	Spec                    string
+	Steps                   []step
+	Times                   int   `json:",omitempty"`
+	IntervalMs, StartTimeMs int64 `json:",omitempty"`
 
 	id, pool string
 	accepted time.Time
 	begun    bool
 	// together lets all tasks end at one time, that of a full run of the first one; endsAt is that time.
-	together  bool
-	endsAt    time.Time
-	cancelled bool
+	together                                bool
+	endsAt                                  time.Time
+	cancelled, cancelSent, refused, lasting bool
+	cancelledAt                             time.Time
+	failShare                               float64
 }
 
 const (
@@ -43,12 +49,14 @@
 )
 
 type run struct {
-	task    string
-	n       int
-	started time.Time
-	due     time.Time
-	step    *step
-	job     *job
+	task     string
+	n        int
+	started  time.Time
+	due      time.Time
+	fails    bool
+	gangWait bool
+	step     *step
+	job      *job
 }
 
 func (r *run) percent(now time.Time) int {
@@ -66,6 +74,8 @@
 	task string
 	run  int
 	how  string
+	// lapsed is true if the worker's lease lapsed after the end, or a new incarnation began.
+	lapsed bool
 }
 
 // worker is one life of a machine; a restart under the same id begins a new incarnation.
@@ -87,15 +97,19 @@
 	changed   chan struct{}
 	up        bool
 	// refuses answers starts with 503, as an unhealthy worker does.
-	refuses  bool
-	server   *http.Server
-	conns    map[net.Conn]bool
-	lastBeat time.Time
-	seq      int64
-	gone     bool
+	refuses                 bool
+	silent, fails, beatless bool
+	rate                    float64
+	server                  *http.Server
+	conns                   map[net.Conn]bool
+	lastBeat                time.Time
+	seq                     int64
+	gone                    bool
 }
 
-func (k *worker) clock() time.Duration { return time.Since(k.clockBase) }
+func (k *worker) clock() time.Duration {
+	return time.Duration(float64(time.Since(k.clockBase)) * k.rate)
+}
 
 // newWorker starts a worker on a machine; the lock of the world is held.
 func (w *world) newWorker(m *machine) *worker {
@@ -123,17 +137,37 @@
 	return k
 }
 
+// dropRuns ends all runs without a report.
+func (k *worker) dropRuns() {
+	runs := k.runs
+	k.runs = map[string]*run{}
+	for _, r := range runs {
+		if r.step.Gang {
+			k.w.breakGang(r)
+		}
+	}
+}
+
 // begin begins an incarnation: it knows nothing of before.
 func (k *worker) begin() {
+	k.dropRuns()
 	k.started = time.Now()
 	k.clockBase = k.started.Add(-time.Second)
 	k.fence, k.leaseEnd, k.runs, k.ended, k.last, k.lastRun = 0, 0, map[string]*run{}, nil, 0, map[string]int{}
 	k.changed = make(chan struct{})
-	k.up, k.seq = true, 0
+	k.up, k.seq, k.rate = true, 0, 1
+	if k.w.soak {
+		k.rate = 0.98 + 0.02*k.w.rnd()
+	}
 	k.register()
 }
 
+// register writes the registration, unless the worker is cut off from the store.
 func (k *worker) register() {
+	if k.beatless {
+		return
+	}
+	k.gone = false
 	k.seq++
 	k.lastBeat = time.Now()
 	k.w.kv.put("servers/"+k.id, map[string]any{
@@ -146,7 +180,7 @@
 // die ends the life and everything that runs; the registration stays until three heartbeats are missing.
 func (k *worker) die() {
 	k.up = false
-	k.runs = map[string]*run{}
+	k.dropRuns()
 	k.closeAll()
 }
 
@@ -161,20 +195,29 @@
 
 // tick ends what is due, and writes heartbeats; the lock of the world is held.
 func (k *worker) tick(now time.Time) {
+	if !k.gone && now.Sub(k.lastBeat) >= 3*heartbeat {
+		k.gone = true
+		k.w.kv.drop("servers/" + k.id)
+	}
 	if !k.up {
-		if !k.gone && now.Sub(k.lastBeat) >= 3*heartbeat {
-			k.gone = true
-			k.w.kv.drop("servers/" + k.id)
-		}
 		return
 	}
 	if now.Sub(k.lastBeat) >= heartbeat {
 		k.register()
 	}
+	if k.clock() > k.leaseEnd {
+		for i := range k.ended {
+			k.ended[i].lapsed = true
+		}
+	}
 	for _, r := range k.runs {
 		switch {
 		case k.clock() > k.leaseEnd:
 			k.finish(r, "lapsed")
+		case r.gangWait:
+			k.w.tickGang(k, r, now)
+		case !r.step.LongRunning && now.After(r.due) && r.fails:
+			k.finish(r, "failed")
 		case !r.step.LongRunning && now.After(r.due):
 			k.finish(r, "done")
 		}
@@ -184,7 +227,8 @@
 func (k *worker) finish(r *run, how string) {
 	delete(k.runs, r.task)
 	k.last++
-	k.ended = append(k.ended, end{k.last, r.task, r.n, how})
+	k.ended = append(k.ended, end{k.last, r.task, r.n, how, false})
+	k.w.runEnded(k, r, how)
 	k.w.say("run %s/%d ends %s on %s (%s)", r.task, r.n, how, k.id, k.m.id)
 	close(k.changed)
 	k.changed = make(chan struct{})
@@ -227,6 +271,9 @@
 		return
 	}
 	k.tick(time.Now())
+	if w.soak && w.disturbOrder(k, rw, r, o) {
+		return
+	}
 	if o.Fence < k.fence {
 		a := k.answer("fence")
 		w.mu.Unlock()
@@ -254,13 +301,7 @@
 	case "/api/pace":
 	case "/api/hold":
 		k.extend(o.DeadlineMs)
-		kept := k.ended[:0:0]
-		for _, e := range k.ended {
-			if e.n > o.AckedUntil {
-				kept = append(kept, e)
-			}
-		}
-		k.ended = kept
+		k.acknowledge(o.AckedUntil)
 		if len(k.ended) == 0 && o.WaitMs > 0 {
 			changed, started := k.changed, k.started
 			w.mu.Unlock()
@@ -294,7 +335,11 @@
 		return
 	}
 	a := k.answer("")
+	lose := w.soak && w.rnd() < w.f.lostAns
 	w.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
 	reply(rw, 200, a)
 }
 
@@ -341,8 +386,8 @@
 		}
 	}
 	if s.RequiredLabel != "" && s.RequiredLabel != k.kind && s.RequiredLabel != k.m.rack {
-		w.breaks("ROUTE", "%s/%d, whose step has RequiredLabel %s, starts on %s, whose labels are %s and %s since %d ms after the start of its life",
-			o.Task, o.Run, s.RequiredLabel, k.id, k.kind, k.m.rack, 0)
+		w.breaks("ROUTE", "%s/%d, whose step has RequiredLabel %s, starts on %s, which has the labels %s and %s since it began, %v before",
+			o.Task, o.Run, s.RequiredLabel, k.id, k.kind, k.m.rack, time.Since(k.started).Round(time.Millisecond))
 	}
 	ms, _ := strconv.Atoi(j.Spec)
 	now := time.Now()
@@ -356,6 +401,7 @@
 	k.lastRun[o.Task] = o.Run
 	k.runs[o.Task] = &run{task: o.Task, n: o.Run, started: now, due: due, step: s, job: j}
 	j.begun = true
+	w.checkStart(k, o, j, n, s)
 	w.say("run %s/%d starts on %s (%s in %s)", o.Task, o.Run, k.id, k.m.id, k.m.pool)
 	return 200, ""
 }
