--- a/review/ground/cases.go
+++ b/review/ground/cases.go
@@ -176,3 +176,67 @@
 	}
 	time.Sleep(3 * time.Second)
 }
+
+// slotCase: the holder of the spare pool is killed right after its conditional write that reserves the upkeep of a machine, before it orders that.
+func slotCase(w *world) {
+	w.mu.Lock()
+	w.standby = "spare"
+	w.configure("desk", "spare")
+	w.pool("desk", 4, 64000, 131072)
+	w.pool("spare", 1, 64000, 131072)
+	w.mu.Unlock()
+	w.startNodes(7)
+	time.Sleep(4 * time.Second)
+	lasting := func(count int) *job {
+		return &job{Spec: "0", Steps: []step{{Count: count, Cpu: 5400, MemMb: 17000, LongRunning: true, MaxPerServer: 1, MayMiss: 1}}}
+	}
+	first, second := "5c0e7a21d94b36f8", "6d1f8b32ea5c4709"
+	w.submit("desk", first, lasting(4))
+	w.await("4 tasks are at work", 10*time.Second, func() bool { return w.working(first) == 4 })
+	time.Sleep(3 * time.Second)
+	reserved := false
+	w.mu.Lock()
+	w.onWrite = func(node string, t txn) {
+		for _, p := range t.Puts {
+			if !strings.HasPrefix(p.Key, "wave/7/slot/") || !strings.Contains(string(p.Value), "m-spare-0") || reserved {
+				continue
+			}
+			reserved = true
+			w.say("%s writes %s: %s", node, p.Key, p.Value)
+			if w.trouble {
+				w.kill(node, 3500*time.Millisecond)
+			}
+		}
+	}
+	var machines []string
+	for id := range w.machines {
+		machines = append(machines, id)
+	}
+	w.kv.put("op/wave/7", map[string]any{"Wave": 7, "Machines": machines, "WithinS": 40, "MaxCount": 3})
+	w.say("operator: wave 7 for %d machines, MaxCount 3, WithinS 40", len(machines))
+	w.mu.Unlock()
+	w.await("the upkeep of m-spare-0 is reserved", 10*time.Second, func() bool { return reserved })
+	w.submit("desk", second, lasting(5))
+	w.await("the wave is completed", 60*time.Second, func() bool {
+		var s struct{ State string }
+		return json.Unmarshal(w.kv.items["status/wave/7"].Value, &s) == nil && s.State == "completed"
+	})
+	time.Sleep(2 * time.Second)
+}
+
+// kill kills a process of the project and starts it again after a time; the lock of the world is held.
+func (w *world) kill(node string, dark time.Duration) {
+	for _, p := range w.nodes {
+		if p.name != node {
+			continue
+		}
+		w.say("TROUBLE: %s is killed for %v", node, dark)
+		_ = p.cmd.Process.Kill()
+		go func() {
+			_ = p.cmd.Wait()
+			time.Sleep(dark)
+			w.restart(p)
+			w.tell("TROUBLE ends: %s starts again", node)
+		}()
+	}
+}
--- a/review/ground/check.go
+++ b/review/ground/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -135,7 +136,7 @@
 			w.breaks("ORDER", "%s starts %v before its time", o.Task, due.Sub(now))
 		}
 	}
-	if k.m.pool != j.pool {
+	if k.m.pool != j.pool && w.movedTo == nil {
 		w.breaks("ROUTE", "%s of %s starts on %s in %s", o.Task, j.pool, k.id, k.m.pool)
 	}
 	if s.MaxPerServer > 0 {
@@ -191,3 +192,76 @@
 	<-r.Context().Done()
 	panic(http.ErrAbortHandler)
 }
+
+// checkHolder checks the rule ONE on an order for a machine.
+func (w *world) checkHolder(m *machine, holder, token string) {
+	fence, _ := strconv.ParseUint(token, 10, 64)
+	now := time.Now()
+	if m.holder != "" {
+		if fence < m.fence {
+			w.breaks("ONE", "order for %s by %s with token %d after %s with token %d", m.id, holder, fence, m.holder, m.fence)
+		}
+		if fence == m.fence && holder != m.holder {
+			w.breaks("ONE", "orders for %s by %s and %s with token %d", m.id, holder, m.holder, fence)
+		}
+		if holder != m.holder && now.Sub(m.orderedAt) < 3*time.Second {
+			w.breaks("ONE", "order for %s by %s %v after one by %s", m.id, holder, now.Sub(m.orderedAt), m.holder)
+		}
+	}
+	m.holder, m.fence, m.orderedAt = holder, max(m.fence, fence), now
+}
+
+// checkMachineOrder checks the rule LIMIT on an upkeep that begins.
+func (w *world) checkMachineOrder(m *machine, wave string, upkeep bool) {
+	if !upkeep || w.waveMax == 0 {
+		return
+	}
+	down := 0
+	for _, other := range w.machines {
+		if other.state == "upkeep" && other.inWave == wave {
+			down++
+		}
+	}
+	if down >= w.waveMax {
+		w.breaks("LIMIT", "upkeep of %s while %d machines of wave %s are down, MaxCount %d", m.id, down, wave, w.waveMax)
+	}
+}
+
+// checkWave checks the rule MIXED on the status of a wave.
+func (w *world) checkWave() {
+	var s struct{ State string }
+	if w.waveMax == 0 || w.waveSeen || json.Unmarshal(w.kv.items["status/wave/3"].Value, &s) != nil || s.State != "completed" {
+		return
+	}
+	w.waveSeen = true
+	w.say("wave 3 is completed")
+	for _, id := range w.waveOf {
+		if !w.machines[id].waves["3"] {
+			w.breaks("MIXED", "wave 3 is completed, %s has not begun its upkeep", id)
+		}
+	}
+}
+
+// disturbCloud applies the faults of the cloud's interface to an order; it reports whether the order was consumed. The lock is released if it was.
+func (w *world) disturbCloud(rw http.ResponseWriter, r *http.Request) bool {
+	f := w.f
+	if f.cloudSlow > 0 {
+		w.mu.Unlock()
+		time.Sleep(f.cloudSlow)
+		w.mu.Lock()
+	}
+	switch f.cloudDown {
+	case "":
+		return false
+	case "busy":
+		w.mu.Unlock()
+		rw.WriteHeader(503)
+		return true
+	case "silent":
+		w.mu.Unlock()
+		<-r.Context().Done()
+	default:
+		w.mu.Unlock()
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/review/ground/cloud.go
+++ b/review/ground/cloud.go
@@ -14,6 +14,11 @@
 	cpu, mem              int64
 	worker                *worker
 	waves                 map[string]bool
+	inWave                string
+	// The last order: its holder, its token and when it came.
+	holder    string
+	fence     uint64
+	orderedAt time.Time
 }
 
 const (
@@ -45,6 +50,9 @@
 		return
 	}
 	m := w.machines[o.Machine]
+	if w.soak && w.disturbCloud(rw, r) {
+		return
+	}
 	holder := r.Header.Get("Lease-Holder") + " token " + r.Header.Get("Fencing-Token")
 	if m == nil {
 		w.mu.Unlock()
@@ -56,6 +64,7 @@
 	if strings.HasSuffix(r.URL.Path, "upkeep") {
 		what = "upkeep for wave " + wave
 	}
+	w.checkHolder(m, r.Header.Get("Lease-Holder"), r.Header.Get("Fencing-Token"))
 	status, reason := 200, ""
 	switch {
 	case strings.HasSuffix(r.URL.Path, "upkeep") && m.waves[wave], strings.HasSuffix(r.URL.Path, "move") && m.pool == o.Pool:
@@ -65,6 +74,7 @@
 	default:
 		from := m.pool
 		w.say("order by %s: %s of %s in %s is carried out", holder, what, m.id, from)
+		w.checkMachineOrder(m, wave, strings.HasSuffix(r.URL.Path, "upkeep"))
 		if m.worker != nil && m.worker.up {
 			for _, x := range m.worker.sortedRuns() {
 				w.orderEnds(m.worker, x, what)
@@ -74,7 +84,7 @@
 		}
 		m.worker = nil
 		if strings.HasSuffix(r.URL.Path, "upkeep") {
-			m.waves[wave], m.state = true, "upkeep"
+			m.waves[wave], m.state, m.inWave = true, "upkeep", wave
 			w.after(upkeepTime, func() { w.back(m) })
 		} else {
 			m.pool, m.state = o.Pool, "moving"
--- a/review/ground/soak.go
+++ b/review/ground/soak.go
@@ -22,6 +22,9 @@
 	late      float64 // share of orders to workers carried out late
 	lostAns   float64 // share of answers of workers lost
 	cutNodes  map[string]string
+	cloudDown string
+	cloudSlow time.Duration
+	cloudLost bool
 }
 
 func (w *world) rnd() float64 { return w.random.Float64() }
@@ -32,6 +35,7 @@
 	w.mu.Lock()
 	w.random = rand.New(rand.NewPCG(seed, 7))
 	w.soak = true
+	w.lost = func(*machine, string, string) bool { return w.f.cloudLost && w.rnd() < 0.5 }
 	w.standby = "spare"
 	w.configure("desk", "hall", "spare")
 	w.pool("desk", 6, 16000, 65536)
@@ -53,7 +57,7 @@
 			}
 		}
 		w.kv.put("op/wave/3", map[string]any{"Wave": 3, "Machines": ms, "WithinS": 40, "MaxCount": 3})
-		w.waveMax = 3
+		w.waveMax, w.waveOf = 3, ms
 		w.mu.Unlock()
 	}
 	for time.Now().Before(stop) {
@@ -264,7 +268,7 @@
 		w.mu.Unlock()
 		w.after(d, func() { w.say("FAULT END %s", what); off() })
 	}
-	switch n := r.IntN(26); n {
+	switch n := r.IntN(34); n {
 	case 0:
 		how := []string{"busy", "silent", "reset"}[r.IntN(3)]
 		set("store down "+how, func() { w.f.storeDown = how; w.kv.notify() }, func() { w.f.storeDown = "" })
@@ -308,6 +312,23 @@
 		set("worker "+k.id+" fails runs", func() { k.fails = true }, func() { k.fails = false })
 	case 15:
 		set("registration of "+k.id+" lapses", func() { k.beatless = true; w.kv.drop("servers/" + k.id) }, func() { k.beatless = false })
+	case 26:
+		how := []string{"busy", "silent", "reset"}[r.IntN(3)]
+		set("cloud down "+how, func() { w.f.cloudDown = how }, func() { w.f.cloudDown = "" })
+	case 27:
+		set("cloud slow", func() { w.f.cloudSlow = time.Duration(300+r.IntN(500)) * time.Millisecond }, func() { w.f.cloudSlow = 0 })
+	case 30, 31, 32, 33:
+		w.mu.Lock()
+		if w.movedTo == nil {
+			w.movedTo = map[string]string{}
+		}
+		p := pools[r.IntN(2)]
+		w.movedTo[p] = pools[r.IntN(2)]
+		w.configure("desk", "hall", "spare")
+		w.say("FAULT configuration %d: queue of %s in %s", w.version, p, w.movedTo[p])
+		w.mu.Unlock()
+	case 28, 29:
+		set("cloud loses answers", func() { w.f.cloudLost = true }, func() { w.f.cloudLost = false })
 	default:
 		i := r.IntN(len(w.nodes))
 		if r.IntN(2) == 0 {
--- a/review/ground/store.go
+++ b/review/ground/store.go
@@ -202,6 +202,10 @@
 		}
 		w.mu.Lock()
 		status, body = w.kv.apply(t)
+		node, _ := r.Context().Value(nodeKey{}).(string)
+		if status == 200 && w.onWrite != nil {
+			w.onWrite(node, t)
+		}
 		w.mu.Unlock()
 	case p == "/api/kv-lease":
 		var l struct{ TtlMs int64 }
--- a/review/ground/world.go
+++ b/review/ground/world.go
@@ -30,7 +30,9 @@
 	standby  string
 	trouble  bool
 	// lost selects the machine orders whose answers are lost.
-	lost       func(m *machine, from, what string) bool
+	lost func(m *machine, from, what string) bool
+	// onWrite is called, with the lock held, after a transaction of a node was applied and before it is answered.
+	onWrite    func(node string, t txn)
 	lastWorker int
 	record     *os.File
 	began      time.Time
@@ -56,6 +58,10 @@
 	startedAt               map[string]time.Time
 	failedRuns, failedNoted map[string]int
 	lasting, waveMax        int
+	waveOf                  []string
+	waveSeen                bool
+	// movedTo holds the pools to which the operator has moved queues.
+	movedTo map[string]string
 }
 
 type proc struct {
@@ -147,6 +153,9 @@
 		now := time.Now()
 		w.mu.Lock()
 		w.kv.expire(now)
+		if w.soak {
+			w.checkWave()
+		}
 		for _, k := range w.workers {
 			k.tick(now)
 		}
@@ -207,7 +216,11 @@
 	for _, p := range pools {
 		services = append(services, map[string]any{"Name": p, "AdmissionCheck": true, "Standby": p == w.standby})
 		if p != w.standby {
-			routes = append(routes, map[string]any{"Name": "q-" + p, "Hostname": host, "Prefix": "/" + p + "/", "Type": "queue", "Backend": p, "TimeoutMs": 3000,
+			backend := p
+			if to := w.movedTo[p]; to != "" {
+				backend = to
+			}
+			routes = append(routes, map[string]any{"Name": "q-" + p, "Hostname": host, "Prefix": "/" + p + "/", "Type": "queue", "Backend": backend, "TimeoutMs": 3000,
 				"Priority": 0, "MaxAttempts": 4, "Stretch": 1.6, "TargetDurationMs": 600})
 		}
 	}
