--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/verbenaentry ] && [ -x target/review-ground ] || exit 2
-exec timeout -k 2 115 target/review-ground pending review/8/record.txt
+exec timeout -k 2 115 target/review-ground slot review/8/record.txt
