Review case 6: a job runs after its cancel was acknowledged

The late write of a job takes effect after the store has taken away the keys of the node that answered the cancel with 410: the mark that should stop it was under that node's lease.

--- a/review/ground/cases.go
+++ b/review/ground/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -240,3 +241,182 @@
 		}()
 	}
 }
+
+// holderCase: six of the seven machines of the system are lost at once and for good, among them the holder of a pool and those that confirm it.
+func holderCase(w *world) {
+	w.mu.Lock()
+	w.standby = "spare"
+	w.configure("desk", "hall", "bill", "trim", "spare")
+	for _, p := range []string{"desk", "hall", "bill", "trim"} {
+		w.pool(p, 4, 64000, 131072)
+	}
+	w.mu.Unlock()
+	w.startNodes(7)
+	time.Sleep(4 * time.Second)
+	ids := map[string]string{"desk": "5c0e7a21d94b36f8", "hall": "6d1f8b32ea5c4709", "bill": "7e209c43fb6d581a", "trim": "8f31ad540c7e692b"}
+	for p, id := range ids {
+		w.submit(p, id, &job{Spec: "0", Steps: []step{{Count: 3, Cpu: 5400, MemMb: 17000, LongRunning: true, MaxPerServer: 1, MayMiss: 1}}})
+	}
+	w.await("all tasks are at work", 10*time.Second, func() bool {
+		for _, id := range ids {
+			if w.working(id) < 3 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(4 * time.Second)
+	// Any number of machines may be lost. The one that stays is one that has no part in a duty: neither holder nor named beside it.
+	w.mu.Lock()
+	var kept *proc
+	for _, p := range []string{"desk", "hall", "bill", "trim"} {
+		for _, n := range w.nodes {
+			if kept == nil && !strings.Contains(string(w.kv.items["control/duty/"+p].Value), `"`+n.name+`"`) && !strings.Contains(string(w.kv.items["control/witnesses/"+p].Value), `"`+n.name+`"`) {
+				kept = n
+			}
+		}
+	}
+	w.mu.Unlock()
+	if kept == nil {
+		w.fatal("each process has a part in each duty")
+	}
+	if w.trouble {
+		for _, n := range w.nodes {
+			if n != kept {
+				_ = n.cmd.Process.Signal(syscall.SIGSTOP)
+			}
+		}
+		w.tell("TROUBLE: all but %s are lost for good: they are stopped and never continue", kept.name)
+	}
+	lost := time.Now()
+	lastRun, idle, reported := map[string]time.Time{}, map[string]time.Time{}, map[string]bool{}
+	for time.Since(lost) < 25*time.Second {
+		w.mu.Lock()
+		now := time.Now()
+		for _, id := range ids {
+			for i := range 3 {
+				task := fmt.Sprintf("%s.0.0.%d", id, i)
+				running := false
+				for _, k := range w.workers {
+					running = running || k.up && k.runs[task] != nil
+				}
+				if running {
+					lastRun[task], idle[task] = now, time.Time{}
+					continue
+				}
+				if idle[task].IsZero() {
+					idle[task] = now
+					w.say("task %s has no run", task)
+				}
+				since := idle[task]
+				if from := lastRun[task].Add(6 * time.Second); from.After(since) {
+					since = from
+				}
+				if now.Sub(since) >= 3*time.Second && !reported[task] {
+					reported[task] = true
+					w.breaks("LOST", "task %s, which lasts, has had no run for %v, from %v after its last run on, %v after the loss; its service has 4 machines with nothing to do",
+						task, now.Sub(since).Round(time.Millisecond), since.Sub(lastRun[task]).Round(time.Millisecond), now.Sub(lost).Round(time.Millisecond))
+				}
+			}
+		}
+		w.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.mu.Lock()
+	w.say("at the end")
+	w.mu.Unlock()
+}
+
+// cancelCase: the store answers none of the writes of a job and carries them out 6 s later; the client leaves, and cancels the job. Then the store turns away
+// the node that has answered the cancel for a second, and takes its keys away.
+func cancelCase(w *world) {
+	w.mu.Lock()
+	w.standby = "spare"
+	w.configure("desk", "spare")
+	w.pool("desk", 9, 64000, 131072)
+	w.mu.Unlock()
+	w.startNodes(7)
+	time.Sleep(4 * time.Second)
+	const id = "5c0e7a21d94b36f8"
+	small := func(n int) *job {
+		return &job{Spec: fmt.Sprint(n), Steps: []step{{Count: 2, Cpu: 1000, MemMb: 500, EstimateMs: 500}}}
+	}
+	var traffic errgroup
+	stop := time.Now().Add(3 * time.Second)
+	traffic.do(func() {
+		for n := 0; time.Now().Before(stop); n++ {
+			w.submit("desk", fmt.Sprintf("%016x", 0x77770000+n), small(300))
+			time.Sleep(80 * time.Millisecond)
+		}
+	})
+	time.Sleep(time.Second)
+	j := small(500)
+	j.id, j.pool = id, "desk"
+	w.mu.Lock()
+	w.jobs[id] = j
+	writes := 0
+	lateUntil := time.Now().Add(1500 * time.Millisecond)
+	w.delay = func(t txn) time.Duration {
+		writes++
+		for _, p := range t.Puts {
+			if w.trouble && strings.HasPrefix(p.Key, "job/") && strings.HasSuffix(p.Key, "/"+id) && time.Now().Before(lateUntil) {
+				w.say("TROUBLE: a write of the job is not answered, and carried out 6 s later")
+				return 6 * time.Second
+			}
+		}
+		return 0
+	}
+	// The holder of the pool answers no request of this case, so that the nodes that are turned away hold nothing.
+	holder := 0
+	for i, p := range w.nodes {
+		if strings.Contains(string(w.kv.items["control/duty/desk"].Value), `"`+p.name+`"`) {
+			holder = i
+		}
+	}
+	w.mu.Unlock()
+	a, b := holder+1, holder+2
+	w.client.Timeout = time.Second
+	w.call(a, http.MethodPost, "/desk/"+id, j)
+	w.client.Timeout = 4 * time.Second
+	status, _ := w.call(b, http.MethodDelete, "/desk/"+id, nil)
+	if status != 200 && status != 410 {
+		w.fatal("the cancel is answered %d", status)
+	}
+	w.mu.Lock()
+	j.cancelled, j.cancelSent, j.cancelledAt = true, true, time.Now()
+	w.say("%d writes of all nodes so far", writes)
+	w.mu.Unlock()
+	if w.trouble {
+		time.Sleep(50 * time.Millisecond)
+		w.mu.Lock()
+		node := w.nodes[b%len(w.nodes)].name
+		w.say("TROUBLE: the store turns %s away for 1 s, and takes its keys away", node)
+		w.f.cutNodes = map[string]string{node: "busy"}
+		for l, x := range w.kv.leases {
+			if x.node == node {
+				w.kv.endLease(l)
+			}
+		}
+		w.kv.notify()
+		w.mu.Unlock()
+		w.after(time.Second, func() { w.f.cutNodes = nil })
+	}
+	time.Sleep(10 * time.Second)
+	w.call(a, http.MethodGet, "/desk/"+id, nil)
+	traffic.wait()
+}
+
+// errgroup runs functions beside the case.
+type errgroup struct{ done []chan struct{} }
+
+func (g *errgroup) do(f func()) {
+	c := make(chan struct{})
+	g.done = append(g.done, c)
+	go func() { defer close(c); f() }()
+}
+
+func (g *errgroup) wait() {
+	for _, c := range g.done {
+		<-c
+	}
+}
--- a/review/ground/store.go
+++ b/review/ground/store.go
@@ -201,6 +201,17 @@
 			break
 		}
 		w.mu.Lock()
+		if w.delay != nil {
+			if d := w.delay(t); d > 0 {
+				w.mu.Unlock()
+				w.after(d, func() {
+					status, _ := w.kv.apply(t)
+					w.say("the late write is carried out: %d", status)
+				})
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+		}
 		status, body = w.kv.apply(t)
 		node, _ := r.Context().Value(nodeKey{}).(string)
 		if status == 200 && w.onWrite != nil {
--- a/review/ground/world.go
+++ b/review/ground/world.go
@@ -32,7 +32,9 @@
 	// lost selects the machine orders whose answers are lost.
 	lost func(m *machine, from, what string) bool
 	// onWrite is called, with the lock held, after a transaction of a node was applied and before it is answered.
-	onWrite    func(node string, t txn)
+	onWrite func(node string, t txn)
+	// delay returns by how much later an unanswered write is carried out; it is called with the lock held.
+	delay      func(t txn) time.Duration
 	lastWorker int
 	record     *os.File
 	began      time.Time
