Review case 9: nobody takes a pool for 15 s after most machines are lost

Six of seven machines are lost at once and for good; the holder of a pool and its witnesses are among them. The one that stays waits for 15 s before it takes the duty, and tasks that last have no run.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/verbenaentry ] && [ -x target/review-ground ] || exit 2
-exec timeout -k 2 115 target/review-ground kind review/9/record.txt
+exec timeout -k 2 115 target/review-ground holder review/9/record.txt
