--- a/review/ground/world.go
+++ b/review/ground/world.go
@@ -230,11 +230,17 @@
 		"Limits": map[string]any{"MaxBodyBytes": 262144, "HeaderTimeoutMs": 2000, "IdleTimeoutMs": 15000}})
 }
 
+// nextPort is the port that freePorts tries next. Cases that run beside each other begin with different ones.
+var nextPort = 10000 + os.Getpid()*31%20000
+
 // freePorts returns ports on which nothing listens, below those that the system gives to outgoing connections.
 func freePorts(n int) ([]int, error) {
 	var ports []int
 	for tries := 0; len(ports) < n && tries < 1000; tries++ {
-		port := 10000 + rand.IntN(20000)
+		port := nextPort
+		if nextPort++; nextPort >= 30000 {
+			nextPort = 10000
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
