--- a/review/ground/main.go
+++ b/review/ground/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 var cases = map[string]func(*world){"upkeep": upkeepCase, "move": moveCase, "pending": pendingCase, "kind": kindCase, "cancel": cancelCase, "slot": slotCase, "holder": holderCase, "soak": soakCase}
@@ -22,6 +24,12 @@
 	w := newWorld(record, os.Getenv("TROUBLE") != "0")
 	w.storeAddr, w.cloudAddr = w.listen(w.serveStore), w.listen(w.serveCloud)
 	go w.tick()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		w.fatal("ended by a signal")
+	}()
 	cases[os.Args[1]](w)
 	w.stop()
 	w.mu.Lock()
--- a/review/ground/soak.go
+++ b/review/ground/soak.go
@@ -384,16 +384,29 @@
 }
 
 func (w *world) restart(p *proc) {
+	if err := w.startAgain(p); err != nil {
+		w.fatal("start verbenaentry: %v", err)
+	}
+}
+
+// startAgain starts a process again unless the case ends.
+func (w *world) startAgain(p *proc) error {
+	w.processes.Lock()
+	defer w.processes.Unlock()
+	if w.stopped {
+		return nil
+	}
 	log, err := os.OpenFile(p.log, os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		w.fatal("%v", err)
+		return err
 	}
 	cmd := exec.Command("target/verbenaentry")
 	cmd.Env, cmd.Stdout, cmd.Stderr = p.cmd.Env, log, log
 	if err := cmd.Start(); err != nil {
-		w.fatal("%v", err)
+		return err
 	}
 	p.cmd = cmd
+	return nil
 }
 
 // disturbStore applies the store's faults to a call; it reports whether the call was consumed.
--- a/review/ground/world.go
+++ b/review/ground/world.go
@@ -44,10 +44,13 @@
 	notWorking map[string]time.Time
 	nodes      []*proc
 	dir        string
-	storeAddr  string
-	cloudAddr  string
-	client     *http.Client
-	version    int
+	// stopped is true once no process may be started any more; processes guards it.
+	stopped   bool
+	processes sync.Mutex
+	storeAddr string
+	cloudAddr string
+	client    *http.Client
+	version   int
 
 	// What follows is for the soak.
 	soak   bool
@@ -345,6 +348,9 @@
 
 // stop ends the processes that the case started, and removes their folder.
 func (w *world) stop() {
+	w.processes.Lock()
+	w.stopped = true
+	w.processes.Unlock()
 	for _, p := range w.nodes {
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
