feat(workload): workspaces of the operator's configuration

Cause: a deployment whose contracts name tenants has keys, shares and quotas in its configuration; no type holds them.

Nothing acts on them yet, and the decoder leaves them out until the keys are checked.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -123,8 +123,10 @@
 	// OnFirstStart receives how long each job has waited for its first run, unless a previous holder may have started it; it may be nil.
 	OnFirstStart func(FirstStart)
 
-	queues  map[string]workload.Queue
-	workers map[string]*worker
+	queues map[string]workload.Queue
+	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
+	workspaces map[string]*workspace
+	workers    map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
 	confirmedAt time.Time
 	// registrationsListed is true once the first list of registrations was applied.
--- /dev/null
+++ b/fleet/dispatch/workspace.go
@@ -0,0 +1,23 @@
+package dispatch
+
+import "verbenalanding.example/fleet/workload"
+
+// workspace is what the pool knows of a workspace of the configuration.
+type workspace struct {
+	workload.Workspace
+}
+
+// SetWorkspaces replaces the workspaces of the configuration. Jobs of a workspace that is not among them, and all jobs without one, have neither a limit
+// nor a share.
+func (p *Pool) SetWorkspaces(list []workload.Workspace) {
+	before := p.workspaces
+	p.workspaces = make(map[string]*workspace, len(list))
+	for _, w := range list {
+		if known := before[w.Name]; known != nil {
+			known.Workspace = w
+			p.workspaces[w.Name] = known
+			continue
+		}
+		p.workspaces[w.Name] = &workspace{Workspace: w}
+	}
+}
--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -106,6 +106,8 @@
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
 	Pool  string `json:"pool"`
+	// Workspace is the one whose key the caller sent; empty for a job of an anonymous queue, and where there are no workspaces.
+	Workspace string `json:"workspace,omitempty"`
 	// Terms is the queue as it was when the job was accepted; it stays in force after the queue is removed.
 	Terms Queue  `json:"terms"`
 	Spec  string `json:"spec"`
--- a/fleet/workload/worker.go
+++ b/fleet/workload/worker.go
@@ -40,6 +40,8 @@
 	// Stretch determines the target completion time of a job: Stretch times its critical path plus TargetDuration.
 	Stretch        float64       `json:"stretch"`
 	TargetDuration time.Duration `json:"targetDuration"`
+	// Anonymous queues take jobs without a key; such a job belongs to no workspace.
+	Anonymous bool `json:"-"`
 	// Advice is set for queues whose steps may run only on workers that the advice service selects.
 	Advice *AdviceSettings `json:"advice,omitempty"`
 }
@@ -81,6 +83,8 @@
 	Queues       []Queue
 	Pools        []PoolSettings
 	MaxBodyBytes int64
+	// Workspaces is empty where callers need no key and no workspace has a limit.
+	Workspaces []Workspace
 }
 
 // RunEnd is how a run ended.
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -307,7 +307,10 @@
 			queues = append(queues, q)
 		}
 	}
-	p.update(func(scheduler *dispatch.Pool) { scheduler.SetQueues(queues) })
+	p.update(func(scheduler *dispatch.Pool) {
+		scheduler.SetQueues(queues)
+		scheduler.SetWorkspaces(c.Workspaces)
+	})
 }
 
 func (p *pool) jobState(id string) jobAnswer {
