fix(verbenaentry): a refused upkeep waits before it is ordered again

Cause: an upkeep that the platform refuses as busy was given again in each round of the wave, every 100 ms, with a write to the store each time.

Change: a machine whose upkeep was certainly not carried out gets no further order for 500 ms.

--- a/verbenaentry/node/machines.go
+++ b/verbenaentry/node/machines.go
@@ -24,6 +24,9 @@
 	orderGapMargin = 300 * time.Millisecond
 	// machineTimeout is the timeout of an upkeep order.
 	machineTimeout = 1500 * time.Millisecond
+	// upkeepBackoff is how long a machine gets no further order after the platform has refused one for its upkeep: a machine that is leaving is
+	// busy until the list of machines no longer names it.
+	upkeepBackoff = 500 * time.Millisecond
 )
 
 // machineOrder is the value of a machine's key.
--- a/verbenaentry/node/upkeep.go
+++ b/verbenaentry/node/upkeep.go
@@ -197,7 +197,7 @@
 	count(u.pool.node.Registry, "upkeeps."+string(outcome))
 	switch effectOf(outcome, err) {
 	case notCarriedOut:
-		u.uncordon(s.Worker)
+		u.refused(s.slot)
 	case effectUnknown:
 		if known {
 			u.awaitEnd(incarnation)
@@ -214,3 +214,9 @@
 		}
 	}
 }
+
+// refused applies that the platform has certainly not carried out the upkeep order for a slot.
+func (u *upkeeps) refused(s slot) {
+	u.pool.machines.avoidFor(s.Machine, upkeepBackoff)
+	u.uncordon(s.Worker)
+}
