--- a/fleet/workload/workspace.go
+++ b/fleet/workload/workspace.go
@@ -13,6 +13,9 @@
 // MaxWeight is the largest weight of a workspace; sums over all workspaces stay exact.
 const MaxWeight = 1e9
 
+// maxNameBytes is the longest name of a workspace: it is part of each of its jobs' records.
+const maxNameBytes = 256
+
 // KeyDigest is the SHA-256 digest of a key with which callers show for which workspace they act. Keys themselves are kept nowhere.
 type KeyDigest [sha256.Size]byte
 
@@ -40,6 +43,9 @@
 		if w.Name == "" {
 			return fmt.Errorf("%w: number %d has no name", ErrInvalidWorkspace, i)
 		}
+		if len(w.Name) > maxNameBytes {
+			return fmt.Errorf("%w: number %d has a name of %d bytes, want at most %d", ErrInvalidWorkspace, i, len(w.Name), maxNameBytes)
+		}
 		if names[w.Name] {
 			return fmt.Errorf("%w: %q is named twice", ErrInvalidWorkspace, w.Name)
 		}
