feat(node): callers' keys are checked, and jobs belong to their workspaces

Cause: no key was read; with the contract for tenants a call without a valid key was carried out.

Change: a node checks the key of each call by its own configuration, before the body is read. 401 without a valid key; 503 if the configuration may be out of date, and once it has not been confirmed for the configuration's bound and skew. A job, its acceptance and its record name the workspace; reads, cancels and repeats of another workspace's job are answered as those of an unknown job, without a further call to the store.

The age of the configuration is read before the configuration itself, for queues too: in the other order a request could be refused by an old configuration as if it had just been confirmed.

Existing tests: calls got the new parameter with a caller that needs no key; nothing that they check has changed.

--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -12,6 +12,8 @@
 	State    workload.State `json:"state"`
 	Started  bool           `json:"started,omitempty"`
 	Finished time.Time      `json:"finished,omitzero"`
+	// Workspace is that of the job, so that its state can be read from the record alone; empty for a job without one.
+	Workspace string `json:"workspace,omitempty"`
 	// Done holds the occurrences of a scheduled job whose tasks are all done; Steps has the progress of the others.
 	Done  Ranges       `json:"done,omitempty"`
 	Steps []StepRecord `json:"steps,omitempty"`
@@ -146,7 +148,7 @@
 }
 
 func (j *job) record() Record {
-	r := Record{State: j.state, Started: j.started}
+	r := Record{State: j.state, Started: j.started, Workspace: j.Workspace}
 	if j.state.Terminal() {
 		r.Finished = j.finished
 		return r
--- a/fleet/dispatch/workspace.go
+++ b/fleet/dispatch/workspace.go
@@ -21,3 +21,11 @@
 		p.workspaces[w.Name] = &workspace{Workspace: w}
 	}
 }
+
+// Workspace returns the workspace of a job; it is empty for a job without one, and for an unknown job.
+func (p *Pool) Workspace(id string) string {
+	if j := p.jobs[id]; j != nil {
+		return j.Workspace
+	}
+	return ""
+}
--- a/verbenaentry/node/cancel.go
+++ b/verbenaentry/node/cancel.go
@@ -11,9 +11,9 @@
 )
 
 // cancel records a cancellation request in the store; the pool's holder carries it out.
-func (n *Node) cancel(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string) int {
+func (n *Node) cancel(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string, from caller) int {
 	for attempt := 1; ; attempt++ {
-		if runsIn, status, answered := n.tryCancel(ctx, q, id, attempt); answered {
+		if runsIn, status, answered := n.tryCancel(ctx, q, id, from, attempt); answered {
 			n.Log.Info().Str("job", id).Str("pool", runsIn).Int("status", status).Msg("cancellation requested")
 			if status == http.StatusOK {
 				n.notifyHolder(runsIn, methodCancelled, poolItem{Pool: runsIn, Name: id}, func(p *pool) { p.cancelJob(id) })
@@ -32,15 +32,18 @@
 }
 
 // tryCancel attempts once to record the request in the pool in which the job runs; it returns that pool and the status of the response, or
-// false if the store has not answered.
-func (n *Node) tryCancel(ctx context.Context, q *workload.Queue, id string, attempt int) (runsIn string, status int, answered bool) {
+// false if the store has not answered. A job of another workspace than the caller's is left alone and answered like an unknown one.
+func (n *Node) tryCancel(ctx context.Context, q *workload.Queue, id string, from caller, attempt int) (runsIn string, status int, answered bool) {
 	st := n.storeFor(attempt)
-	status, answered = n.tryCancelIn(ctx, st, q.Pool, id, attempt)
-	if status != http.StatusGone {
+	status, answered = n.tryCancelIn(ctx, st, q.Pool, id, from, attempt)
+	if status != http.StatusGone && status != http.StatusForbidden {
 		return q.Pool, status, answered
 	}
 	accepted, err := n.acceptanceOf(ctx, st, q, id, attempt)
 	switch {
+	case errors.Is(err, store.ErrNotFound) && status == http.StatusForbidden, err == nil && !from.mayAccess(accepted.Workspace):
+		// While a job of another workspace has the id, no unanswered write can store the caller's.
+		return q.Pool, http.StatusGone, true
 	case errors.Is(err, store.ErrNotFound):
 		return q.Pool, http.StatusGone, n.preventAcceptance(ctx, st, q, id, attempt)
 	case err != nil:
@@ -49,7 +52,9 @@
 		return q.Pool, http.StatusGone, true
 	}
 	// The queue was moved after the job was accepted.
-	status, answered = n.tryCancelIn(ctx, st, accepted.Pool, id, attempt)
+	if status, answered = n.tryCancelIn(ctx, st, accepted.Pool, id, from, attempt); status == http.StatusForbidden {
+		status = http.StatusGone
+	}
 	return accepted.Pool, status, answered
 }
 
@@ -72,8 +77,9 @@
 	return err == nil
 }
 
-// tryCancelIn attempts once to record the request in a pool.
-func (n *Node) tryCancelIn(ctx context.Context, st storeAccess, pool, id string, attempt int) (status int, answered bool) {
+// tryCancelIn attempts once to record the request in a pool. The status is http.StatusForbidden, which is not for callers, if a job of another
+// workspace than the caller's has the id.
+func (n *Node) tryCancelIn(ctx context.Context, st storeAccess, pool, id string, from caller, attempt int) (status int, answered bool) {
 	// One attempt consists of a read and a write.
 	ctx, cancel := context.WithTimeout(ctx, 2*n.StoreTimeout.forAttempt(attempt))
 	defer cancel()
@@ -84,6 +90,9 @@
 	if err != nil {
 		return 0, false
 	}
+	if !from.mayAccess(storedWorkspace(entry)) {
+		return http.StatusForbidden, true
+	}
 	_, _, err = st.Apply(ctx, store.Transaction{
 		If:  []store.Condition{{Key: entry.Key, Revision: entry.Revision}, {Key: cancelKey(pool, id)}},
 		Put: []store.Write{{Key: cancelKey(pool, id), Value: []byte("{}")}},
--- a/verbenaentry/node/cancel_test.go
+++ b/verbenaentry/node/cancel_test.go
@@ -25,7 +25,7 @@
 	cancel := func(want int) {
 		t.Helper()
 		for attempt := 1; ; attempt++ {
-			_, status, answered := n.tryCancel(s.ctx, &job.Terms, job.ID, attempt)
+			_, status, answered := n.tryCancel(s.ctx, &job.Terms, job.ID, anyone, attempt)
 			if answered {
 				wantStatus(t, "cancel", status, want)
 				return
@@ -40,10 +40,10 @@
 		t.Errorf("late write: got %v, want %v", err, store.ErrConflict)
 	}
 	cancel(http.StatusGone)
-	if outcome, created, _ := n.storeJob(s.ctx, job); outcome != cancelledBefore || created != nil {
+	if outcome, created, _ := n.storeJob(s.ctx, job, anyone); outcome != cancelledBefore || created != nil {
 		t.Errorf("repeated request: got %s, created %v, want %s", outcome, created != nil, cancelledBefore)
 	}
-	if state, _, err := n.stateFromStore(s.ctx, &job.Terms, job.ID, directAttempt); !errors.Is(err, store.ErrNotFound) {
+	if state, _, err := n.stateFromStore(s.ctx, &job.Terms, job.ID, anyone, directAttempt); !errors.Is(err, store.ErrNotFound) {
 		t.Errorf("state: got %q and %v, want %v", state, err, store.ErrNotFound)
 	}
 }
@@ -59,7 +59,7 @@
 		t.Fatalf("job: got %v, want it to be encoded", err)
 	}
 	st := directAccess{n.Store, n.Elector}
-	if status, _ := n.tryCancelIn(s.ctx, st, "cutting", job.ID, 1); status != http.StatusGone {
+	if status, _ := n.tryCancelIn(s.ctx, st, "cutting", job.ID, anyone, 1); status != http.StatusGone {
 		t.Fatalf("cancel before the job is stored: got %d, want %d", status, http.StatusGone)
 	}
 	if _, _, err := n.Store.Apply(s.ctx, accept); err != nil {
@@ -68,7 +68,7 @@
 	if n.preventAcceptance(s.ctx, st, &job.Terms, job.ID, 1) {
 		t.Error("mark of a stored job: got certain, want a conflict")
 	}
-	runsIn, status, answered := n.tryCancel(s.ctx, &job.Terms, job.ID, directAttempt)
+	runsIn, status, answered := n.tryCancel(s.ctx, &job.Terms, job.ID, anyone, directAttempt)
 	if !answered || runsIn != "cutting" {
 		t.Fatalf("cancel: got pool %q, answered %v, want cutting", runsIn, answered)
 	}
--- a/verbenaentry/node/cancelledids_test.go
+++ b/verbenaentry/node/cancelledids_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		s.t.Fatalf("job: got %v, want it to be encoded", err)
 	}
-	_, status, answered := n.tryCancel(s.ctx, &job.Terms, job.ID, directAttempt)
+	_, status, answered := n.tryCancel(s.ctx, &job.Terms, job.ID, anyone, directAttempt)
 	if !answered {
 		s.t.Fatal("cancel: got no answer, want one")
 	}
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -74,6 +74,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	began := time.Now()
+	// The age is read first: the configuration that is read after it is at least as new as the age says.
+	age := n.View.age()
 	routes := n.View.routes()
 	if routes == nil {
 		n.refuse(w, http.StatusServiceUnavailable, "no configuration yet")
@@ -81,7 +83,11 @@
 	}
 	queue, id := routes.find(r.Host, r.URL.Path)
 	if queue == nil {
-		n.refuseUnknownQueue(w, r, routes.Version)
+		n.refuseUnknownQueue(w, r, routes.Version, age)
+		return
+	}
+	from, permitted := n.permit(w, r, routes, queue, age)
+	if !permitted {
 		return
 	}
 	if id == "" {
@@ -101,11 +107,11 @@
 	var status int
 	switch r.Method {
 	case http.MethodPost:
-		status = n.submit(ctx, w, r, queue, id, routes.MaxBodyBytes)
+		status = n.submit(ctx, w, r, queue, id, from, routes.MaxBodyBytes)
 	case http.MethodGet:
-		status = n.answerState(ctx, w, queue, id)
+		status = n.answerState(ctx, w, queue, id, from)
 	case http.MethodDelete:
-		status = n.cancel(ctx, w, queue, id)
+		status = n.cancel(ctx, w, queue, id, from)
 	default:
 		status = http.StatusMethodNotAllowed
 		n.refuse(w, status, "unknown method")
@@ -122,9 +128,8 @@
 
 // refuseUnknownQueue refuses a request for a queue that the configuration does not have. A configuration that may be out of date cannot tell
 // that a queue does not exist: the caller then comes back.
-func (n *Node) refuseUnknownQueue(w http.ResponseWriter, r *http.Request, version int64) {
+func (n *Node) refuseUnknownQueue(w http.ResponseWriter, r *http.Request, version int64, age time.Duration) {
 	status, title := http.StatusNotFound, "no such queue"
-	age := n.View.age()
 	if age > staleAfter {
 		status, title = http.StatusServiceUnavailable, "queue unknown; the configuration may be out of date"
 	}
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -218,6 +218,7 @@
 	n.Elector.RequestStatus = n.Peers.requestStatus
 	n.Elector.FenceWorkers = n.fenceWorkers
 	n.View.OnChange = n.configurationChanged
+	n.View.Workspaces = n.Settings.Workspaces
 	n.Peers.Handler = n.handlePeerCall
 	if err := n.View.register(n.Registry); err != nil {
 		return fmt.Errorf("register metrics: %w", err)
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -56,6 +56,8 @@
 type jobAnswer struct {
 	Known bool           `json:"known"`
 	State workload.State `json:"state,omitempty"`
+	// Workspace is that of the job; empty for a job without one.
+	Workspace string `json:"workspace,omitempty"`
 }
 
 type pendingAnswer struct {
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -317,7 +317,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state, known := p.scheduler.JobState(id)
-	return jobAnswer{Known: known, State: state}
+	return jobAnswer{Known: known, State: state, Workspace: p.scheduler.Workspace(id)}
 }
 
 func (p *pool) pending(q workload.Queue) pendingAnswer {
--- a/verbenaentry/node/queuepool.go
+++ b/verbenaentry/node/queuepool.go
@@ -16,6 +16,8 @@
 // acceptance is the value of the key that marks an id of a queue as accepted, or as one that will not be.
 type acceptance struct {
 	Pool string `json:"pool,omitempty"`
+	// Workspace is that of the job; empty for a job without one.
+	Workspace string `json:"workspace,omitempty"`
 	// Cancelled is set for an id whose cancellation was requested before a job with it was stored.
 	Cancelled bool `json:"cancelled,omitempty"`
 }
@@ -42,7 +44,7 @@
 	if err != nil {
 		return store.Transaction{}, err
 	}
-	accepted, err := json.Marshal(acceptance{Pool: job.Pool})
+	accepted, err := json.Marshal(acceptance{Pool: job.Pool, Workspace: job.Workspace})
 	if err != nil {
 		return store.Transaction{}, err
 	}
--- a/verbenaentry/node/recordsize_test.go
+++ b/verbenaentry/node/recordsize_test.go
@@ -174,7 +174,7 @@
 			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", body)
 			answer := httptest.NewRecorder()
 			q := movedJob("cutting").Terms
-			if got := n.submit(t.Context(), answer, request, &q, "5c0e7a21d94b36f8", 1<<20); got != c.want {
+			if got := n.submit(t.Context(), answer, request, &q, "5c0e7a21d94b36f8", anyone, 1<<20); got != c.want {
 				t.Errorf("status: got %d, want %d (%s)", got, c.want, answer.Body)
 			}
 			if got, want := answer.Header().Get("Content-Type"), "application/problem+json"; c.want != http.StatusOK && got != want {
--- a/verbenaentry/node/state.go
+++ b/verbenaentry/node/state.go
@@ -12,8 +12,8 @@
 )
 
 // answerState responds with a job's state from the pool's holder, or from the store if the holder does not know the job.
-func (n *Node) answerState(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string) int {
-	state, source, err := n.stateOf(ctx, q, id)
+func (n *Node) answerState(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string, from caller) int {
+	state, source, err := n.stateOf(ctx, q, id, from)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 		n.Log.Info().Str("job", id).Str("source", source).Msg("state of an unknown job requested")
@@ -35,13 +35,14 @@
 	return http.StatusOK
 }
 
-// stateOf returns a job's state and where it was read: from the holder or from the store.
-func (n *Node) stateOf(ctx context.Context, q *workload.Queue, id string) (state workload.State, source string, err error) {
-	if state, known := n.stateFromHolder(ctx, q.Pool, id); known {
+// stateOf returns a job's state and where it was read: from the holder or from the store. A job of another workspace than the caller's counts
+// as one that does not exist.
+func (n *Node) stateOf(ctx context.Context, q *workload.Queue, id string, from caller) (state workload.State, source string, err error) {
+	if state, known := n.stateFromHolder(ctx, q.Pool, id, from); known {
 		return state, "holder", nil
 	}
 	for attempt := 1; ; attempt++ {
-		state, source, err = n.stateFromStore(ctx, q, id, attempt)
+		state, source, err = n.stateFromStore(ctx, q, id, from, attempt)
 		if err == nil || errors.Is(err, store.ErrNotFound) {
 			return state, source, err
 		}
@@ -51,39 +52,39 @@
 	}
 }
 
-func (n *Node) stateFromHolder(ctx context.Context, pool, id string) (state workload.State, known bool) {
+func (n *Node) stateFromHolder(ctx context.Context, pool, id string, from caller) (state workload.State, known bool) {
 	answer := jobAnswer{}
 	if held := n.pools.get(pool); held != nil {
 		answer = held.jobState(id)
 	} else if err := n.callHolder(ctx, pool, methodJobState, poolItem{Pool: pool, Name: id}, &answer); err != nil {
 		n.Log.Debug().Str("job", id).Str("pool", pool).Err(err).Msg("state not received from the holder; reading it from the store")
 	}
-	return answer.State, answer.Known
+	return answer.State, answer.Known && from.mayAccess(answer.Workspace)
 }
 
 // stateFromStore returns the state of a job that the holder of its queue's pool does not know, or has not answered about. The queue may have
 // been moved since the job was accepted: the job then stays in the pool for which it was stored.
-func (n *Node) stateFromStore(ctx context.Context, q *workload.Queue, id string, attempt int) (state workload.State, source string, err error) {
+func (n *Node) stateFromStore(ctx context.Context, q *workload.Queue, id string, from caller, attempt int) (state workload.State, source string, err error) {
 	st := n.storeFor(attempt)
-	if state, err = n.storedState(ctx, st, q.Pool, id, attempt); !errors.Is(err, store.ErrNotFound) {
+	if state, err = n.storedState(ctx, st, q.Pool, id, from, attempt); !errors.Is(err, store.ErrNotFound) {
 		return state, "store", err
 	}
 	accepted, err := n.acceptanceOf(ctx, st, q, id, attempt)
 	if err != nil {
 		return "", "store", err
 	}
-	if accepted.Cancelled {
+	if accepted.Cancelled || !from.mayAccess(accepted.Workspace) {
 		return "", "store", store.ErrNotFound
 	}
-	if state, known := n.stateFromHolder(ctx, accepted.Pool, id); known {
+	if state, known := n.stateFromHolder(ctx, accepted.Pool, id, from); known {
 		return state, "holder", nil
 	}
-	state, err = n.storedState(ctx, st, accepted.Pool, id, attempt)
+	state, err = n.storedState(ctx, st, accepted.Pool, id, from, attempt)
 	return state, "store", err
 }
 
 // storedState reads a job's state from the records of a pool.
-func (n *Node) storedState(ctx context.Context, st storeAccess, pool, id string, attempt int) (workload.State, error) {
+func (n *Node) storedState(ctx context.Context, st storeAccess, pool, id string, from caller, attempt int) (workload.State, error) {
 	// One attempt consists of up to two reads.
 	ctx, cancel := context.WithTimeout(ctx, 2*n.StoreTimeout.forAttempt(attempt))
 	defer cancel()
@@ -93,6 +94,9 @@
 		if err != nil {
 			return "", err
 		}
+		if !from.mayAccess(record.Workspace) {
+			return "", store.ErrNotFound
+		}
 		if record.State == workload.Queued && record.Started {
 			return workload.Running, nil
 		}
@@ -101,9 +105,12 @@
 	if !errors.Is(err, store.ErrNotFound) {
 		return "", err
 	}
-	if _, err := st.Get(ctx, jobKey(pool, id)); err != nil {
+	if entry, err = st.Get(ctx, jobKey(pool, id)); err != nil {
 		return "", err
 	}
+	if !from.mayAccess(storedWorkspace(entry)) {
+		return "", store.ErrNotFound
+	}
 	return workload.Queued, nil
 }
 
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -14,8 +14,11 @@
 )
 
 // submit stores a job; the job is accepted only once it is stored.
-func (n *Node) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q *workload.Queue, id string, maxBody int64) int {
+func (n *Node) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q *workload.Queue, id string, from caller, maxBody int64) int {
 	log := n.Log.With().Str("job", id).Str("queue", q.Name).Str("pool", q.Pool).Logger()
+	if from.submitsFor != "" {
+		log = log.With().Str("workspace", from.submitsFor).Logger()
+	}
 	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, n.maxBodyBytes(maxBody)))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -34,12 +37,13 @@
 		return http.StatusBadRequest
 	}
 	job.ID, job.Queue, job.Pool, job.Terms, job.Accepted = id, q.Name, q.Pool, *q, n.Clock.Now()
+	job.Workspace = from.submitsFor
 	if err := n.checkSize(job); err != nil {
 		log.Info().Err(err).Msg("job refused: too large to be stored")
 		n.refuse(w, http.StatusRequestEntityTooLarge, err.Error())
 		return http.StatusRequestEntityTooLarge
 	}
-	outcome, created, tries := n.storeJob(ctx, *job)
+	outcome, created, tries := n.storeJob(ctx, *job, from)
 	if created != nil {
 		n.notifyHolder(q.Pool, methodStored, created, func(p *pool) {
 			if err := p.addStoredJob(*created); err != nil {
@@ -55,7 +59,8 @@
 	case cancelledBefore:
 		n.refuse(w, http.StatusServiceUnavailable, "the job was cancelled before it was accepted")
 		return http.StatusServiceUnavailable
-	case notStored:
+	case notStored, takenByAnother:
+		// A caller cannot tell an id that another workspace has from a store that takes no jobs.
 		n.refuse(w, http.StatusServiceUnavailable, "the store takes no jobs now")
 		return http.StatusServiceUnavailable
 	}
@@ -109,13 +114,15 @@
 	notStored storeOutcome = "notStored"
 	// cancelledBefore means that the job's cancellation was requested before; it will not be stored.
 	cancelledBefore storeOutcome = "cancelledBefore"
+	// takenByAnother means that a job of another workspace has the id; as long as it does, no attempt can take effect.
+	takenByAnother storeOutcome = "takenByAnother"
 	// perhapsStored means that an unanswered attempt may still take effect.
 	perhapsStored storeOutcome = "perhapsStored"
 )
 
 // storeJob creates the job's keys. All attempts have the same condition, so that at most one takes effect; they differ in the fencing token of
 // the pool's holder that is known to the node through which the attempt goes. created is nil unless this call is known to have created the key.
-func (n *Node) storeJob(ctx context.Context, job workload.Job) (outcome storeOutcome, created *storedJob, tries int) {
+func (n *Node) storeJob(ctx context.Context, job workload.Job, from caller) (outcome storeOutcome, created *storedJob, tries int) {
 	unanswered := false
 	for tries = 1; ; tries++ {
 		access := n.storeFor(tries)
@@ -138,6 +145,13 @@
 			if err == nil && accepted.Cancelled {
 				return cancelledBefore, nil, tries
 			}
+			if errors.Is(err, store.ErrNotFound) && !from.unrestricted {
+				// A job of another queue of the pool has the id.
+				accepted.Workspace, err = n.workspaceOf(ctx, access, job.Pool, job.ID, tries)
+			}
+			if err == nil && !from.mayAccess(accepted.Workspace) {
+				return takenByAnother, nil, tries
+			}
 			if err == nil || errors.Is(err, store.ErrNotFound) {
 				return stored, nil, tries
 			}
--- a/verbenaentry/node/view.go
+++ b/verbenaentry/node/view.go
@@ -28,6 +28,8 @@
 	Store *platform.Store
 	Log   zerolog.Logger
 	Clock *monotonic.Clock
+	// Workspaces is set where the configuration names workspaces; otherwise what it says of them is not read.
+	Workspaces bool
 	// OnChange is called after each new version of the configuration.
 	OnChange func()
 
@@ -112,7 +114,11 @@
 func (v *View) configure(value []byte) bool {
 	v.configuring.Lock()
 	defer v.configuring.Unlock()
-	c, err := platform.DecodeConfiguration(value)
+	decode := platform.DecodeOpenConfiguration
+	if v.Workspaces {
+		decode = platform.DecodeConfiguration
+	}
+	c, err := decode(value)
 	if err != nil {
 		v.Log.Error().Err(err).Msg("invalid configuration rejected")
 		return false
@@ -128,7 +134,7 @@
 	routes := newRoutes(c)
 	routes.source = value
 	v.currentRoutes.Store(routes)
-	v.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Msg("configuration in force")
+	v.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
 	v.OnChange()
 	return true
 }
@@ -171,12 +177,13 @@
 type routes struct {
 	*workload.Configuration
 	byHost map[string][]workload.Queue
+	keys   keyring
 	// source is the configuration as the operator wrote it.
 	source []byte
 }
 
 func newRoutes(c *workload.Configuration) *routes {
-	r := &routes{Configuration: c, byHost: map[string][]workload.Queue{}}
+	r := &routes{Configuration: c, byHost: map[string][]workload.Queue{}, keys: newKeyring(c.Workspaces)}
 	for _, q := range c.Queues {
 		r.byHost[strings.ToLower(q.Host)] = append(r.byHost[strings.ToLower(q.Host)], q)
 	}
