test(soak): keys of three workspaces are replaced under open connections

Cause: the soak had no keys, so a key that is accepted after its removal, or refused after its addition, showed nowhere.

Change: the stand-in's configurations have workspaces; each job's caller sends its workspace's key; keys are replaced at random while each process gets requests with valid, removed and unknown ones. A removed key must get no success later than the bound plus one wait of a watch, a valid one no 401, and another workspace's key no state of a job. The queue of one version is anonymous, so that the checks of versions go on without a key.

A node that answers another one about the configuration reads its age before the configuration, as for calls.

--- a/verbenabench/soak/caller.go
+++ b/verbenabench/soak/caller.go
@@ -119,7 +119,7 @@
 func (s *Soak) submit(ctx context.Context, j *standin.Job, firstNode int) bool {
 	outcomeUnknown := false
 	for try := range maxSubmitAttempts {
-		status, _ := s.sendRequest(ctx, firstNode+try, http.MethodPost, standin.PoolPrefix(j.Spec)+j.ID, j.Job)
+		status, _ := s.sendRequest(ctx, firstNode+try, http.MethodPost, standin.PoolPrefix(j.Spec)+j.ID, lastingKey(workspaceOf(j)), j.Job)
 		switch {
 		case status == http.StatusOK:
 			s.record.mu.Lock()
@@ -147,7 +147,7 @@
 	s.record.cancelledJobs[j.ID] = false
 	s.record.mu.Unlock()
 	for try := range maxSubmitAttempts {
-		status, _ := s.sendRequest(ctx, firstNode+try, http.MethodDelete, standin.PoolPrefix(j.Spec)+j.ID, nil)
+		status, _ := s.sendRequest(ctx, firstNode+try, http.MethodDelete, standin.PoolPrefix(j.Spec)+j.ID, lastingKey(workspaceOf(j)), nil)
 		if status == http.StatusOK {
 			s.platform.UpdateJob(j, func(j *standin.Job) { j.Cancelled = time.Now() })
 			s.record.mu.Lock()
@@ -169,13 +169,16 @@
 	if sleep(ctx, visibilityDelay) != nil {
 		return nil
 	}
+	if status, _ := s.sendRequest(ctx, firstNode, http.MethodGet, standin.PoolPrefix(j.Spec)+j.ID, lastingKey(workspaceOf(j)+1), nil); status == http.StatusOK {
+		return fmt.Errorf("%w: job %s is shown to another workspace", ErrPromise, j.ID)
+	}
 	_, err := s.requestState(ctx, j, firstNode+1)
 	return err
 }
 
 // requestState requests the state of a job from a process and checks the answer. It returns an empty state if there was no answer.
 func (s *Soak) requestState(ctx context.Context, j *standin.Job, i int) (string, error) {
-	status, body := s.sendRequest(ctx, i, http.MethodGet, standin.PoolPrefix(j.Spec)+j.ID, nil)
+	status, body := s.sendRequest(ctx, i, http.MethodGet, standin.PoolPrefix(j.Spec)+j.ID, lastingKey(workspaceOf(j)), nil)
 	if status == http.StatusGone {
 		return "", fmt.Errorf("%w: accepted job %s is reported as unknown", ErrPromise, j.ID)
 	}
@@ -195,9 +198,9 @@
 	return state.State, nil
 }
 
-// sendRequest sends a request to a process. It returns status 0 if no complete answer arrived.
-func (s *Soak) sendRequest(ctx context.Context, i int, method, path string, body any) (int, []byte) {
-	status, answer, err := s.exchange(ctx, i, method, path, body)
+// sendRequest sends a request with a key, empty for none, to a process. It returns status 0 if no complete answer arrived.
+func (s *Soak) sendRequest(ctx context.Context, i int, method, path, key string, body any) (int, []byte) {
+	status, answer, err := s.exchange(ctx, i, method, path, key, body)
 	if err != nil {
 		return 0, nil
 	}
@@ -205,7 +208,7 @@
 }
 
 // exchange sends a request to a process and returns its answer, or the reason why no complete answer arrived and status 0.
-func (s *Soak) exchange(ctx context.Context, i int, method, path string, body any) (int, []byte, error) {
+func (s *Soak) exchange(ctx context.Context, i int, method, path, key string, body any) (int, []byte, error) {
 	p := s.processes[i%len(s.processes)]
 	content, err := json.Marshal(body)
 	if err != nil {
@@ -214,10 +217,12 @@
 	if body == nil {
 		content = nil
 	}
-	status, answer, err := standin.Request{Method: method, Host: host, Path: path, Body: content}.Send(ctx, p.client, p.settings.Entry)
+	sent := time.Now()
+	status, answer, err := standin.Request{Method: method, Host: host, Path: path, Body: content, Key: key}.Send(ctx, p.client, p.settings.Entry)
 	if err != nil {
 		return 0, nil, err
 	}
+	s.keys.judge(p.settings.Node, key, sent, status)
 	return status, answer, nil
 }
 
@@ -281,7 +286,7 @@
 
 // servesQueue reports whether a process serves a queue: it answers a request without an ID with 405 then, and with 404 or 503 otherwise.
 func (s *Soak) servesQueue(ctx context.Context, i int, prefix string) bool {
-	status, _ := s.sendRequest(ctx, i, http.MethodPost, prefix, nil)
+	status, _ := s.sendRequest(ctx, i, http.MethodPost, prefix, "", nil)
 	return status == http.StatusMethodNotAllowed
 }
 
--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -160,11 +160,17 @@
 			defer s.mu.Unlock()
 			s.lastStoreFault++
 			number = s.lastStoreFault
+			if f.DropEvents {
+				s.keys.dropEvents(true)
+			}
 			s.platform.Store.SetFaults(f)
 		},
 		end: func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			if f.DropEvents {
+				s.keys.dropEvents(false)
+			}
 			if s.lastStoreFault == number {
 				s.platform.Store.SetFaults(standin.StoreFaults{})
 			}
--- a/verbenabench/soak/process.go
+++ b/verbenabench/soak/process.go
@@ -77,7 +77,7 @@
 	p.settings = platform.Settings{
 		Node: name, DataCentre: "z1", IP: entry.Addr(), Entry: entry, Readiness: readiness,
 		PeerPorts: [2]uint16{peer.Port(), peer.Port()}, Store: store.addr, Machines: s.platform.CloudAddr, Cores: 1, MemoryMB: 256,
-		MinLeaseTTL: 500 * time.Millisecond, Bounds: standin.Bounds(),
+		MinLeaseTTL: 500 * time.Millisecond, Bounds: standin.Bounds(), Workspaces: true,
 	}
 	if err := standin.WriteSettings(p.settingsPath, p.settings); err != nil {
 		return nil, err
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -70,6 +70,7 @@
 	version int64
 	// waves counts the waves that the operator requested.
 	waves  int
+	keys   keyRecord
 	record callerRecord
 }
 
@@ -160,7 +161,7 @@
 	if err := s.platform.Start(ctx, group); err != nil {
 		return err
 	}
-	s.configure()
+	s.startKeys()
 	for i := range s.Nodes {
 		p, err := s.newProcess(nodeName(i), group)
 		if err != nil {
@@ -186,6 +187,7 @@
 	callers.Go(func() error { return s.injectAll(callersCtx, faults) })
 	callers.Go(func() error { return s.submitAll(callersCtx, rand.New(rand.NewPCG(s.Seed, 11))) })
 	callers.Go(func() error { return s.watchVersions(callersCtx) })
+	callers.Go(func() error { return s.watchKeys(callersCtx) })
 	if err := callers.Wait(); err != nil {
 		return err
 	}
@@ -200,6 +202,9 @@
 	if err := s.awaitVersions(ctx, versionLimit); err != nil {
 		return err
 	}
+	if err := s.checkKeys(ctx); err != nil {
+		return err
+	}
 	jobs, jobsCtx := errgroup.WithContext(ctx)
 	jobs.Go(func() error { return s.awaitJobs(jobsCtx) })
 	jobs.Go(func() error { return s.awaitLongRunning(jobsCtx) })
@@ -216,7 +221,7 @@
 	for _, v := range s.platform.Violations() {
 		return fmt.Errorf("%w: %s", ErrPromise, v)
 	}
-	return nil
+	return s.keys.violation()
 }
 
 func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
--- a/verbenabench/soak/versioncheck.go
+++ b/verbenabench/soak/versioncheck.go
@@ -105,7 +105,7 @@
 	p := s.processes[i]
 	before := p.processorUse()
 	a := versionAnswer{incarnation: p.currentIncarnation(), sent: time.Now()}
-	a.status, _, a.err = s.exchange(ctx, i, http.MethodPost, standin.VersionPrefix(version), nil)
+	a.status, _, a.err = s.exchange(ctx, i, http.MethodPost, standin.VersionPrefix(version), "", nil)
 	if a.err != nil && ctx.Err() == nil {
 		s.record.note(fmt.Sprintf("%s: %v; meanwhile %v", p.settings.Node, a, p.processorUse().since(before)), nil)
 	}
--- a/verbenaentry/node/peerconfiguration.go
+++ b/verbenaentry/node/peerconfiguration.go
@@ -25,7 +25,9 @@
 // configurationAfter answers a node that has a version of the configuration, or returns errStoreUnreachable if this node may be out of date
 // too.
 func (n *Node) configurationAfter(version int64) (any, error) {
-	routes, age := n.View.routes(), n.View.age()
+	// The age is read first: the configuration that is read after it is at least as new as the age says.
+	age := n.View.age()
+	routes := n.View.routes()
 	if routes == nil || age > staleAfter {
 		return nil, errStoreUnreachable
 	}
