--- a/verbenaentry/testfleet/testfleet.go
+++ b/verbenaentry/testfleet/testfleet.go
@@ -33,6 +33,8 @@
 	Flags    node.Flags
 	// NoMachineList runs the instances without the platform's list of machines.
 	NoMachineList bool
+	// Workspaces gives the instances the settings of a deployment whose callers send keys.
+	Workspaces bool
 	// Log receives the log lines of the instances; nil discards them.
 	Log io.Writer
 
@@ -135,7 +137,7 @@
 	s := platform.Settings{
 		Node: name, DataCentre: "z1", IP: ports[0].Addr(), Entry: ports[0], Readiness: ports[1],
 		PeerPorts: [2]uint16{ports[2].Port(), ports[2].Port()}, Store: gate.Addr, Machines: f.Platform.CloudAddr,
-		Bounds: standin.Bounds(), MinLeaseTTL: 500 * time.Millisecond,
+		Bounds: standin.Bounds(), MinLeaseTTL: 500 * time.Millisecond, Workspaces: f.Workspaces,
 	}
 	if f.NoMachineList {
 		s.Machines = netip.AddrPort{}
@@ -297,6 +299,11 @@
 
 // Do sends a request to the running instance with the index i modulo their number, and returns status and body.
 func (f *Fleet) Do(ctx context.Context, i int, method, path string, body any) (int, []byte, error) {
+	return f.DoWithKey(ctx, i, method, path, "", body)
+}
+
+// DoWithKey sends a request like Do, with the key of a workspace.
+func (f *Fleet) DoWithKey(ctx context.Context, i int, method, path, key string, body any) (int, []byte, error) {
 	f.mu.Lock()
 	var running []*instance
 	for _, n := range f.nodes {
@@ -318,7 +325,7 @@
 		}
 	}
 	n := running[i%len(running)]
-	return standin.Request{Method: method, Host: Host, Path: path, Body: content}.Send(ctx, f.client, n.settings.Entry)
+	return standin.Request{Method: method, Host: Host, Path: path, Body: content, Key: key}.Send(ctx, f.client, n.settings.Entry)
 }
 
 // Explain requests an explanation from the readiness address of an instance and returns status and body.
