--- a/verbenabench/days/caller.go
+++ b/verbenabench/days/caller.go
@@ -159,6 +159,7 @@
 	}
 	r.Host = testfleet.Host
 	r.Header.Set(wire.HeaderDeadline, "3000")
+	d.sign(r, c)
 	answer, err := d.client.Do(r)
 	if err != nil {
 		return 0, nil
@@ -168,6 +169,9 @@
 	if err != nil {
 		return 0, nil
 	}
+	if answer.StatusCode == http.StatusUnauthorized {
+		d.violate("key: %s of job %s is refused with a valid key by %s", method, c.job.ID, p.settings.Node)
+	}
 	return answer.StatusCode, content
 }
 
--- a/verbenabench/days/day.go
+++ b/verbenabench/days/day.go
@@ -142,6 +142,7 @@
 	if err := d.platform.Start(ctx, d.group); err != nil {
 		return err
 	}
+	d.platform.SetTenants(s.tenants())
 	d.platform.Configure(1, testfleet.Host, testfleet.Attempts)
 	for i, cores := range s.cores {
 		gate, err := d.platform.OpenGate()
@@ -152,6 +153,7 @@
 			settings: settings(fmt.Sprintf("n%d", i), nodeAddr(i), cores, gate.Addr, d.platform.CloudAddr, standin.Bounds()),
 			gate:     gate, network: d.network, clockRate: s.clockRates[i], log: &d.log, downtime: s.startDelays[i],
 		}
+		p.settings.Workspaces = s.hasKeys()
 		d.processes = append(d.processes, p)
 		d.group.Go(func() error { return p.run(ctx) })
 	}
