--- a/verbenabench/days/workspace.go
+++ b/verbenabench/days/workspace.go
@@ -16,7 +16,9 @@
 func (s *script) hasKeys() bool { return s.seed%2 == 1 }
 
 // key returns the key of the caller's workspace.
-func (c *submission) key() string { return "key-" + strconv.Itoa(int(c.job.ID[len(c.job.ID)-1])%workspaces) }
+func (c *submission) key() string {
+	return "key-" + strconv.Itoa(int(c.job.ID[len(c.job.ID)-1])%workspaces)
+}
 
 // tenants returns the day's workspaces.
 func (s *script) tenants() []wire.Tenant {
