--- a/verbenabench/soak/key.go
+++ b/verbenabench/soak/key.go
@@ -152,17 +152,13 @@
 	added.added, removed.removed = time.Now(), time.Now()
 }
 
-// watchKeys replaces keys and sends each process requests with valid, removed and unknown ones while faults are injected.
+// watchKeys replaces keys and sends each process requests with valid, removed and unknown ones until the context ends.
 func (s *Soak) watchKeys(ctx context.Context) error {
-	end := time.Now().Add(s.Duration)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		random := rand.New(rand.NewPCG(s.Seed, 12))
-		for n := 0; time.Now().Before(end); n++ {
+		for n := 0; interval.Wait(groupCtx, time.Duration(random.ExpFloat64()*float64(keyInterval))); n++ {
 			s.replaceKey(random.IntN(workspaces), "key-"+strconv.Itoa(n))
-			if !interval.Wait(groupCtx, time.Duration(random.ExpFloat64()*float64(keyInterval))) {
-				return nil
-			}
 		}
 		return nil
 	})
@@ -170,7 +166,7 @@
 		group.Go(func() error {
 			random := rand.New(rand.NewPCG(s.Seed, 13+uint64(i)))
 			for range interval.Each(groupCtx, keyCheckInterval) {
-				if err := s.keys.violation(); err != nil || time.Now().After(end) {
+				if err := s.keys.violation(); err != nil {
 					return err
 				}
 				keys := s.keys.all()
--- a/verbenabench/soak/soak.go
+++ b/verbenabench/soak/soak.go
@@ -184,10 +184,14 @@
 	}
 	faults := rand.New(rand.NewPCG(s.Seed, 10))
 	callers, callersCtx := errgroup.WithContext(ctx)
-	callers.Go(func() error { return s.injectAll(callersCtx, faults) })
+	keysCtx, endKeys := context.WithCancel(callersCtx)
+	callers.Go(func() error {
+		defer endKeys()
+		return s.injectAll(callersCtx, faults)
+	})
 	callers.Go(func() error { return s.submitAll(callersCtx, rand.New(rand.NewPCG(s.Seed, 11))) })
 	callers.Go(func() error { return s.watchVersions(callersCtx) })
-	callers.Go(func() error { return s.watchKeys(callersCtx) })
+	callers.Go(func() error { return s.watchKeys(keysCtx) })
 	if err := callers.Wait(); err != nil {
 		return err
 	}
