feat(dispatch): starts within the limit of a job's workspace

Cause: what a workspace runs in a pool has to stay within the pool's grant, also while runs are stopped, unanswered or not reported after a takeover.

Change: usage by workspace is kept where runs are attached and detached; a start, a gang as a whole and a preemption are checked against it; Explain names the limit. The holder of a pool keeps the grants in the store under the condition of its duty.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -126,7 +126,12 @@
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
 	workspaces map[string]*workspace
-	workers    map[string]*worker
+	// accounts holds what the jobs of each workspace occupy, limited those of them that have a limit.
+	accounts map[string]*account
+	limited  []*account
+	// uncertainRoom is what runs may occupy in the present plan that this holder does not know.
+	uncertainRoom workload.Resources
+	workers       map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
 	confirmedAt time.Time
 	// registrationsListed is true once the first list of registrations was applied.
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -35,6 +35,8 @@
 	WaitTooLarge WaitReason = "tooLarge"
 	// WaitNoCapacity means that the free capacity of no worker suffices.
 	WaitNoCapacity WaitReason = "noCapacity"
+	// WaitQuota means that the limit of the job's workspace does not admit the task now.
+	WaitQuota WaitReason = "quota"
 	// WaitOtherWorker means that the task has failed on each worker with enough free capacity, and waits for another one.
 	WaitOtherWorker WaitReason = "otherWorker"
 	// WaitNextPlan means that the task is about to be started.
@@ -217,6 +219,10 @@
 		e.Basis = "a worker that has not reported may run the task, at most until then"
 		return
 	}
+	if basis, forbidden := p.explainQuota(t, now); forbidden {
+		e.Reason, e.Basis = WaitQuota, basis
+		return
+	}
 	e.Reason = p.placementReason(t, now)
 	e.estimateStart(t, now)
 }
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"verbenalanding.example/fleet/workload"
 )
 
 // longAgo is the age from which on ages make no difference to the decisions.
@@ -177,3 +179,21 @@
 
 // MarkDirty has the record of a job written.
 func (p *Pool) MarkDirty(id string) { p.markDirty(p.jobs[id]) }
+
+// UsageMismatch compares what each workspace occupies with the sum over its runs on workers; it returns the first difference.
+func (p *Pool) UsageMismatch() string {
+	sums := map[string]workload.Resources{}
+	for _, w := range p.workers {
+		for _, x := range w.runs {
+			if name := x.task.job.Workspace; name != "" {
+				sums[name] = sums[name].Plus(x.task.step.Need)
+			}
+		}
+	}
+	for name, a := range p.accounts {
+		if a.used != sums[name] {
+			return fmt.Sprintf("workspace %s: got %+v, want %+v", name, a.used, sums[name])
+		}
+	}
+	return ""
+}
--- a/fleet/dispatch/firststart.go
+++ b/fleet/dispatch/firststart.go
@@ -17,6 +17,8 @@
 	CauseNoRoom WaitCause = "noRoom"
 	// CauseJobsBefore is the time in which workers had enough free CPU that jobs placed before it took, or that its rules did not admit.
 	CauseJobsBefore WaitCause = "jobsBefore"
+	// CauseQuota is the time in which the limit of its workspace kept its tasks from starting.
+	CauseQuota WaitCause = "quota"
 	// CausePlan is the time until a plan that considered it.
 	CausePlan WaitCause = "plan"
 	// CauseOrders is the time from the first order to start until a run was known to be present; orders may be unanswered or refused.
--- a/fleet/dispatch/gang.go
+++ b/fleet/dispatch/gang.go
@@ -8,23 +8,26 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// placeGang starts all tasks of a gang at once, or none.
-func (p *Pool) placeGang(st *stepState, u uncertainty, now time.Time) {
+// placeGang starts all tasks of a gang at once, or none. It returns false if the limit of its workspace does not admit it.
+func (p *Pool) placeGang(st *stepState, u uncertainty, now time.Time) (withinQuota bool) {
 	for _, t := range st.tasks {
 		if !waiting(t, u) {
-			return
+			return true
 		}
 	}
+	if !p.withinQuota(st.tasks[0], now) {
+		return false
+	}
 	// The tickets are for the step, and so for all tasks of the gang.
 	if st.tasks[0].job.queue.Advice != nil && !p.hasTickets(st.tasks[0], now) {
-		return
+		return true
 	}
 	chosen := p.chooseGang(st, now)
 	if chosen == nil {
 		if st.tasks[0].job.queue.Advice != nil {
 			p.requestMoreTickets(st.tasks[0], now)
 		}
-		return
+		return true
 	}
 	number := 0
 	checkpoint := ""
@@ -36,6 +39,7 @@
 		t.checkpoint = checkpoint
 		p.start(t, chosen[i], number, now)
 	}
+	return true
 }
 
 // gangFit says which workers a gang may use.
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -48,8 +48,10 @@
 
 type job struct {
 	workload.Job
-	queue workload.Queue
-	state workload.State
+	// account is that of the job's workspace; nil for a job without one.
+	account *account
+	queue   workload.Queue
+	state   workload.State
 	// started is true once a worker has confirmed that a task of the job has begun; an order to start one may be refused or lost.
 	started bool
 	// restored is set if a previous holder may have started tasks of the job.
@@ -76,7 +78,7 @@
 	// listed.
 	storedUnderThis := spec.Fence != 0 && spec.Fence == p.Epoch
 	overlaps := !storedUnderThis && (now.Before(p.priorLeasesUntil) || p.hasPartialReport())
-	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
+	j := &job{Job: spec, account: p.account(spec.Workspace), queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
 	}
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -38,6 +38,7 @@
 	u := p.currentUncertainty(now)
 	p.index, p.startsLeft = p.newIndex(now), maxStarts
 	p.freeAtFirst = p.index.maxFreeCPU()
+	p.beginQuota(now)
 	for _, c := range p.candidates(u, now) {
 		p.place(c, u, now)
 	}
@@ -77,7 +78,7 @@
 }
 
 func (p *Pool) placeable(t *task, now time.Time) bool {
-	return p.choose(t, t.step.Reserved(), now) != nil
+	return !t.overQuota() && p.choose(t, t.step.Reserved(), now) != nil
 }
 
 // waiting reports whether a task is not done and certainly has no run.
@@ -202,8 +203,9 @@
 			return
 		}
 		if c.job.Steps[s].Gang {
-			p.placeGang(st, u, now)
-			p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
+			if p.placeGang(st, u, now) {
+				p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
+			}
 			continue
 		}
 		for _, t := range st.tasks {
@@ -213,6 +215,10 @@
 			if !waiting(t, u) {
 				continue
 			}
+			if !p.withinQuota(t, now) {
+				// The other tasks of the step are equal to this one.
+				break
+			}
 			var w *worker
 			if t.step.Reserved().CPU <= p.index.maxFreeCPU() {
 				w = p.choose(t, t.step.Reserved(), now)
--- /dev/null
+++ b/fleet/dispatch/quota.go
@@ -0,0 +1,312 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"verbenalanding.example/fleet/quota"
+	"verbenalanding.example/fleet/workload"
+)
+
+// reserveAfter is how long a task waits for its workspace's grant until smaller tasks of the workspace that are placed after it wait too; they would
+// take each amount that becomes free.
+const reserveAfter = time.Second
+
+// account is what the jobs of a workspace occupy in the pool, and what they may occupy.
+type account struct {
+	name string
+	// used is what runs occupy that may be present, with the CPU of tasks that fill.
+	used      workload.Resources
+	limit     workload.Resources
+	allowance quota.Allowance
+	// short is the need of the ready tasks that only the allowance kept from starting in the last plan, least that of the largest one.
+	short, least workload.Resources
+	// reserved has the resources for which a task has waited so long that no further one of the workspace gets any in the present plan.
+	reserved workload.Resources
+}
+
+func (a *account) add(need workload.Resources) {
+	if a != nil {
+		a.used = a.used.Plus(need)
+	}
+}
+
+func (a *account) remove(need workload.Resources) {
+	if a != nil {
+		a.used = a.used.Minus(need)
+	}
+}
+
+// account returns the account of a workspace; nil for a job without one.
+func (p *Pool) account(workspace string) *account {
+	if workspace == "" {
+		return nil
+	}
+	a := p.accounts[workspace]
+	if a == nil {
+		a = &account{name: workspace}
+		if w := p.workspaces[workspace]; w != nil {
+			a.limit = w.MaxRunning
+		}
+		if p.accounts == nil {
+			p.accounts = map[string]*account{}
+		}
+		p.accounts[workspace] = a
+	}
+	return a
+}
+
+// setLimits applies the limits of the configuration's workspaces.
+func (p *Pool) setLimits() {
+	p.limited = p.limited[:0]
+	for name, a := range p.accounts {
+		if p.workspaces[name] == nil {
+			a.limit = workload.Resources{}
+		}
+	}
+	for name, w := range p.workspaces {
+		if w.MaxRunning == (workload.Resources{}) {
+			if a := p.accounts[name]; a != nil {
+				a.limit = workload.Resources{}
+			}
+			continue
+		}
+		a := p.account(name)
+		a.limit = w.MaxRunning
+		p.limited = append(p.limited, a)
+	}
+}
+
+// SetAllowance sets what the runs of a workspace with a limit may occupy in this pool. Before the first call none of its tasks start.
+func (p *Pool) SetAllowance(workspace string, allowance quota.Allowance) {
+	if a := p.accounts[workspace]; a != nil {
+		a.allowance = allowance
+	}
+}
+
+// WorkspaceUsage returns what the workspaces with a limit occupy, and what their tasks lacked in the last plan.
+func (p *Pool) WorkspaceUsage(now time.Time) map[string]quota.Usage {
+	if len(p.limited) == 0 {
+		return nil
+	}
+	uncertain := p.unreportedRoom(now)
+	room, counted := workload.Resources{}, false
+	usage := make(map[string]quota.Usage, len(p.limited))
+	for _, a := range p.limited {
+		u := quota.Usage{Known: a.used, Uncertain: uncertain, Short: a.short, Least: a.least}
+		if u.Short != (workload.Resources{}) {
+			if !counted {
+				room, counted = p.startableRoom(now), true
+			}
+			u.Short = atMost(u.Short, largest(room, u.Least))
+		}
+		usage[a.name] = u
+	}
+	return usage
+}
+
+// QuotaShort reports whether the last plan left a task waiting for its workspace's grant.
+func (p *Pool) QuotaShort() bool {
+	for _, a := range p.limited {
+		if a.short != (workload.Resources{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// roomShare is the part of the pool's capacity, as one in so many, by which the wanted grants exceed the free capacity: runs that end free more before
+// the next decision.
+const roomShare = 8
+
+// startableRoom returns the capacity for which grants are of use now.
+func (p *Pool) startableRoom(now time.Time) workload.Resources {
+	var free, capacity workload.Resources
+	for _, w := range p.sortedWorkers() {
+		if p.usable(w, now) {
+			free = free.Plus(largest(w.free(), workload.Resources{}))
+			capacity = capacity.Plus(w.Capacity)
+		}
+	}
+	return free.Plus(workload.Resources{CPU: capacity.CPU / roomShare, MemoryMB: capacity.MemoryMB / roomShare, GPU: capacity.GPU / roomShare})
+}
+
+func largest(a, b workload.Resources) workload.Resources {
+	return workload.Resources{CPU: max(a.CPU, b.CPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPU: max(a.GPU, b.GPU)}
+}
+
+func atMost(a, b workload.Resources) workload.Resources {
+	return workload.Resources{CPU: min(a.CPU, b.CPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), GPU: min(a.GPU, b.GPU)}
+}
+
+// anything is more than any grant, and small enough for sums.
+var anything = workload.Resources{CPU: 1 << 50, MemoryMB: 1 << 50, GPU: 1 << 50}
+
+// beginQuota prepares the checks of a plan.
+func (p *Pool) beginQuota(now time.Time) {
+	if len(p.limited) == 0 {
+		return
+	}
+	p.uncertainRoom = p.unreportedRoom(now)
+	for _, a := range p.limited {
+		a.short, a.least, a.reserved = workload.Resources{}, workload.Resources{}, workload.Resources{}
+	}
+}
+
+// unreportedRoom returns what runs may occupy that this holder does not know: those of previous holders on workers that have not reported, and
+// orphaned runs until they have ended.
+func (p *Pool) unreportedRoom(now time.Time) workload.Resources {
+	var room, widest workload.Resources
+	for _, w := range p.sortedWorkers() {
+		widest = largest(widest, w.Capacity)
+		switch {
+		case !p.priorLeaseEnded(w.ID, now) && (w.restarted || p.awaitsReport(w.ID)):
+			room = room.Plus(w.Capacity)
+		case w.orphans:
+			room = room.Plus(largest(w.free(), workload.Resources{}))
+		}
+	}
+	if p.priorLeasesEnded(now) && len(p.handedOverLeases) == 0 {
+		return room
+	}
+	if len(p.workers) == 0 || (p.AwaitWorkerList && (p.liveWorkers == nil || !p.confirmedSince(p.liveWorkersSeenAt))) {
+		return anything
+	}
+	// A worker of which only the id is known counts as the largest known one.
+	for range p.unregistered(now) {
+		room = room.Plus(widest)
+	}
+	return room
+}
+
+// unregistered returns the workers without a registration that may have runs of a previous holder.
+func (p *Pool) unregistered(now time.Time) map[string]bool {
+	ids := map[string]bool{}
+	note := func(id string) {
+		if p.workers[id] == nil && !p.priorLeaseEnded(id, now) && p.awaitsReport(id) {
+			ids[id] = true
+		}
+	}
+	for id := range p.liveWorkers {
+		if _, gone := p.ended[id]; !gone {
+			note(id)
+		}
+	}
+	for id := range p.inheritedKnown {
+		note(id)
+	}
+	for id := range p.inheritedUnresponsive {
+		note(id)
+	}
+	for id := range p.handedOver {
+		note(id)
+	}
+	return ids
+}
+
+// quotaCheck is the outcome of a check of a start against the limit of its workspace.
+type quotaCheck struct {
+	allowed bool
+	// never is true for a gang that does not fit into the limit even alone.
+	never bool
+	// short has the need of the resources that are missing.
+	short workload.Resources
+}
+
+// checkQuota checks the start of a number of equal tasks at once.
+func (a *account) checkQuota(need workload.Resources, tasks int64, uncertain workload.Resources) (c quotaCheck) {
+	amount, alone := a.allowance.Amount, a.allowance.Alone
+	c.short.CPU = c.check(need.CPU, tasks, a.used.CPU+uncertain.CPU, amount.CPU, alone.CPU, a.limit.CPU)
+	c.short.MemoryMB = c.check(need.MemoryMB, tasks, a.used.MemoryMB+uncertain.MemoryMB, amount.MemoryMB, alone.MemoryMB, a.limit.MemoryMB)
+	c.short.GPU = c.check(need.GPU, tasks, a.used.GPU+uncertain.GPU, amount.GPU, alone.GPU, a.limit.GPU)
+	c.allowed = c.short == (workload.Resources{})
+	return c
+}
+
+// check checks one resource; it returns the need if that does not fit.
+func (c *quotaCheck) check(need, tasks, occupied, amount, alone, limit int64) (short int64) {
+	all := need * tasks
+	switch {
+	case limit == 0 || need == 0 || occupied+all <= min(amount, limit):
+		return 0
+	case all > limit && all-need > limit:
+		c.never = true
+	case all > limit && occupied == 0 && all <= alone:
+		// Only the last task may exceed the limit, and only if nothing else runs.
+		return 0
+	}
+	return need
+}
+
+func overlap(a, b workload.Resources) bool {
+	return (a.CPU > 0 && b.CPU > 0) || (a.MemoryMB > 0 && b.MemoryMB > 0) || (a.GPU > 0 && b.GPU > 0)
+}
+
+// withinQuota reports whether the limit of a task's workspace admits the task, or all of its gang; otherwise it notes what is missing.
+func (p *Pool) withinQuota(t *task, now time.Time) bool {
+	a := t.job.account
+	if a == nil || a.limit == (workload.Resources{}) {
+		return true
+	}
+	need, tasks := t.step.Need, int64(1)
+	if t.step.Gang {
+		tasks = int64(len(t.state.tasks))
+	}
+	c := a.checkQuota(need, tasks, p.uncertainRoom)
+	if c.allowed && !overlap(need, a.reserved) {
+		return true
+	}
+	if c.never {
+		return false
+	}
+	a.short = a.short.Plus(times(need, int64(t.state.withoutRun)))
+	a.least = largest(a.least, times(need, tasks))
+	if !c.allowed && now.Sub(t.readySince) >= reserveAfter {
+		a.reserved = a.reserved.Plus(c.short)
+	}
+	if !t.job.first.hasOrder() {
+		t.job.first.change(CauseQuota, now)
+	}
+	return false
+}
+
+func times(r workload.Resources, n int64) workload.Resources {
+	return workload.Resources{CPU: r.CPU * n, MemoryMB: r.MemoryMB * n, GPU: r.GPU * n}
+}
+
+// overQuota reports whether a task's workspace has more running than it may: a run that is stopped would not start again.
+func (t *task) overQuota() bool {
+	a := t.job.account
+	if a == nil {
+		return false
+	}
+	return (a.limit.CPU > 0 && a.used.CPU > a.allowance.Amount.CPU) || (a.limit.MemoryMB > 0 && a.used.MemoryMB > a.allowance.Amount.MemoryMB) ||
+		(a.limit.GPU > 0 && a.used.GPU > a.allowance.Amount.GPU)
+}
+
+// explainQuota says which limit keeps a task from starting; forbidden is false if none does.
+func (p *Pool) explainQuota(t *task, now time.Time) (basis string, forbidden bool) {
+	a := t.job.account
+	if a == nil || a.limit == (workload.Resources{}) {
+		return "", false
+	}
+	tasks := int64(1)
+	if t.step.Gang {
+		tasks = int64(len(t.state.tasks))
+	}
+	c := a.checkQuota(t.step.Need, tasks, p.unreportedRoom(now))
+	if c.allowed {
+		return "", false
+	}
+	need := times(t.step.Need, tasks)
+	if c.never {
+		return fmt.Sprintf("workspace %s may run %s; the gang needs %s at once", a.name, describe(a.limit), describe(need)), true
+	}
+	return fmt.Sprintf("workspace %s may run %s in all pools; this pool may use %s of it and runs %s; the task needs %s", a.name, describe(a.limit),
+		describe(atMost(a.allowance.Amount, a.limit)), describe(a.used), describe(need)), true
+}
+
+// describe names the amounts of processors, memory and accelerators.
+func describe(r workload.Resources) string {
+	return fmt.Sprintf("%.1f cores, %d MB, %d GPUs", float64(r.CPU)/milliPerCore, r.MemoryMB, r.GPU)
+}
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -63,6 +63,7 @@
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
 	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
+	x.task.job.account.add(x.task.step.Need)
 	if !x.task.done && len(x.task.runs) == 0 {
 		x.task.countWithoutRun(-1)
 	}
@@ -79,6 +80,7 @@
 func (x *run) detach() {
 	delete(x.worker.runs, runKey{x.task.id, x.number})
 	x.worker.used = x.worker.used.Minus(x.task.step.Reserved())
+	x.task.job.account.remove(x.task.step.Need)
 }
 
 // removeRun removes a run from its task; a job that has ended is released with its last run.
--- a/fleet/dispatch/workspace.go
+++ b/fleet/dispatch/workspace.go
@@ -20,4 +20,5 @@
 		}
 		p.workspaces[w.Name] = &workspace{Workspace: w}
 	}
+	p.setLimits()
 }
--- a/fleet/quota/account.go
+++ b/fleet/quota/account.go
@@ -107,6 +107,9 @@
 // Revision returns the revision of the record that was last observed.
 func (a *Account) Revision() uint64 { return a.revision }
 
+// Refused reports that the last change was certainly not written; the next one follows at once.
+func (a *Account) Refused() { a.writtenAt, a.idle = time.Time{}, false }
+
 // Known reports whether a record, or that there is none, was observed.
 func (a *Account) Known() bool { return a.known }
 
--- a/fleet/quota/fuzz_test.go
+++ b/fleet/quota/fuzz_test.go
@@ -259,6 +259,19 @@
 					p.waiting = append(p.waiting, need)
 				}
 			},
+			"late and demand": func(*rapid.T) {
+				// The write is carried out after its holder has started more.
+				p := pool()
+				m.now = m.now.Add(time.Second)
+				m.decide(p, p.holder, "late")
+				p.waiting = append(p.waiting, 1, 2, 5, 10)
+				for range len(p.waiting) {
+					m.start(p, p.holder)
+				}
+				if n := len(m.late); n > 0 {
+					m.apply(m.late[n-1])
+				}
+			},
 			"end many": func(*rapid.T) {
 				p := pool()
 				p.runs = p.runs[rapid.IntRange(0, len(p.runs)).Draw(t, "runs"):]
--- a/verbenaentry/node/locks_test.go
+++ b/verbenaentry/node/locks_test.go
@@ -19,7 +19,7 @@
 	n := &Node{Clock: monotonic.New(), Registry: metrics.NewRegistry(), View: &View{waves: map[string]workload.Wave{}}}
 	p := &pool{node: n, name: "cutting", scheduler: &dispatch.Pool{Name: "cutting"}}
 	p.scheduler.Begin(n.Clock.Now())
-	p.machines, p.upkeeps = newMachineTracker(p), newUpkeeps(p)
+	p.machines, p.upkeeps, p.grants = newMachineTracker(p), newUpkeeps(p), newGrants(p)
 	w := workload.Wave{ID: "1", Within: time.Minute, MaxDown: 2}
 	for i := range 20 {
 		id := fmt.Sprintf("m%d", i)
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -118,6 +118,7 @@
 	orders    errgroup.Group
 	machines  *machineTracker
 	upkeeps   *upkeeps
+	grants    *grants
 }
 
 // holdPool carries out the duty of a pool until the context ends.
@@ -134,6 +135,7 @@
 	p.scheduler.Begin(p.takenAt)
 	p.machines = newMachineTracker(p)
 	p.upkeeps = newUpkeeps(p)
+	p.grants = newGrants(p)
 	p.configure(n.View.Configuration())
 	group, groupCtx := errgroup.WithContext(ctx)
 	p.group = group
@@ -160,7 +162,7 @@
 	}
 	size := sizer{pool: p}
 	for _, run := range []func(context.Context) error{
-		jobs.load, size.run, p.dropEndedWorkers, p.runPlans, p.write, p.upkeeps.run, p.recordUnresponsive, p.readUnknownJobs, (&cancelledIDs{pool: p}).run,
+		jobs.load, size.run, p.dropEndedWorkers, p.runPlans, p.write, p.upkeeps.run, p.recordUnresponsive, p.readUnknownJobs, (&cancelledIDs{pool: p}).run, p.grants.run,
 	} {
 		group.Go(func() error { return run(groupCtx) })
 	}
@@ -310,6 +312,7 @@
 	p.update(func(scheduler *dispatch.Pool) {
 		scheduler.SetQueues(queues)
 		scheduler.SetWorkspaces(c.Workspaces)
+		p.grants.configure(c, scheduler)
 	})
 }
 
@@ -351,6 +354,9 @@
 		actions = p.scheduler.Plan(now)
 	}
 	ended, unconfirmed := p.scheduler.HasEndedJobs(), p.scheduler.NeedsConfirmation()
+	if p.scheduler.QuotaShort() {
+		_ = p.grants.now.Offer(struct{}{})
+	}
 	p.mu.Unlock()
 	if unconfirmed {
 		p.node.Elector.RequestConfirmation(ctx, p.name, p.fence)
