--- a/fleet/quota/account.go
+++ b/fleet/quota/account.go
@@ -152,22 +152,17 @@
 	return Allowance{amount.resources(), alone.resources()}
 }
 
-// updateParts sets the pool's part of a limit into which the grants do not fit: that of the record, and until a record has the limit in force one in
-// proportion to the grants, which only shrinks.
+// updateParts sets the pool's part of a limit into which the grants do not fit, in proportion to the grants. It only shrinks until they fit: the sum
+// falls as other pools lower their grants, which would raise the part again.
 func (a *Account) updateParts() {
 	limit := a.inForce()
 	grant, sum := amountsOf(a.Share().Grant), amountsOf(a.record.Granted())
-	stored := amountsOf(a.record.Parts[a.pool])
-	recorded := a.record.Parts != nil && amountsOf(a.record.Limit) == limit
 	for i := range limit {
-		switch {
-		case limit[i] == 0 || sum[i] <= limit[i]:
+		if limit[i] == 0 || sum[i] <= limit[i] {
 			a.part[i] = unlimited
-		case recorded:
-			a.part[i] = stored[i]
-		default:
-			a.part[i] = min(a.part[i], partOf(grant[i], limit[i], sum[i]))
+			continue
 		}
+		a.part[i] = min(a.part[i], partOf(grant[i], limit[i], sum[i]))
 	}
 }
 
--- a/fleet/quota/amounts.go
+++ b/fleet/quota/amounts.go
@@ -46,8 +46,3 @@
 	}
 	return false
 }
-
-// scale returns v x part / whole, rounded down.
-func scale(v, part, whole int64) int64 {
-	return int64(float64(v) * (float64(part) / float64(whole)))
-}
--- a/fleet/quota/decide.go
+++ b/fleet/quota/decide.go
@@ -57,8 +57,7 @@
 	reason := a.setTarget(&d, now)
 	own := a.Share()
 	next := a.record.clone()
-	newLimit := a.record.Version == 0 || (a.version > a.record.Version && a.limit != amountsOf(a.record.Limit))
-	if newLimit {
+	if a.record.Version == 0 || (a.version > a.record.Version && a.limit != amountsOf(a.record.Limit)) {
 		a.noteLimit(&next)
 		reason = ReasonLimit
 	}
@@ -84,7 +83,6 @@
 	} else {
 		next.Pools[a.pool] = share
 	}
-	next.setParts(newLimit)
 	if share.Want != own.Want {
 		a.wantedAt = now
 	}
--- a/fleet/quota/record.go
+++ b/fleet/quota/record.go
@@ -15,9 +15,6 @@
 	// Settled is true once a holder has waited for the others to state what ran before the workspace had a limit.
 	Settled bool             `json:"settled,omitempty"`
 	Pools   map[string]Share `json:"pools"`
-	// Parts holds the amounts to which the pools lower their grants while these exceed the limit. The write after which they do sets it for all pools:
-	// parts that each holder computed for itself, from records in between, would not add up to the limit.
-	Parts map[string]workload.Resources `json:"parts,omitempty"`
 }
 
 // Share is the part of a limit that a pool holds, and what it wants beyond.
@@ -38,37 +35,17 @@
 	return sum
 }
 
-// setParts divides a limit into which the grants do not fit, in proportion to the grants; again is set for a new limit.
-func (r *Record) setParts(again bool) {
-	limit, sum := amountsOf(r.Limit), amountsOf(r.Granted())
-	if !sum.exceeds(limit, limit) {
-		r.Parts = nil
-		return
-	}
-	if r.Parts != nil && !again {
-		return
-	}
-	r.Parts = make(map[string]workload.Resources, len(r.Pools))
-	for name, s := range r.Pools {
-		part := amountsOf(s.Grant)
-		for i := range part {
-			part[i] = partOf(part[i], limit[i], sum[i])
-		}
-		r.Parts[name] = part.resources()
-	}
-}
-
 // partOf returns a pool's part of a limit that is exceeded by the sum of the grants, and the limit otherwise.
 func partOf(grant, limit, sum int64) int64 {
 	if sum <= limit {
 		return limit
 	}
-	return scale(grant, limit, sum)
+	return int64(float64(grant) * (float64(limit) / float64(sum)))
 }
 
 func (r *Record) clone() Record {
 	c := *r
-	c.Pools, c.Parts = maps.Clone(r.Pools), maps.Clone(r.Parts)
+	c.Pools = maps.Clone(r.Pools)
 	if c.Pools == nil {
 		c.Pools = map[string]Share{}
 	}
--- a/verbenaentry/node/quota.go
+++ b/verbenaentry/node/quota.go
@@ -144,6 +144,10 @@
 	_ = g.now.Offer(struct{}{})
 }
 
+func (g *grants) follower() *follow.Follower {
+	return &follow.Follower{Store: g.pool.node.Store, Prefix: grantPrefix, Clock: g.pool.node.Clock.Now, Apply: g.apply}
+}
+
 // run decides on the grants until the context ends.
 func (g *grants) run(ctx context.Context) error {
 	p := g.pool
@@ -157,8 +161,7 @@
 		}
 		if !g.following {
 			g.following = true
-			f := follow.Follower{Store: p.node.Store, Prefix: grantPrefix, Clock: p.node.Clock.Now, Apply: g.apply}
-			p.group.Go(func() error { return f.Run(ctx) })
+			p.group.Go(func() error { return g.follower().Run(ctx) })
 		}
 		if p.active() {
 			g.step(ctx)
