perf(dispatch): what is not known of former holders' runs is summed once a plan

Change: the workers with orphaned runs are kept as a set; all workers are looked at only while a previous holder's leases last. Allowances are kept until a record, a limit or a decision changes them.

--- a/fleet/dispatch/plan_bench_test.go
+++ b/fleet/dispatch/plan_bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/quota"
 	"verbenalanding.example/fleet/workload"
 )
 
@@ -53,3 +54,57 @@
 		})
 	}
 }
+
+// limitedWorkspaces returns workspaces with limits.
+func limitedWorkspaces(n int) (list []workload.Workspace) {
+	for i := range n {
+		list = append(list, workload.Workspace{Name: fmt.Sprintf("w%d", i), Weight: 1, MaxRunning: workload.Resources{CPU: 1e6, MemoryMB: 1e6}})
+	}
+	return list
+}
+
+// BenchmarkPlanWorkspaces plans for jobs of workspaces with limits, half of which may start nothing more, after the leases of a previous holder.
+func BenchmarkPlanWorkspaces(b *testing.B) {
+	for _, workers := range []int{540, 4300} {
+		for _, workspaces := range []int{0, 20, 200, 2000} {
+			p, now := overloaded(workers, 250)
+			now = now.Add(2 * priorLeases)
+			for _, id := range p.WorkerIDs() {
+				p.Report(id, workload.Report{Incarnation: 1, Clock: time.Minute + 2*priorLeases}, now)
+			}
+			list := limitedWorkspaces(workspaces)
+			p.SetWorkspaces(list)
+			for i, w := range list {
+				amount := w.MaxRunning
+				if i%2 == 0 {
+					amount = workload.Resources{}
+				}
+				p.SetAllowance(w.Name, quota.Allowance{Amount: amount, Alone: amount})
+			}
+			for i := range 250 {
+				step := workload.Step{Tasks: 4, Need: workload.Resources{CPU: 3000, MemoryMB: 3000}, Estimate: time.Second}
+				job := workload.Job{ID: fmt.Sprintf("j%d", i), Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{step}, Accepted: now}
+				if workspaces > 0 {
+					job.Workspace = list[i%workspaces].Name
+				} else if i%2 == 0 {
+					// As many jobs wait as with workspaces, since no worker is large enough.
+					job.Steps[0].Need.CPU = 1e9
+				}
+				p.AddJob(job, nil, false, now)
+			}
+			p.Plan(now)
+			b.Run(fmt.Sprintf("%d workers, %d workspaces", workers, workspaces), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Plan(now)
+				}
+			})
+			b.Run(fmt.Sprintf("usage, %d workers, %d workspaces", workers, workspaces), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					p.WorkspaceUsage(now)
+				}
+			})
+		}
+	}
+}
--- a/fleet/dispatch/quota.go
+++ b/fleet/dispatch/quota.go
@@ -89,11 +89,10 @@
 	if len(p.limited) == 0 {
 		return nil
 	}
-	uncertain := p.unreportedRoom(now)
 	room, counted := workload.Resources{}, false
 	usage := make(map[string]quota.Usage, len(p.limited))
 	for _, a := range p.limited {
-		u := quota.Usage{Known: a.used, Uncertain: uncertain, Short: a.short, Least: a.least}
+		u := quota.Usage{Known: a.used, Uncertain: p.uncertainRoom, Short: a.short, Least: a.least}
 		if u.Short != (workload.Resources{}) {
 			if !counted {
 				room, counted = p.startableRoom(now), true
@@ -157,18 +156,18 @@
 // orphaned runs until they have ended.
 func (p *Pool) unreportedRoom(now time.Time) workload.Resources {
 	var room, widest workload.Resources
+	for _, w := range p.orphaned {
+		room = room.Plus(largest(w.free(), workload.Resources{}))
+	}
+	if p.priorLeasesEnded(now) && len(p.handedOverLeases) == 0 {
+		return room
+	}
 	for _, w := range p.sortedWorkers() {
 		widest = largest(widest, w.Capacity)
-		switch {
-		case !p.priorLeaseEnded(w.ID, now) && (w.restarted || p.awaitsReport(w.ID)):
+		if !p.priorLeaseEnded(w.ID, now) && (w.restarted || p.awaitsReport(w.ID)) {
 			room = room.Plus(w.Capacity)
-		case w.orphans:
-			room = room.Plus(largest(w.free(), workload.Resources{}))
 		}
 	}
-	if p.priorLeasesEnded(now) && len(p.handedOverLeases) == 0 {
-		return room
-	}
 	if len(p.workers) == 0 || (p.AwaitWorkerList && (p.liveWorkers == nil || !p.confirmedSince(p.liveWorkersSeenAt))) {
 		return anything
 	}
@@ -179,6 +178,18 @@
 	return room
 }
 
+// noteOrphans records whether a worker lists runs that this holder has not adopted.
+func (p *Pool) noteOrphans(w *worker) {
+	if !w.orphans {
+		delete(p.orphaned, w.ID)
+		return
+	}
+	if p.orphaned[w.ID] == nil {
+		p.uncertainRoom = p.uncertainRoom.Plus(largest(w.free(), workload.Resources{}))
+	}
+	p.orphaned[w.ID] = w
+}
+
 // unregistered returns the workers without a registration that may have runs of a previous holder.
 func (p *Pool) unregistered(now time.Time) map[string]bool {
 	ids := map[string]bool{}
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -258,6 +258,7 @@
 	if now.Before(p.priorLeasesUntil) {
 		// A previous holder may have started tasks on the new incarnation.
 		w.restarted = true
+		p.uncertainRoom = p.uncertainRoom.Plus(w.Capacity)
 	}
 }
 
@@ -301,6 +302,7 @@
 
 func (p *Pool) removeWorker(id string) {
 	delete(p.workers, id)
+	delete(p.orphaned, id)
 	p.sortedByID = nil
 }
 
--- a/fleet/quota/account.go
+++ b/fleet/quota/account.go
@@ -63,6 +63,9 @@
 	lastUsage    Usage
 	lastRevision uint64
 	idle         bool
+	// allowance is kept while computed is true: a sum over all pools of a record takes too long for each look.
+	allowance Allowance
+	computed  bool
 }
 
 // NewAccount returns the account of a pool.
@@ -82,7 +85,7 @@
 	if version < a.version {
 		return
 	}
-	a.version, a.limit, a.idle = version, amountsOf(limit), false
+	a.version, a.limit, a.idle, a.computed = version, amountsOf(limit), false, false
 	a.updateParts()
 }
 
@@ -100,7 +103,7 @@
 			a.readyAt = now.Add(settleTime)
 		}
 	}
-	a.known, a.record, a.revision, a.idle = true, r, revision, false
+	a.known, a.record, a.revision, a.idle, a.computed = true, r, revision, false, false
 	a.updateParts()
 }
 
@@ -129,6 +132,13 @@
 
 // Allowance returns what the pool may use now. Nothing is granted before the record was read.
 func (a *Account) Allowance() Allowance {
+	if !a.computed {
+		a.allowance, a.computed = a.newAllowance(), true
+	}
+	return a.allowance
+}
+
+func (a *Account) newAllowance() Allowance {
 	limit := a.inForce()
 	grant := amountsOf(a.Share().Grant)
 	sum := amountsOf(a.record.Granted())
--- a/fleet/quota/decide.go
+++ b/fleet/quota/decide.go
@@ -52,7 +52,7 @@
 	if !a.known || (a.idle && u == a.lastUsage && a.revision == a.lastRevision) {
 		return Change{}, false
 	}
-	a.lastUsage, a.lastRevision = u, a.revision
+	a.lastUsage, a.lastRevision, a.computed = u, a.revision, false
 	d := a.newDecision(u, now)
 	reason := a.setTarget(&d, now)
 	own := a.Share()
