--- a/fleet/dispatch/quota.go
+++ b/fleet/dispatch/quota.go
@@ -93,6 +93,10 @@
 	usage := make(map[string]quota.Usage, len(p.limited))
 	for _, a := range p.limited {
 		u := quota.Usage{Known: a.used, Uncertain: p.uncertainRoom, Short: a.short, Least: a.least}
+		if p.uncertainRoom == anything {
+			// No grant suffices before the workers of the pool are known.
+			u.Short, u.Least = workload.Resources{}, workload.Resources{}
+		}
 		if u.Short != (workload.Resources{}) {
 			if !counted {
 				room, counted = p.startableRoom(now), true
--- a/verbenabench/days/caller.go
+++ b/verbenabench/days/caller.go
@@ -49,6 +49,9 @@
 
 // runCaller simulates one caller, which submits a job, cancels it in some cases, and requests its state.
 func (d *day) runCaller(ctx context.Context, c *submission) {
+	if d.script.hasKeys() {
+		c.job.Workspace = c.workspace()
+	}
 	d.platform.AddJob(c.job, testfleet.Attempts)
 	if !d.submit(ctx, c) {
 		return
--- a/verbenabench/days/day.go
+++ b/verbenabench/days/day.go
@@ -125,6 +125,9 @@
 	return list
 }
 
+// machineCapacity is the capacity of each machine.
+var machineCapacity = wire.Resources{CPU: 8000, MemMb: 16000}
+
 // start starts the platform and the nodes.
 func (d *day) start(ctx context.Context) error {
 	s := d.script
@@ -136,7 +139,7 @@
 	caller := d.network.addHost(callerAddr, 1, false)
 	d.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: caller.dial, DisableKeepAlives: true}}
 	d.platform = &standin.Platform{
-		Seed: s.seed, Pools: s.pools, Capacity: wire.Resources{CPU: 8000, MemMb: 16000}, Tick: 20 * time.Millisecond,
+		Seed: s.seed, Pools: s.pools, Capacity: machineCapacity, Tick: 20 * time.Millisecond,
 		UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond, Listen: d.listen, ClockRate: s.machineClockRate, OnRunEvent: d.observe,
 	}
 	if err := d.platform.Start(ctx, d.group); err != nil {
--- a/verbenabench/days/workspace.go
+++ b/verbenabench/days/workspace.go
@@ -27,11 +27,34 @@
 	}
 	list := make([]wire.Tenant, 0, workspaces)
 	for i := range workspaces {
-		list = append(list, wire.Tenant{Name: "workspace-" + strconv.Itoa(i), Weight: 1, APIKeys: []string{"key-" + strconv.Itoa(i)}})
+		t := wire.Tenant{Name: "workspace-" + strconv.Itoa(i), Weight: 1, APIKeys: []string{"key-" + strconv.Itoa(i)}}
+		t.MaxCount.CPU = s.limit(t.Name)
+		list = append(list, t)
 	}
 	return list
 }
 
+// limitShare is the part of the day's capacity, as one in so many, that a workspace may run beside its long-running tasks.
+const limitShare = 4
+
+// limit returns the limit of a workspace in thousandths of a core. Its long-running tasks fit into it, since each of them has to run.
+func (s *script) limit(workspace string) (cpu int64) {
+	for _, machines := range s.pools {
+		cpu += int64(machines) * machineCapacity.CPU / limitShare
+	}
+	for i := range s.jobs {
+		if c := &s.jobs[i]; c.workspace() == workspace && c.longRunning() {
+			cpu += int64(c.job.Steps[0].Count) * c.job.Steps[0].CPU
+		}
+	}
+	return cpu
+}
+
+// workspace returns the name of the caller's workspace.
+func (c *submission) workspace() string {
+	return "workspace-" + strconv.Itoa(int(c.job.ID[len(c.job.ID)-1])%workspaces)
+}
+
 // sign adds the caller's key to a request.
 func (d *day) sign(r *http.Request, c *submission) {
 	if d.script.hasKeys() {
