--- a/fleet/quota/account.go
+++ b/fleet/quota/account.go
@@ -89,9 +89,9 @@
 	a.updateParts()
 }
 
-// Observe applies the record as the store has it; a missing record has the revision 0. It ignores one that is older than the last.
+// Observe applies the record as the store has it; a missing or deleted record has the revision 0. It ignores one that is older than the last.
 func (a *Account) Observe(r Record, revision uint64, now time.Time) {
-	if a.known && revision < a.revision {
+	if a.known && revision != 0 && revision < a.revision {
 		return
 	}
 	if revision != a.boundRevision {
--- a/fleet/quota/account_test.go
+++ b/fleet/quota/account_test.go
@@ -158,3 +158,17 @@
 	f.run(3*time.Second, "b", "a")
 	check.Equal(t, "what runs in the other pool", f.known("b"), 20)
 }
+
+// Guards against a workspace whose tasks never start again after an operator has deleted its record, and against runs that do not count then.
+func TestDeletedRecordIsWrittenAgain(t *testing.T) {
+	f := newFixture(100, "a", "b")
+	f.usage["a"] = quota.Usage{Short: cpu(60), Least: cpu(1)}
+	f.run(2*time.Second, "a", "b")
+	for _, a := range f.accounts {
+		a.Observe(quota.Record{}, 0, f.now)
+	}
+	check.Equal(t, "allowance without a record", f.accounts["a"].Allowance().Amount.CPU, 0)
+	f.usage["b"] = quota.Usage{Short: cpu(100), Least: cpu(1)}
+	f.run(3*time.Second, "b", "a")
+	check.Equal(t, "what runs", f.known("a")+f.known("b"), 100)
+}
--- a/verbenactl/client/explain.go
+++ b/verbenactl/client/explain.go
@@ -8,6 +8,7 @@
 	"net/url"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/quota"
 )
 
 // ExplainJob returns why a job waits.
@@ -20,6 +21,11 @@
 	return get[dispatch.QueueExplanation](ctx, c, "/operator/queues/"+url.PathEscape(name))
 }
 
+// ShowWorkspace returns what a workspace may run, and how its limit is divided among the pools.
+func (c *Client) ShowWorkspace(ctx context.Context, name string) (quota.View, error) {
+	return get[quota.View](ctx, c, "/operator/workspaces/"+url.PathEscape(name))
+}
+
 func get[T any](ctx context.Context, c *Client, path string) (out T, err error) {
 	a, err := c.do(ctx, call{method: http.MethodGet, path: path})
 	if err != nil {
--- a/verbenactl/command/explain.go
+++ b/verbenactl/command/explain.go
@@ -39,3 +39,21 @@
 	}
 	return s.print(e, render.Queue(e))
 }
+
+// workspaceCommand shows how the limit of a workspace is divided among the pools.
+type workspaceCommand struct{}
+
+func (*workspaceCommand) run(s *session, args []string) error {
+	if len(args) != 1 {
+		return usageErrorf("workspace takes the name of a workspace")
+	}
+	c, err := s.anonymousClient()
+	if err != nil {
+		return err
+	}
+	v, err := c.ShowWorkspace(s.ctx, args[0])
+	if err != nil {
+		return err
+	}
+	return s.print(v, render.Workspace(v))
+}
--- a/verbenactl/command/explain_test.go
+++ b/verbenactl/command/explain_test.go
@@ -26,6 +26,9 @@
 			_, _ = w.Write([]byte(unconfirmed))
 		case "/operator/queues/q1":
 			_, _ = w.Write([]byte(`{"queue":"q1","pool":"cutting","jobs":5,"reasons":{"noCapacity":2,"label":1},"longest":` + job + `}`))
+		case "/operator/workspaces/fitters":
+			_, _ = w.Write([]byte(`{"workspace":"fitters","weight":2,"limit":{"cpu":100000,"memoryMb":5000},"record":{"version":1,"limit":{"cpu":100000,"memoryMb":5000},"pools":` +
+				`{"cutting":{"grant":{"cpu":60000,"memoryMb":3000},"want":{"cpu":80000}},"billing":{"grant":{"cpu":40000}}}}}`))
 		default:
 			http.NotFound(w, r)
 		}
@@ -40,6 +43,8 @@
 			"reason: unconfirmed; 0 tasks wait, 0 are running, 2 are not confirmed\n" +
 			"placed before it: 0 jobs, 0.0 core-seconds; 0.0 of 32.0 cores are free\nbasis: starts\n"},
 		{[]string{"queue", "q1"}, "queue q1 in pool cutting: 5 jobs\n1 wait: label\n2 wait: noCapacity\nlongest:\n" + jobText},
+		{[]string{"workspace", "fitters"}, "workspace fitters, weight 2, may run 100.0 cores, 5000 MB\npool billing may run 40.0 cores\n" +
+			"pool cutting may run 60.0 cores, 3000 MB, wants 80.0 cores\nall pools may run 100.0 cores, 3000 MB\n"},
 	} {
 		t.Run(c.args[0]+" "+c.args[1], func(t *testing.T) {
 			var out, errOut bytes.Buffer
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -44,6 +44,7 @@
 	router.Get(platform.ReadinessPath, n.ready)
 	router.Get("/metrics", n.metrics)
 	n.routeExplanations(router)
+	n.routeWorkspaces(router)
 	readiness := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	for _, serve := range []func() error{
 		func() error { return entry.Serve(l.entry) },
--- a/verbenaentry/node/explain.go
+++ b/verbenaentry/node/explain.go
@@ -129,7 +129,7 @@
 
 func (n *Node) answerExplanation(w http.ResponseWriter, explanation any, err error) {
 	switch {
-	case errors.Is(err, errUnknownJob), errors.Is(err, errUnknownQueue):
+	case errors.Is(err, errUnknownJob), errors.Is(err, errUnknownQueue), errors.Is(err, errUnknownWorkspace):
 		n.refuse(w, http.StatusNotFound, err.Error())
 		return
 	case err != nil:
