--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -126,7 +126,13 @@
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
 	workspaces map[string]*workspace
-	workers    map[string]*worker
+	// accounts holds what the jobs of each workspace occupy, limited those of them that have a limit.
+	accounts map[string]*account
+	limited  []*account
+	// uncertainRoom is what runs may occupy as of the last plan that this holder does not know; orphaned holds the workers that listed such runs.
+	uncertainRoom workload.Resources
+	orphaned      map[string]*worker
+	workers       map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
 	confirmedAt time.Time
 	// registrationsListed is true once the first list of registrations was applied.
@@ -225,6 +231,7 @@
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
+	p.orphaned, p.uncertainRoom = map[string]*worker{}, anything
 	p.backlog = backlog{}
 	p.priorOrdersUntil = now.Add(p.Settings.Takeover)
 	// The lost holder may have started a task on an incarnation of a worker of which neither holder knows.
--- a/fleet/dispatch/workspace.go
+++ b/fleet/dispatch/workspace.go
@@ -20,6 +20,7 @@
 		}
 		p.workspaces[w.Name] = &workspace{Workspace: w}
 	}
+	p.setLimits()
 }
 
 // Workspace returns the workspace of a job; it is empty for a job without one, and for an unknown job.
