--- /dev/null
+++ b/fleet/intake/connections.go
@@ -0,0 +1,110 @@
+package intake
+
+// Connection is one connection of Connections. Its zero value is one that was not added.
+type Connection struct {
+	// Owner is whoever carries the decisions about the connection out.
+	Owner any
+
+	state          connectionState
+	previous, next *Connection
+}
+
+type connectionState int
+
+const (
+	absent connectionState = iota
+	quiet
+	busy
+)
+
+// Connections holds at most Limit connections. A connection is quiet while it waits for its client: for a request, a header or a body. It is not
+// safe for concurrent use.
+type Connections struct {
+	Limit int
+
+	count      int
+	quiet, use connectionList
+}
+
+// Len returns the number of connections.
+func (c *Connections) Len() int { return c.count }
+
+// Add adds a quiet connection. If there are too many, it removes the one that has been quiet for longest, or else the first busy one of which
+// stalled is true, and returns it. The new connection itself is returned, and not added, if there is none.
+func (c *Connections) Add(n *Connection, stalled func(*Connection) bool) (removed *Connection) {
+	if c.count >= c.Limit {
+		if removed = c.quiet.first; removed == nil {
+			for removed = c.use.first; removed != nil && !stalled(removed); {
+				removed = removed.next
+			}
+		}
+		if removed == nil {
+			return n
+		}
+		c.Remove(removed)
+	}
+	c.count++
+	n.state = quiet
+	c.quiet.add(n)
+	return removed
+}
+
+// Quiet notes that a connection waits for its client from now on, or that its client has just sent something.
+func (c *Connections) Quiet(n *Connection) { c.move(n, quiet) }
+
+// Busy notes that a connection no longer waits for its client.
+func (c *Connections) Busy(n *Connection) { c.move(n, busy) }
+
+func (c *Connections) move(n *Connection, state connectionState) {
+	if n.state == absent || n.state == busy && state == busy {
+		return
+	}
+	c.list(n).remove(n)
+	n.state = state
+	c.list(n).add(n)
+}
+
+// Remove removes a connection, and reports whether it was there.
+func (c *Connections) Remove(n *Connection) bool {
+	if n.state == absent {
+		return false
+	}
+	c.list(n).remove(n)
+	n.state = absent
+	c.count--
+	return true
+}
+
+func (c *Connections) list(n *Connection) *connectionList {
+	if n.state == quiet {
+		return &c.quiet
+	}
+	return &c.use
+}
+
+// connectionList is a list of connections in the order of their adding.
+type connectionList struct{ first, last *Connection }
+
+func (l *connectionList) add(n *Connection) {
+	n.previous, n.next = l.last, nil
+	if l.last == nil {
+		l.first = n
+	} else {
+		l.last.next = n
+	}
+	l.last = n
+}
+
+func (l *connectionList) remove(n *Connection) {
+	if n.previous == nil {
+		l.first = n.next
+	} else {
+		n.previous.next = n.next
+	}
+	if n.next == nil {
+		l.last = n.previous
+	} else {
+		n.next.previous = n.previous
+	}
+	n.previous, n.next = nil, nil
+}
