feat(rpc): limits of a server's messages, calls and connections

Cause: a message of the inner port took memory as long as its client sent, its calls as long as nobody read their answers, and a process out of descriptors ended its server.

Change: Limits of a Server; accepting goes on after a failure for want of descriptors. FuzzServer plays each input with and without limits.

--- a/fleet/rpc/fuzz_test.go
+++ b/fleet/rpc/fuzz_test.go
@@ -76,39 +76,47 @@
 	f.Add(append(binary.AppendUvarint(nil, 1<<63), '{'))
 	f.Add(bytes.Repeat([]byte{0xff}, 12))
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		listener := newPipeListener()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		defer cancel()
-		var group errgroup.Group
-		server := &rpc.Server{Listener: listener, Sentinels: rpc.Sentinels{errRefused}, Handler: echo}
-		group.Go(func() error { return server.Run(ctx) })
-		conn, err := listener.dial(ctx, "", "")
-		if err != nil {
-			t.Fatal(err)
-		}
-		group.Go(func() error {
-			_, _ = io.Copy(io.Discard, conn)
-			return nil
-		})
-		// The server may close the connection before it has read everything.
-		_, _ = conn.Write(sent)
-		other := &rpc.Client{Addr: netip.MustParseAddrPort("10.0.0.1:1"), Sentinels: rpc.Sentinels{errRefused}, Dial: listener.dial}
-		var got string
-		if err := other.Call(ctx, "echo", "text", &got); err != nil || got != "text" {
-			t.Errorf("call on another connection: got %q and %v, want the text", got, err)
-		}
-		if err := other.Call(ctx, "refuse", nil, nil); !errors.Is(err, errRefused) {
-			t.Errorf("refused call on another connection: got %v, want %v", err, errRefused)
-		}
-		_ = other.Close()
-		_ = conn.Close()
-		cancel()
-		if err := group.Wait(); err != nil {
-			t.Errorf("server: got %v, want none", err)
+		for _, limits := range []*rpc.Limits{nil, smallLimits()} {
+			checkServer(t, limits, sent)
 		}
 	})
 }
 
+// checkServer checks that a server answers the calls on a connection whatever was sent on another one.
+func checkServer(t *testing.T, limits *rpc.Limits, sent []byte) {
+	t.Helper()
+	listener := newPipeListener()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var group errgroup.Group
+	server := &rpc.Server{Listener: listener, Sentinels: rpc.Sentinels{errRefused}, Handler: echo, Limits: limits}
+	group.Go(func() error { return server.Run(ctx) })
+	conn, err := listener.dial(ctx, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	group.Go(func() error {
+		_, _ = io.Copy(io.Discard, conn)
+		return nil
+	})
+	// The server may close the connection before it has read everything.
+	_, _ = conn.Write(sent)
+	other := &rpc.Client{Addr: netip.MustParseAddrPort("10.0.0.1:1"), Sentinels: rpc.Sentinels{errRefused}, Dial: listener.dial}
+	var got string
+	if err := other.Call(ctx, "echo", "text", &got); err != nil || got != "text" {
+		t.Errorf("call on another connection: got %q and %v, want the text", got, err)
+	}
+	if err := other.Call(ctx, "refuse", nil, nil); !errors.Is(err, errRefused) {
+		t.Errorf("refused call on another connection: got %v, want %v", err, errRefused)
+	}
+	_ = other.Close()
+	_ = conn.Close()
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Errorf("server: got %v, want none", err)
+	}
+}
+
 // Guards against an answer of another process, of another version or broken, that ends the caller, or is taken for an answer of the handler
 // although it has none.
 func FuzzClient(f *testing.F) {
--- a/fleet/rpc/server.go
+++ b/fleet/rpc/server.go
@@ -10,6 +10,8 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
+
+	"verbenalanding.example/fleet/interval"
 )
 
 // Server answers the calls of other processes on a listener.
@@ -19,6 +21,8 @@
 	Sentinels Sentinels
 	// Log gets a line for each message that cannot be decoded, or whose answer cannot be sent; nil writes to standard error.
 	Log *zerolog.Logger
+	// Limits bound the server's memory; nil for none.
+	Limits *Limits
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
@@ -40,6 +44,10 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if isExhausted(err) {
+				interval.Wait(ctx, acceptPause)
+				continue
+			}
 			if err != nil {
 				return err
 			}
@@ -50,9 +58,13 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
-	c := jsonrpc2.NewConn(ctx, stream, handler, logOption(s.Log, conn))
+	var messages jsonrpc2.ObjectCodec = jsonrpc2.VarintObjectCodec{}
+	calls := jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()
+	handler := jsonrpc2.AsyncHandler(calls)
+	if s.Limits != nil {
+		messages, handler = codec{ctx: ctx, limits: s.Limits, conn: conn}, newLimitedHandler(calls, s.Limits, conn)
+	}
+	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, messages), handler, logOption(s.Log, conn))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropClosed()
