--- a/fleet/workload/job.go
+++ b/fleet/workload/job.go
@@ -12,7 +12,7 @@
 
 // Limits of a job; a larger job is refused as invalid.
 const (
-	maxSteps = 256
+	MaxSteps = 256
 	maxTasks = 4096
 	// maxJobTasks bounds the tasks of all occurrences.
 	maxJobTasks = 16 * maxTasks
@@ -164,8 +164,8 @@
 
 // Check validates the job. It returns an error that wraps ErrInvalidJob and names the invalid field.
 func (j *Job) Check() error {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return fmt.Errorf("%w: %d steps, want 1 to %d", ErrInvalidJob, len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fmt.Errorf("%w: %d steps, want 1 to %d", ErrInvalidJob, len(j.Steps), MaxSteps)
 	}
 	total := 0
 	for i := range j.Steps {
