fix(node): what clients can take of a process is bounded

Cause: bodies were read without a bound on all of them together, into buffers that grow by doubling; connections, unread answers and unread bodies were bounded by nothing but the process's end.

Change: the entry, the readiness port and the inner port accept connections through inlet.Listener, up to a part of the process's descriptors and memory; bodies, jobs that are being stored, messages and calls of other nodes each get a part of the memory. A refusal is 503 with Retry-After, 408 or 413, states notRun and closes the connection; it is counted in verbena_refusals_total by listener and cause, with 10 log lines a second for each cause. Large notifications of stored jobs are bounded in bytes as well. The flags are in the group Intake.

Changed test: the fixture of takeovers gives its node the default limits.

--- a/verbenaentry/logs/logs.go
+++ b/verbenaentry/logs/logs.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -120,3 +121,17 @@
 	}
 	return b.leftOut.Swap(0), true
 }
+
+// Budgets limits the number of lines of each of several kinds per second.
+type Budgets struct {
+	// PerSecond is the number of lines of a kind that are written per second.
+	PerSecond int64
+
+	kinds sync.Map
+}
+
+// Allow reports whether a line of a kind may be written now, and how many of its lines were left out since the last allowed one.
+func (b *Budgets) Allow(kind string, now time.Time) (leftOut int64, ok bool) {
+	budget, _ := b.kinds.LoadOrStore(kind, &Budget{PerSecond: b.PerSecond})
+	return budget.(*Budget).Allow(now)
+}
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -40,14 +40,18 @@
 	entry := &http.Server{
 		Handler: http.HandlerFunc(n.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	entryListener := n.limitListener(listenerEntry, l.entry)
+	limitServer(entry, entryListener)
 	router := chi.NewRouter()
 	router.Get(platform.ReadinessPath, n.ready)
 	router.Get("/metrics", n.metrics)
 	n.routeExplanations(router)
 	readiness := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	readinessListener := n.limitListener(listenerReadiness, l.readiness)
+	limitServer(readiness, readinessListener)
 	for _, serve := range []func() error{
-		func() error { return entry.Serve(l.entry) },
-		func() error { return readiness.Serve(l.readiness) },
+		func() error { return entry.Serve(entryListener) },
+		func() error { return readiness.Serve(readinessListener) },
 	} {
 		group.Go(func() error {
 			if err := serve(); !errors.Is(err, http.ErrServerClosed) {
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -40,6 +40,7 @@
 type Flags struct {
 	DutyTTL     time.Duration `long:"duty-ttl" env:"VERBENA_DUTY_TTL" default:"2500ms" description:"time after which an unreachable holder loses its duties"`
 	WorkerLease time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker keeps its runs without a lease renewal"`
+	Intake      IntakeFlags   `group:"Intake"`
 	LogLevel    string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
 }
 
@@ -52,7 +53,7 @@
 	if f.WorkerLease < shortest || f.WorkerLease > time.Minute {
 		return fmt.Errorf("%w: --worker-lease is %v, want %v to %v", ErrFlags, f.WorkerLease, shortest, time.Minute)
 	}
-	return nil
+	return f.Intake.check()
 }
 
 // memoryLimitPercent is the percentage of the process's memory limit above which garbage is collected more often; the platform kills a
@@ -82,6 +83,8 @@
 	leaving       atomic.Bool
 	// refusals limits the log lines for refused requests.
 	refusals logs.Budget
+	// intake bounds what clients can take of the process.
+	intake *clientIntake
 	// listenAt opens the node's listeners.
 	listenAt func(addr netip.AddrPort) (net.Listener, error)
 	// notifications runs the calls that notify holders of stored requests; nothing waits for them, and their timeout ends them.
@@ -189,7 +192,7 @@
 ) *Node {
 	return &Node{
 		Settings: s, Flags: f, Log: log, Clock: clock, Store: st, Workers: w, Machines: m, Advice: a, Elector: elector, View: v, Peers: p, Registry: r,
-		StoreTimeout: timeout, refusals: logs.Budget{PerSecond: refusalLines},
+		StoreTimeout: timeout, refusals: logs.Budget{PerSecond: refusalLines}, intake: newClientIntake(s, f),
 	}
 }
 
@@ -225,7 +228,9 @@
 	group.Go(func() error { return n.View.Run(groupCtx) })
 	group.Go(func() error { return n.followConfigurationOfPeers(groupCtx) })
 	group.Go(func() error { return n.Elector.Run(groupCtx) })
-	group.Go(func() error { return n.Peers.Serve(groupCtx, listeners.peer) })
+	n.registerIntake()
+	n.Peers.Limits = n.peerLimits()
+	group.Go(func() error { return n.Peers.Serve(groupCtx, n.limitListener(listenerPeer, listeners.peer)) })
 	servers := n.serve(group, listeners)
 	group.Go(func() error { return n.watchSettings(groupCtx) })
 	group.Go(func() error { return n.reportCounts(groupCtx) })
--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -10,7 +10,7 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// notificationLimit bounds the concurrent notifications of holders; a notification beyond it is skipped, and the holder receives the change
+// notificationLimit bounds the concurrent notifications of holders, whose jobs are bounded in bytes as well; a notification beyond it is skipped, and the holder receives the change
 // by its watch.
 const notificationLimit = 64
 
@@ -29,14 +29,33 @@
 		local(held)
 		return
 	}
-	n.notifications.TryGo(func() error {
+	size := n.intake.noticeSize(params)
+	if !n.intake.notices.TryAcquire(size) {
+		return
+	}
+	if started := n.notifications.TryGo(func() error {
+		defer n.intake.notices.Release(size)
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
 		if err := n.callHolder(ctx, name, method, params, nil); err != nil {
 			n.Log.Debug().Str("pool", name).Err(err).Msg("holder not notified of a stored request")
 		}
 		return nil
-	})
+	}); !started {
+		n.intake.notices.Release(size)
+	}
+}
+
+// noticeCopies is the memory of a notification as a multiple of its job: the record, its message and the buffer in which that is encoded.
+const noticeCopies = 4
+
+// noticeSize returns the memory of a notification.
+func (i *clientIntake) noticeSize(params any) int64 {
+	s, ok := params.(*storedJob)
+	if !ok {
+		return 0
+	}
+	return min(noticeCopies*int64(len(s.Value)), i.noticeBytes)
 }
 
 // addStoredJob adds a newly stored job. Jobs that were stored before this holder took the duty are in its list of jobs.
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -67,6 +67,8 @@
 	Elector *leadership.Elector
 	// Handler handles the calls of other nodes.
 	Handler rpc.Handler
+	// Limits bound what clients of the inner port can take of the process; nil for none.
+	Limits *rpc.Limits
 	// Dial opens connections to other nodes; nil uses net.Dialer.
 	Dial Dial
 	// Log gets the lines about disturbed connections, at most connectionLines a second.
@@ -88,7 +90,7 @@
 
 // Serve serves the calls of other nodes until the context ends.
 func (p *Peers) Serve(ctx context.Context, l net.Listener) error {
-	server := rpc.Server{Listener: l, Sentinels: peerSentinels, Log: &p.Log, Handler: func(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	server := rpc.Server{Listener: l, Sentinels: peerSentinels, Log: &p.Log, Limits: p.Limits, Handler: func(ctx context.Context, method string, params json.RawMessage) (any, error) {
 		return p.Handler(ctx, method, params)
 	}}
 	return server.Run(ctx)
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 
@@ -16,17 +15,11 @@
 // submit stores a job; the job is accepted only once it is stored.
 func (n *Node) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, q *workload.Queue, id string, maxBody int64) int {
 	log := n.Log.With().Str("job", id).Str("queue", q.Name).Str("pool", q.Pool).Logger()
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, n.maxBodyBytes(maxBody)))
+	content, release, err := n.readJob(ctx, r, n.maxBodyBytes(maxBody))
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		status := http.StatusBadRequest
-		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		log.Info().Err(err).Msg("job refused: body cannot be read")
-		n.refuse(w, status, "the body cannot be read")
-		return status
+		return n.refuseBody(w, r, err)
 	}
+	defer release()
 	job, err := platform.DecodeJob(content)
 	if err != nil {
 		log.Info().Err(err).Msg("job refused: body is invalid")
--- a/verbenaentry/node/successor_test.go
+++ b/verbenaentry/node/successor_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/dispatch"
@@ -45,6 +46,7 @@
 		t.Fatalf("open gate: got %v, want none", err)
 	}
 	n := &Node{Clock: monotonic.New(), Elector: &leadership.Elector{}, Store: &platform.Store{Client: platform.NewClient(), Addr: gate.Addr}, StoreTimeout: &storeTimeout{}}
+	n.Registry, n.intake = metrics.NewRegistry(), newClientIntake(platform.Settings{}, Flags{})
 	s := &takeoverFixture{t: t, gate: gate, ctx: ctx, pool: &pool{node: n, name: "cutting", planNow: ring.New[struct{}](1)}}
 	s.takeDuty()
 	s.pool.scheduler = &dispatch.Pool{Name: "cutting", Epoch: s.pool.fence}
