--- a/verbenabench/crowd/entry_linux_test.go
+++ b/verbenabench/crowd/entry_linux_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -54,6 +55,12 @@
 	return s
 }
 
+// withHeader adds a field of a size to the header.
+func (s submission) withHeader(size int) submission {
+	s.fields += "Filler: " + strings.Repeat("a", size) + "\r\n"
+	return s
+}
+
 func (s submission) send() send {
 	var clients atomic.Int64
 	framing := "Transfer-Encoding: chunked"
@@ -174,6 +181,10 @@
 		{"bodies in pieces without their last byte", whole(largeJob(), 1).inPieces().send()},
 		{"one large chunk without its end", chunked(largeJob(), maxBody).send()},
 		{"chunks of one byte without their end", chunked(largeJob(), 1).inPieces().send()},
+		{"headers that trickle", trickle},
+		{"bodies without their last byte after large headers", whole(largeJob(), 1).withHeader(15 << 10).send()},
+		{"small bodies without their last byte after large headers", whole(largeJob()[:16<<10], 1).withHeader(15 << 10).send()},
+		{"small jobs after large headers", whole(largeJob()[:16<<10], 0).withHeader(15 << 10).send()},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := start(t, machineMB, machineFDs)
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -114,7 +114,16 @@
 		status = http.StatusMethodNotAllowed
 		n.refuse(w, status, "unknown method")
 	}
-	observe(n.Registry, "requests."+strings.ToLower(r.Method)+"."+strconv.Itoa(status), time.Since(began))
+	observe(n.Registry, "requests."+methodLabel(r.Method)+"."+strconv.Itoa(status), time.Since(began))
+}
+
+// methodLabel returns the name of a method in metrics. Unknown methods share one, since each name keeps a histogram in memory.
+func methodLabel(method string) string {
+	switch method {
+	case http.MethodPost, http.MethodGet, http.MethodDelete:
+		return strings.ToLower(method)
+	}
+	return "other"
 }
 
 const (
--- a/verbenaentry/node/entry_bench_test.go
+++ b/verbenaentry/node/entry_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -16,7 +15,6 @@
 
 	"verbenalanding.example/fleet/monotonic"
 	"verbenalanding.example/platform"
-	"verbenalanding.example/platform/wire"
 )
 
 // BenchmarkRequest measures a calm request on an open connection, from the first byte sent to the last one received. The job has no steps, so that
@@ -25,19 +23,11 @@
 	for _, size := range []int{100, 4 << 10, 256 << 10} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			n := &Node{
-				Registry: metrics.NewRegistry(), Log: zerolog.Nop(), Clock: monotonic.New(), View: newView(nil, zerolog.Nop(), monotonic.New()),
+				Registry: metrics.NewRegistry(), Log: zerolog.Nop(), Clock: monotonic.New(), View: viewOfQueue(b, "a", "/q/"),
 				Settings: platform.Settings{MaxValueBytes: 1 << 20}, intake: newClientIntake(platform.Settings{}, Flags{}),
 			}
-			n.View.OnChange = func() {}
-			configuration, err := json.Marshal(wire.Configuration{
-				Version: 1, Services: []wire.Service{{Name: "p"}}, Routes: []wire.Route{{Name: "q", Hostname: "a", Prefix: "/q/", Backend: "p"}},
-				Limits: wire.Limits{MaxBodyBytes: 256 << 10},
-			})
-			if err != nil {
-				b.Fatal(err)
-			}
-			n.View.configure(configuration)
 			var l listeners
+			var err error
 			for _, dest := range []*net.Listener{&l.entry, &l.readiness} {
 				if *dest, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 					b.Fatal(err)
--- a/verbenaentry/node/intake.go
+++ b/verbenaentry/node/intake.go
@@ -80,8 +80,8 @@
 	defaultMaxFDs   = 4096
 	// reservedFDs descriptors are the platform's for files; sockets share the others.
 	reservedFDs = 200
-	// connectionBytes is the memory of a connection: its goroutines and the buffers of its requests.
-	connectionBytes = 24 << 10
+	// connectionBytes is the memory of a connection: its goroutines, the buffers of its requests and a header, which may be as large as 20 kB.
+	connectionBytes = 32 << 10
 	// Callers' connections may take one part in callerMemory of the memory and one in callerSockets of the sockets, those of other nodes one in
 	// peerSockets, and those of the readiness port one in readinessSockets. The rest is for the connections that the process opens itself.
 	callerMemory        = 8
--- a/verbenaentry/node/intake_test.go
+++ b/verbenaentry/node/intake_test.go
@@ -15,7 +15,9 @@
 	"github.com/rs/zerolog"
 
 	"verbenalanding.example/fleet/inlet"
+	"verbenalanding.example/fleet/monotonic"
 	"verbenalanding.example/platform"
+	"verbenalanding.example/platform/wire"
 )
 
 func intakeNode(out io.Writer) *Node {
@@ -112,3 +114,29 @@
 		}
 	}
 }
+
+// Guards against clients that make the process keep a histogram for each method that they think of.
+func TestUnknownMethodsShareOneMetric(t *testing.T) {
+	n := intakeNode(io.Discard)
+	n.View = viewOfQueue(t, "a", "/q/")
+	for _, method := range []string{"ALPHA", "BETA", "post", http.MethodPut} {
+		n.handle(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), method, "http://a/q/5c0e7a21d94b36f8", nil))
+	}
+	wantMetrics(t, n, []string{`verbena_requests_seconds_count{kind="other.405"} 4`}, []string{"alpha", "beta", "post.405"})
+}
+
+// viewOfQueue returns a view whose configuration has one queue.
+func viewOfQueue(t testing.TB, host, prefix string) *View {
+	t.Helper()
+	configuration, err := json.Marshal(wire.Configuration{
+		Version: 1, Services: []wire.Service{{Name: "p"}}, Routes: []wire.Route{{Name: "q", Hostname: host, Prefix: prefix, Backend: "p"}},
+		Limits: wire.Limits{MaxBodyBytes: 256 << 10},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := newView(nil, zerolog.Nop(), monotonic.New())
+	v.OnChange = func() {}
+	v.configure(configuration)
+	return v
+}
