feat(dispatch): order of waiting work by what workspaces are owed

Cause: work that is late for all of its callers, and what a workspace sends beyond its weight, waited beside work that is owed and had time. Change: where the configuration has workspaces, candidates are placed by priority, owed before beyond, what can be in time (by the shortest likely run times) before late before useless, begun, dominant share over weight, worth per core-second. Jobs are metered in the order of acceptance by a token bucket of the weight. What has waited 10 s has a sixteenth of the pool. Explanations name the share.

--- /dev/null
+++ b/fleet/dispatch/aging.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// agingWait is how long a task waits, where workspaces share a pool, until its job joins those that are placed first by their age.
+	agingWait = 10 * time.Second
+	// agedParts is the part of the pool's CPU, as one in so many, that the jobs have that are placed by their age. Work that is always overtaken begins
+	// after agingWait and the time that this part of the pool needs for what has waited longer.
+	agedParts = 16
+)
+
+// placeAged places the jobs that have waited longest, where workspaces share the pool, until their runs occupy their part of it. Each gets the room that
+// it needs if none of them runs.
+func (p *Pool) placeAged(list []candidate, u uncertainty, now time.Time) {
+	if len(p.workspaces) == 0 {
+		return
+	}
+	var aged []agedCandidate
+	for i := range list {
+		c := &list[i]
+		if c.longRunning || now.Sub(c.job.Accepted) < agingWait {
+			continue
+		}
+		if since := c.waitingSince(u); now.Sub(since) >= agingWait {
+			aged = append(aged, agedCandidate{*c, since})
+		}
+	}
+	if len(aged) == 0 {
+		return
+	}
+	slices.SortStableFunc(aged, func(a, b agedCandidate) int { return a.since.Compare(b.since) })
+	shares := p.currentShares()
+	left := shares.capacity.CPU/agedParts - shares.agedCPU
+	for _, c := range aged {
+		if left <= 0 && shares.agedCPU > 0 {
+			return
+		}
+		before := c.waitingNeed().CPU
+		p.place(c.candidate, u, now)
+		if used := before - c.waitingNeed().CPU; used > 0 {
+			c.job.aged = true
+			left -= used
+			shares.agedCPU += used
+		}
+	}
+}
+
+// agedCandidate is a candidate that has waited since a time.
+type agedCandidate struct {
+	candidate
+	since time.Time
+}
+
+// waitingSince returns since when the candidate's oldest waiting task has been ready.
+func (c *candidate) waitingSince(u uncertainty) time.Time {
+	var since time.Time
+	for t := range c.waitingTasks(u) {
+		if since.IsZero() || t.readySince.Before(since) {
+			since = t.readySince
+		}
+	}
+	return since
+}
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -122,6 +122,8 @@
 	OnEvent func(Event)
 	// OnFirstStart receives how long each job has waited for its first run, unless a previous holder may have started it; it may be nil.
 	OnFirstStart func(FirstStart)
+	// OnMetered receives whether a workspace is owed a job that became known; it may be nil.
+	OnMetered func(workspace string, owed bool)
 
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
@@ -153,6 +155,8 @@
 	sortedByID []*worker
 	jobs       map[string]*job
 	active     []*job
+	// unmetered holds the jobs of workspaces that became known since the last plan.
+	unmetered []*job
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
 	// means holds the learned run times, queueWork the learned work per job of each queue.
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -11,6 +12,8 @@
 type runningMean struct {
 	mean    float64
 	samples int
+	// spread is the learned mean deviation of the samples from the mean, over the mean.
+	spread float64
 }
 
 const (
@@ -20,6 +23,8 @@
 	defaultEstimate = time.Second
 	maxRatio        = 10
 	minRatio        = 0.1
+	// maxSpread bounds what the shortest likely run time is below the expected one.
+	maxSpread = 0.5
 )
 
 // meanKey identifies the tasks whose run times are learned together.
@@ -41,6 +46,7 @@
 	}
 	weight := max(learnWeight, 1/float64(f.samples+1))
 	sample := min(max(float64(took)/float64(declared), minRatio), maxRatio)
+	f.spread += weight * (min(math.Abs(sample-f.mean)/f.mean, maxSpread) - f.spread)
 	f.mean += weight * (sample - f.mean)
 	f.samples++
 	expected := f.mean * float64(declared)
@@ -63,11 +69,21 @@
 	return d
 }
 
+// spread returns the learned mean deviation of the run times of a task's kind, as a part of the expected one.
+func (p *Pool) spread(t *task) float64 {
+	if f := p.means[t.meanKey()]; f != nil {
+		return f.spread
+	}
+	return 0
+}
+
 // jobEstimate is the estimated work of an occurrence of a job.
 type jobEstimate struct {
 	// remainingPath is the time that the longest chain of steps still needs, criticalPath the time of the longest chain of all steps.
 	remainingPath time.Duration
 	criticalPath  time.Duration
+	// leastPath is remainingPath with the shortest likely run times.
+	leastPath time.Duration
 	// work is the remaining work in core-seconds, total the work of the whole occurrence.
 	work  float64
 	total float64
@@ -77,24 +93,29 @@
 	var e jobEstimate
 	remainingPaths := make([]time.Duration, len(oc.steps))
 	criticalPaths := make([]time.Duration, len(oc.steps))
+	leastPaths := make([]time.Duration, len(oc.steps))
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		each := p.expectedDuration(st.tasks[0])
 		cores := float64(j.Steps[s].Need.CPU) / 1000
 		e.total += cores * each.Seconds() * float64(len(st.tasks))
 		e.work += cores * each.Seconds() * float64(len(st.tasks)-st.done)
-		remaining := each
+		remaining, least := each, workload.Scale(each, 1-p.spread(st.tasks[0]))
 		if st.done == len(st.tasks) {
-			remaining = 0
+			remaining, least = 0, 0
 		} else if !st.startedAt.IsZero() && st.withoutRun == 0 {
-			remaining = max(0, each-now.Sub(st.startedAt))
+			ran := now.Sub(st.startedAt)
+			remaining, least = max(0, each-ran), max(0, least-ran)
 		}
 		for _, a := range j.Steps[s].After {
 			remainingPaths[s], criticalPaths[s] = max(remainingPaths[s], remainingPaths[a]), max(criticalPaths[s], criticalPaths[a])
+			leastPaths[s] = max(leastPaths[s], leastPaths[a])
 		}
 		remainingPaths[s] += remaining
 		criticalPaths[s] += each
+		leastPaths[s] += least
 		e.remainingPath, e.criticalPath = max(e.remainingPath, remainingPaths[s]), max(e.criticalPath, criticalPaths[s])
+		e.leastPath = max(e.leastPath, leastPaths[s])
 	}
 	return e
 }
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -35,6 +35,8 @@
 	WaitTooLarge WaitReason = "tooLarge"
 	// WaitNoCapacity means that the free capacity of no worker suffices.
 	WaitNoCapacity WaitReason = "noCapacity"
+	// WaitShare means that there is no capacity, and that what other workspaces are owed goes before the job, which its workspace is not owed.
+	WaitShare WaitReason = "share"
 	// WaitOtherWorker means that the task has failed on each worker with enough free capacity, and waits for another one.
 	WaitOtherWorker WaitReason = "otherWorker"
 	// WaitNextPlan means that the task is about to be started.
@@ -49,6 +51,7 @@
 	Queue string         `json:"queue"`
 	Pool  string         `json:"pool"`
 	State workload.State `json:"state"`
+	workspaceExplanation
 	// Reason is that of the next task that waits.
 	Reason WaitReason `json:"reason"`
 	// Since is when that task became ready; zero if it is not ready.
@@ -83,6 +86,8 @@
 	all workBefore
 	// cores is the capacity of the workers that take starts, free what no task has reserved.
 	cores, free float64
+	// shares is nil where no workspaces share the pool.
+	shares *poolShares
 }
 
 type workBefore struct {
@@ -107,6 +112,9 @@
 		before.work += p.waitingWork(c, x.u)
 	}
 	x.all = before
+	if len(p.workspaces) > 0 {
+		x.shares = p.currentShares()
+	}
 	return x
 }
 
@@ -129,6 +137,7 @@
 		e.Reason, e.Basis = WaitEnded, "the job has ended"
 		return e
 	}
+	e.workspaceExplanation = x.workspaceOf(j)
 	e.countTasks(j, x.u)
 	oc, t := nextTask(j)
 	switch {
@@ -219,6 +228,7 @@
 	}
 	e.Reason = p.placementReason(t, now)
 	e.estimateStart(t, now)
+	e.explainShare()
 }
 
 // earlierStepsLeft estimates how long the steps before a step still run.
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -59,6 +59,8 @@
 	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
 	first *firstWait
 	worth float64
+	// beyond is set for a job beyond the rate that its workspace is owed, aged once tasks of the job were placed because they had waited long.
+	beyond, aged bool
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
 	recordedVersion int
@@ -81,6 +83,9 @@
 		j.queue = q
 	}
 	p.jobs[spec.ID] = j
+	if spec.Workspace != "" {
+		p.unmetered = append(p.unmetered, j)
+	}
 	if record != nil && record.State.Terminal() {
 		j.state, j.finished = record.State, record.Finished
 		if j.finished.IsZero() {
--- /dev/null
+++ b/fleet/dispatch/order.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenalanding.example/fleet/workload"
+)
+
+// order is the order in which the candidates of a plan are placed.
+type order interface{ order() }
+
+// byUrgency is the order of a pool whose jobs belong to no workspaces: that of compareCandidates.
+type byUrgency struct{}
+
+// byWorkspace is the order where workspaces share the pool: that of compareByWorkspace.
+type byWorkspace struct{}
+
+func (byUrgency) order()   {}
+func (byWorkspace) order() {}
+
+func (p *Pool) order() order {
+	if len(p.workspaces) == 0 {
+		return byUrgency{}
+	}
+	return byWorkspace{}
+}
+
+// sortCandidates sorts the candidates of a plan by the pool's order.
+func (p *Pool) sortCandidates(list []candidate, now time.Time) {
+	switch p.order().(type) {
+	case byUrgency:
+		slices.SortStableFunc(list, compareCandidates)
+	case byWorkspace:
+		p.rankByWorkspace(list, now)
+		slices.SortStableFunc(list, compareByWorkspace)
+	}
+}
+
+// use says what an occurrence is still worth to its caller.
+type use int
+
+const (
+	// useInTime means that it can still meet its target time.
+	useInTime use = iota
+	// useLate means that it is late and still of some use.
+	useLate
+	// useNone means that its result comes too late for its caller.
+	useNone
+)
+
+// lateFactor is up to how many times its objective a late job is still of some use.
+const lateFactor = 3
+
+// rank is the place of a candidate in the order by workspaces.
+type rank struct {
+	use    use
+	beyond bool
+	// share is the dominant share of the pool that the candidate's workspace has before the candidate is placed, over its weight.
+	share float64
+}
+
+// useOf returns what a candidate is still worth. An estimate may be too long by its spread, so that only what is late with the shortest likely run
+// times counts as late.
+func (c *candidate) useOf(now time.Time) use {
+	objective := c.target.Sub(c.from)
+	end := now.Add(c.leastPath)
+	switch {
+	case !end.After(c.target):
+		return useInTime
+	case !end.After(c.from.Add(workload.Scale(objective, lateFactor))):
+		return useLate
+	}
+	return useNone
+}
+
+// rankByWorkspace ranks the candidates. Each of a workspace counts as placed for the next one, as far as they go before one another for other reasons
+// than their shares.
+func (p *Pool) rankByWorkspace(list []candidate, now time.Time) {
+	for i := range list {
+		c := &list[i]
+		c.rank = rank{beyond: c.job.beyond}
+		if !c.longRunning {
+			c.rank.use = c.useOf(now)
+		}
+	}
+	slices.SortStableFunc(list, compareByWorkspace)
+	shares := p.currentShares()
+	for i := range list {
+		c := &list[i]
+		s := shares.of(c.job.Workspace)
+		c.rank.share = shares.dominant(s.used) / s.weight
+		s.used = s.used.Plus(c.waitingNeed())
+	}
+}
+
+// compareByWorkspace orders long-running tasks first, then by priority; then what its workspace is owed before what lies beyond, what can still be in time
+// before what is late, and that before what is of no use any more; then what was begun, the workspaces with the least of the pool for their weight, and
+// the most worth per core-second.
+func compareByWorkspace(a, b candidate) int {
+	return cmp.Or(
+		compareTrueFirst(a.longRunning, b.longRunning),
+		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+		compareTrueFirst(!a.rank.beyond, !b.rank.beyond),
+		cmp.Compare(a.rank.use, b.rank.use),
+		compareTrueFirst(a.begun, b.begun),
+		cmp.Compare(a.rank.share, b.rank.share),
+		-cmp.Compare(a.density, b.density),
+		a.job.Accepted.Compare(b.job.Accepted),
+	)
+}
+
+// waitingNeed returns what the waiting tasks of the candidate's steps that are ready occupy.
+func (c *candidate) waitingNeed() workload.Resources {
+	var sum workload.Resources
+	for s := range c.occurrence.steps {
+		if st := &c.occurrence.steps[s]; st.ready {
+			need := c.job.Steps[s].Reserved()
+			n := int64(st.withoutRun)
+			sum = sum.Plus(workload.Resources{CPU: need.CPU * n, MemoryMB: need.MemoryMB * n, GPU: need.GPU * n})
+		}
+	}
+	return sum
+}
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -17,6 +17,12 @@
 	inTime      bool
 	begun       bool
 	density     float64
+	// from is when its objective began, target when that ends; leastPath is the shortest time that its steps are likely to need still.
+	from      time.Time
+	target    time.Time
+	leastPath time.Duration
+	// rank is set where workspaces share the pool.
+	rank rank
 }
 
 // maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. A pool has
@@ -30,6 +36,7 @@
 	p.repeatStops(now)
 	p.replaceDraining(now)
 	p.countSuspects(now)
+	p.meterArrivals(now)
 	p.backlog = p.countBacklog()
 	p.rotateBacklog(now)
 	for _, j := range p.active {
@@ -38,7 +45,9 @@
 	u := p.currentUncertainty(now)
 	p.index, p.startsLeft = p.newIndex(now), maxStarts
 	p.freeAtFirst = p.index.maxFreeCPU()
-	for _, c := range p.candidates(u, now) {
+	list := p.candidates(u, now)
+	p.placeAged(list, u, now)
+	for _, c := range list {
 		p.place(c, u, now)
 	}
 	p.indexBuffer = p.index.release()
@@ -98,7 +107,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(list, compareCandidates)
+	p.sortCandidates(list, now)
 	// What is left of a longer list would keep jobs that have ended.
 	clear(list[len(list):cap(list)])
 	p.candidateBuffer = list
@@ -140,6 +149,7 @@
 		from = oc.due
 	}
 	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
+	c.from, c.target, c.leastPath = from, target, est.leastPath
 	c.inTime = !now.Add(est.remainingPath).After(target)
 	c.density = p.worth(j, est) / max(est.work, 0.001)
 	return c, true
--- a/fleet/dispatch/workspace.go
+++ b/fleet/dispatch/workspace.go
@@ -1,10 +1,15 @@
 package dispatch
 
-import "verbenalanding.example/fleet/workload"
+import (
+	"verbenalanding.example/fleet/metering"
+	"verbenalanding.example/fleet/workload"
+)
 
 // workspace is what the pool knows of a workspace of the configuration.
 type workspace struct {
 	workload.Workspace
+	// meter tells the jobs that the workspace is owed from those beyond.
+	meter metering.Meter
 }
 
 // SetWorkspaces replaces the workspaces of the configuration. Jobs of a workspace that is not among them, and all jobs without one, have neither a limit
@@ -14,10 +19,10 @@
 	p.workspaces = make(map[string]*workspace, len(list))
 	for _, w := range list {
 		if known := before[w.Name]; known != nil {
-			known.Workspace = w
+			known.Workspace, known.meter.Rate = w, w.Weight
 			p.workspaces[w.Name] = known
 			continue
 		}
-		p.workspaces[w.Name] = &workspace{Workspace: w}
+		p.workspaces[w.Name] = &workspace{Workspace: w, meter: metering.Meter{Rate: w.Weight}}
 	}
 }
