--- a/fleet/dispatch/workspace.go
+++ b/fleet/dispatch/workspace.go
@@ -26,3 +26,11 @@
 		p.workspaces[w.Name] = &workspace{Workspace: w, meter: metering.Meter{Rate: w.Weight}}
 	}
 }
+
+// Workspace returns the workspace of a job; it is empty for a job without one, and for an unknown job.
+func (p *Pool) Workspace(id string) string {
+	if j := p.jobs[id]; j != nil {
+		return j.Workspace
+	}
+	return ""
+}
