feat(node): holders divide what workspaces are owed by their arrivals

Cause: a workspace sends to several pools with different holders, each of which would owe it its whole weight. Change: each holder tells the recent arrivals of a workspace to its home, the holder of the pool that its name hashes to, every 0.5 s, and applies the total: it owes the part of the weight that it has of the arrivals. No call to the store. A lost home: the pools assume that they are alone after 2 s, until a successor answers.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -123,7 +123,7 @@
 	// OnFirstStart receives how long each job has waited for its first run, unless a previous holder may have started it; it may be nil.
 	OnFirstStart func(FirstStart)
 	// OnMetered receives whether a workspace is owed a job that became known; it may be nil.
-	OnMetered func(workspace string, owed bool)
+	OnMetered func(Metered)
 
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -70,6 +70,12 @@
 	return float64(used) / float64(capacity)
 }
 
+// Metered says whether a workspace is owed a job.
+type Metered struct {
+	Job, Workspace string
+	Owed           bool
+}
+
 // meterArrivals decides for the jobs that became known since the last plan whether their workspaces are owed them. They are metered in the order in which
 // they were accepted, so that a successor, which learns of all stored jobs at once, decides much like the holder that took them.
 func (p *Pool) meterArrivals(now time.Time) {
@@ -86,7 +92,7 @@
 		}
 		j.beyond = !w.meter.Arrive(at)
 		if p.OnMetered != nil {
-			p.OnMetered(j.Workspace, !j.beyond)
+			p.OnMetered(Metered{Job: j.ID, Workspace: j.Workspace, Owed: !j.beyond})
 		}
 	}
 	clear(p.unmetered)
--- a/verbenaentry/node/peercall_fuzz_test.go
+++ b/verbenaentry/node/peercall_fuzz_test.go
@@ -13,7 +13,7 @@
 // peerMethods are the methods of calls between nodes, and one that no version has.
 var peerMethods = []string{
 	methodJobState, methodPending, methodStatus, methodStored, methodCancelled, methodGet, methodApply, methodConfiguration, methodHolder,
-	methodExplainJob, methodExplainQueue, "job.unknown",
+	methodExplainJob, methodExplainQueue, methodArrivals, "job.unknown",
 }
 
 // Guards against a call of another node, of another version or with a broken content, that ends the holder or gives it a job that no node can
@@ -26,7 +26,8 @@
 		methodStored: `{"pool":"cutting","id":"00000000000000a1","value":` + job + `,"revision":7}`, methodGet: `"job/cutting/00000000000000a1"`,
 		methodApply: `{"If":[{"Key":"a","Revision":-1}],"Put":[{"Key":"a","Value":"e30="}]}`, methodConfiguration: `-3`, methodHolder: `"cutting"`,
 		methodExplainJob: `{"pool":"cutting","name":"00000000000000a1"}`, methodExplainQueue: `{"pool":"cutting","name":"q","queue":"h/q/"}`,
-		"job.unknown": `[{"pool":null}]`,
+		methodArrivals: `{"home":"cutting","pool":"billing","counts":[{"workspace":"a","arrivals":-1e300},{"workspace":"a","arrivals":7}]}`,
+		"job.unknown":  `[{"pool":null}]`,
 	} {
 		for i, known := range peerMethods {
 			if method == known {
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"verbenalanding.example/fleet/leadership"
+	"verbenalanding.example/fleet/metering"
 	"verbenalanding.example/fleet/rpc"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
@@ -40,6 +41,8 @@
 	// Operators ask any node why a job or the jobs of a queue wait.
 	methodExplainJob   = "job.explain"
 	methodExplainQueue = "queue.explain"
+	// The holder of a workspace's home adds up its arrivals at all pools.
+	methodArrivals = "workspace.arrivals"
 )
 
 // peerTimeout is the timeout of a call to another node; requests fall back to the store when the holder does not answer.
@@ -210,6 +213,14 @@
 		return rpc.Answer(params, func(s storedJob) (any, error) {
 			return nil, n.withPool(s.Pool, func(p *pool) error { return p.addStoredJob(s) })
 		})
+	case methodArrivals:
+		return rpc.Answer(params, func(a arrivals) (totals []metering.Total, err error) {
+			err = n.withPool(a.Home, func(p *pool) error {
+				totals = p.addArrivals(a)
+				return nil
+			})
+			return totals, err
+		})
 	}
 	return rpc.Answer(params, func(item poolItem) (answer any, err error) {
 		err = n.withPool(item.Pool, func(p *pool) error {
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -16,6 +16,7 @@
 	"verbenalanding.example/fleet/follow"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/leadership"
+	"verbenalanding.example/fleet/metering"
 	"verbenalanding.example/fleet/retry"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -88,7 +89,9 @@
 
 	mu        sync.Mutex
 	scheduler *dispatch.Pool
-	budget    logs.Budget
+	// arrivals holds what the pools have told of the workspaces whose home this pool is.
+	arrivals metering.Sums
+	budget   logs.Budget
 	// confirmedAge is how old the last confirmation of the duty was at the last plan, confirmedBy who gave it.
 	confirmedAge time.Duration
 	confirmedBy  leadership.Confirmer
@@ -128,7 +131,7 @@
 		planNow: ring.New[struct{}](1), writeNow: ring.New[struct{}](1), recordNow: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(maxOrders)
-	p.scheduler = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), OnEvent: p.logEvent, OnFirstStart: p.observeFirstStart, AwaitConfirmation: true}
+	p.scheduler = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), OnEvent: p.logEvent, OnFirstStart: p.observeFirstStart, OnMetered: p.countMetered, AwaitConfirmation: true}
 	p.scheduler.AwaitWorkerList = n.Settings.Machines.IsValid()
 	p.scheduler.RecordWorkers = !p.scheduler.AwaitWorkerList
 	p.scheduler.Begin(p.takenAt)
@@ -160,7 +163,7 @@
 	}
 	size := sizer{pool: p}
 	for _, run := range []func(context.Context) error{
-		jobs.load, size.run, p.dropEndedWorkers, p.runPlans, p.write, p.upkeeps.run, p.recordUnresponsive, p.readUnknownJobs, (&cancelledIDs{pool: p}).run,
+		jobs.load, size.run, p.dropEndedWorkers, p.runPlans, p.write, p.upkeeps.run, p.recordUnresponsive, p.readUnknownJobs, (&cancelledIDs{pool: p}).run, p.exchangeArrivals,
 	} {
 		group.Go(func() error { return run(groupCtx) })
 	}
