--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -95,13 +95,14 @@
 	}
 }
 
-// compareByWorkspace orders long-running tasks first, then by priority; then what its workspace is owed before what lies beyond, what can still be in time
-// before what is late, and that before what is of no use any more; then what was begun, the workspaces with the least of the pool for their weight, and
-// the most worth per core-second.
+// compareByWorkspace orders long-running tasks first, then by priority, and what is of no use any more last; then what its workspace is owed before what
+// lies beyond, and what can still be in time before what is late; then what was begun, the workspaces with the least of the pool for their weight, and the
+// most worth per core-second. Work beyond goes before owed work of no use, which nobody needs.
 func compareByWorkspace(a, b candidate) int {
 	return cmp.Or(
 		compareTrueFirst(a.longRunning, b.longRunning),
 		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+		compareTrueFirst(a.rank.use != useNone, b.rank.use != useNone),
 		compareTrueFirst(!a.rank.beyond, !b.rank.beyond),
 		cmp.Compare(a.rank.use, b.rank.use),
 		compareTrueFirst(a.begun, b.begun),
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -50,6 +50,7 @@
 	for _, c := range list {
 		p.place(c, u, now)
 	}
+	p.updateOutlook(list, u, now)
 	p.indexBuffer = p.index.release()
 	p.index = nil
 	actions := p.actions
--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -14,6 +14,7 @@
 	"verbenalanding.example/verbenabench/flood"
 	"verbenalanding.example/verbenabench/jobload"
 	"verbenalanding.example/verbenabench/moves"
+	"verbenalanding.example/verbenabench/overload"
 	"verbenalanding.example/verbenabench/placement"
 	"verbenalanding.example/verbenabench/planstep"
 	"verbenalanding.example/verbenabench/platform"
@@ -36,6 +37,7 @@
 		{"placement", "Place jobs and compare the policy with first fit", &placementCommand{streams: s}},
 		{"steps", "Measure the steps of the scheduler of a pool, by its number of workers", &stepsCommand{streams: s}},
 		{"estimates", "Compare the estimated starts of explained jobs with the actual ones", &estimatesCommand{streams: s}},
+		{"overload", "Compare orders of waiting work and rules of refusal in a pool that workspaces share", &overloadCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
 		{"soak", "Run entry instances as processes under random faults and check the promises", &soakCommand{streams: s}},
 		{"days", "Simulate whole days of entry instances under random faults and check the promises", &daysCommand{streams: s}},
@@ -248,3 +250,15 @@
 	c.Out = c.out
 	return c.Run(c.ctx)
 }
+
+type overloadCommand struct {
+	streams
+	commonFlags
+	Seeds int `long:"seeds" default:"5" description:"number of consecutive seeds that are added up"`
+}
+
+// Execute runs the measurement.
+func (c *overloadCommand) Execute([]string) error {
+	o := &overload.Overload{Seed: uint64(c.Seed), Seeds: c.Seeds, JSON: c.JSON, Out: c.out}
+	return o.Run(c.ctx)
+}
--- /dev/null
+++ b/verbenabench/overload/model.go
@@ -0,0 +1,341 @@
+package overload
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/workload"
+)
+
+const (
+	workers      = 84
+	workerCPU    = 16_000
+	rackWorkers  = 28
+	tick         = 20 * time.Millisecond
+	trafficTime  = 30 * time.Second
+	drainTime    = 25 * time.Second
+	workspaces   = 11
+	usualRate    = 2
+	weight       = 3
+	maxTries     = 3
+	wrongBy      = 1.9
+	unevenBy     = 0.3
+	lateCredit   = 0.07
+	lateFactor   = 3
+	stretch      = 2
+	targetTime   = 600 * time.Millisecond
+	disturbedAt  = 8 * time.Second
+	disturbedFor = 10 * time.Second
+	hotFactor    = 8
+	burstFactor  = 3
+)
+
+// kind is a kind of job: steps one after the other, each of eight equal tasks.
+type kind struct {
+	cpu   int64
+	run   time.Duration
+	share float64
+}
+
+var kinds = []kind{{3100, 800 * time.Millisecond, 0.8}, {6700, 1300 * time.Millisecond, 0.2}}
+
+const stepTasks = 8
+
+// load is what happens from disturbedAt on, for disturbedFor.
+type load struct {
+	name             string
+	burst, hot, rack bool
+}
+
+var loads = []load{
+	{name: "calm"},
+	{name: "burst", burst: true},
+	{name: "hot workspace", hot: true},
+	{name: "lost rack", rack: true},
+	{name: "all", burst: true, hot: true, rack: true},
+}
+
+// policy is an order of waiting work and a rule of refusal.
+type policy struct {
+	order   string
+	refusal string
+}
+
+const (
+	firstCome = "first come"
+	urgency   = "without workspaces"
+	owedFirst = "by workspace"
+
+	refuseNone    = "none"
+	refuseBacklog = "by backlog"
+	refuseUse     = "by use"
+)
+
+var policies = []policy{
+	{firstCome, refuseNone},
+	{firstCome, refuseBacklog},
+	{urgency, refuseNone},
+	{urgency, refuseBacklog},
+	{owedFirst, refuseNone},
+	{owedFirst, refuseBacklog},
+	{owedFirst, refuseUse},
+}
+
+// call is a job that a caller sends.
+type call struct {
+	job       workload.Job
+	at, first time.Time
+	run       time.Duration
+	objective time.Duration
+	worth     float64
+	work      float64
+	// owed is the bench's own count: the first jobs of each second up to the weight.
+	owed  bool
+	tries int
+	// began is when the first task began, ended when the job was completed; zero before.
+	began, ended time.Time
+	refused      bool
+}
+
+// drawCalls draws the calls of a load; they are the same for each policy.
+func drawCalls(l load, seed uint64, began time.Time) []*call {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var calls []*call
+	for w := range workspaces {
+		sent, second := 0, int64(-1)
+		for at := time.Duration(0); ; {
+			rate := float64(usualRate)
+			if at >= disturbedAt && at < disturbedAt+disturbedFor {
+				if l.burst {
+					rate *= burstFactor
+				}
+				if l.hot && w == 0 {
+					rate = max(rate, hotFactor*usualRate)
+				}
+			}
+			at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+			if at >= trafficTime {
+				break
+			}
+			if s := int64(at / time.Second); s != second {
+				sent, second = 0, s
+			}
+			sent++
+			c := drawCall(random, fmt.Sprintf("%02d%014d", w, len(calls)), began.Add(at))
+			c.job.Workspace, c.owed = fmt.Sprint("w", w), sent <= weight
+			calls = append(calls, c)
+		}
+	}
+	return calls
+}
+
+func drawCall(random *rand.Rand, id string, at time.Time) *call {
+	k := kinds[0]
+	if random.Float64() >= kinds[0].share {
+		k = kinds[1]
+	}
+	steps := 1 + random.IntN(2)
+	c := &call{at: at, first: at, run: k.run}
+	declared := workload.Scale(k.run, math.Exp((2*random.Float64()-1)*math.Log(wrongBy)))
+	for s := range steps {
+		step := workload.Step{Tasks: stepTasks, Need: workload.Resources{CPU: k.cpu, MemoryMB: 100}, Estimate: declared, Image: fmt.Sprint(k.cpu)}
+		if s > 0 {
+			step.After = []int{s - 1}
+		}
+		c.job.Steps = append(c.job.Steps, step)
+	}
+	c.job.ID, c.job.Queue, c.job.Pool = id, "q", "pool"
+	c.objective = stretch*time.Duration(steps)*k.run + targetTime
+	c.work = float64(steps*stepTasks) * float64(k.cpu) / 1000 * k.run.Seconds()
+	mean := 1.5 * stepTasks * float64(k.cpu) / 1000 * k.run.Seconds()
+	c.worth = 0.3 + 0.7*c.work/mean
+	return c
+}
+
+// credit returns what the call has earned of its worth.
+func (c *call) credit() float64 {
+	took := c.ended.Sub(c.first)
+	switch {
+	case c.ended.IsZero():
+		return 0
+	case took <= c.objective:
+		return c.worth
+	case took <= lateFactor*c.objective:
+		return c.worth * lateCredit
+	}
+	return 0
+}
+
+// model is a pool whose workers carry out what the scheduler orders.
+type model struct {
+	policy  policy
+	load    load
+	random  *rand.Rand
+	pool    *dispatch.Pool
+	now     time.Time
+	began   time.Time
+	byID    map[string]*modelWorker
+	workers []*modelWorker
+	calls   map[string]*call
+	returns dispatch.Returns
+	// open is the work of the jobs that were taken and have not ended, in core-seconds.
+	open    float64
+	arrived int
+}
+
+type modelWorker struct {
+	info workload.Worker
+	born time.Time
+	lost bool
+	runs []modelRun
+	last int64
+}
+
+type modelRun struct {
+	workload.ActiveRun
+	until time.Time
+}
+
+func newModel(p policy, l load, seed uint64, began time.Time) *model {
+	m := &model{
+		policy: p, load: l, random: rand.New(rand.NewPCG(seed, 3)), pool: &dispatch.Pool{Name: "pool"}, now: began, began: began,
+		byID: map[string]*modelWorker{}, calls: map[string]*call{},
+	}
+	m.pool.Begin(began)
+	if p.order == owedFirst {
+		var list []workload.Workspace
+		for w := range workspaces {
+			list = append(list, workload.Workspace{Name: fmt.Sprint("w", w), Weight: weight})
+		}
+		m.pool.SetWorkspaces(list)
+	}
+	for i := range workers {
+		w := &modelWorker{born: began.Add(-time.Minute), info: workload.Worker{
+			ID: fmt.Sprintf("w%03d", i), Machine: fmt.Sprintf("m%03d", i), Pool: "pool", Rack: fmt.Sprint("r", i/rackWorkers), Incarnation: 1,
+			Capacity: workload.Resources{CPU: workerCPU, MemoryMB: 64_000},
+		}}
+		m.workers, m.byID[w.info.ID] = append(m.workers, w), w
+		m.pool.SetWorker(w.info, began)
+	}
+	m.pool.OnEvent = m.observe
+	return m
+}
+
+func (m *model) observe(e dispatch.Event) {
+	if c := m.calls[e.Job]; c != nil && e.Kind == "job completed" {
+		c.ended = m.now
+		m.open -= c.work
+	}
+}
+
+// run plays the calls until the end.
+func (m *model) run(calls []*call) {
+	for end := m.began.Add(trafficTime + drainTime); m.now.Before(end); m.now = m.now.Add(tick) {
+		if m.load.rack {
+			m.loseRack()
+		}
+		for _, c := range calls {
+			if !c.at.After(m.now) && !c.refused && m.calls[c.job.ID] == nil {
+				m.submit(c)
+			}
+		}
+		m.report()
+		for _, a := range m.pool.Plan(m.now) {
+			m.carryOut(a)
+		}
+		m.pool.BatchRecorded(m.pool.Batch())
+	}
+}
+
+func (m *model) submit(c *call) {
+	c.job.Accepted = m.now
+	c.job.Terms = workload.Queue{Name: "q", Pool: "pool", MaxAttempts: 5, Stretch: stretch, TargetDuration: targetTime}
+	if m.policy.order == firstCome {
+		// The scheduler has no such order; priorities by arrival give it.
+		m.arrived++
+		c.job.Terms.Priority = m.arrived
+	}
+	if r := m.decide(c); r != nil {
+		c.tries++
+		c.refused = c.tries >= maxTries
+		c.at = m.now.Add(m.returns.After(r, m.now))
+		return
+	}
+	m.calls[c.job.ID] = c
+	m.open += c.work
+	m.pool.AddJob(c.job, nil, false, m.now)
+}
+
+func (m *model) decide(c *call) *dispatch.Refusal {
+	switch m.policy.refusal {
+	case refuseUse:
+		return m.pool.Outlook().Decide(&c.job)
+	case refuseBacklog:
+		cores := 0.0
+		for _, w := range m.workers {
+			if !w.lost {
+				cores += workerCPU / 1000
+			}
+		}
+		r := &dispatch.Refusal{Wait: workload.Scale(time.Second, m.open/cores), Useful: c.objective, Each: workload.Scale(time.Second, c.work/cores)}
+		if r.Wait > r.Useful {
+			return r
+		}
+	}
+	return nil
+}
+
+// loseRack loses the workers of a rack for the time of the disturbance.
+func (m *model) loseRack() {
+	at := m.now.Sub(m.began)
+	for _, w := range m.workers[:rackWorkers] {
+		switch {
+		case !w.lost && at >= disturbedAt && at < disturbedAt+disturbedFor:
+			w.lost, w.runs = true, nil
+			m.pool.WorkerEnded(w.info.ID, "lost")
+		case w.lost && at >= disturbedAt+disturbedFor:
+			w.lost, w.born, w.last = false, m.now, 0
+			w.info.Incarnation++
+			m.pool.SetWorker(w.info, m.now)
+			m.pool.UnresponsiveRecord(m.now)
+			m.pool.UnresponsiveRecorded(dispatch.TasksByWorker{})
+		}
+	}
+}
+
+func (m *model) report() {
+	for _, w := range m.workers {
+		if w.lost {
+			continue
+		}
+		r := workload.Report{Incarnation: w.info.Incarnation, Clock: m.now.Sub(w.born)}
+		left := w.runs[:0]
+		for _, x := range w.runs {
+			if x.until.After(m.now) {
+				left, r.Active = append(left, x), append(r.Active, x.ActiveRun)
+				continue
+			}
+			w.last++
+			r.Ended = append(r.Ended, workload.EndedRun{Number: w.last, Task: x.Task, Run: x.Run, How: workload.EndDone})
+		}
+		w.runs = left
+		m.pool.Report(w.info.ID, r, m.now)
+	}
+}
+
+func (m *model) carryOut(a dispatch.Action) {
+	s, ok := a.(dispatch.Start)
+	if !ok {
+		return
+	}
+	w, c := m.byID[s.Worker.ID], m.calls[s.Task.Job]
+	if c.began.IsZero() {
+		c.began = m.now
+	}
+	took := workload.Scale(c.run, 1+unevenBy*(2*m.random.Float64()-1))
+	w.runs = append(w.runs, modelRun{ActiveRun: workload.ActiveRun{Task: s.Task, Run: s.Run}, until: m.now.Add(took)})
+	m.pool.StartAnswered(s, dispatch.Present, workload.ClockReading{Incarnation: w.info.Incarnation, Clock: m.now.Sub(w.born)}, m.now)
+}
