--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -163,7 +163,9 @@
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
 	// means holds the learned run times, queueWork the learned work per job of each queue.
-	means     map[meanKey]*runningMean
+	means map[meanKey]*runningMean
+	// runTimes holds the learned run times in seconds, whatever the tasks declare.
+	runTimes  map[meanKey]*runningMean
 	queueWork map[string]*runningMean
 	tickets   map[stepKey]*ticketSet
 	// priorLeasesUntil is the time until which runs of a previous holder may be present on workers that have not reported;
@@ -229,6 +231,7 @@
 	p.departed = map[string]time.Time{}
 	p.jobs = map[string]*job{}
 	p.absentJobs = map[string]time.Time{}
+	p.runTimes = map[meanKey]*runningMean{}
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -23,6 +23,9 @@
 	defaultEstimate = time.Second
 	maxRatio        = 10
 	minRatio        = 0.1
+	// minRunTime is the shortest run time that is learned, minKindSamples the number of runs of a kind after which its run time is used.
+	minRunTime     = 10 * time.Millisecond
+	minKindSamples = 20
 	// maxSpread bounds what the shortest likely run time is below the expected one.
 	maxSpread = 0.5
 )
@@ -46,13 +49,42 @@
 	}
 	weight := max(learnWeight, 1/float64(f.samples+1))
 	sample := min(max(float64(took)/float64(declared), minRatio), maxRatio)
-	f.spread += weight * (min(math.Abs(sample-f.mean)/f.mean, maxSpread) - f.spread)
+	f.learnSpread(sample, weight)
 	f.mean += weight * (sample - f.mean)
 	f.samples++
+	p.learnAbsolute(key, took)
 	expected := f.mean * float64(declared)
 	x.worker.slowness += learnWeight * (min(max(float64(took)/expected, minRatio), maxRatio) - x.worker.slowness)
 }
 
+func (f *runningMean) learnSpread(sample, weight float64) {
+	f.spread += weight * (min(math.Abs(sample-f.mean)/f.mean, maxSpread) - f.spread)
+}
+
+// learnAbsolute learns the run time of a kind of tasks whatever they declare.
+func (p *Pool) learnAbsolute(key meanKey, took time.Duration) {
+	sample := max(took.Seconds(), minRunTime.Seconds())
+	f := p.runTimes[key]
+	if f == nil {
+		f = &runningMean{mean: sample}
+		p.runTimes[key] = f
+	}
+	weight := max(learnWeight, 1/float64(f.samples+1))
+	f.learnSpread(sample, weight)
+	f.mean += weight * (sample - f.mean)
+	f.samples++
+}
+
+// kindRunTime returns the learned run time of a task's kind if that tells more than what the task declares: the tasks of the kind differ less in their
+// run times than in the ratio of these to the declared ones.
+func (p *Pool) kindRunTime(t *task) (time.Duration, bool) {
+	ratio, absolute := p.means[t.meanKey()], p.runTimes[t.meanKey()]
+	if ratio == nil || absolute == nil || absolute.samples < minKindSamples || absolute.spread >= ratio.spread {
+		return 0, false
+	}
+	return workload.Scale(time.Second, absolute.mean), true
+}
+
 func declaredDuration(t *task) time.Duration {
 	if t.step.Estimate <= 0 {
 		return defaultEstimate
@@ -63,6 +95,11 @@
 // expectedDuration returns how long a task is likely to run.
 func (p *Pool) expectedDuration(t *task) time.Duration {
 	d := declaredDuration(t)
+	if len(p.workspaces) > 0 {
+		if learned, ok := p.kindRunTime(t); ok {
+			return min(learned, workload.MaxEstimate)
+		}
+	}
 	if f := p.means[t.meanKey()]; f != nil {
 		return min(workload.Scale(d, f.mean), workload.MaxEstimate)
 	}
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -106,8 +106,8 @@
 		compareTrueFirst(!a.rank.beyond, !b.rank.beyond),
 		cmp.Compare(a.rank.use, b.rank.use),
 		compareTrueFirst(a.begun, b.begun),
-		cmp.Compare(a.rank.share, b.rank.share),
 		-cmp.Compare(a.density, b.density),
+		cmp.Compare(a.rank.share, b.rank.share),
 		a.job.Accepted.Compare(b.job.Accepted),
 	)
 }
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -150,7 +150,7 @@
 		from = oc.due
 	}
 	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
-	c.from, c.target, c.leastPath = from, target, est.leastPath
+	c.from, c.target, c.leastPath = from, target, est.remainingPath
 	c.inTime = !now.Add(est.remainingPath).After(target)
 	c.density = p.worth(j, est) / max(est.work, 0.001)
 	return c, true
