--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -26,8 +26,8 @@
 	// minRunTime is the shortest run time that is learned, minKindSamples the number of runs of a kind after which its run time is used.
 	minRunTime     = 10 * time.Millisecond
 	minKindSamples = 20
-	// maxSpread bounds what the shortest likely run time is below the expected one.
-	maxSpread = 0.5
+	// maxSpread bounds a learned spread, and with it what one run that hangs adds.
+	maxSpread = 1
 )
 
 // meanKey identifies the tasks whose run times are learned together.
@@ -106,21 +106,11 @@
 	return d
 }
 
-// spread returns the learned mean deviation of the run times of a task's kind, as a part of the expected one.
-func (p *Pool) spread(t *task) float64 {
-	if f := p.means[t.meanKey()]; f != nil {
-		return f.spread
-	}
-	return 0
-}
-
 // jobEstimate is the estimated work of an occurrence of a job.
 type jobEstimate struct {
 	// remainingPath is the time that the longest chain of steps still needs, criticalPath the time of the longest chain of all steps.
 	remainingPath time.Duration
 	criticalPath  time.Duration
-	// leastPath is remainingPath with the shortest likely run times.
-	leastPath time.Duration
 	// work is the remaining work in core-seconds, total the work of the whole occurrence.
 	work  float64
 	total float64
@@ -130,29 +120,24 @@
 	var e jobEstimate
 	remainingPaths := make([]time.Duration, len(oc.steps))
 	criticalPaths := make([]time.Duration, len(oc.steps))
-	leastPaths := make([]time.Duration, len(oc.steps))
 	for s := range oc.steps {
 		st := &oc.steps[s]
 		each := p.expectedDuration(st.tasks[0])
 		cores := float64(j.Steps[s].Need.CPU) / 1000
 		e.total += cores * each.Seconds() * float64(len(st.tasks))
 		e.work += cores * each.Seconds() * float64(len(st.tasks)-st.done)
-		remaining, least := each, workload.Scale(each, 1-p.spread(st.tasks[0]))
+		remaining := each
 		if st.done == len(st.tasks) {
-			remaining, least = 0, 0
+			remaining = 0
 		} else if !st.startedAt.IsZero() && st.withoutRun == 0 {
-			ran := now.Sub(st.startedAt)
-			remaining, least = max(0, each-ran), max(0, least-ran)
+			remaining = max(0, each-now.Sub(st.startedAt))
 		}
 		for _, a := range j.Steps[s].After {
 			remainingPaths[s], criticalPaths[s] = max(remainingPaths[s], remainingPaths[a]), max(criticalPaths[s], criticalPaths[a])
-			leastPaths[s] = max(leastPaths[s], leastPaths[a])
 		}
 		remainingPaths[s] += remaining
 		criticalPaths[s] += each
-		leastPaths[s] += least
 		e.remainingPath, e.criticalPath = max(e.remainingPath, remainingPaths[s]), max(e.criticalPath, criticalPaths[s])
-		e.leastPath = max(e.leastPath, leastPaths[s])
 	}
 	return e
 }
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
-	"time"
 
 	"verbenalanding.example/fleet/workload"
 )
@@ -28,12 +28,12 @@
 }
 
 // sortCandidates sorts the candidates of a plan by the pool's order.
-func (p *Pool) sortCandidates(list []candidate, now time.Time) {
+func (p *Pool) sortCandidates(list []candidate) {
 	switch p.order().(type) {
 	case byUrgency:
 		slices.SortStableFunc(list, compareCandidates)
 	case byWorkspace:
-		p.rankByWorkspace(list, now)
+		p.rankByWorkspace(list)
 		slices.SortStableFunc(list, compareByWorkspace)
 	}
 }
@@ -61,15 +61,12 @@
 	share float64
 }
 
-// useOf returns what a candidate is still worth. An estimate may be too long by its spread, so that only what is late with the shortest likely run
-// times counts as late.
-func (c *candidate) useOf(now time.Time) use {
-	objective := c.target.Sub(c.from)
-	end := now.Add(c.leastPath)
+// use returns what a candidate is still worth to its caller.
+func (c *candidate) use() use {
 	switch {
-	case !end.After(c.target):
+	case c.inTime:
 		return useInTime
-	case !end.After(c.from.Add(workload.Scale(objective, lateFactor))):
+	case !c.end.After(c.from.Add(workload.Scale(c.target.Sub(c.from), lateFactor))):
 		return useLate
 	}
 	return useNone
@@ -77,12 +74,12 @@
 
 // rankByWorkspace ranks the candidates. Each of a workspace counts as placed for the next one, as far as they go before one another for other reasons
 // than their shares.
-func (p *Pool) rankByWorkspace(list []candidate, now time.Time) {
+func (p *Pool) rankByWorkspace(list []candidate) {
 	for i := range list {
 		c := &list[i]
 		c.rank = rank{beyond: c.job.beyond}
 		if !c.longRunning {
-			c.rank.use = c.useOf(now)
+			c.rank.use = c.use()
 		}
 	}
 	slices.SortStableFunc(list, compareByWorkspace)
@@ -106,8 +103,9 @@
 		compareTrueFirst(!a.rank.beyond, !b.rank.beyond),
 		cmp.Compare(a.rank.use, b.rank.use),
 		compareTrueFirst(a.begun, b.begun),
-		-cmp.Compare(a.density, b.density),
+		-cmp.Compare(math.Ilogb(a.density), math.Ilogb(b.density)),
 		cmp.Compare(a.rank.share, b.rank.share),
+		-cmp.Compare(a.density, b.density),
 		a.job.Accepted.Compare(b.job.Accepted),
 	)
 }
--- a/fleet/dispatch/outlook.go
+++ b/fleet/dispatch/outlook.go
@@ -14,6 +14,9 @@
 	outlookInterval = 200 * time.Millisecond
 	// OutlookValid is how long a node uses an outlook after it has received it.
 	OutlookValid = time.Second
+	// leastPath is the part of a declared run time that a job may need in fact where a refusal has to be certain; declared times are wrong by up to a factor
+	// of two.
+	leastPath = 0.5
 	// maxOutlookWorkspaces bounds the workspaces of an outlook, which each stored job brings to the node that stored it; those with the most work are kept.
 	maxOutlookWorkspaces = 24
 )
@@ -136,7 +139,7 @@
 	objective := workload.Scale(path, j.Terms.Stretch) + j.Terms.TargetDuration
 	r := &Refusal{
 		Cause: RefusedBacklog, Each: workload.Scale(time.Second, work/o.Cores),
-		Useful: workload.Scale(objective, lateFactor) - workload.Scale(path, 1-maxSpread),
+		Useful: workload.Scale(objective, lateFactor) - workload.Scale(path, leastPath),
 	}
 	before := 0.0
 	i := slices.IndexFunc(o.Beyond, func(w OutlookWorkspace) bool { return w.Workspace == j.Workspace })
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -17,10 +17,10 @@
 	inTime      bool
 	begun       bool
 	density     float64
-	// from is when its objective began, target when that ends; leastPath is the shortest time that its steps are likely to need still.
-	from      time.Time
-	target    time.Time
-	leastPath time.Duration
+	// from is when its objective began, target when that ends, end when it is likely to be done.
+	from   time.Time
+	target time.Time
+	end    time.Time
 	// rank is set where workspaces share the pool.
 	rank rank
 }
@@ -108,7 +108,7 @@
 			}
 		}
 	}
-	p.sortCandidates(list, now)
+	p.sortCandidates(list)
 	// What is left of a longer list would keep jobs that have ended.
 	clear(list[len(list):cap(list)])
 	p.candidateBuffer = list
@@ -150,8 +150,8 @@
 		from = oc.due
 	}
 	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
-	c.from, c.target, c.leastPath = from, target, est.remainingPath
-	c.inTime = !now.Add(est.remainingPath).After(target)
+	c.from, c.target, c.end = from, target, now.Add(est.remainingPath)
+	c.inTime = !c.end.After(target)
 	c.density = p.worth(j, est) / max(est.work, 0.001)
 	return c, true
 }
