feat(node): jobs that certainly cannot be of use are refused at the call

Cause: in a long shortage each call was answered as accepted, also for a job beyond what its workspace is owed that could not end in time. A node refuses a job with 429, Retry-After and its figures if what goes before it in any case takes longer than the job is of use, and only once the store has shown that its id is not accepted.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -158,8 +158,10 @@
 	// unmetered holds the jobs of workspaces that became known since the last plan.
 	unmetered []*job
 	// outlook is what nodes are told of the pool, made at outlookAt.
-	outlook   *Outlook
-	outlookAt time.Time
+	outlook *Outlook
+	// incomingCPU is the capacity of the machines on their way to the pool.
+	incomingCPU int64
+	outlookAt   time.Time
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
 	// means holds the learned run times, queueWork the learned work per job of each queue.
--- a/fleet/dispatch/outlook.go
+++ b/fleet/dispatch/outlook.go
@@ -47,6 +47,9 @@
 	Work float64 `json:"work"`
 }
 
+// SetIncomingCPU sets the capacity of the machines on their way to the pool, in thousandths of a core.
+func (p *Pool) SetIncomingCPU(cpu int64) { p.incomingCPU = cpu }
+
 // Outlook returns the outlook of the pool as of one of the last plans; nil while no job needs to be refused.
 func (p *Pool) Outlook() *Outlook { return p.outlook }
 
@@ -60,7 +63,7 @@
 		return
 	}
 	p.outlook, p.outlookAt = nil, now
-	o := &Outlook{}
+	o := &Outlook{Cores: float64(p.incomingCPU) / milliPerCore}
 	for _, w := range p.workers {
 		if p.usable(w, now) {
 			o.Cores += float64(w.Capacity.CPU) / milliPerCore
--- a/verbenaentry/node/cancel.go
+++ b/verbenaentry/node/cancel.go
@@ -16,7 +16,7 @@
 		if runsIn, status, answered := n.tryCancel(ctx, q, id, from, attempt); answered {
 			n.Log.Info().Str("job", id).Str("pool", runsIn).Int("status", status).Msg("cancellation requested")
 			if status == http.StatusOK {
-				n.notifyHolder(runsIn, methodCancelled, poolItem{Pool: runsIn, Name: id}, func(p *pool) { p.cancelJob(id) })
+				n.notifyHolder(runsIn, methodCancelled, poolItem{Pool: runsIn, Name: id}, nil, func(p *pool) { p.cancelJob(id) }, func() {})
 				n.answerJSON(w, []byte("{}"))
 			} else {
 				n.refuse(w, status, "no such job")
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -176,7 +176,7 @@
 		p.Outcome = "unknown"
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(status)
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -79,6 +79,7 @@
 	pools         pools
 	claimedOrders newestOrders
 	queuePools    queuePools
+	outlooks      outlooks
 	leaving       atomic.Bool
 	// refusals limits the log lines for refused requests.
 	refusals logs.Budget
--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -22,19 +22,23 @@
 	Revision store.Revision  `json:"revision"`
 }
 
-// notifyHolder notifies a pool's holder of a change that a request has stored, without waiting; if this node is the holder, it calls local.
-// The holder also receives the change by its watch, but not for seconds when the store has compacted its history.
-func (n *Node) notifyHolder(name, method string, params any, local func(*pool)) {
+// notifyHolder notifies a pool's holder of a change that a request has stored, without waiting; if this node is the holder, it calls local. Once the
+// holder has answered, with result, it calls answered. The holder also receives the change by its watch, but not for seconds when the store has compacted
+// its history.
+func (n *Node) notifyHolder(name, method string, params, result any, local func(*pool), answered func()) {
 	if held := n.pools.get(name); held != nil {
 		local(held)
+		answered()
 		return
 	}
 	n.notifications.TryGo(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
-		if err := n.callHolder(ctx, name, method, params, nil); err != nil {
+		if err := n.callHolder(ctx, name, method, params, result); err != nil {
 			n.Log.Debug().Str("pool", name).Err(err).Msg("holder not notified of a stored request")
+			return nil
 		}
+		answered()
 		return nil
 	})
 }
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -211,7 +211,13 @@
 		return rpc.Answer(params, n.presentHolder)
 	case methodStored:
 		return rpc.Answer(params, func(s storedJob) (any, error) {
-			return nil, n.withPool(s.Pool, func(p *pool) error { return p.addStoredJob(s) })
+			var answer storedAnswer
+			err := n.withPool(s.Pool, func(p *pool) error {
+				err := p.addStoredJob(s)
+				answer = p.storedAnswer()
+				return err
+			})
+			return answer, err
 		})
 	case methodArrivals:
 		return rpc.Answer(params, func(a arrivals) (totals []metering.Total, err error) {
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -125,6 +125,7 @@
 			incoming++
 		}
 	}
+	p.scheduler.SetIncomingCPU(int64(incoming) * d.MachineCPU)
 	p.mu.Unlock()
 	decision := s.tracker.Decide(sizing.Input{
 		Now: now, Machines: d.Workers, Incoming: incoming, Home: s.home, MachineCPU: d.MachineCPU,
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -43,13 +43,12 @@
 		n.refuse(w, http.StatusRequestEntityTooLarge, err.Error())
 		return http.StatusRequestEntityTooLarge
 	}
+	if n.refuseUseless(ctx, w, job, &log) {
+		return http.StatusTooManyRequests
+	}
 	outcome, created, tries := n.storeJob(ctx, *job, from)
 	if created != nil {
-		n.notifyHolder(q.Pool, methodStored, created, func(p *pool) {
-			if err := p.addStoredJob(*created); err != nil {
-				log.Warn().Err(err).Msg("stored job not passed to the holder's scheduler")
-			}
-		})
+		n.notifyStored(created, &log)
 	}
 	log.Info().Str("outcome", string(outcome)).Int("tries", tries).Bool("storeReached", n.Elector.StoreReachable()).Dur("took", n.Clock.Now().Sub(job.Accepted)).Msg("job submitted")
 	switch outcome {
@@ -64,6 +63,7 @@
 		n.refuse(w, http.StatusServiceUnavailable, "the store takes no jobs now")
 		return http.StatusServiceUnavailable
 	}
+	n.outlooks.noteUnanswered(id, n.Clock.Now())
 	n.refuse(w, http.StatusGatewayTimeout, "the store has not answered")
 	return http.StatusGatewayTimeout
 }
