--- a/fleet/dispatch/aging.go
+++ b/fleet/dispatch/aging.go
@@ -33,18 +33,18 @@
 		return
 	}
 	slices.SortStableFunc(aged, func(a, b agedCandidate) int { return a.since.Compare(b.since) })
-	shares := p.currentShares()
-	left := shares.capacity.CPU/agedParts - shares.agedCPU
+	limit := p.capacity().CPU / agedParts
+	used := p.agedCPU()
 	for _, c := range aged {
-		if left <= 0 && shares.agedCPU > 0 {
+		if used > 0 && used >= limit {
 			return
 		}
-		before := c.waitingNeed().CPU
+		before := p.startsLeft
+		c.job.aged = true
 		p.place(c.candidate, u, now)
-		if used := before - c.waitingNeed().CPU; used > 0 {
-			c.job.aged = true
-			left -= used
-			shares.agedCPU += used
+		c.job.aged = false
+		if p.startsLeft != before {
+			used = p.agedCPU()
 		}
 	}
 }
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -128,6 +128,9 @@
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
 	workspaces map[string]*workspace
+	// usages holds what the runs of each workspace occupy, meanWeight the mean weight of the workspaces.
+	usages     map[string]*usage
+	meanWeight float64
 	workers    map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
 	confirmedAt time.Time
@@ -228,6 +231,7 @@
 	p.begunAt = now
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
+	p.usages = map[string]*usage{}
 	p.ended = map[string]workload.Worker{}
 	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -86,8 +86,6 @@
 	all workBefore
 	// cores is the capacity of the workers that take starts, free what no task has reserved.
 	cores, free float64
-	// shares is nil where no workspaces share the pool.
-	shares *poolShares
 }
 
 type workBefore struct {
@@ -112,9 +110,6 @@
 		before.work += p.waitingWork(c, x.u)
 	}
 	x.all = before
-	if len(p.workspaces) > 0 {
-		x.shares = p.currentShares()
-	}
 	return x
 }
 
--- a/fleet/dispatch/explainshare.go
+++ b/fleet/dispatch/explainshare.go
@@ -17,11 +17,11 @@
 // workspaceOf returns what the workspace of a job has of the pool.
 func (x *explainer) workspaceOf(j *job) workspaceExplanation {
 	w := x.pool.workspaces[j.Workspace]
-	if w == nil || x.shares == nil {
+	if w == nil {
 		return workspaceExplanation{}
 	}
 	return workspaceExplanation{
-		Workspace: w.Name, Owed: !j.beyond, Weight: w.Weight, RateHere: w.Weight * w.meter.Share(x.now), Share: x.shares.dominant(x.shares.of(w.Name).used),
+		Workspace: w.Name, Owed: !j.beyond, Weight: w.Weight, RateHere: w.Weight * w.meter.Share(x.now), Share: dominantShare(j.usage.used, x.pool.capacity()),
 	}
 }
 
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -59,7 +59,9 @@
 	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
 	first *firstWait
 	worth float64
-	// beyond is set for a job beyond the rate that its workspace is owed, aged once tasks of the job were placed because they had waited long.
+	// usage is that of the job's workspace.
+	usage *usage
+	// beyond is set for a job beyond the rate that its workspace is owed, aged while its tasks are placed because they have waited long.
 	beyond, aged bool
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
@@ -78,7 +80,7 @@
 	// listed.
 	storedUnderThis := spec.Fence != 0 && spec.Fence == p.Epoch
 	overlaps := !storedUnderThis && (now.Before(p.priorLeasesUntil) || p.hasPartialReport())
-	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
+	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps, usage: p.usageOf(spec.Workspace)}
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
 	}
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -83,12 +83,16 @@
 		}
 	}
 	slices.SortStableFunc(list, compareByWorkspace)
-	shares := p.currentShares()
+	for i := range list {
+		u := list[i].job.usage
+		u.planned = u.used
+	}
+	capacity := p.capacity()
 	for i := range list {
 		c := &list[i]
-		s := shares.of(c.job.Workspace)
-		c.rank.share = shares.dominant(s.used) / s.weight
-		s.used = s.used.Plus(c.waitingNeed())
+		u := c.job.usage
+		c.rank.share = dominantShare(u.planned, capacity) / p.weightOf(c.job.Workspace)
+		u.planned = u.planned.Plus(c.waitingNeed())
 	}
 }
 
--- a/fleet/dispatch/outlook.go
+++ b/fleet/dispatch/outlook.go
@@ -187,13 +187,14 @@
 // maxReturn bounds the time after which a refused caller is asked to return: what waits now says nothing about later.
 const maxReturn = 30 * time.Second
 
-// Returns spreads the times at which refused callers are asked to return: those who were refused first return first, and no faster than the pool could
-// take their jobs. The zero value is ready to use.
+// Returns spreads the times at which refused callers are asked to return: once the pool has done what waits, those first who were refused first, and no
+// faster than the pool could take their jobs. Callers who return as soon as a job would be of some use again take the room of jobs that can be in time. The
+// zero value is ready to use.
 type Returns struct{ last time.Time }
 
 // After returns after how many whole seconds a caller should return that is refused now.
 func (t *Returns) After(r *Refusal, now time.Time) time.Duration {
-	at := now.Add(max(r.Wait-r.Useful, 0))
+	at := now.Add(r.Wait)
 	if next := t.last.Add(r.Each); next.After(at) {
 		at = next
 	}
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -57,12 +57,16 @@
 	// attributed is true once an answer or a report of the worker's known incarnation has shown the run. Before that an incarnation of
 	// which this holder does not know may have accepted the start, with a lease end on another clock.
 	attributed bool
+	// aged runs were placed because their job had waited long.
+	aged bool
 }
 
 // attach adds a run to its worker and its task.
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
 	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
+	x.aged = x.task.job.aged
+	x.task.job.usage.add(x)
 	if !x.task.done && len(x.task.runs) == 0 {
 		x.task.countWithoutRun(-1)
 	}
@@ -79,6 +83,7 @@
 func (x *run) detach() {
 	delete(x.worker.runs, runKey{x.task.id, x.number})
 	x.worker.used = x.worker.used.Minus(x.task.step.Reserved())
+	x.task.job.usage.remove(x)
 }
 
 // removeRun removes a run from its task; a job that has ended is released with its last run.
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -12,55 +12,70 @@
 // minWeight stands for a weight of 0 where shares are compared.
 const minWeight = 1e-3
 
-// workspaceShare is what a workspace has of the pool.
-type workspaceShare struct {
-	used   workload.Resources
-	weight float64
+// usage is what the runs of a workspace's jobs occupy in the pool. The jobs without a workspace have one together.
+type usage struct {
+	used workload.Resources
+	// agedCPU is the CPU of the runs that were placed because their jobs had waited long.
+	agedCPU int64
+	// planned is used with what the candidates of a plan need that go first.
+	planned workload.Resources
 }
 
-// poolShares holds what each workspace has of the pool.
-type poolShares struct {
-	capacity workload.Resources
-	// agedCPU is the CPU of the runs of jobs that were placed because they had waited long.
-	agedCPU int64
-	byName  map[string]*workspaceShare
-	// others is what the jobs without a workspace of the configuration have together.
-	others workspaceShare
+// usageOf returns the usage of a workspace.
+func (p *Pool) usageOf(workspace string) *usage {
+	u := p.usages[workspace]
+	if u == nil {
+		u = &usage{}
+		p.usages[workspace] = u
+	}
+	return u
 }
 
-// currentShares adds up the runs of the pool. The jobs without a workspace count as one of the mean weight.
-func (p *Pool) currentShares() *poolShares {
-	s := &poolShares{byName: make(map[string]*workspaceShare, len(p.workspaces))}
-	sum := 0.0
-	for name, w := range p.workspaces {
-		s.byName[name] = &workspaceShare{weight: max(w.Weight, minWeight)}
-		sum += w.Weight
+func (u *usage) add(x *run) {
+	need := x.task.step.Reserved()
+	u.used = u.used.Plus(need)
+	if x.aged {
+		u.agedCPU += need.CPU
+	}
+}
+
+func (u *usage) remove(x *run) {
+	need := x.task.step.Reserved()
+	u.used = u.used.Minus(need)
+	if x.aged {
+		u.agedCPU -= need.CPU
 	}
-	s.others.weight = max(sum/float64(max(1, len(p.workspaces))), minWeight)
+}
+
+// agedCPU returns the CPU of the runs that were placed because their jobs had waited long.
+func (p *Pool) agedCPU() int64 {
+	sum := int64(0)
+	for _, u := range p.usages {
+		sum += u.agedCPU
+	}
+	return sum
+}
+
+// capacity returns the capacity of all workers.
+func (p *Pool) capacity() workload.Resources {
+	var sum workload.Resources
 	for _, w := range p.workers {
-		s.capacity = s.capacity.Plus(w.Capacity)
-		for _, x := range w.runs {
-			need := x.task.step.Reserved()
-			of := s.of(x.task.job.Workspace)
-			of.used = of.used.Plus(need)
-			if x.task.job.aged {
-				s.agedCPU += need.CPU
-			}
-		}
+		sum = sum.Plus(w.Capacity)
 	}
-	return s
+	return sum
 }
 
-func (s *poolShares) of(workspace string) *workspaceShare {
-	if of := s.byName[workspace]; of != nil {
-		return of
+// weightOf returns the weight of a workspace where shares are compared; that of jobs without one is the mean.
+func (p *Pool) weightOf(workspace string) float64 {
+	if w := p.workspaces[workspace]; w != nil {
+		return max(w.Weight, minWeight)
 	}
-	return &s.others
+	return p.meanWeight
 }
 
-// dominant returns the largest share of one resource in what is used.
-func (s *poolShares) dominant(used workload.Resources) float64 {
-	return max(part(used.CPU, s.capacity.CPU), part(used.MemoryMB, s.capacity.MemoryMB), part(used.GPU, s.capacity.GPU))
+// dominantShare returns the largest part of one resource in what is used.
+func dominantShare(used, capacity workload.Resources) float64 {
+	return max(part(used.CPU, capacity.CPU), part(used.MemoryMB, capacity.MemoryMB), part(used.GPU, capacity.GPU))
 }
 
 func part(used, capacity int64) float64 {
--- a/fleet/dispatch/workspace.go
+++ b/fleet/dispatch/workspace.go
@@ -17,6 +17,10 @@
 func (p *Pool) SetWorkspaces(list []workload.Workspace) {
 	before := p.workspaces
 	p.workspaces = make(map[string]*workspace, len(list))
+	p.meanWeight = minWeight
+	for _, w := range list {
+		p.meanWeight += w.Weight / float64(len(list))
+	}
 	for _, w := range list {
 		if known := before[w.Name]; known != nil {
 			known.Workspace, known.meter.Rate = w, w.Weight
