--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -57,6 +57,8 @@
 type rank struct {
 	use    use
 	beyond bool
+	// worth is the worth per core-second as a power of two: a share counts among jobs of similar worth.
+	worth int
 	// share is the dominant share of the pool that the candidate's workspace has before the candidate is placed, over its weight.
 	share float64
 }
@@ -77,7 +79,7 @@
 func (p *Pool) rankByWorkspace(list []candidate) {
 	for i := range list {
 		c := &list[i]
-		c.rank = rank{beyond: c.job.beyond}
+		c.rank = rank{beyond: c.job.beyond, worth: math.Ilogb(c.density)}
 		if !c.longRunning {
 			c.rank.use = c.use()
 		}
@@ -97,21 +99,28 @@
 }
 
 // compareByWorkspace orders long-running tasks first, then by priority, and what is of no use any more last; then what its workspace is owed before what
-// lies beyond, and what can still be in time before what is late; then what was begun, the workspaces with the least of the pool for their weight, and the
-// most worth per core-second. Work beyond goes before owed work of no use, which nobody needs.
+// lies beyond, and what can still be in time before what is late; then what was begun, the more worth per core-second, in powers of two, the workspaces
+// with the least of the pool for their weight, and within one of them again by worth. Work beyond goes before owed work of no use, which nobody needs.
 func compareByWorkspace(a, b candidate) int {
-	return cmp.Or(
-		compareTrueFirst(a.longRunning, b.longRunning),
-		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-		compareTrueFirst(a.rank.use != useNone, b.rank.use != useNone),
-		compareTrueFirst(!a.rank.beyond, !b.rank.beyond),
-		cmp.Compare(a.rank.use, b.rank.use),
-		compareTrueFirst(a.begun, b.begun),
-		-cmp.Compare(math.Ilogb(a.density), math.Ilogb(b.density)),
-		cmp.Compare(a.rank.share, b.rank.share),
-		-cmp.Compare(a.density, b.density),
-		a.job.Accepted.Compare(b.job.Accepted),
-	)
+	switch {
+	case a.longRunning != b.longRunning:
+		return compareTrueFirst(a.longRunning, b.longRunning)
+	case a.job.queue.Priority != b.job.queue.Priority:
+		return cmp.Compare(a.job.queue.Priority, b.job.queue.Priority)
+	case (a.rank.use == useNone) != (b.rank.use == useNone):
+		return compareTrueFirst(a.rank.use != useNone, b.rank.use != useNone)
+	case a.rank.beyond != b.rank.beyond:
+		return compareTrueFirst(b.rank.beyond, a.rank.beyond)
+	case a.rank.use != b.rank.use:
+		return cmp.Compare(a.rank.use, b.rank.use)
+	case a.begun != b.begun:
+		return compareTrueFirst(a.begun, b.begun)
+	case a.rank.worth != b.rank.worth:
+		return cmp.Compare(b.rank.worth, a.rank.worth)
+	case a.rank.share != b.rank.share:
+		return cmp.Compare(a.rank.share, b.rank.share)
+	}
+	return cmp.Or(cmp.Compare(b.density, a.density), a.job.Accepted.Compare(b.job.Accepted))
 }
 
 // waitingNeed returns what the waiting tasks of the candidate's steps that are ready occupy.
