--- /dev/null
+++ b/fleet/dispatch/account.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"verbenalanding.example/fleet/quota"
+	"verbenalanding.example/fleet/workload"
+)
+
+// account is what the jobs of a workspace occupy in the pool, and what they may occupy. The jobs without a workspace have one together, without a limit.
+type account struct {
+	name string
+	// used is what runs occupy that may be present, with the CPU of tasks that fill; reservedUse is the same without it.
+	used, reservedUse workload.Resources
+	// agedCPU is the CPU of the runs that were placed because their jobs had waited long.
+	agedCPU int64
+	// planned is reservedUse with what the candidates of a plan need that go first.
+	planned workload.Resources
+
+	limit     workload.Resources
+	allowance quota.Allowance
+	// short is the need of the ready tasks that only the allowance kept from starting in the last plan, least that of the largest one.
+	short, least workload.Resources
+	// reserved has the resources for which a task has waited so long that no further one of the workspace gets any in the present plan.
+	reserved workload.Resources
+}
+
+// account returns the account of a workspace.
+func (p *Pool) account(workspace string) *account {
+	a := p.accounts[workspace]
+	if a == nil {
+		a = &account{name: workspace}
+		if w := p.workspaces[workspace]; w != nil {
+			a.limit = w.MaxRunning
+		}
+		p.accounts[workspace] = a
+	}
+	return a
+}
+
+func (a *account) add(x *run) {
+	reserved := x.task.step.Reserved()
+	a.used, a.reservedUse = a.used.Plus(x.task.step.Need), a.reservedUse.Plus(reserved)
+	if x.aged {
+		a.agedCPU += reserved.CPU
+	}
+}
+
+func (a *account) remove(x *run) {
+	reserved := x.task.step.Reserved()
+	a.used, a.reservedUse = a.used.Minus(x.task.step.Need), a.reservedUse.Minus(reserved)
+	if x.aged {
+		a.agedCPU -= reserved.CPU
+	}
+}
+
+// agedCPU returns the CPU of the runs that were placed because their jobs had waited long.
+func (p *Pool) agedCPU() int64 {
+	sum := int64(0)
+	for _, a := range p.accounts {
+		sum += a.agedCPU
+	}
+	return sum
+}
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -122,6 +122,8 @@
 	OnEvent func(Event)
 	// OnFirstStart receives how long each job has waited for its first run, unless a previous holder may have started it; it may be nil.
 	OnFirstStart func(FirstStart)
+	// OnMetered receives whether a workspace is owed a job that became known; it may be nil.
+	OnMetered func(Metered)
 
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
@@ -132,7 +134,9 @@
 	// uncertainRoom is what runs may occupy as of the last plan that this holder does not know; orphaned holds the workers that listed such runs.
 	uncertainRoom workload.Resources
 	orphaned      map[string]*worker
-	workers       map[string]*worker
+	// meanWeight is the mean weight of the workspaces.
+	meanWeight float64
+	workers    map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
 	confirmedAt time.Time
 	// registrationsListed is true once the first list of registrations was applied.
@@ -159,10 +163,19 @@
 	sortedByID []*worker
 	jobs       map[string]*job
 	active     []*job
+	// unmetered holds the jobs of workspaces that became known since the last plan.
+	unmetered []*job
+	// outlook is what nodes are told of the pool, made at outlookAt.
+	outlook *Outlook
+	// incomingCPU is the capacity of the machines on their way to the pool.
+	incomingCPU int64
+	outlookAt   time.Time
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
 	// means holds the learned run times, queueWork the learned work per job of each queue.
-	means     map[meanKey]*runningMean
+	means map[meanKey]*runningMean
+	// runTimes holds the learned run times in seconds, whatever the tasks declare.
+	runTimes  map[meanKey]*runningMean
 	queueWork map[string]*runningMean
 	tickets   map[stepKey]*ticketSet
 	// priorLeasesUntil is the time until which runs of a previous holder may be present on workers that have not reported;
@@ -223,11 +236,13 @@
 	p.begunAt = now
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
+	p.accounts = map[string]*account{}
 	p.ended = map[string]workload.Worker{}
 	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
 	p.jobs = map[string]*job{}
 	p.absentJobs = map[string]time.Time{}
+	p.runTimes = map[meanKey]*runningMean{}
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -37,6 +37,8 @@
 	WaitNoCapacity WaitReason = "noCapacity"
 	// WaitQuota means that the limit of the job's workspace does not admit the task now.
 	WaitQuota WaitReason = "quota"
+	// WaitShare means that there is no capacity, and that what other workspaces are owed goes before the job, which its workspace is not owed.
+	WaitShare WaitReason = "share"
 	// WaitOtherWorker means that the task has failed on each worker with enough free capacity, and waits for another one.
 	WaitOtherWorker WaitReason = "otherWorker"
 	// WaitNextPlan means that the task is about to be started.
@@ -51,6 +53,7 @@
 	Queue string         `json:"queue"`
 	Pool  string         `json:"pool"`
 	State workload.State `json:"state"`
+	workspaceExplanation
 	// Reason is that of the next task that waits.
 	Reason WaitReason `json:"reason"`
 	// Since is when that task became ready; zero if it is not ready.
@@ -131,6 +134,7 @@
 		e.Reason, e.Basis = WaitEnded, "the job has ended"
 		return e
 	}
+	e.workspaceExplanation = x.workspaceOf(j)
 	e.countTasks(j, x.u)
 	oc, t := nextTask(j)
 	switch {
@@ -225,6 +229,7 @@
 	}
 	e.Reason = p.placementReason(t, now)
 	e.estimateStart(t, now)
+	e.explainShare()
 }
 
 // earlierStepsLeft estimates how long the steps before a step still run.
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -185,9 +185,8 @@
 	sums := map[string]workload.Resources{}
 	for _, w := range p.workers {
 		for _, x := range w.runs {
-			if name := x.task.job.Workspace; name != "" {
-				sums[name] = sums[name].Plus(x.task.step.Need)
-			}
+			name := x.task.job.Workspace
+			sums[name] = sums[name].Plus(x.task.step.Need)
 		}
 	}
 	for name, a := range p.accounts {
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -48,7 +48,7 @@
 
 type job struct {
 	workload.Job
-	// account is that of the job's workspace; nil for a job without one.
+	// account is that of the job's workspace.
 	account *account
 	queue   workload.Queue
 	state   workload.State
@@ -61,6 +61,8 @@
 	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
 	first *firstWait
 	worth float64
+	// beyond is set for a job beyond the rate that its workspace is owed, aged while its tasks are placed because they have waited long.
+	beyond, aged bool
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
 	recordedVersion int
@@ -83,6 +85,9 @@
 		j.queue = q
 	}
 	p.jobs[spec.ID] = j
+	if spec.Workspace != "" {
+		p.unmetered = append(p.unmetered, j)
+	}
 	if record != nil && record.State.Terminal() {
 		j.state, j.finished = record.State, record.Finished
 		if j.finished.IsZero() {
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -17,6 +17,12 @@
 	inTime      bool
 	begun       bool
 	density     float64
+	// from is when its objective began, target when that ends, end when it is likely to be done.
+	from   time.Time
+	target time.Time
+	end    time.Time
+	// rank is set where workspaces share the pool.
+	rank rank
 }
 
 // maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. A pool has
@@ -30,6 +36,7 @@
 	p.repeatStops(now)
 	p.replaceDraining(now)
 	p.countSuspects(now)
+	p.meterArrivals(now)
 	p.backlog = p.countBacklog()
 	p.rotateBacklog(now)
 	for _, j := range p.active {
@@ -39,9 +46,12 @@
 	p.index, p.startsLeft = p.newIndex(now), maxStarts
 	p.freeAtFirst = p.index.maxFreeCPU()
 	p.beginQuota(now)
-	for _, c := range p.candidates(u, now) {
+	list := p.candidates(u, now)
+	p.placeAged(list, u, now)
+	for _, c := range list {
 		p.place(c, u, now)
 	}
+	p.updateOutlook(list, u, now)
 	p.indexBuffer = p.index.release()
 	p.index = nil
 	actions := p.actions
@@ -99,7 +109,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(list, compareCandidates)
+	p.sortCandidates(list)
 	// What is left of a longer list would keep jobs that have ended.
 	clear(list[len(list):cap(list)])
 	p.candidateBuffer = list
@@ -141,7 +151,8 @@
 		from = oc.due
 	}
 	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
-	c.inTime = !now.Add(est.remainingPath).After(target)
+	c.from, c.target, c.end = from, target, now.Add(est.remainingPath)
+	c.inTime = !c.end.After(target)
 	c.density = p.worth(j, est) / max(est.work, 0.001)
 	return c, true
 }
--- a/fleet/dispatch/quota.go
+++ b/fleet/dispatch/quota.go
@@ -12,50 +12,6 @@
 // take each amount that becomes free.
 const reserveAfter = time.Second
 
-// account is what the jobs of a workspace occupy in the pool, and what they may occupy.
-type account struct {
-	name string
-	// used is what runs occupy that may be present, with the CPU of tasks that fill.
-	used      workload.Resources
-	limit     workload.Resources
-	allowance quota.Allowance
-	// short is the need of the ready tasks that only the allowance kept from starting in the last plan, least that of the largest one.
-	short, least workload.Resources
-	// reserved has the resources for which a task has waited so long that no further one of the workspace gets any in the present plan.
-	reserved workload.Resources
-}
-
-func (a *account) add(need workload.Resources) {
-	if a != nil {
-		a.used = a.used.Plus(need)
-	}
-}
-
-func (a *account) remove(need workload.Resources) {
-	if a != nil {
-		a.used = a.used.Minus(need)
-	}
-}
-
-// account returns the account of a workspace; nil for a job without one.
-func (p *Pool) account(workspace string) *account {
-	if workspace == "" {
-		return nil
-	}
-	a := p.accounts[workspace]
-	if a == nil {
-		a = &account{name: workspace}
-		if w := p.workspaces[workspace]; w != nil {
-			a.limit = w.MaxRunning
-		}
-		if p.accounts == nil {
-			p.accounts = map[string]*account{}
-		}
-		p.accounts[workspace] = a
-	}
-	return a
-}
-
 // setLimits applies the limits of the configuration's workspaces.
 func (p *Pool) setLimits() {
 	p.limited = p.limited[:0]
@@ -260,7 +216,7 @@
 // withinQuota reports whether the limit of a task's workspace admits the task, or all of its gang; otherwise it notes what is missing.
 func (p *Pool) withinQuota(t *task, now time.Time) bool {
 	a := t.job.account
-	if a == nil || a.limit == (workload.Resources{}) {
+	if a.limit == (workload.Resources{}) {
 		return true
 	}
 	need, tasks := t.step.Need, int64(1)
@@ -292,9 +248,6 @@
 // overQuota reports whether a task's workspace has more running than it may: a run that is stopped would not start again.
 func (t *task) overQuota() bool {
 	a := t.job.account
-	if a == nil {
-		return false
-	}
 	return (a.limit.CPU > 0 && a.used.CPU > a.allowance.Amount.CPU) || (a.limit.MemoryMB > 0 && a.used.MemoryMB > a.allowance.Amount.MemoryMB) ||
 		(a.limit.GPU > 0 && a.used.GPU > a.allowance.Amount.GPU)
 }
@@ -302,7 +255,7 @@
 // explainQuota says which limit keeps a task from starting; forbidden is false if none does.
 func (p *Pool) explainQuota(t *task, now time.Time) (basis string, forbidden bool) {
 	a := t.job.account
-	if a == nil || a.limit == (workload.Resources{}) {
+	if a.limit == (workload.Resources{}) {
 		return "", false
 	}
 	tasks := int64(1)
