perf(verbenaentry): a holder short of processor time polls and plans less often

Holds of 80 and more workers and plans over a long backlog took it, so that starts were sent late and work was in time for nobody.

Change: the pause between the holds of a worker with unrecorded ends grows by ten times the mean lateness of the holder's timers, up to 250 ms; a plan takes a fifth of the processor time in place of a third. fleet/pacing decides, without a clock.

--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -6,6 +6,7 @@
 
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/interval"
+	"verbenalanding.example/fleet/pacing"
 	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 )
@@ -22,14 +23,18 @@
 	holdMargin         = 250 * time.Millisecond
 	holdRepeatInterval = 80 * time.Millisecond
 	maxHoldAttempts    = 3
-	// pollPause is the pause between two holds of a worker whose ended runs are being recorded, in a pool of up to pollWorkers workers. In
+	// minPollPause is the pause between two holds of a worker whose ended runs are being recorded, in a pool of up to pollWorkers workers. In
 	// larger pools it grows with the number of workers, since holds use most of the holder's processor time.
-	pollPause   = 25 * time.Millisecond
-	pollWorkers = 32
+	minPollPause = 25 * time.Millisecond
+	pollWorkers  = 32
 	// holdRetryPause is the pause between two holds of an unresponsive worker.
 	holdRetryPause = 150 * time.Millisecond
 )
 
+// pollPacing makes the pause between holds longer while the holder is short of processor time: orders to workers would otherwise wait so long that
+// workers refuse them as late.
+var pollPacing = pacing.Settings{Stretch: 10, Longest: 250 * time.Millisecond}
+
 // send sends an order in a goroutine of its own.
 func (p *pool) send(ctx context.Context, a dispatch.Action) {
 	p.orders.Go(func() error {
@@ -204,16 +209,22 @@
 			continue
 		}
 		p.mu.Lock()
-		unrecorded, workers := p.scheduler.HasUnrecordedEnds(id), p.scheduler.Workers()
+		unrecorded, pause := p.scheduler.HasUnrecordedEnds(id), p.pollPause()
 		p.mu.Unlock()
 		if unrecorded {
 			// A worker answers immediately while it has ended runs that are not acknowledged.
-			interval.Wait(ctx, pollPause*time.Duration(max(pollWorkers, workers))/pollWorkers)
+			interval.Wait(ctx, pause)
 		}
 	}
 	return nil
 }
 
+// pollPause returns the pause between two holds of a worker whose ended runs are being recorded. The caller holds the pool's lock.
+func (p *pool) pollPause() time.Duration {
+	pause := minPollPause * time.Duration(max(pollWorkers, p.scheduler.Workers())) / pollWorkers
+	return pollPacing.Pause(pause, p.lateness.Mean())
+}
+
 // holdAnswer is the outcome of one attempt to renew a worker's lease.
 type holdAnswer struct {
 	outcome platform.HoldOutcome
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -17,6 +17,7 @@
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/metering"
+	"verbenalanding.example/fleet/pacing"
 	"verbenalanding.example/fleet/retry"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -32,8 +33,9 @@
 	planPause = 4 * time.Millisecond
 	// registrationPause is the time over which changed registrations of workers are batched; each heartbeat writes a registration again.
 	registrationPause = 150 * time.Millisecond
-	// planPauseFactor is the pause after a plan as a multiple of the planning time; it leaves processor time for orders and reports.
-	planPauseFactor = 2
+	// planPauseFactor is the pause after a plan as a multiple of the planning time: a plan takes at most a fifth of the processor time, and leaves
+	// the rest for orders and reports.
+	planPauseFactor = 4
 	// maxOrders bounds the orders of a pool that are in flight. An unanswered order takes up to a second, and must not delay other starts so
 	// long that workers refuse them as late.
 	maxOrders = 512
@@ -109,6 +111,8 @@
 	writeTries int
 	// startBudget limits the repetitions of unanswered starts.
 	startBudget retry.Budget
+	// lateness is how late the waits between plans end.
+	lateness pacing.Lateness
 	// leased holds the workers whose lease a goroutine renews.
 	leased map[string]bool
 
@@ -337,12 +341,22 @@
 func (p *pool) runPlans(ctx context.Context) error {
 	for range interval.EachOr(ctx, planInterval, p.planNow.Items()) {
 		if p.valid() {
-			interval.Wait(ctx, p.plan(ctx))
+			p.waitAfterPlan(ctx, p.plan(ctx))
 		}
 	}
 	return nil
 }
 
+// waitAfterPlan waits before the next plan, and records how late the wait has ended.
+func (p *pool) waitAfterPlan(ctx context.Context, pause time.Duration) {
+	began := time.Now()
+	interval.Wait(ctx, pause)
+	took := time.Since(began)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateness.Observe(pause, took)
+}
+
 // plan plans once, sends the orders and returns the pause before the next plan. The time for which orders wait to be sent does not lengthen
 // the pause: it uses no processor time, and slow answers of workers would otherwise delay queued tasks.
 func (p *pool) plan(ctx context.Context) time.Duration {
