--- a/verbenabench/soak/caller.go
+++ b/verbenabench/soak/caller.go
@@ -105,6 +105,7 @@
 
 // runCaller acts as one caller, which submits a job, cancels it in some cases, and requests its state.
 func (s *Soak) runCaller(ctx context.Context, j *standin.Job, firstNode int, cancel bool) error {
+	j.Workspace = workspaceName(workspaceOf(j))
 	s.platform.AddJob(j, attempts)
 	if !s.submit(ctx, j, firstNode) {
 		return nil
--- a/verbenabench/soak/key.go
+++ b/verbenabench/soak/key.go
@@ -121,11 +121,18 @@
 	return list
 }
 
+// workspaceCPU is the limit of a workspace in thousandths of a core. Its tasks wait for it at times, and its long-running ones fit into it.
+const workspaceCPU = 12000
+
+func workspaceName(i int) string { return "workspace-" + strconv.Itoa(i) }
+
 // startKeys writes the first configuration, with the workspaces and their keys.
 func (s *Soak) startKeys() {
 	s.keys.times = map[string]*keyTimes{}
 	for i := range workspaces {
-		s.keys.tenants = append(s.keys.tenants, wire.Tenant{Name: "workspace-" + strconv.Itoa(i), Weight: 1, APIKeys: []string{lastingKey(i), "first-" + strconv.Itoa(i)}})
+		s.keys.tenants = append(s.keys.tenants, wire.Tenant{
+			Name: workspaceName(i), Weight: 1, APIKeys: []string{lastingKey(i), "first-" + strconv.Itoa(i)}, MaxCount: wire.Resources{CPU: workspaceCPU},
+		})
 		for _, key := range s.keys.tenants[i].APIKeys {
 			s.keys.times[key] = &keyTimes{added: time.Now()}
 		}
