fix(dispatch): what a record names counts in place of the capacity of workers that have not reported

A takeover before a workspace's first grant waited another second for the other holders.

Change: tasks that a handover, a record or a list of orphaned runs names count for their workspace only; a grant is raised for uncertain runs only if the limit has room for them; the record is marked as settled once that second has passed.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"verbenalanding.example/fleet/quota"
 	"verbenalanding.example/fleet/workload"
 )
 
@@ -129,9 +130,11 @@
 	// accounts holds what the jobs of each workspace occupy, limited those of them that have a limit.
 	accounts map[string]*account
 	limited  []*account
+	// usage keeps the memory of WorkspaceUsage.
+	usage map[string]quota.Usage
 	// uncertainRoom is what runs may occupy as of the last plan that this holder does not know; orphaned holds the workers that listed such runs.
 	uncertainRoom workload.Resources
-	orphaned      map[string]*worker
+	orphaned      map[string]orphans
 	workers       map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
 	confirmedAt time.Time
@@ -231,7 +234,7 @@
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
-	p.orphaned, p.uncertainRoom = map[string]*worker{}, anything
+	p.orphaned, p.uncertainRoom = map[string]orphans{}, anything
 	p.backlog = backlog{}
 	p.priorOrdersUntil = now.Add(p.Settings.Takeover)
 	// The lost holder may have started a task on an incarnation of a worker of which neither holder knows.
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -219,7 +219,7 @@
 		e.Basis = "a worker that has not reported may run the task, at most until then"
 		return
 	}
-	if basis, forbidden := p.explainQuota(t, now); forbidden {
+	if basis, forbidden := p.explainQuota(t); forbidden {
 		e.Reason, e.Basis = WaitQuota, basis
 		return
 	}
--- a/fleet/dispatch/quota.go
+++ b/fleet/dispatch/quota.go
@@ -21,6 +21,8 @@
 	allowance quota.Allowance
 	// short is the need of the ready tasks that only the allowance kept from starting in the last plan, least that of the largest one.
 	short, least workload.Resources
+	// uncertain is what tasks of the workspace occupy that this holder only knows from a record or a list; p.uncertainRoom comes on top.
+	uncertain workload.Resources
 	// reserved has the resources for which a task has waited so long that no further one of the workspace gets any in the present plan.
 	reserved workload.Resources
 }
@@ -84,28 +86,27 @@
 	}
 }
 
-// WorkspaceUsage returns what the workspaces with a limit occupy, and what their tasks lacked in the last plan.
+// WorkspaceUsage returns what the workspaces with a limit occupy, and what their tasks lacked in the last plan. The map is valid until the next call.
 func (p *Pool) WorkspaceUsage(now time.Time) map[string]quota.Usage {
 	if len(p.limited) == 0 {
 		return nil
 	}
 	room, counted := workload.Resources{}, false
-	usage := make(map[string]quota.Usage, len(p.limited))
+	if p.usage == nil {
+		p.usage = make(map[string]quota.Usage, len(p.limited))
+	}
+	clear(p.usage)
 	for _, a := range p.limited {
-		u := quota.Usage{Known: a.used, Uncertain: p.uncertainRoom, Short: a.short, Least: a.least}
-		if p.uncertainRoom == anything {
-			// No grant suffices before the workers of the pool are known.
-			u.Short, u.Least = workload.Resources{}, workload.Resources{}
-		}
+		u := quota.Usage{Known: a.used, Uncertain: p.uncertainOf(a), Short: a.short, Least: a.least}
 		if u.Short != (workload.Resources{}) {
 			if !counted {
 				room, counted = p.startableRoom(now), true
 			}
 			u.Short = atMost(u.Short, largest(room, u.Least))
 		}
-		usage[a.name] = u
+		p.usage[a.name] = u
 	}
-	return usage
+	return p.usage
 }
 
 // QuotaShort reports whether the last plan left a task waiting for its workspace's grant.
@@ -142,81 +143,15 @@
 	return workload.Resources{CPU: min(a.CPU, b.CPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), GPU: min(a.GPU, b.GPU)}
 }
 
-// anything is more than any grant, and small enough for sums.
-var anything = workload.Resources{CPU: 1 << 50, MemoryMB: 1 << 50, GPU: 1 << 50}
-
 // beginQuota prepares the checks of a plan.
 func (p *Pool) beginQuota(now time.Time) {
 	if len(p.limited) == 0 {
 		return
 	}
-	p.uncertainRoom = p.unreportedRoom(now)
 	for _, a := range p.limited {
 		a.short, a.least, a.reserved = workload.Resources{}, workload.Resources{}, workload.Resources{}
 	}
-}
-
-// unreportedRoom returns what runs may occupy that this holder does not know: those of previous holders on workers that have not reported, and
-// orphaned runs until they have ended.
-func (p *Pool) unreportedRoom(now time.Time) workload.Resources {
-	var room, widest workload.Resources
-	for _, w := range p.orphaned {
-		room = room.Plus(largest(w.free(), workload.Resources{}))
-	}
-	if p.priorLeasesEnded(now) && len(p.handedOverLeases) == 0 {
-		return room
-	}
-	for _, w := range p.sortedWorkers() {
-		widest = largest(widest, w.Capacity)
-		if !p.priorLeaseEnded(w.ID, now) && (w.restarted || p.awaitsReport(w.ID)) {
-			room = room.Plus(w.Capacity)
-		}
-	}
-	if len(p.workers) == 0 || (p.AwaitWorkerList && (p.liveWorkers == nil || !p.confirmedSince(p.liveWorkersSeenAt))) {
-		return anything
-	}
-	// A worker of which only the id is known counts as the largest known one.
-	for range p.unregistered(now) {
-		room = room.Plus(widest)
-	}
-	return room
-}
-
-// noteOrphans records whether a worker lists runs that this holder has not adopted.
-func (p *Pool) noteOrphans(w *worker) {
-	if !w.orphans {
-		delete(p.orphaned, w.ID)
-		return
-	}
-	if p.orphaned[w.ID] == nil {
-		p.uncertainRoom = p.uncertainRoom.Plus(largest(w.free(), workload.Resources{}))
-	}
-	p.orphaned[w.ID] = w
-}
-
-// unregistered returns the workers without a registration that may have runs of a previous holder.
-func (p *Pool) unregistered(now time.Time) map[string]bool {
-	ids := map[string]bool{}
-	note := func(id string) {
-		if p.workers[id] == nil && !p.priorLeaseEnded(id, now) && p.awaitsReport(id) {
-			ids[id] = true
-		}
-	}
-	for id := range p.liveWorkers {
-		if _, gone := p.ended[id]; !gone {
-			note(id)
-		}
-	}
-	for id := range p.inheritedKnown {
-		note(id)
-	}
-	for id := range p.inheritedUnresponsive {
-		note(id)
-	}
-	for id := range p.handedOver {
-		note(id)
-	}
-	return ids
+	p.countUncertain(now)
 }
 
 // quotaCheck is the outcome of a check of a start against the limit of its workspace.
@@ -267,7 +202,7 @@
 	if t.step.Gang {
 		tasks = int64(len(t.state.tasks))
 	}
-	c := a.checkQuota(need, tasks, p.uncertainRoom)
+	c := a.checkQuota(need, tasks, p.uncertainOf(a))
 	if c.allowed && !overlap(need, a.reserved) {
 		return true
 	}
@@ -300,7 +235,7 @@
 }
 
 // explainQuota says which limit keeps a task from starting; forbidden is false if none does.
-func (p *Pool) explainQuota(t *task, now time.Time) (basis string, forbidden bool) {
+func (p *Pool) explainQuota(t *task) (basis string, forbidden bool) {
 	a := t.job.account
 	if a == nil || a.limit == (workload.Resources{}) {
 		return "", false
@@ -309,7 +244,10 @@
 	if t.step.Gang {
 		tasks = int64(len(t.state.tasks))
 	}
-	c := a.checkQuota(t.step.Need, tasks, p.unreportedRoom(now))
+	c := a.checkQuota(t.step.Need, tasks, p.uncertainOf(a))
+	if c.allowed && overlap(t.step.Need, a.reserved) {
+		return fmt.Sprintf("a larger task of workspace %s has waited for %v and gets what becomes free of its limit first", a.name, reserveAfter), true
+	}
 	if c.allowed {
 		return "", false
 	}
--- a/fleet/dispatch/quota_test.go
+++ b/fleet/dispatch/quota_test.go
@@ -165,6 +165,54 @@
 	b.wantStarts("after ends", min(8, 2*before))
 }
 
+// Guards against a workspace that waits after a planned stop of a holder for workers that run nothing of it, and against runs that a handover names and
+// that do not count.
+func TestHandoverCountsTheTasksThatItNames(t *testing.T) {
+	b := newQuotaBench(t, 3, 16)
+	b.addJobOf("fitters", "a", tasks(3, 4000))
+	b.plan()
+	b.wantStarts("of the first holder", 3)
+	b.report()
+	b.advance(priorLeases)
+	for id, runs := range b.present {
+		b.unresponsive[id] = len(runs) > 0
+	}
+	b.handOver()
+	b.limit(16)
+	b.allow(16)
+	for id := range b.present {
+		b.addWorker(id)
+	}
+	b.report()
+	b.addJobOf("fitters", "a", tasks(3, 4000))
+	b.addJobOf("fitters", "b", tasks(10, 1000))
+	b.starts = nil
+	b.plan()
+	if u := b.pool.WorkspaceUsage(b.now)["fitters"]; u.Uncertain.CPU != 12000 {
+		t.Errorf("uncertain usage: got %+v, want that of 3 tasks", u.Uncertain)
+	}
+	b.wantStarts("beside the named tasks", 4)
+}
+
+// Guards against a workspace that waits for orphaned runs of others, and against its own orphaned runs that do not count.
+func TestOrphanedRunsCountForTheirWorkspace(t *testing.T) {
+	b := newQuotaBench(t, 2, 16)
+	b.addJobOf("free", "other", oneTask(4000))
+	b.addJobOf("fitters", "own", oneTask(4000))
+	b.pool.Cancel("other", b.now)
+	b.pool.Cancel("own", b.now)
+	for _, job := range []string{"other", "own"} {
+		b.present["w0"][task(job, 0, 0)] = 9
+	}
+	b.addJobOf("fitters", "next", tasks(16, 1000))
+	b.report()
+	b.plan()
+	if u := b.pool.WorkspaceUsage(b.now)["fitters"]; u.Uncertain.CPU != 4000 {
+		t.Errorf("uncertain usage: got %+v, want that of the workspace's own run", u.Uncertain)
+	}
+	b.wantStarts("beside the orphaned run", 12)
+}
+
 // Guards against a large task that waits for good while smaller ones of its workspace take each amount that becomes free.
 func TestLargeTaskIsNotOvertakenForLong(t *testing.T) {
 	b := newQuotaBench(t, 4, 10)
@@ -192,6 +240,26 @@
 	}
 }
 
+// Guards against a job that waits for a larger task of its workspace while operators see another reason.
+func TestExplainNamesTheLargerTask(t *testing.T) {
+	b := newQuotaBench(t, 4, 10)
+	b.addJobOf("fitters", "first", oneTask(4000))
+	b.plan()
+	lasting := tasks(1, 8000)
+	lasting.LongRunning = true
+	b.addJobOf("fitters", "large", lasting)
+	b.addJobOf("fitters", "small", oneTask(1000))
+	b.plan()
+	b.addJobOf("fitters", "later", oneTask(1000))
+	b.advance(1200 * time.Millisecond)
+	b.addJobOf("fitters", "last", oneTask(1000))
+	b.plan()
+	e, _ := b.pool.Explain("last", b.now)
+	if e.Reason != dispatch.WaitQuota || !strings.Contains(e.Basis, "larger task") {
+		t.Errorf("explanation: got %q, %q, want %q for a larger task", e.Reason, e.Basis, dispatch.WaitQuota)
+	}
+}
+
 // Guards against a task larger than its workspace's limit that never runs, and against one that runs beside others.
 func TestTaskLargerThanTheLimitStartsAlone(t *testing.T) {
 	b := newQuotaBench(t, 2, 4)
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -38,7 +38,7 @@
 		p.observe(w, a, receivedAt)
 	}
 	w.orphans = slices.ContainsFunc(r.Active, func(a workload.ActiveRun) bool { return w.runs[runKey{a.Task, a.Run}] == nil })
-	p.noteOrphans(w)
+	p.noteOrphans(w, r)
 	if !r.Partial {
 		p.endUnlisted(w, r, listed)
 	}
--- a/fleet/quota/decide.go
+++ b/fleet/quota/decide.go
@@ -21,6 +21,8 @@
 	ReasonReturned Reason = "returned"
 	// ReasonRaised means that the pool's runs need more.
 	ReasonRaised Reason = "raised"
+	// ReasonSettled means that all holders had the time to state what already ran, so that the next holder of a pool need not wait for that.
+	ReasonSettled Reason = "settled"
 	// ReasonWanted means that the pool needs more than is free, or no longer does.
 	ReasonWanted Reason = "wanted"
 )
@@ -69,13 +71,16 @@
 	if reason == "" && (share.Want != own.Want || share.Least != own.Least) {
 		reason = ReasonWanted
 	}
+	if reason == "" && a.settled(now) {
+		reason = ReasonSettled
+	}
 	paused := now.Sub(a.writtenAt) < writePause
 	raisedFromFree := reason == ReasonRaised && d.unmet == (amounts{})
-	a.idle = reason == "" && len(d.wanting()) == 0 && u.Short == (workload.Resources{}) && own.Want == (workload.Resources{}) && !d.sum.exceeds(d.limit, d.limit)
+	a.idle = reason == "" && a.record.Settled && len(d.wanting()) == 0 && u.Short == (workload.Resources{}) && own.Want == (workload.Resources{}) && !d.sum.exceeds(d.limit, d.limit)
 	if reason == "" || (paused && !raisedFromFree && reason != ReasonLimit && reason != ReasonDeclared) {
 		return Change{}, false
 	}
-	if reason == ReasonRaised {
+	if reason == ReasonRaised || reason == ReasonSettled {
 		next.Settled = true
 	}
 	if share == (Share{}) {
@@ -91,6 +96,11 @@
 	return Change{Record: next, Reason: reason, Before: own.Grant}, true
 }
 
+// settled reports whether the record can be marked as settled.
+func (a *Account) settled(now time.Time) bool {
+	return !a.record.Settled && !now.Before(a.readyAt) && a.record.Version > 0 && a.record.Limit == a.inForce().resources()
+}
+
 // noteLimit sets the limit of the configuration in the record. A limit of a resource that had none holds once all holders have stated what runs.
 func (a *Account) noteLimit(next *Record) {
 	before := amountsOf(next.Limit)
@@ -130,6 +140,16 @@
 		d.occupied[i] = known[i] + min(uncertain[i], max(0, d.grant[i]-known[i]))
 	}
 	d.need = d.occupied.plus(amountsOf(u.Short))
+	for i, short := range amountsOf(u.Short) {
+		if uncertain[i] == 0 || short == 0 {
+			continue
+		}
+		// Nothing starts before all that may be present fits beside it; where the limit has no room for that, a higher grant is of no use.
+		d.need[i] = d.occupied[i]
+		if known[i]+uncertain[i]+d.least[i] <= d.limit[i] {
+			d.need[i] = known[i] + uncertain[i] + short
+		}
+	}
 	d.recent = a.notePeak(d.need, now)
 	for _, c := range d.others {
 		for i := range c.want {
