perf(quota): a pool returns at least half of what it has to spare

Cause: while a workspace's demand moved from one pool to another, the pool that it left returned what was lacking at that moment, some 20 times in 2 s.

Change: with a want of another pool, at least half of the spare part of a grant is returned.

--- a/fleet/quota/decide.go
+++ b/fleet/quota/decide.go
@@ -254,7 +254,9 @@
 	if grant > entitled {
 		a.yield[i] = max(entitled, grant-missing)
 	}
-	target := max(d.occupied[i], min(d.recent[i], entitled), grant-missing)
+	keep := max(d.occupied[i], min(d.recent[i], entitled))
+	// Half of what is spare goes at once, since a demand that has moved mostly grows further.
+	target := max(keep, grant-max(missing, (grant-keep)/2))
 	if target >= grant || (grant-target < max(1, limit/smallestStep) && grant-target < missing && target > 0) {
 		return ""
 	}
