fix(dispatch): the objective of a job that was refused counts from its first call

Change: a node tells the holder of a refusal, without waiting; the holder remembers it, bounded, and counts the objective from it.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -165,6 +165,8 @@
 	// incomingCPU is the capacity of the machines on their way to the pool.
 	incomingCPU int64
 	outlookAt   time.Time
+	// refusals holds when jobs were first refused whose callers may return.
+	refusals map[string]time.Time
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
 	// means holds the learned run times, queueWork the learned work per job of each queue.
@@ -231,7 +233,7 @@
 	p.begunAt = now
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
-	p.usages = map[string]*usage{}
+	p.usages, p.refusals = map[string]*usage{}, map[string]time.Time{}
 	p.ended = map[string]workload.Worker{}
 	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -59,6 +59,8 @@
 	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
 	first *firstWait
 	worth float64
+	// firstCall is when the job was first refused at the call; zero for one that was not.
+	firstCall time.Time
 	// usage is that of the job's workspace.
 	usage *usage
 	// beyond is set for a job beyond the rate that its workspace is owed, aged while its tasks are placed because they have waited long.
@@ -84,6 +86,7 @@
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
 	}
+	j.firstCall = p.firstCallOf(spec.ID, now)
 	p.jobs[spec.ID] = j
 	if spec.Workspace != "" {
 		p.unmetered = append(p.unmetered, j)
--- a/fleet/dispatch/outlook.go
+++ b/fleet/dispatch/outlook.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -165,6 +166,38 @@
 	return r
 }
 
+const (
+	// refusalKept is how long a refusal is remembered: longer than callers are asked to wait. maxRefusals bounds those that are.
+	refusalKept = 4 * maxReturn
+	maxRefusals = 10_000
+)
+
+// NoteRefusal records that a job was refused at the call. If its caller returns with it, its objective counts from the first call.
+func (p *Pool) NoteRefusal(id string, now time.Time) {
+	if len(p.workspaces) == 0 {
+		return
+	}
+	if len(p.refusals) >= maxRefusals {
+		maps.DeleteFunc(p.refusals, func(_ string, at time.Time) bool { return now.Sub(at) > refusalKept })
+	}
+	if _, noted := p.refusals[id]; !noted && len(p.refusals) < maxRefusals {
+		p.refusals[id] = now
+	}
+}
+
+// firstCallOf returns when a job was first refused, and forgets that; zero for a job that was not, or too long before.
+func (p *Pool) firstCallOf(id string, now time.Time) time.Time {
+	at, noted := p.refusals[id]
+	if !noted {
+		return time.Time{}
+	}
+	delete(p.refusals, id)
+	if now.Sub(at) > refusalKept {
+		return time.Time{}
+	}
+	return at
+}
+
 // declaredPath returns the time of the job's longest chain of steps and its work in core-seconds, by the declared run times.
 func declaredPath(j *workload.Job) (longest time.Duration, work float64) {
 	paths := make([]time.Duration, len(j.Steps))
--- a/fleet/dispatch/outlook_test.go
+++ b/fleet/dispatch/outlook_test.go
@@ -112,6 +112,17 @@
 	})
 }
 
+// Guards against a job whose caller was refused, and returns once it is of no use any more, that takes the room of one that can be in time.
+func TestObjectiveOfARefusedJobCountsFromItsFirstCall(t *testing.T) {
+	b := occupiedBench(t, 100)
+	b.pool.NoteRefusal("returned", b.now)
+	b.advance(9 * time.Second)
+	b.addOf("a", "returned", 0, fullWorker(time.Second))
+	b.addOf("a", "late", 3*time.Second, fullWorker(time.Second))
+	b.addOf("a", "first", 0, fullWorker(time.Second))
+	b.wantOrder("first", "late", "returned")
+}
+
 // Guards against callers that are refused one after the other and return together, or later ones before earlier ones.
 func TestRefusedCallersReturnInTurn(t *testing.T) {
 	var returns dispatch.Returns
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -146,6 +146,9 @@
 	}
 	est := p.estimate(j, oc, now)
 	from := j.Accepted
+	if !j.firstCall.IsZero() {
+		from = j.firstCall
+	}
 	if oc.due.After(from) {
 		from = oc.due
 	}
--- a/verbenabench/overload/model.go
+++ b/verbenabench/overload/model.go
@@ -262,6 +262,7 @@
 		c.job.Terms.Priority = m.arrived
 	}
 	if r := m.decide(c); r != nil {
+		m.pool.NoteRefusal(c.job.ID, m.now)
 		c.tries++
 		c.refused = c.tries >= maxTries
 		c.at = m.now.Add(m.returns.After(r, m.now))
--- a/verbenaentry/node/outlook.go
+++ b/verbenaentry/node/outlook.go
@@ -109,6 +109,7 @@
 	if !errors.Is(err, store.ErrNotFound) {
 		return false
 	}
+	n.notifyHolder(j.Pool, methodRefused, poolItem{Pool: j.Pool, Name: j.ID}, nil, func(p *pool) { p.noteRefusal(j.ID) }, func() {})
 	after := n.outlooks.returnAfter(j.Pool, refusal, now)
 	count(n.Registry, "refusals."+string(refusal.Cause))
 	if leftOut, ok := n.refusals.Allow(time.Now()); ok {
@@ -131,6 +132,13 @@
 	}, func() { n.outlooks.set(s.Pool, answer.Outlook, n.Clock.Now()) })
 }
 
+// noteRefusal records that a node has refused a job of the pool.
+func (p *pool) noteRefusal(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.NoteRefusal(id, p.node.Clock.Now())
+}
+
 func (p *pool) storedAnswer() storedAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -31,6 +31,8 @@
 	// The holder of a pool is notified of stored jobs and of recorded cancellation requests.
 	methodStored    = "job.stored"
 	methodCancelled = "job.cancelled"
+	// It is also notified of jobs that were refused at the call.
+	methodRefused = "job.refused"
 	// A node whose calls the store rejects reads and writes through other nodes.
 	methodGet   = "store.get"
 	methodApply = "store.apply"
@@ -261,6 +263,9 @@
 	case methodCancelled:
 		p.cancelJob(name)
 		return nil, nil
+	case methodRefused:
+		p.noteRefusal(name)
+		return nil, nil
 	}
 	return nil, fmt.Errorf("unknown method %q", method)
 }
