--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -128,8 +128,13 @@
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
 	workspaces map[string]*workspace
-	// usages holds what the runs of each workspace occupy, meanWeight the mean weight of the workspaces.
-	usages     map[string]*usage
+	// accounts holds what the jobs of each workspace occupy, limited those of them that have a limit.
+	accounts map[string]*account
+	limited  []*account
+	// uncertainRoom is what runs may occupy as of the last plan that this holder does not know; orphaned holds the workers that listed such runs.
+	uncertainRoom workload.Resources
+	orphaned      map[string]*worker
+	// meanWeight is the mean weight of the workspaces.
 	meanWeight float64
 	workers    map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
@@ -233,7 +238,8 @@
 	p.begunAt = now
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
-	p.usages, p.refusals = map[string]*usage{}, map[string]time.Time{}
+	p.accounts = map[string]*account{}
+	p.refusals = map[string]time.Time{}
 	p.ended = map[string]workload.Worker{}
 	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
@@ -243,6 +249,7 @@
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
+	p.orphaned, p.uncertainRoom = map[string]*worker{}, anything
 	p.backlog = backlog{}
 	p.priorOrdersUntil = now.Add(p.Settings.Takeover)
 	// The lost holder may have started a task on an incarnation of a worker of which neither holder knows.
--- a/fleet/dispatch/explainshare.go
+++ b/fleet/dispatch/explainshare.go
@@ -21,7 +21,7 @@
 		return workspaceExplanation{}
 	}
 	return workspaceExplanation{
-		Workspace: w.Name, Owed: !j.beyond, Weight: w.Weight, RateHere: w.Weight * w.meter.Share(x.now), Share: dominantShare(j.usage.used, x.pool.capacity()),
+		Workspace: w.Name, Owed: !j.beyond, Weight: w.Weight, RateHere: w.Weight * w.meter.Share(x.now), Share: dominantShare(j.account.reservedUse, x.pool.capacity()),
 	}
 }
 
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -48,8 +48,10 @@
 
 type job struct {
 	workload.Job
-	queue workload.Queue
-	state workload.State
+	// account is that of the job's workspace.
+	account *account
+	queue   workload.Queue
+	state   workload.State
 	// started is true once a worker has confirmed that a task of the job has begun; an order to start one may be refused or lost.
 	started bool
 	// restored is set if a previous holder may have started tasks of the job.
@@ -61,8 +63,6 @@
 	worth float64
 	// firstCall is when the job was first refused at the call; zero for one that was not.
 	firstCall time.Time
-	// usage is that of the job's workspace.
-	usage *usage
 	// beyond is set for a job beyond the rate that its workspace is owed, aged while its tasks are placed because they have waited long.
 	beyond, aged bool
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
@@ -82,7 +82,7 @@
 	// listed.
 	storedUnderThis := spec.Fence != 0 && spec.Fence == p.Epoch
 	overlaps := !storedUnderThis && (now.Before(p.priorLeasesUntil) || p.hasPartialReport())
-	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps, usage: p.usageOf(spec.Workspace)}
+	j := &job{Job: spec, account: p.account(spec.Workspace), queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
 	}
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -86,15 +86,15 @@
 	}
 	slices.SortStableFunc(list, compareByWorkspace)
 	for i := range list {
-		u := list[i].job.usage
-		u.planned = u.used
+		a := list[i].job.account
+		a.planned = a.reservedUse
 	}
 	capacity := p.capacity()
 	for i := range list {
 		c := &list[i]
-		u := c.job.usage
-		c.rank.share = dominantShare(u.planned, capacity) / p.weightOf(c.job.Workspace)
-		u.planned = u.planned.Plus(c.waitingNeed())
+		a := c.job.account
+		c.rank.share = dominantShare(a.planned, capacity) / p.weightOf(c.job.Workspace)
+		a.planned = a.planned.Plus(c.waitingNeed())
 	}
 }
 
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -66,7 +66,7 @@
 	x.worker.runs[runKey{x.task.id, x.number}] = x
 	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
 	x.aged = x.task.job.aged
-	x.task.job.usage.add(x)
+	x.task.job.account.add(x)
 	if !x.task.done && len(x.task.runs) == 0 {
 		x.task.countWithoutRun(-1)
 	}
@@ -83,7 +83,7 @@
 func (x *run) detach() {
 	delete(x.worker.runs, runKey{x.task.id, x.number})
 	x.worker.used = x.worker.used.Minus(x.task.step.Reserved())
-	x.task.job.usage.remove(x)
+	x.task.job.account.remove(x)
 }
 
 // removeRun removes a run from its task; a job that has ended is released with its last run.
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -12,50 +12,6 @@
 // minWeight stands for a weight of 0 where shares are compared.
 const minWeight = 1e-3
 
-// usage is what the runs of a workspace's jobs occupy in the pool. The jobs without a workspace have one together.
-type usage struct {
-	used workload.Resources
-	// agedCPU is the CPU of the runs that were placed because their jobs had waited long.
-	agedCPU int64
-	// planned is used with what the candidates of a plan need that go first.
-	planned workload.Resources
-}
-
-// usageOf returns the usage of a workspace.
-func (p *Pool) usageOf(workspace string) *usage {
-	u := p.usages[workspace]
-	if u == nil {
-		u = &usage{}
-		p.usages[workspace] = u
-	}
-	return u
-}
-
-func (u *usage) add(x *run) {
-	need := x.task.step.Reserved()
-	u.used = u.used.Plus(need)
-	if x.aged {
-		u.agedCPU += need.CPU
-	}
-}
-
-func (u *usage) remove(x *run) {
-	need := x.task.step.Reserved()
-	u.used = u.used.Minus(need)
-	if x.aged {
-		u.agedCPU -= need.CPU
-	}
-}
-
-// agedCPU returns the CPU of the runs that were placed because their jobs had waited long.
-func (p *Pool) agedCPU() int64 {
-	sum := int64(0)
-	for _, u := range p.usages {
-		sum += u.agedCPU
-	}
-	return sum
-}
-
 // capacity returns the capacity of all workers.
 func (p *Pool) capacity() workload.Resources {
 	var sum workload.Resources
--- a/fleet/dispatch/workspace.go
+++ b/fleet/dispatch/workspace.go
@@ -29,6 +29,7 @@
 		}
 		p.workspaces[w.Name] = &workspace{Workspace: w, meter: metering.Meter{Rate: w.Weight}}
 	}
+	p.setLimits()
 }
 
 // Workspace returns the workspace of a job; it is empty for a job without one, and for an unknown job.
--- a/verbenabench/days/day.go
+++ b/verbenabench/days/day.go
@@ -125,6 +125,9 @@
 	return list
 }
 
+// machineCapacity is the capacity of each machine.
+var machineCapacity = wire.Resources{CPU: 8000, MemMb: 16000}
+
 // start starts the platform and the nodes.
 func (d *day) start(ctx context.Context) error {
 	s := d.script
@@ -136,12 +139,13 @@
 	caller := d.network.addHost(callerAddr, 1, false)
 	d.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: caller.dial, DisableKeepAlives: true}}
 	d.platform = &standin.Platform{
-		Seed: s.seed, Pools: s.pools, Capacity: wire.Resources{CPU: 8000, MemMb: 16000}, Tick: 20 * time.Millisecond,
+		Seed: s.seed, Pools: s.pools, Capacity: machineCapacity, Tick: 20 * time.Millisecond,
 		UpkeepTime: 300 * time.Millisecond, MoveTime: 300 * time.Millisecond, Listen: d.listen, ClockRate: s.machineClockRate, OnRunEvent: d.observe,
 	}
 	if err := d.platform.Start(ctx, d.group); err != nil {
 		return err
 	}
+	d.platform.SetTenants(s.tenants())
 	d.platform.Configure(1, testfleet.Host, testfleet.Attempts)
 	for i, cores := range s.cores {
 		gate, err := d.platform.OpenGate()
@@ -152,6 +156,7 @@
 			settings: settings(fmt.Sprintf("n%d", i), nodeAddr(i), cores, gate.Addr, d.platform.CloudAddr, standin.Bounds()),
 			gate:     gate, network: d.network, clockRate: s.clockRates[i], log: &d.log, downtime: s.startDelays[i],
 		}
+		p.settings.Workspaces = s.hasKeys()
 		d.processes = append(d.processes, p)
 		d.group.Go(func() error { return p.run(ctx) })
 	}
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -40,14 +40,19 @@
 	entry := &http.Server{
 		Handler: http.HandlerFunc(n.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	entryListener := n.limitListener(listenerEntry, l.entry)
+	limitServer(entry, entryListener)
 	router := chi.NewRouter()
 	router.Get(platform.ReadinessPath, n.ready)
 	router.Get("/metrics", n.metrics)
 	n.routeExplanations(router)
+	n.routeWorkspaces(router)
 	readiness := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	readinessListener := n.limitListener(listenerReadiness, l.readiness)
+	limitServer(readiness, readinessListener)
 	for _, serve := range []func() error{
-		func() error { return entry.Serve(l.entry) },
-		func() error { return readiness.Serve(l.readiness) },
+		func() error { return entry.Serve(entryListener) },
+		func() error { return readiness.Serve(readinessListener) },
 	} {
 		group.Go(func() error {
 			if err := serve(); !errors.Is(err, http.ErrServerClosed) {
@@ -116,7 +121,16 @@
 		status = http.StatusMethodNotAllowed
 		n.refuse(w, status, "unknown method")
 	}
-	observe(n.Registry, "requests."+strings.ToLower(r.Method)+"."+strconv.Itoa(status), time.Since(began))
+	observe(n.Registry, "requests."+methodLabel(r.Method)+"."+strconv.Itoa(status), time.Since(began))
+}
+
+// methodLabel returns the name of a method in metrics. Unknown methods share one, since each name keeps a histogram in memory.
+func methodLabel(method string) string {
+	switch method {
+	case http.MethodPost, http.MethodGet, http.MethodDelete:
+		return strings.ToLower(method)
+	}
+	return "other"
 }
 
 const (
