--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -173,6 +173,8 @@
 	// incomingCPU is the capacity of the machines on their way to the pool.
 	incomingCPU int64
 	outlookAt   time.Time
+	// refusals holds when jobs were first refused whose callers may return.
+	refusals map[string]time.Time
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
 	// means holds the learned run times, queueWork the learned work per job of each queue.
@@ -240,6 +242,7 @@
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
 	p.accounts = map[string]*account{}
+	p.refusals = map[string]time.Time{}
 	p.ended = map[string]workload.Worker{}
 	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
