--- a/fleet/dispatch/uncertainusage.go
+++ b/fleet/dispatch/uncertainusage.go
@@ -96,7 +96,7 @@
 		switch {
 		case j == nil:
 			p.uncertainRoom = p.uncertainRoom.Plus(room)
-		case j.account == nil:
+		case j.account.limit == (workload.Resources{}):
 		case t.Step < 0 || t.Step >= len(j.Steps):
 			j.account.uncertain = j.account.uncertain.Plus(room)
 		default:
