test(testfleet): the kill of all nodes waits until the delayed start has arrived

Change: the stand-in counts the starts that a worker has received and carries out later, and the test waits for that one. It checks the same as before.

--- a/verbenaentry/testfleet/all_killed_test.go
+++ b/verbenaentry/testfleet/all_killed_test.go
@@ -32,6 +32,16 @@
 	}
 }
 
+func awaitDelayedStart(ctx context.Context, t *testing.T, f *testfleet.Fleet, j *standin.Job) {
+	t.Helper()
+	for f.Platform.DelayedStarts(j.ID) == 0 && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if f.Platform.DelayedStarts(j.ID) == 0 {
+		t.Fatalf("delayed start of %s: got none, want one", j.ID)
+	}
+}
+
 // Guards against tasks that run twice, ended tasks that run again and lost jobs when all nodes are killed at the same time, with the state
 // of all holders. In each pool, two workers keep running but do not answer the successors: one of them stays unresponsive for longer than
 // its lease, and executes a start from just before the kill late, without a report to any holder. A third worker restarts.
@@ -63,8 +73,10 @@
 		f.Platform.SetWorkerFaults("m-"+pool+"-1", standin.WorkerFaults{StartDelay: startDelay})
 	}
 	for i := range pools {
-		// The delayed worker has not started its task.
-		awaitRuns(ctx, t, f, submitWide(i, len(pools)+i), 3)
+		// The delayed worker has received its start and has not carried it out. Without that start the kill could come before the order.
+		j := submitWide(i, len(pools)+i)
+		awaitRuns(ctx, t, f, j, 3)
+		awaitDelayedStart(ctx, t, f, j)
 	}
 	f.KillAll()
 	for _, pool := range pools {
