--- a/fleet/dispatch/account.go
+++ b/fleet/dispatch/account.go
@@ -19,6 +19,8 @@
 	allowance quota.Allowance
 	// short is the need of the ready tasks that only the allowance kept from starting in the last plan, least that of the largest one.
 	short, least workload.Resources
+	// uncertain is what tasks of the workspace occupy that this holder only knows from a record or a list; p.uncertainRoom comes on top.
+	uncertain workload.Resources
 	// reserved has the resources for which a task has waited so long that no further one of the workspace gets any in the present plan.
 	reserved workload.Resources
 }
