feat(dispatch): reservations for large tasks that wait

Cause: small tasks take the room of each worker as it becomes free, so that a large task waits although the pool has room.

Change: the largest task that waits, from a quarter of a worker on, gets the room where it is likely to fit first by the progress of what runs and the learnt run times. Smaller tasks get that room only if they have likely ended by then or fit beside it.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -33,8 +34,17 @@
 	MaxSuspicion time.Duration
 	// StatusRetention is how long the state of a finished job is kept.
 	StatusRetention time.Duration
+	// LargeTask is the share of a worker, in the resource of which a task needs most, from which on a waiting task gets a reservation;
+	// Never for none.
+	LargeTask float64
+	// SecondRuns is how many times as long as nine tenths of its kind a run of a speculative step takes before another one is started
+	// beside it; Never for none.
+	SecondRuns float64
 }
 
+// Never is a share or factor that nothing reaches.
+const Never = math.MaxFloat64
+
 // Default returns s with the defaults in unset fields.
 func (s Settings) Default() Settings {
 	s.Lease = cmp.Or(s.Lease, 3500*time.Millisecond)
@@ -51,6 +61,8 @@
 	s.StopRetry = cmp.Or(s.StopRetry, 400*time.Millisecond)
 	s.MaxSuspicion = cmp.Or(s.MaxSuspicion, 16*time.Second)
 	s.StatusRetention = cmp.Or(s.StatusRetention, 120*time.Second)
+	s.LargeTask = cmp.Or(s.LargeTask, 0.25)
+	s.SecondRuns = cmp.Or(s.SecondRuns, 1)
 	return s
 }
 
@@ -158,7 +170,12 @@
 	// means holds the learned run times, queueWork the learned work per job of each queue.
 	means     map[meanKey]*runningMean
 	queueWork map[string]*runningMean
-	tickets   map[stepKey]*ticketSet
+	// runTimes holds the learned spread of run times.
+	runTimes map[meanKey]*runTimes
+	// reservations are those of large tasks that wait; toReserve is the task that gets the next one after the present plan.
+	reservations []*reservation
+	toReserve    *task
+	tickets      map[stepKey]*ticketSet
 	// priorLeasesUntil is the time until which runs of a previous holder may be present on workers that have not reported;
 	// handedOverLeases holds the workers on which those that the handover names may be present for longer.
 	priorLeasesUntil time.Time
@@ -223,6 +240,7 @@
 	p.jobs = map[string]*job{}
 	p.absentJobs = map[string]time.Time{}
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
+	p.runTimes = map[meanKey]*runTimes{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
 	p.backlog = backlog{}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -41,6 +41,8 @@
 	ready bool
 	// startedAt is when a worker first confirmed to this holder that a task of the step has begun; zero before.
 	startedAt time.Time
+	// reserveFrom is when a task of the step may get a reservation again.
+	reserveFrom time.Time
 }
 
 // hasRuns reports whether a task that is not done has a run, confirmed or ordered.
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -35,12 +35,14 @@
 	for _, j := range p.active {
 		p.openDue(j, now)
 	}
+	p.checkReservations(now)
 	u := p.currentUncertainty(now)
 	p.index, p.startsLeft = p.newIndex(now), maxStarts
 	p.freeAtFirst = p.index.maxFreeCPU()
 	for _, c := range p.candidates(u, now) {
 		p.place(c, u, now)
 	}
+	p.reserve(now)
 	p.indexBuffer = p.index.release()
 	p.index = nil
 	actions := p.actions
@@ -201,8 +203,13 @@
 			p.noteWait(c.job, 0, now)
 			return
 		}
+		large := p.isLarge(&c.job.Steps[s])
 		if c.job.Steps[s].Gang {
 			p.placeGang(st, u, now)
+			if large && !st.hasRuns() {
+				p.noteLargeWait(st.tasks[0], now)
+			}
+			p.index.unplacedCPU += int64(st.withoutRun) * c.job.Steps[s].Reserved().CPU
 			p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
 			continue
 		}
@@ -223,6 +230,9 @@
 			if w == nil {
 				p.noteWait(c.job, t.step.Reserved().CPU, now)
 			}
+			if w == nil && large {
+				p.noteLargeWait(t, now)
+			}
 			if w == nil && len(t.failedOn) > 0 {
 				// Other tasks of the step may run where this one has failed.
 				continue
@@ -233,6 +243,7 @@
 			}
 			p.start(t, w, p.nextRun(t), now)
 		}
+		p.index.unplacedCPU += int64(st.withoutRun) * c.job.Steps[s].Reserved().CPU
 	}
 }
 
@@ -246,7 +257,7 @@
 
 func (p *Pool) start(t *task, w *worker, number int, now time.Time) {
 	j := t.job
-	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100}
+	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100, resumed: t.checkpoint != ""}
 	x.startLeaseEnd = w.clockAt(now) + p.Settings.StartLease
 	p.extendLease(w, now, p.Settings.StartLease)
 	w.leaseSentAt = now
@@ -374,6 +385,12 @@
 	if step.MaxPerWorker > 0 && p.onWorker(t, w) >= step.MaxPerWorker {
 		return false
 	}
+	if p.keptFree(w, t, now) {
+		if p.index != nil {
+			p.index.kept = true
+		}
+		return false
+	}
 	return true
 }
 
--- a/fleet/dispatch/report.go
+++ b/fleet/dispatch/report.go
@@ -133,6 +133,9 @@
 	if x.startClock == 0 {
 		x.startClock = w.clock
 	}
+	if x.firstSeen.IsZero() {
+		x.firstSeen, x.firstPercent = now, a.Percent
+	}
 	if x.progressAt.IsZero() || a.Percent != x.percent {
 		x.progressAt = now
 	}
@@ -200,6 +203,7 @@
 	w.recordSuccess()
 	if x != nil {
 		p.learnDuration(x, now)
+		p.learnSpread(x, now)
 	}
 	tasks := []*task{t}
 	if t.step.Gang {
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -46,6 +46,11 @@
 	// inStops is true while the pool's list of stops holds the run.
 	inStops bool
 	percent int
+	// firstSeen is when a report first listed the run, firstPercent its progress then.
+	firstSeen    time.Time
+	firstPercent int
+	// resumed runs began with a checkpoint.
+	resumed bool
 	// progressAt is when a report last showed a change of the percentage; zero before the first report of the run.
 	progressAt time.Time
 	metric     float64
--- a/fleet/dispatch/workerindex.go
+++ b/fleet/dispatch/workerindex.go
@@ -21,6 +21,12 @@
 	buffer []indexed
 	// misses holds needs for which no worker has enough free capacity.
 	misses []workload.Resources
+	// largest holds the largest capacity of a worker in each resource.
+	largest workload.Resources
+	// totalCPU is the capacity of the workers that take starts, unplacedCPU the need of the tasks that the plan has not placed.
+	totalCPU, unplacedCPU int64
+	// kept is true once a reservation has kept the present task from a worker.
+	kept bool
 }
 
 // workerClass identifies workers whose scores for a finite task without data on a rack differ only by the free part of their CPU.
@@ -51,9 +57,13 @@
 	var members *classMembers
 	for i, w := range x.workers {
 		w.position = i
+		x.largest = workload.Resources{
+			CPU: max(x.largest.CPU, w.Capacity.CPU), MemoryMB: max(x.largest.MemoryMB, w.Capacity.MemoryMB), GPU: max(x.largest.GPU, w.Capacity.GPU),
+		}
 		if !p.usable(w, now) {
 			continue
 		}
+		x.totalCPU += w.Capacity.CPU
 		if class := w.class(now); members == nil || class != last {
 			last, members = class, x.membersOf(class)
 		}
@@ -143,6 +153,7 @@
 // capacity.
 func (p *Pool) indexedChoice(t *task, need workload.Resources, now time.Time) *worker {
 	x := p.index
+	x.kept = false
 	var best choice
 	admitted := func(w *worker) bool { return !slices.Contains(t.failedOn, w.ID) && p.admits(w, t, now) }
 	if rack := t.step.DataRack; rack != "" {
@@ -157,7 +168,7 @@
 			best.offer(w, p.score(w, t, w.free(), now))
 		}
 	}
-	if best.worker == nil && len(t.failedOn) == 0 && t.step.RequiredLabel == "" && t.step.MaxPerWorker == 0 {
+	if best.worker == nil && !x.kept && len(t.failedOn) == 0 && t.step.RequiredLabel == "" && t.step.MaxPerWorker == 0 {
 		x.addMiss(need)
 	}
 	return best.worker
--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -7,11 +7,13 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/verbenabench/assignment"
 	"verbenalanding.example/verbenabench/capacity"
 	"verbenalanding.example/verbenabench/days"
 	"verbenalanding.example/verbenabench/entry"
 	"verbenalanding.example/verbenabench/flood"
+	"verbenalanding.example/verbenabench/gaps"
 	"verbenalanding.example/verbenabench/jobload"
 	"verbenalanding.example/verbenabench/moves"
 	"verbenalanding.example/verbenabench/placement"
@@ -36,6 +38,7 @@
 		{"placement", "Place jobs and compare the policy with first fit", &placementCommand{streams: s}},
 		{"steps", "Measure the steps of the scheduler of a pool, by its number of workers", &stepsCommand{streams: s}},
 		{"estimates", "Compare the estimated starts of explained jobs with the actual ones", &estimatesCommand{streams: s}},
+		{"gaps", "Compare the waits of tasks by size with reservations for large ones, without, and with all run times known", &gapsCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
 		{"soak", "Run entry instances as processes under random faults and check the promises", &soakCommand{streams: s}},
 		{"days", "Simulate whole days of entry instances under random faults and check the promises", &daysCommand{streams: s}},
@@ -227,6 +230,28 @@
 	return e.Run(c.ctx)
 }
 
+type gapsCommand struct {
+	streams
+	commonFlags
+	Days       int     `long:"days" default:"3" description:"number of drawn days of each pool and load"`
+	Workers    int     `long:"workers" default:"24" description:"number of workers of the pool"`
+	Offline    bool    `long:"offline" description:"also place the days with all run times known"`
+	LargeTask  float64 `long:"large-task" description:"share of a worker from which on a waiting task gets a reservation; the default of the program if not given"`
+	SecondRuns float64 `long:"second-runs" description:"multiple of the time of nine tenths of a run's kind from which on a second run is started; the default of the program if not given"`
+}
+
+// Execute runs the measurement.
+func (c *gapsCommand) Execute([]string) error {
+	if c.Workers < 1 || c.Days < 1 {
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "--workers and --days must be at least 1"}
+	}
+	b := &gaps.Bench{
+		Seed: uint64(c.Seed), Days: c.Days, Workers: c.Workers, Offline: c.Offline, JSON: c.JSON, Out: c.out,
+		Settings: dispatch.Settings{LargeTask: c.LargeTask, SecondRuns: c.SecondRuns},
+	}
+	return b.Run(c.ctx)
+}
+
 type capacityCommand struct {
 	streams
 	commonFlags
