--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -17,6 +17,8 @@
 	Waiting int64
 	// Spread is the largest number of workers over which a long-running step must be spread.
 	Spread int
+	// Reserved is the number of workers that are reserved for large tasks.
+	Reserved int
 	// Idle are the workers that run nothing and may be removed, the newest first.
 	Idle []string
 }
@@ -40,6 +42,9 @@
 	for _, w := range idle {
 		d.Idle = append(d.Idle, w.ID)
 	}
+	for _, r := range p.reservations {
+		d.Reserved += len(r.places)
+	}
 	d.Waiting = p.waitingCPU(now)
 	for _, j := range p.active {
 		for s := range j.Steps {
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -37,6 +37,8 @@
 	metric  float64
 	// advice is how long the tickets of the advice service are valid, which it gives for each worker; 0 if it does not answer.
 	advice time.Duration
+	// events counts the events by kind where a test sets it.
+	events map[string]int
 }
 
 var queue = workload.Queue{Name: "recut", Pool: "cutting", MaxAttempts: 2, Stretch: 1.6, TargetDuration: 600 * time.Millisecond}
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -35,6 +35,8 @@
 	WaitTooLarge WaitReason = "tooLarge"
 	// WaitNoCapacity means that the free capacity of no worker suffices.
 	WaitNoCapacity WaitReason = "noCapacity"
+	// WaitReserved means that the workers with enough free capacity are reserved for larger tasks that have waited.
+	WaitReserved WaitReason = "reserved"
 	// WaitOtherWorker means that the task has failed on each worker with enough free capacity, and waits for another one.
 	WaitOtherWorker WaitReason = "otherWorker"
 	// WaitNextPlan means that the task is about to be started.
@@ -219,6 +221,9 @@
 	}
 	e.Reason = p.placementReason(t, now)
 	e.estimateStart(t, now)
+	if r := p.reservationOf(t.state); r != nil && e.Reason == WaitNoCapacity {
+		e.EstimatedStart, e.Basis = r.at, fmt.Sprintf("%d workers are reserved for it, %s first, until %s at the latest", len(r.places), r.places[0].worker.ID, r.until.Format(time.TimeOnly))
+	}
 }
 
 // earlierStepsLeft estimates how long the steps before a step still run.
@@ -242,20 +247,20 @@
 	reason := WaitNoWorker
 	for _, w := range p.sortedWorkers() {
 		if p.usable(w, now) {
-			reason = furthest(reason, p.workerReason(w, t, need))
+			reason = furthest(reason, p.workerReason(w, t, need, now))
 		}
 	}
 	return reason
 }
 
 // reasonOrder holds the reasons of single workers: the later one, which more conditions precede, is that of the pool.
-var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitOtherWorker, WaitNextPlan}
+var reasonOrder = []WaitReason{WaitNoWorker, WaitLabel, WaitTooLarge, WaitSpread, WaitNoCapacity, WaitReserved, WaitOtherWorker, WaitNextPlan}
 
 func furthest(a, b WaitReason) WaitReason {
 	return reasonOrder[max(slices.Index(reasonOrder, a), slices.Index(reasonOrder, b))]
 }
 
-func (p *Pool) workerReason(w *worker, t *task, need workload.Resources) WaitReason {
+func (p *Pool) workerReason(w *worker, t *task, need workload.Resources, now time.Time) WaitReason {
 	switch {
 	case t.step.RequiredLabel != "" && !slices.Contains(w.Labels, t.step.RequiredLabel):
 		return WaitLabel
@@ -265,6 +270,8 @@
 		return WaitSpread
 	case !w.free().Fits(need):
 		return WaitNoCapacity
+	case p.keptFree(w, t, now):
+		return WaitReserved
 	case slices.Contains(t.failedOn, w.ID):
 		return WaitOtherWorker
 	}
@@ -276,6 +283,8 @@
 	switch e.Reason {
 	case WaitNextPlan:
 		e.EstimatedStart, e.Basis = now, "a worker has enough free capacity"
+	case WaitReserved:
+		e.Basis = "no estimate: it follows once the larger tasks have started, or their reservations have ended"
 	case WaitOtherWorker:
 		e.EstimatedStart, e.Basis = t.returnsAt(), "the task then runs again on a worker on which it has failed"
 	case WaitNoCapacity:
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -177,3 +177,14 @@
 
 // MarkDirty has the record of a job written.
 func (p *Pool) MarkDirty(id string) { p.markDirty(p.jobs[id]) }
+
+// ReservedWorkers returns the ids of the workers that are reserved for large tasks.
+func (p *Pool) ReservedWorkers() []string {
+	var ids []string
+	for _, r := range p.reservations {
+		for _, pl := range r.places {
+			ids = append(ids, pl.worker.ID)
+		}
+	}
+	return ids
+}
--- a/fleet/dispatch/reserve.go
+++ b/fleet/dispatch/reserve.go
@@ -17,7 +17,7 @@
 	shortestReservation = time.Second
 	// reservedShare is the largest part of the workers, as one in so many, that may be reserved; one may be in any case.
 	reservedShare = 8
-	// reservationBacklog is the CPU that waiting tasks need, as a share of the capacity, above which no reservation is made: then the order of the
+	// reservationBacklog is the CPU that other waiting tasks need, as a share of the capacity, above which no reservation is made: then the order of the
 	// jobs decides who waits, and room that is kept free makes all of them later.
 	reservationBacklog = 0.5
 )
@@ -110,17 +110,21 @@
 func (p *Pool) reserve(now time.Time) {
 	t := p.toReserve
 	p.toReserve = nil
-	if t == nil || float64(p.index.unplacedCPU) > reservationBacklog*float64(p.index.totalCPU) {
+	if t == nil {
 		return
 	}
-	reserved := 0
-	for _, r := range p.reservations {
-		reserved += len(r.places)
-	}
 	tasks := 1
 	if t.step.Gang {
 		tasks = len(t.state.tasks)
 	}
+	others := p.index.unplacedCPU - int64(tasks)*t.step.Reserved().CPU
+	if float64(others) > reservationBacklog*float64(p.index.totalCPU) {
+		return
+	}
+	reserved := 0
+	for _, r := range p.reservations {
+		reserved += len(r.places)
+	}
 	most := max(1, len(p.workers)/reservedShare) - reserved
 	r := p.earliestRoom(t, tasks, now)
 	if r == nil || len(r.places) > most {
--- a/verbenaentry/node/metrics.go
+++ b/verbenaentry/node/metrics.go
@@ -27,7 +27,7 @@
 func count(r metrics.Registry, name string) { metrics.GetOrRegisterCounter(name, r).Inc(1) }
 
 // poolGauges are the names of the gauges of a held pool.
-var poolGauges = []string{"poolWorkers", "poolUsedCores", "poolWaitingCores", "poolMissingMachines"}
+var poolGauges = []string{"poolWorkers", "poolUsedCores", "poolWaitingCores", "poolMissingMachines", "poolReservedWorkers"}
 
 // setGauges sets the gauges of the pool, in the order of poolGauges.
 func (p *pool) setGauges(values ...int64) {
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -38,11 +38,19 @@
 
 // Flags are the settings of a node that are not part of the platform's settings file.
 type Flags struct {
-	DutyTTL     time.Duration `long:"duty-ttl" env:"VERBENA_DUTY_TTL" default:"2500ms" description:"time after which an unreachable holder loses its duties"`
-	WorkerLease time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker keeps its runs without a lease renewal"`
-	LogLevel    string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
+	DutyTTL      time.Duration `long:"duty-ttl" env:"VERBENA_DUTY_TTL" default:"2500ms" description:"time after which an unreachable holder loses its duties"`
+	WorkerLease  time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker keeps its runs without a lease renewal"`
+	LargeTask    float64       `long:"large-task" env:"VERBENA_LARGE_TASK" default:"0.25" description:"share of a worker from which on a waiting task gets a reservation; above 1 for none"`
+	NoSecondRuns bool          `long:"no-second-runs" env:"VERBENA_NO_SECOND_RUNS" description:"start no second runs of speculative tasks"`
+	LogLevel     string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
 }
 
+// The range of --large-task; without the flag, as in tests, the default of fleet/dispatch holds.
+const (
+	leastLargeTask = 0.05
+	mostLargeTask  = 2
+)
+
 // Check returns ErrFlags, with the flag's name, if a flag is out of range.
 func (f Flags) Check() error {
 	const shortest = 500 * time.Millisecond
@@ -52,6 +60,9 @@
 	if f.WorkerLease < shortest || f.WorkerLease > time.Minute {
 		return fmt.Errorf("%w: --worker-lease is %v, want %v to %v", ErrFlags, f.WorkerLease, shortest, time.Minute)
 	}
+	if f.LargeTask != 0 && !(f.LargeTask >= leastLargeTask && f.LargeTask <= mostLargeTask) {
+		return fmt.Errorf("%w: --large-task is %v, want %v to %v", ErrFlags, f.LargeTask, leastLargeTask, mostLargeTask)
+	}
 	return nil
 }
 
@@ -339,7 +350,12 @@
 
 func (n *Node) dispatchSettings() dispatch.Settings {
 	b := n.Settings.Bounds
+	secondRuns := 0.0
+	if n.Flags.NoSecondRuns {
+		secondRuns = dispatch.Never
+	}
 	return dispatch.Settings{
+		LargeTask: n.Flags.LargeTask, SecondRuns: secondRuns,
 		Lease: min(n.Flags.WorkerLease, b.MaxLease), MaxLease: b.MaxLease, Takeover: n.Elector.TTL, StopTime: b.Stop, StatusRetention: b.StatusRetention,
 	}
 }
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -224,7 +224,7 @@
 		observe(p.node.Registry, "jobs."+strings.TrimPrefix(e.Kind, "job "), e.Age)
 	case "start":
 		observe(p.node.Registry, "taskWaits."+e.Reason, e.Age)
-	case "run lost", "worker suspected", "worker ended":
+	case "run lost", "worker suspected", "worker ended", "worker reserved", "reservation released", "second run":
 		count(p.node.Registry, "events."+strings.ReplaceAll(e.Kind, " ", "-"))
 	}
 	leftOut, ok := p.budget.Allow(time.Now())
--- a/verbenaentry/node/size.go
+++ b/verbenaentry/node/size.go
@@ -137,7 +137,7 @@
 		chosen = s.spareMachines(standby, now, needed)
 	}
 	const milliPerCore = 1000
-	p.setGauges(int64(d.Workers), d.Used/milliPerCore, d.Waiting/milliPerCore, int64(max(0, decision.Missing-len(chosen))))
+	p.setGauges(int64(d.Workers), d.Used/milliPerCore, d.Waiting/milliPerCore, int64(max(0, decision.Missing-len(chosen))), int64(d.Reserved))
 	for _, id := range chosen {
 		p.orders.Go(func() error {
 			p.move(ctx, machineMove{machine: id, from: standby, to: p.name})
