--- a/fleet/dispatch/reserve.go
+++ b/fleet/dispatch/reserve.go
@@ -74,13 +74,26 @@
 		if reason == "" {
 			return false
 		}
-		// The next one begins as much later as this one has kept room free, so that a wrong estimate does not do so for good.
-		r.step.reserveFrom = now.Add(now.Sub(r.madeAt))
-		p.emit(Event{Kind: "reservation released", Job: t.id.Job, Task: t.id, Worker: r.places[0].worker.ID, Reason: reason, Age: now.Sub(r.madeAt)})
+		p.release(r, reason, now)
 		return true
 	})
 }
 
+// release reports the end of a reservation whose task has not started.
+func (p *Pool) release(r *reservation, reason string, now time.Time) {
+	// The next one begins as much later as this one has kept room free, so that a wrong estimate does not do so for good.
+	r.step.reserveFrom = now.Add(now.Sub(r.madeAt))
+	p.emit(Event{Kind: "reservation released", Job: r.task.id.Job, Task: r.task.id, Worker: r.places[0].worker.ID, Reason: reason, Age: now.Sub(r.madeAt)})
+}
+
+// placedTogether returns how many tasks are placed at a time: one, or those of a gang.
+func (t *task) placedTogether() int {
+	if t.step.Gang {
+		return len(t.state.tasks)
+	}
+	return 1
+}
+
 // takesWork reports whether a worker may take starts, leaving out conditions that end within a moment.
 func (p *Pool) takesWork(w *worker, now time.Time) bool {
 	return w.synced && !w.Draining && !w.cordoned && !w.excluded && !w.upkeepDue && w.missingSince.IsZero() &&
@@ -106,19 +119,25 @@
 	return nil
 }
 
-// reserve makes a reservation for the largest task that waits.
+// reserve makes a reservation for the largest task that waits, and ends all of them while too much waits.
 func (p *Pool) reserve(now time.Time) {
 	t := p.toReserve
 	p.toReserve = nil
-	if t == nil {
-		return
+	others := p.index.unplacedCPU
+	if t != nil {
+		others -= int64(t.placedTogether()) * t.step.Reserved().CPU
 	}
-	tasks := 1
-	if t.step.Gang {
-		tasks = len(t.state.tasks)
+	for _, r := range p.reservations {
+		others -= int64(r.task.placedTogether()) * r.task.step.Reserved().CPU
 	}
-	others := p.index.unplacedCPU - int64(tasks)*t.step.Reserved().CPU
 	if float64(others) > reservationBacklog*float64(p.index.totalCPU) {
+		for _, r := range p.reservations {
+			p.release(r, "too much waits", now)
+		}
+		p.reservations = nil
+		return
+	}
+	if t == nil {
 		return
 	}
 	reserved := 0
@@ -126,7 +145,7 @@
 		reserved += len(r.places)
 	}
 	most := max(1, len(p.workers)/reservedShare) - reserved
-	r := p.earliestRoom(t, tasks, now)
+	r := p.earliestRoom(t, t.placedTogether(), now)
 	if r == nil || len(r.places) > most {
 		return
 	}
