fix(dispatch): reservations do not count the room of long-running tasks as capacity

Cause: where long-running tasks use most of a pool, half of its capacity is more than finite tasks ever get, so that reservations were made in an overload too.

Change: workers count the CPU that long-running tasks reserve, and the bound is half of the rest.

--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -68,6 +68,9 @@
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
 	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
+	if x.task.step.LongRunning {
+		x.worker.longRunningCPU += x.task.step.Reserved().CPU
+	}
 	if !x.task.done && len(x.task.runs) == 0 {
 		x.task.countWithoutRun(-1)
 	}
@@ -84,6 +87,9 @@
 func (x *run) detach() {
 	delete(x.worker.runs, runKey{x.task.id, x.number})
 	x.worker.used = x.worker.used.Minus(x.task.step.Reserved())
+	if x.task.step.LongRunning {
+		x.worker.longRunningCPU -= x.task.step.Reserved().CPU
+	}
 }
 
 // removeRun removes a run from its task; a job that has ended is released with its last run.
--- a/fleet/dispatch/worker.go
+++ b/fleet/dispatch/worker.go
@@ -39,6 +39,8 @@
 	earlierLeaseEnd time.Time
 	runs            map[runKey]*run
 	used            workload.Resources
+	// longRunningCPU is the part of the used CPU that long-running tasks reserve.
+	longRunningCPU int64
 	// position is the place of the worker in the list that is sorted by id, during a plan.
 	position int
 	// processed is the number of the last processed end, recorded that of the last one whose record is in the store.
--- a/fleet/dispatch/workerindex.go
+++ b/fleet/dispatch/workerindex.go
@@ -23,7 +23,7 @@
 	misses []workload.Resources
 	// largest holds the largest capacity of a worker in each resource.
 	largest workload.Resources
-	// totalCPU is the capacity of the workers that take starts, unplacedCPU the need of the tasks that the plan has not placed.
+	// totalCPU is the capacity of the workers that take starts, less what long-running tasks reserve, unplacedCPU the need of the tasks that the plan has not placed.
 	totalCPU, unplacedCPU int64
 	// kept is true once a reservation has kept the present task from a worker.
 	kept bool
@@ -63,7 +63,7 @@
 		if !p.usable(w, now) {
 			continue
 		}
-		x.totalCPU += w.Capacity.CPU
+		x.totalCPU += w.Capacity.CPU - w.longRunningCPU
 		if class := w.class(now); members == nil || class != last {
 			last, members = class, x.membersOf(class)
 		}
