perf(dispatch): the search for room looks at 128 workers, 20 times a second

Change: a search looks at the next 128 workers, at most each 50 ms; at most 16 workers are reserved.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -179,7 +179,11 @@
 	// reservations are those of large tasks that wait; toReserve is the task that gets the next one after the present plan.
 	reservations []*reservation
 	toReserve    *task
-	tickets      map[stepKey]*ticketSet
+	// roomSoughtAt is when room for a reservation was last searched for.
+	roomSoughtAt time.Time
+	// searchFrom is the position of the first worker that the next search looks at.
+	searchFrom int
+	tickets    map[stepKey]*ticketSet
 	// priorLeasesUntil is the time until which runs of a previous holder may be present on workers that have not reported;
 	// handedOverLeases holds the workers on which those that the handover names may be present for longer.
 	priorLeasesUntil time.Time
--- a/fleet/dispatch/reserve.go
+++ b/fleet/dispatch/reserve.go
@@ -15,8 +15,13 @@
 	// task is worth. shortestReservation is the least bound.
 	longestReservation  = 1
 	shortestReservation = time.Second
-	// reservedShare is the largest part of the workers, as one in so many, that may be reserved; one may be in any case.
+	// reservedShare is the largest part of the workers, as one in so many, that may be reserved; one may be in any case, and maxReserved at most,
+	// since a plan looks at each of them for each task.
 	reservedShare = 8
+	maxReserved   = 16
+	// roomInterval is the time between two searches for the room of a reservation, searchedWorkers how many workers each looks at.
+	roomInterval    = 50 * time.Millisecond
+	searchedWorkers = 128
 	// reservationBacklog is the CPU that other waiting tasks need, as a share of the capacity, above which no reservation is made: then the order of the
 	// jobs decides who waits, and room that is kept free makes all of them later.
 	reservationBacklog = 0.5
@@ -144,7 +149,11 @@
 	for _, r := range p.reservations {
 		reserved += len(r.places)
 	}
-	most := max(1, len(p.workers)/reservedShare) - reserved
+	most := min(max(1, len(p.workers)/reservedShare), maxReserved) - reserved
+	if most <= 0 || now.Sub(p.roomSoughtAt) < roomInterval {
+		return
+	}
+	p.roomSoughtAt = now
 	r := p.earliestRoom(t, t.placedTogether(), now)
 	if r == nil || len(r.places) > most {
 		return
@@ -158,10 +167,9 @@
 	p.emit(Event{Kind: "worker reserved", Job: t.id.Job, Task: t.id, Worker: r.places[0].worker.ID, Reason: "large task waits", Age: r.at.Sub(now)})
 }
 
-// freeing is a time at which a run of a worker is likely to end.
+// freeing is the likely end of a run, and the ratio by which it may be later.
 type freeing struct {
-	worker *worker
-	need   workload.Resources
+	run    *run
 	after  time.Duration
 	spread float64
 }
@@ -171,18 +179,19 @@
 	need := t.step.Reserved()
 	free := map[*worker]workload.Resources{}
 	var ends []freeing
-	for _, w := range p.sortedWorkers() {
+	workers := p.searched()
+	for _, w := range workers {
 		if !p.takesWork(w, now) || !w.Capacity.Fits(need) || slices.Contains(t.failedOn, w.ID) || !p.admits(w, t, now) || p.reservedFor(w) != nil {
 			continue
 		}
 		free[w] = w.free()
-		for _, x := range w.sortedRuns() {
+		for _, x := range w.runs {
 			if left, spread, ok := p.timeLeft(x, now); ok {
-				ends = append(ends, freeing{w, x.task.step.Reserved(), left, spread})
+				ends = append(ends, freeing{x, left, spread})
 			}
 		}
 	}
-	slices.SortStableFunc(ends, func(a, b freeing) int { return cmp.Compare(a.after, b.after) })
+	slices.SortFunc(ends, func(a, b freeing) int { return cmp.Or(cmp.Compare(a.after, b.after), compareRuns(a.run, b.run)) })
 	fits := map[*worker]int{}
 	found, spread := 0, 1.0
 	count := func(w *worker) {
@@ -190,7 +199,7 @@
 		fits[w] = p.howMany(t, w, free[w])
 		found += fits[w]
 	}
-	for _, w := range p.sortedWorkers() {
+	for _, w := range workers {
 		if _, ok := free[w]; ok {
 			count(w)
 		}
@@ -200,15 +209,16 @@
 		if found >= tasks {
 			break
 		}
-		free[e.worker] = free[e.worker].Plus(e.need)
+		w := e.run.worker
+		free[w] = free[w].Plus(e.run.task.step.Reserved())
 		after, spread = e.after, max(spread, e.spread)
-		count(e.worker)
+		count(w)
 	}
 	if found < tasks {
 		return nil
 	}
 	r := &reservation{step: t.state, task: t, madeAt: now, at: now.Add(after), until: now.Add(workload.Scale(after, spread) + p.Settings.StopTime)}
-	for _, w := range p.sortedWorkers() {
+	for _, w := range workers {
 		if n := min(fits[w], tasks); n > 0 {
 			pl := place{worker: w}
 			for range n {
@@ -221,6 +231,17 @@
 	return r
 }
 
+// searched returns the workers that a search for room looks at, the next ones at each search where there are more.
+func (p *Pool) searched() []*worker {
+	all := p.sortedWorkers()
+	if len(all) <= searchedWorkers {
+		return all
+	}
+	from := p.searchFrom % len(all)
+	p.searchFrom = from + searchedWorkers
+	return all[from:min(from+searchedWorkers, len(all))]
+}
+
 // howMany returns how many of a step's tasks fit into free capacity of a worker.
 func (p *Pool) howMany(t *task, w *worker, free workload.Resources) int {
 	most := len(t.state.tasks)
--- a/verbenabench/gaps/offline.go
+++ b/verbenabench/gaps/offline.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -38,21 +39,21 @@
 	return used
 }
 
-// earliest returns the first time from which a need fits for as long as it runs.
-func (l *timeline) earliest(ready, runs time.Duration, need, capacity workload.Resources) time.Duration {
+// earliest returns the first time from which a need fits for as long as it runs; ok is false if there is none before a time.
+func (l *timeline) earliest(ready, before, runs time.Duration, need, capacity workload.Resources) (at time.Duration, ok bool) {
 	starts := []time.Duration{ready}
 	for _, s := range l.spans {
-		if s.to > ready {
+		if s.to > ready && s.to < before {
 			starts = append(starts, s.to)
 		}
 	}
 	slices.Sort(starts)
 	for _, at := range starts {
-		if capacity.Minus(l.usedIn(at, at+runs)).Fits(need) {
-			return at
+		if at < before && capacity.Minus(l.usedIn(at, at+runs)).Fits(need) {
+			return at, true
 		}
 	}
-	return starts[len(starts)-1]
+	return 0, false
 }
 
 // drop forgets what has ended before a time.
@@ -80,11 +81,14 @@
 		for _, step := range j.steps {
 			done := ready
 			for _, t := range step.tasks {
-				best, at := 0, time.Duration(-1)
+				best, at := 0, time.Duration(math.MaxInt64)
 				for i := range lines {
-					if e := lines[i].earliest(ready, t.runs, step.Need, s.capacity); at < 0 || e < at {
+					if e, ok := lines[i].earliest(ready, at, t.runs, step.Need, s.capacity); ok {
 						best, at = i, e
 					}
+					if at == ready {
+						break
+					}
 				}
 				lines[best].spans = append(lines[best].spans, span{at, at + t.runs, step.Need})
 				out.started(step.Need, at-ready)
