--- a/fleet/dispatch/reserve_test.go
+++ b/fleet/dispatch/reserve_test.go
@@ -61,7 +61,7 @@
 	b.addJob("other", longTask(3900))
 	b.endOn(worker, 2)
 	b.advance(200 * time.Millisecond)
-	t.Run("tasks that fit beside it are started", func(t *testing.T) {
+	t.Run("tasks that fit beside it are started", func(*testing.T) {
 		b.wantStarted("small", true)
 		b.wantStarted("other", false)
 	})
--- a/verbenabench/gaps/day.go
+++ b/verbenabench/gaps/day.go
@@ -19,10 +19,12 @@
 	run         time.Duration
 	// wrong is the spread of the declared run times around the actual ones.
 	wrong float64
-	// tail is the share of tasks that run tailFactor times as long.
+	// tail is the share of steps whose tasks run tailFactor times as long.
 	tail float64
 	// speculative is the share of jobs whose tasks may run twice.
 	speculative float64
+	// slowWorkers is the share of workers that are slow for a part of the day, as one in so many; 0 for none.
+	slowWorkers int
 }
 
 const (
@@ -33,12 +35,14 @@
 	largest, longest     = 3, 5
 	meanWidth, mostWidth = 8, 32
 	tailFactor           = 7
+	// slowFactor is how many times as long tasks take that begin on a slow worker in the second quarter of a period.
+	slowFactor = 5
 )
 
 var shapes = []shape{
 	{name: "16 cores, 64 GB; small tasks", capacity: workload.Resources{CPU: 16_000, MemoryMB: 65_536}, cpu: 0.1, memory: 0.07, run: 640 * time.Millisecond, wrong: 0.9, speculative: 0.3},
 	{name: "16 cores, 64 GB; larger tasks", capacity: workload.Resources{CPU: 16_000, MemoryMB: 65_536}, cpu: 0.21, memory: 0.1, run: 2100 * time.Millisecond, wrong: 0.5},
-	{name: "32 cores, 128 GB; small tasks, uneven", capacity: workload.Resources{CPU: 32_000, MemoryMB: 131_072}, cpu: 0.1, memory: 0.07, run: 850 * time.Millisecond, wrong: 0.2, tail: 0.03, speculative: 0.3},
+	{name: "32 cores, 128 GB; small tasks, uneven", capacity: workload.Resources{CPU: 32_000, MemoryMB: 131_072}, cpu: 0.1, memory: 0.07, run: 850 * time.Millisecond, wrong: 0.2, tail: 0.03, speculative: 0.3, slowWorkers: 12},
 	{name: "32 cores, 128 GB; CPU and memory alike", capacity: workload.Resources{CPU: 32_000, MemoryMB: 131_072}, cpu: 0.17, memory: 0.17, run: 1800 * time.Millisecond, wrong: 0.5},
 	{name: "32 cores, 128 GB; larger tasks, uneven", capacity: workload.Resources{CPU: 32_000, MemoryMB: 131_072}, cpu: 0.21, memory: 0.15, run: 1800 * time.Millisecond, wrong: 0.2, tail: 0.03},
 }
@@ -56,6 +60,11 @@
 	dayTime = 96 * time.Second
 )
 
+// slow reports whether a worker is slow.
+func (s shape) slow(worker int, at time.Duration) bool {
+	return s.slowWorkers > 0 && worker%s.slowWorkers == 0 && at%period*4/period == 1
+}
+
 // drawnTask is a task with the run time that no scheduler knows.
 type drawnTask struct {
 	runs time.Duration
@@ -117,11 +126,11 @@
 			step.After = []int{n - 1}
 		}
 		longestTask := time.Duration(0)
+		if r.Float64() < s.tail {
+			run *= tailFactor
+		}
 		for range step.Tasks {
 			took := run * math.Exp(stepSpread*r.NormFloat64())
-			if r.Float64() < s.tail {
-				took *= tailFactor
-			}
 			step.tasks = append(step.tasks, drawnTask{runs: seconds(took)})
 			longestTask = max(longestTask, seconds(took))
 		}
--- a/verbenabench/gaps/gaps.go
+++ b/verbenabench/gaps/gaps.go
@@ -50,7 +50,8 @@
 // The compared placements.
 const (
 	before       = "without reservations"
-	after        = "with reservations"
+	reserved     = "with reservations"
+	after        = "and second runs"
 	offline      = "run times known, by arrival"
 	largestFirst = "run times known, largest first"
 )
@@ -84,12 +85,17 @@
 		{before, func(jobs []drawnJob) (*outcome, error) {
 			return place(ctx, s, jobs, b.Workers, dispatch.Settings{LargeTask: dispatch.Never, SecondRuns: dispatch.Never})
 		}},
+		{reserved, func(jobs []drawnJob) (*outcome, error) {
+			settings := b.Settings
+			settings.SecondRuns = dispatch.Never
+			return place(ctx, s, jobs, b.Workers, settings)
+		}},
 		{after, func(jobs []drawnJob) (*outcome, error) { return place(ctx, s, jobs, b.Workers, b.Settings) }},
 		{offline, func(jobs []drawnJob) (*outcome, error) { return placeOffline(s, jobs, b.Workers, false), nil }},
 		{largestFirst, func(jobs []drawnJob) (*outcome, error) { return placeOffline(s, jobs, b.Workers, true), nil }},
 	}
 	if !b.Offline {
-		placements = placements[:2]
+		placements = placements[:3]
 	}
 	var rows []Row
 	for _, p := range placements {
--- a/verbenabench/gaps/gaps_test.go
+++ b/verbenabench/gaps/gaps_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, want := len(rows), 4; got != want {
+	if got, want := len(rows), 5; got != want {
 		t.Fatalf("placements: got %d, want %d", got, want)
 	}
 	for _, r := range rows {
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	without, with := rows[0], rows[1]
+	without, with := rows[0], rows[2]
 	if got, limit := with.P99[9], without.P99[9]/2; got > limit {
 		t.Errorf("p99 of the waits of the largest tenth: got %v, want at most %v, half of that without reservations", got, limit)
 	}
--- a/verbenabench/gaps/online.go
+++ b/verbenabench/gaps/online.go
@@ -25,6 +25,7 @@
 
 type worker struct {
 	id     string
+	number int
 	active []activeRun
 	ends   int64
 }
@@ -41,18 +42,19 @@
 	byID    map[string]*drawnJob
 	workers []*worker
 	index   map[string]*worker
+	shape   shape
 	now     time.Duration
 	out     *outcome
 }
 
 // place plays a day with the scheduler under the given settings.
 func place(ctx context.Context, s shape, jobs []drawnJob, workers int, settings dispatch.Settings) (*outcome, error) {
-	o := &online{pool: &dispatch.Pool{Name: "pool", Settings: settings}, jobs: jobs, byID: map[string]*drawnJob{}, index: map[string]*worker{}, out: newOutcome(s, jobs)}
+	o := &online{pool: &dispatch.Pool{Name: "pool", Settings: settings}, jobs: jobs, byID: map[string]*drawnJob{}, index: map[string]*worker{}, shape: s, out: newOutcome(s, jobs)}
 	o.pool.OnEvent = o.out.event
 	o.pool.Begin(epoch)
 	o.pool.SetQueues([]workload.Queue{queue})
 	for i := range workers {
-		w := &worker{id: fmt.Sprintf("w%04d", i)}
+		w := &worker{id: fmt.Sprintf("w%04d", i), number: i}
 		o.workers, o.index[w.id] = append(o.workers, w), w
 		o.pool.SetWorker(workload.Worker{ID: w.id, Machine: "m-" + w.id, Pool: o.pool.Name, Rack: fmt.Sprint(i / 20), Incarnation: 1, Capacity: s.capacity}, epoch)
 	}
@@ -94,7 +96,11 @@
 			o.out.started(o.byID[a.Task.Job].steps[a.Task.Step].Need, a.Waited)
 		}
 		w := o.index[a.Worker.ID]
-		w.active = append(w.active, activeRun{workload.ActiveRun{Task: a.Task, Run: a.Run}, o.now, t.runs})
+		took := t.runs
+		if o.shape.slow(w.number, o.now) {
+			took *= slowFactor
+		}
+		w.active = append(w.active, activeRun{workload.ActiveRun{Task: a.Task, Run: a.Run}, o.now, took})
 		o.pool.StartAnswered(a, dispatch.Present, o.reading(), epoch.Add(o.now))
 	case dispatch.Stop:
 		w := o.index[a.Worker.ID]
