--- a/fleet/dispatch/reserve.go
+++ b/fleet/dispatch/reserve.go
@@ -11,6 +11,8 @@
 const (
 	// reserveAfter is how long a large task waits before it gets a reservation.
 	reserveAfter = 200 * time.Millisecond
+	// overdueAfter is how long a large task waits before it gets a reservation whatever else waits; one at a time has such a reservation.
+	overdueAfter = 15 * time.Second
 	// longestReservation bounds a reservation as a multiple of the likely run time of its task: what is kept free for longer costs more than the
 	// task is worth. shortestReservation is the least bound.
 	longestReservation  = 1
@@ -35,6 +37,8 @@
 	places []place
 	// madeAt is when it was made, at when the room is likely to be free; it ends without a start at until.
 	madeAt, at, until time.Time
+	// overdue reservations do not end because too much waits.
+	overdue bool
 }
 
 // place is the room that a reservation keeps on a worker.
@@ -110,11 +114,14 @@
 	if t.job.queue.Advice != nil || now.Before(t.state.reserveFrom) || now.Sub(t.readySince) < reserveAfter || p.reservationOf(t.state) != nil {
 		return
 	}
-	if p.toReserve == nil || p.index.sizeOf(t.step.Reserved()) > p.index.sizeOf(p.toReserve.step.Reserved()) {
+	if p.toReserve == nil || cmp.Or(compareTrueFirst(t.overdue(now), p.toReserve.overdue(now)), -cmp.Compare(p.index.sizeOf(t.step.Reserved()), p.index.sizeOf(p.toReserve.step.Reserved()))) < 0 {
 		p.toReserve = t
 	}
 }
 
+// overdue reports whether a task has waited so long that it gets a reservation whatever else waits.
+func (t *task) overdue(now time.Time) bool { return now.Sub(t.readySince) >= overdueAfter }
+
 func (p *Pool) reservationOf(st *stepState) *reservation {
 	for _, r := range p.reservations {
 		if r.step == st {
@@ -136,11 +143,15 @@
 		others -= int64(r.task.placedTogether()) * r.task.step.Reserved().CPU
 	}
 	if float64(others) > reservationBacklog*float64(p.index.totalCPU) {
-		for _, r := range p.reservations {
-			p.release(r, "too much waits", now)
+		p.reservations = slices.DeleteFunc(p.reservations, func(r *reservation) bool {
+			if !r.overdue {
+				p.release(r, "too much waits", now)
+			}
+			return !r.overdue
+		})
+		if t == nil || !t.overdue(now) || len(p.reservations) > 0 {
+			return
 		}
-		p.reservations = nil
-		return
 	}
 	if t == nil {
 		return
@@ -162,7 +173,7 @@
 	if r.at.Sub(now) > bound {
 		return
 	}
-	r.until = now.Add(min(r.until.Sub(now), bound))
+	r.until, r.overdue = now.Add(min(r.until.Sub(now), bound)), t.overdue(now)
 	p.reservations = append(p.reservations, r)
 	p.emit(Event{Kind: "worker reserved", Job: t.id.Job, Task: t.id, Worker: r.places[0].worker.ID, Reason: "large task waits", Age: r.at.Sub(now)})
 }
--- a/fleet/dispatch/reserve_test.go
+++ b/fleet/dispatch/reserve_test.go
@@ -217,3 +217,31 @@
 		}
 	}
 }
+
+// Load: a pool in which more waits than it can run, for longer than any caller waits. Guards against a large task that never starts because the order keeps it
+// behind all small ones.
+func TestOverdueLargeTaskGetsAReservationWhateverWaits(t *testing.T) {
+	b := crowded(t, 2)
+	for i := range 12 {
+		b.addJob(fmt.Sprintf("first%02d", i), oneTask(3900))
+	}
+	b.addJob("large", oneTask(16000))
+	small := 0
+	busy := func(d time.Duration) {
+		for end := b.now.Add(d); b.now.Before(end); {
+			for range 4 {
+				b.addJob(fmt.Sprintf("small%04d", small), oneTask(3900))
+				small++
+			}
+			for _, id := range b.pool.WorkerIDs() {
+				b.endOn(id, 1)
+			}
+			b.advance(200 * time.Millisecond)
+		}
+	}
+	busy(10 * time.Second)
+	b.wantStarted("large", false)
+	wantCount(t, "reservations before it is overdue", b.events["worker reserved"], 0)
+	busy(10 * time.Second)
+	b.wantStarted("large", true)
+}
