--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -170,11 +170,11 @@
 	// means holds the learned run times, queueWork the learned work per job of each queue.
 	means     map[meanKey]*runningMean
 	queueWork map[string]*runningMean
-	// runTimes holds the learned spread of run times.
-	runTimes map[meanKey]*runTimes
+	// runRatios holds the learned spread of run times.
+	runRatios map[meanKey]*runRatios
 	// withinStep holds the learned spread of run times relative to the other tasks of their step; secondRunsAt is when such long runs were last
 	// searched for.
-	withinStep   map[meanKey]*runTimes
+	withinStep   map[meanKey]*runRatios
 	secondRunsAt time.Time
 	// reservations are those of large tasks that wait; toReserve is the task that gets the next one after the present plan.
 	reservations []*reservation
@@ -248,7 +248,7 @@
 	p.jobs = map[string]*job{}
 	p.absentJobs = map[string]time.Time{}
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
-	p.runTimes, p.withinStep = map[meanKey]*runTimes{}, map[meanKey]*runTimes{}
+	p.runRatios, p.withinStep = map[meanKey]*runRatios{}, map[meanKey]*runRatios{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
 	p.backlog = backlog{}
--- a/fleet/dispatch/reserve.go
+++ b/fleet/dispatch/reserve.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// reserveAfter is how long a large task waits before it gets a reservation.
-	reserveAfter = 200 * time.Millisecond
+	// largeTaskWait is how long a large task waits before it gets a reservation.
+	largeTaskWait = 200 * time.Millisecond
 	// overdueAfter is how long a large task waits before it gets a reservation whatever else waits; one at a time has such a reservation.
 	overdueAfter = 15 * time.Second
 	// longestReservation bounds a reservation as a multiple of the likely run time of its task: what is kept free for longer costs more than the
@@ -111,7 +111,7 @@
 
 // noteLargeWait remembers the largest task that the present plan has not placed and that has waited, for a reservation.
 func (p *Pool) noteLargeWait(t *task, now time.Time) {
-	if t.job.queue.Advice != nil || now.Before(t.state.reserveFrom) || now.Sub(t.readySince) < reserveAfter || p.reservationOf(t.state) != nil {
+	if t.job.queue.Advice != nil || now.Before(t.state.reserveFrom) || now.Sub(t.readySince) < largeTaskWait || p.reservationOf(t.state) != nil {
 		return
 	}
 	if p.toReserve == nil || cmp.Or(compareTrueFirst(t.overdue(now), p.toReserve.overdue(now)), -cmp.Compare(p.index.sizeOf(t.step.Reserved()), p.index.sizeOf(p.toReserve.step.Reserved()))) < 0 {
--- a/fleet/dispatch/secondrun.go
+++ b/fleet/dispatch/secondrun.go
@@ -46,7 +46,7 @@
 		key := x.task.meanKey()
 		r := p.withinStep[key]
 		if r == nil {
-			r = &runTimes{}
+			r = &runRatios{}
 			p.withinStep[key] = r
 		}
 		r.add(float64(took) / float64(mean))
--- a/fleet/dispatch/spread.go
+++ b/fleet/dispatch/spread.go
@@ -19,22 +19,22 @@
 	progressSpread = 1.25
 )
 
-// runTimes holds the last ratios of actual to declared run times of a kind of task.
-type runTimes struct {
+// runRatios holds the last ratios of actual to declared run times of a kind of task.
+type runRatios struct {
 	ring [spreadSamples]float32
 	// samples counts all of them.
 	samples int
 	sorted  []float32
 }
 
-func (r *runTimes) add(ratio float64) {
+func (r *runRatios) add(ratio float64) {
 	r.ring[r.samples%spreadSamples] = float32(ratio)
 	r.samples++
 	r.sorted = nil
 }
 
 // quantile returns a quantile of the ratios; ok is false while too few are known.
-func (r *runTimes) quantile(q float64) (ratio float64, ok bool) {
+func (r *runRatios) quantile(q float64) (ratio float64, ok bool) {
 	if r == nil || r.samples < minSpreadSamples {
 		return 0, false
 	}
@@ -50,17 +50,17 @@
 		return
 	}
 	key := x.task.meanKey()
-	r := p.runTimes[key]
+	r := p.runRatios[key]
 	if r == nil {
-		r = &runTimes{}
-		p.runTimes[key] = r
+		r = &runRatios{}
+		p.runRatios[key] = r
 	}
 	r.add(float64(now.Sub(x.presentAt)) / float64(declaredDuration(x.task)))
 }
 
 // likelyDuration returns the time within which a share of the runs of a task's kind end.
 func (p *Pool) likelyDuration(t *task, share float64) time.Duration {
-	if ratio, ok := p.runTimes[t.meanKey()].quantile(share); ok {
+	if ratio, ok := p.runRatios[t.meanKey()].quantile(share); ok {
 		return min(workload.Scale(declaredDuration(t), ratio), workload.MaxEstimate)
 	}
 	if share > medianShare {
