--- a/fleet/dispatch/reserve_test.go
+++ b/fleet/dispatch/reserve_test.go
@@ -36,7 +36,7 @@
 	}
 }
 
-func (b *bench) wantStarted(id string, want bool) {
+func (b *bench) wantJobStarted(id string, want bool) {
 	b.t.Helper()
 	if got := slices.ContainsFunc(b.starts, func(s dispatch.Start) bool { return s.Task.Job == id }); got != want {
 		b.t.Errorf("%s started: got %v, want %v", id, got, want)
@@ -62,8 +62,8 @@
 	b.endOn(worker, 2)
 	b.advance(200 * time.Millisecond)
 	t.Run("tasks that fit beside it are started", func(*testing.T) {
-		b.wantStarted("small", true)
-		b.wantStarted("other", false)
+		b.wantJobStarted("small", true)
+		b.wantJobStarted("other", false)
 	})
 	t.Run("the explanation names the reservation", func(t *testing.T) {
 		e, _ := b.pool.Explain("other", b.now)
@@ -78,7 +78,7 @@
 	t.Run("it starts once the room is free", func(t *testing.T) {
 		b.endOn(worker, 2)
 		b.advance(200 * time.Millisecond)
-		b.wantStarted("large", true)
+		b.wantJobStarted("large", true)
 		wantCount(t, "reserved workers", len(b.pool.ReservedWorkers()), 0)
 	})
 }
@@ -114,7 +114,7 @@
 			b.plan()
 			b.report()
 			b.plan()
-			b.wantStarted("other", true)
+			b.wantJobStarted("other", true)
 		})
 	}
 }
@@ -138,7 +138,7 @@
 		if b.events["reservation released"] == 0 {
 			t.Error("reservations released: got none, want one")
 		}
-		b.wantStarted("small", true)
+		b.wantJobStarted("small", true)
 	})
 	t.Run("the worker drains", func(t *testing.T) {
 		b := reserved(t)
@@ -184,10 +184,10 @@
 	b.endOn(reserved[0], 3)
 	b.addJob("small", longTask(8000))
 	b.advance(100 * time.Millisecond)
-	b.wantStarted("small", false)
+	b.wantJobStarted("small", false)
 	b.endOn(reserved[1], 3)
 	b.advance(100 * time.Millisecond)
-	b.wantStarted("gang", true)
+	b.wantJobStarted("gang", true)
 }
 
 // Guards against deployments without large tasks that are planned otherwise than before.
@@ -240,8 +240,8 @@
 		}
 	}
 	busy(10 * time.Second)
-	b.wantStarted("large", false)
+	b.wantJobStarted("large", false)
 	wantCount(t, "reservations before it is overdue", b.events["worker reserved"], 0)
 	busy(10 * time.Second)
-	b.wantStarted("large", true)
+	b.wantJobStarted("large", true)
 }
