--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"verbenalanding.example/fleet/quota"
 	"verbenalanding.example/fleet/workload"
 )
 
@@ -134,10 +135,22 @@
 	OnEvent func(Event)
 	// OnFirstStart receives how long each job has waited for its first run, unless a previous holder may have started it; it may be nil.
 	OnFirstStart func(FirstStart)
+	// OnMetered receives whether a workspace is owed a job that became known; it may be nil.
+	OnMetered func(Metered)
 
 	queues map[string]workload.Queue
 	// workspaces holds the workspaces of the configuration by name; it is empty where there are none.
 	workspaces map[string]*workspace
+	// accounts holds what the jobs of each workspace occupy, limited those of them that have a limit.
+	accounts map[string]*account
+	limited  []*account
+	// usage keeps the memory of WorkspaceUsage.
+	usage map[string]quota.Usage
+	// uncertainRoom is what runs may occupy as of the last plan that this holder does not know; orphaned holds the workers that listed such runs.
+	uncertainRoom workload.Resources
+	orphaned      map[string]orphans
+	// meanWeight is the mean weight of the workspaces.
+	meanWeight float64
 	workers    map[string]*worker
 	// confirmedAt is the latest time at which the duty is confirmed to have been held.
 	confirmedAt time.Time
@@ -165,10 +178,21 @@
 	sortedByID []*worker
 	jobs       map[string]*job
 	active     []*job
+	// unmetered holds the jobs of workspaces that became known since the last plan.
+	unmetered []*job
+	// outlook is what nodes are told of the pool, made at outlookAt.
+	outlook *Outlook
+	// incomingCPU is the capacity of the machines on their way to the pool.
+	incomingCPU int64
+	outlookAt   time.Time
+	// refusals holds when jobs were first refused whose callers may return.
+	refusals map[string]time.Time
 	// absentJobs holds the jobs that are not in the store, and when that was read.
 	absentJobs map[string]time.Time
 	// means holds the learned run times, queueWork the learned work per job of each queue.
-	means     map[meanKey]*runningMean
+	means map[meanKey]*runningMean
+	// runTimes holds the learned run times in seconds, whatever the tasks declare.
+	runTimes  map[meanKey]*runningMean
 	queueWork map[string]*runningMean
 	// runRatios holds the learned spread of run times.
 	runRatios map[meanKey]*runRatios
@@ -242,15 +266,19 @@
 	p.begunAt = now
 	p.queues = map[string]workload.Queue{}
 	p.workers = map[string]*worker{}
+	p.accounts = map[string]*account{}
+	p.refusals = map[string]time.Time{}
 	p.ended = map[string]workload.Worker{}
 	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
 	p.jobs = map[string]*job{}
 	p.absentJobs = map[string]time.Time{}
+	p.runTimes = map[meanKey]*runningMean{}
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
 	p.runRatios, p.withinStep = map[meanKey]*runRatios{}, map[meanKey]*runRatios{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
+	p.orphaned, p.uncertainRoom = map[string]orphans{}, anything
 	p.backlog = backlog{}
 	p.priorOrdersUntil = now.Add(p.Settings.Takeover)
 	// The lost holder may have started a task on an incarnation of a worker of which neither holder knows.
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -37,6 +37,10 @@
 	WaitNoCapacity WaitReason = "noCapacity"
 	// WaitReserved means that the workers with enough free capacity are reserved for larger tasks that have waited.
 	WaitReserved WaitReason = "reserved"
+	// WaitQuota means that the limit of the job's workspace does not admit the task now.
+	WaitQuota WaitReason = "quota"
+	// WaitShare means that there is no capacity, and that what other workspaces are owed goes before the job, which its workspace is not owed.
+	WaitShare WaitReason = "share"
 	// WaitOtherWorker means that the task has failed on each worker with enough free capacity, and waits for another one.
 	WaitOtherWorker WaitReason = "otherWorker"
 	// WaitNextPlan means that the task is about to be started.
@@ -51,6 +55,7 @@
 	Queue string         `json:"queue"`
 	Pool  string         `json:"pool"`
 	State workload.State `json:"state"`
+	workspaceExplanation
 	// Reason is that of the next task that waits.
 	Reason WaitReason `json:"reason"`
 	// Since is when that task became ready; zero if it is not ready.
@@ -131,6 +136,7 @@
 		e.Reason, e.Basis = WaitEnded, "the job has ended"
 		return e
 	}
+	e.workspaceExplanation = x.workspaceOf(j)
 	e.countTasks(j, x.u)
 	oc, t := nextTask(j)
 	switch {
@@ -219,8 +225,13 @@
 		e.Basis = "a worker that has not reported may run the task, at most until then"
 		return
 	}
+	if basis, forbidden := p.explainQuota(t); forbidden {
+		e.Reason, e.Basis = WaitQuota, basis
+		return
+	}
 	e.Reason = p.placementReason(t, now)
 	e.estimateStart(t, now)
+	e.explainShare()
 	if r := p.reservationOf(t.state); r != nil && e.Reason == WaitNoCapacity {
 		e.EstimatedStart, e.Basis = r.at, fmt.Sprintf("%d workers are reserved for it, %s first, until %s at the latest", len(r.places), r.places[0].worker.ID, r.until.Format(time.TimeOnly))
 	}
--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"verbenalanding.example/fleet/workload"
 )
 
 // longAgo is the age from which on ages make no difference to the decisions.
@@ -188,3 +190,20 @@
 	}
 	return ids
 }
+
+// UsageMismatch compares what each workspace occupies with the sum over its runs on workers; it returns the first difference.
+func (p *Pool) UsageMismatch() string {
+	sums := map[string]workload.Resources{}
+	for _, w := range p.workers {
+		for _, x := range w.runs {
+			name := x.task.job.Workspace
+			sums[name] = sums[name].Plus(x.task.step.Need)
+		}
+	}
+	for name, a := range p.accounts {
+		if a.used != sums[name] {
+			return fmt.Sprintf("workspace %s: got %+v, want %+v", name, a.used, sums[name])
+		}
+	}
+	return ""
+}
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -51,8 +51,10 @@
 
 type job struct {
 	workload.Job
-	queue workload.Queue
-	state workload.State
+	// account is that of the job's workspace.
+	account *account
+	queue   workload.Queue
+	state   workload.State
 	// started is true once a worker has confirmed that a task of the job has begun; an order to start one may be refused or lost.
 	started bool
 	// restored is set if a previous holder may have started tasks of the job.
@@ -62,6 +64,10 @@
 	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
 	first *firstWait
 	worth float64
+	// firstCall is when the job was first refused at the call; zero for one that was not.
+	firstCall time.Time
+	// beyond is set for a job beyond the rate that its workspace is owed, aged while its tasks are placed because they have waited long.
+	beyond, aged bool
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
 	recordedVersion int
@@ -79,11 +85,15 @@
 	// listed.
 	storedUnderThis := spec.Fence != 0 && spec.Fence == p.Epoch
 	overlaps := !storedUnderThis && (now.Before(p.priorLeasesUntil) || p.hasPartialReport())
-	j := &job{Job: spec, queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
+	j := &job{Job: spec, account: p.account(spec.Workspace), queue: spec.Terms, state: workload.Queued, restored: restored || overlaps}
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
 	}
+	j.firstCall = p.firstCallOf(spec.ID, now)
 	p.jobs[spec.ID] = j
+	if spec.Workspace != "" {
+		p.unmetered = append(p.unmetered, j)
+	}
 	if record != nil && record.State.Terminal() {
 		j.state, j.finished = record.State, record.Finished
 		if j.finished.IsZero() {
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -17,6 +17,12 @@
 	inTime      bool
 	begun       bool
 	density     float64
+	// from is when its objective began, target when that ends, end when it is likely to be done.
+	from   time.Time
+	target time.Time
+	end    time.Time
+	// rank is set where workspaces share the pool.
+	rank rank
 }
 
 // maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. A pool has
@@ -30,6 +36,7 @@
 	p.repeatStops(now)
 	p.replaceDraining(now)
 	p.countSuspects(now)
+	p.meterArrivals(now)
 	p.backlog = p.countBacklog()
 	p.rotateBacklog(now)
 	for _, j := range p.active {
@@ -39,11 +46,15 @@
 	u := p.currentUncertainty(now)
 	p.index, p.startsLeft = p.newIndex(now), maxStarts
 	p.freeAtFirst = p.index.maxFreeCPU()
-	for _, c := range p.candidates(u, now) {
+	p.beginQuota(now)
+	list := p.candidates(u, now)
+	p.placeAged(list, u, now)
+	for _, c := range list {
 		p.place(c, u, now)
 	}
 	p.startSecondRuns(u, now)
 	p.reserve(now)
+	p.updateOutlook(list, u, now)
 	p.indexBuffer = p.index.release()
 	p.index = nil
 	actions := p.actions
@@ -80,7 +91,7 @@
 }
 
 func (p *Pool) placeable(t *task, now time.Time) bool {
-	return p.choose(t, t.step.Reserved(), now) != nil
+	return !t.overQuota() && p.choose(t, t.step.Reserved(), now) != nil
 }
 
 // waiting reports whether a task is not done and certainly has no run.
@@ -101,7 +112,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(list, compareCandidates)
+	p.sortCandidates(list)
 	// What is left of a longer list would keep jobs that have ended.
 	clear(list[len(list):cap(list)])
 	p.candidateBuffer = list
@@ -139,11 +150,15 @@
 	}
 	est := p.estimate(j, oc, now)
 	from := j.Accepted
+	if !j.firstCall.IsZero() {
+		from = j.firstCall
+	}
 	if oc.due.After(from) {
 		from = oc.due
 	}
 	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
-	c.inTime = !now.Add(est.remainingPath).After(target)
+	c.from, c.target, c.end = from, target, now.Add(est.remainingPath)
+	c.inTime = !c.end.After(target)
 	c.density = p.worth(j, est) / max(est.work, 0.001)
 	return c, true
 }
@@ -206,12 +221,13 @@
 		}
 		large := p.isLarge(&c.job.Steps[s])
 		if c.job.Steps[s].Gang {
-			p.placeGang(st, u, now)
-			if large && !st.hasRuns() {
-				p.noteLargeWait(st.tasks[0], now)
+			if p.placeGang(st, u, now) {
+				if large && !st.hasRuns() {
+					p.noteLargeWait(st.tasks[0], now)
+				}
+				p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
 			}
 			p.index.unplacedCPU += int64(st.withoutRun) * c.job.Steps[s].Reserved().CPU
-			p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
 			continue
 		}
 		for _, t := range st.tasks {
@@ -221,6 +237,10 @@
 			if !waiting(t, u) {
 				continue
 			}
+			if !p.withinQuota(t, now) {
+				// The other tasks of the step are equal to this one.
+				break
+			}
 			var w *worker
 			if t.step.Reserved().CPU <= p.index.maxFreeCPU() {
 				w = p.choose(t, t.step.Reserved(), now)
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -62,6 +62,8 @@
 	// attributed is true once an answer or a report of the worker's known incarnation has shown the run. Before that an incarnation of
 	// which this holder does not know may have accepted the start, with a lease end on another clock.
 	attributed bool
+	// aged runs were placed because their job had waited long.
+	aged bool
 }
 
 // attach adds a run to its worker and its task.
@@ -71,6 +73,8 @@
 	if x.task.step.LongRunning {
 		x.worker.longRunningCPU += x.task.step.Reserved().CPU
 	}
+	x.aged = x.task.job.aged
+	x.task.job.account.add(x)
 	if !x.task.done && len(x.task.runs) == 0 {
 		x.task.countWithoutRun(-1)
 	}
@@ -90,6 +94,7 @@
 	if x.task.step.LongRunning {
 		x.worker.longRunningCPU -= x.task.step.Reserved().CPU
 	}
+	x.task.job.account.remove(x)
 }
 
 // removeRun removes a run from its task; a job that has ended is released with its last run.
--- a/fleet/dispatch/secondrun.go
+++ b/fleet/dispatch/secondrun.go
@@ -55,7 +55,7 @@
 	st.siblings.runs++
 }
 
-// startSecondRuns starts second runs of tasks that take much longer than the others of their step, if no waiting task needs the room. Only steps
+// startSecondRuns starts second runs of tasks that take much longer than the others of their step, if no waiting task needs the room and the workspace's limit allows it. Only steps
 // that allow it have them; the first run that is done ends the other one.
 func (p *Pool) startSecondRuns(u uncertainty, now time.Time) {
 	if p.Settings.SecondRuns >= Never || p.index.unplacedCPU > 0 || now.Sub(p.secondRunsAt) < secondRunInterval {
@@ -80,7 +80,7 @@
 		if left <= 0 || p.startsLeft <= 0 {
 			return
 		}
-		if w := p.chooseSecond(x.task, now); w != nil {
+		if w := p.chooseSecond(x.task, now); w != nil && p.quotaAllows(x.task) {
 			left--
 			p.emit(Event{Kind: "second run", Job: x.task.id.Job, Task: x.task.id, Run: x.number, Worker: w.ID, Reason: "run takes longer than others of its step", Age: now.Sub(x.presentAt)})
 			p.start(x.task, w, p.nextRun(x.task), now)
@@ -88,6 +88,12 @@
 	}
 }
 
+// quotaAllows reports whether the limit of a task's workspace admits a second run beside what its waiting tasks keep of the limit.
+func (p *Pool) quotaAllows(t *task) bool {
+	a := t.job.account
+	return a.limit == (workload.Resources{}) || (a.checkQuota(t.step.Need, 1, p.uncertainOf(a)).allowed && !overlap(t.step.Need, a.reserved))
+}
+
 // lateRuns returns the number of second runs of a step, and its runs that take so long that a second one is likely to end before them.
 func (p *Pool) lateRuns(st *stepState, u uncertainty, now time.Time) (second int, late []*run) {
 	step := st.tasks[0].step
--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -16,6 +16,7 @@
 	"verbenalanding.example/verbenabench/gaps"
 	"verbenalanding.example/verbenabench/jobload"
 	"verbenalanding.example/verbenabench/moves"
+	"verbenalanding.example/verbenabench/overload"
 	"verbenalanding.example/verbenabench/placement"
 	"verbenalanding.example/verbenabench/planstep"
 	"verbenalanding.example/verbenabench/platform"
@@ -39,6 +40,7 @@
 		{"steps", "Measure the steps of the scheduler of a pool, by its number of workers", &stepsCommand{streams: s}},
 		{"estimates", "Compare the estimated starts of explained jobs with the actual ones", &estimatesCommand{streams: s}},
 		{"gaps", "Compare the waits of tasks by size with reservations for large ones, without, and with all run times known", &gapsCommand{streams: s}},
+		{"overload", "Compare orders of waiting work and rules of refusal in a pool that workspaces share", &overloadCommand{streams: s}},
 		{"capacity", "Measure the slopes that docs/CAPACITY.md uses", &capacityCommand{streams: s}},
 		{"soak", "Run entry instances as processes under random faults and check the promises", &soakCommand{streams: s}},
 		{"days", "Simulate whole days of entry instances under random faults and check the promises", &daysCommand{streams: s}},
@@ -273,3 +275,15 @@
 	c.Out = c.out
 	return c.Run(c.ctx)
 }
+
+type overloadCommand struct {
+	streams
+	commonFlags
+	Seeds int `long:"seeds" default:"5" description:"number of consecutive seeds that are added up"`
+}
+
+// Execute runs the measurement.
+func (c *overloadCommand) Execute([]string) error {
+	o := &overload.Overload{Seed: uint64(c.Seed), Seeds: c.Seeds, JSON: c.JSON, Out: c.out}
+	return o.Run(c.ctx)
+}
--- a/verbenabench/days/caller.go
+++ b/verbenabench/days/caller.go
@@ -49,6 +49,9 @@
 
 // runCaller simulates one caller, which submits a job, cancels it in some cases, and requests its state.
 func (d *day) runCaller(ctx context.Context, c *submission) {
+	if d.script.hasKeys() {
+		c.job.Workspace = c.workspace()
+	}
 	d.platform.AddJob(c.job, testfleet.Attempts)
 	if !d.submit(ctx, c) {
 		return
@@ -159,6 +162,7 @@
 	}
 	r.Host = testfleet.Host
 	r.Header.Set(wire.HeaderDeadline, "3000")
+	d.sign(r, c)
 	answer, err := d.client.Do(r)
 	if err != nil {
 		return 0, nil
@@ -168,6 +172,9 @@
 	if err != nil {
 		return 0, nil
 	}
+	if answer.StatusCode == http.StatusUnauthorized {
+		d.violate("key: %s of job %s is refused with a valid key by %s", method, c.job.ID, p.settings.Node)
+	}
 	return answer.StatusCode, content
 }
 
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -40,14 +40,19 @@
 	entry := &http.Server{
 		Handler: http.HandlerFunc(n.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	entryListener := n.limitListener(listenerEntry, l.entry)
+	limitServer(entry, entryListener)
 	router := chi.NewRouter()
 	router.Get(platform.ReadinessPath, n.ready)
 	router.Get("/metrics", n.metrics)
 	n.routeExplanations(router)
+	n.routeWorkspaces(router)
 	readiness := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	readinessListener := n.limitListener(listenerReadiness, l.readiness)
+	limitServer(readiness, readinessListener)
 	for _, serve := range []func() error{
-		func() error { return entry.Serve(l.entry) },
-		func() error { return readiness.Serve(l.readiness) },
+		func() error { return entry.Serve(entryListener) },
+		func() error { return readiness.Serve(readinessListener) },
 	} {
 		group.Go(func() error {
 			if err := serve(); !errors.Is(err, http.ErrServerClosed) {
@@ -74,6 +79,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	began := time.Now()
+	// The age is read first: the configuration that is read after it is at least as new as the age says.
+	age := n.View.age()
 	routes := n.View.routes()
 	if routes == nil {
 		n.refuse(w, http.StatusServiceUnavailable, "no configuration yet")
@@ -81,7 +88,11 @@
 	}
 	queue, id := routes.find(r.Host, r.URL.Path)
 	if queue == nil {
-		n.refuseUnknownQueue(w, r, routes.Version)
+		n.refuseUnknownQueue(w, r, routes.Version, age)
+		return
+	}
+	from, permitted := n.permit(w, r, routes, queue, age)
+	if !permitted {
 		return
 	}
 	if id == "" {
@@ -101,16 +112,25 @@
 	var status int
 	switch r.Method {
 	case http.MethodPost:
-		status = n.submit(ctx, w, r, queue, id, routes.MaxBodyBytes)
+		status = n.submit(ctx, w, r, queue, id, from, routes.MaxBodyBytes)
 	case http.MethodGet:
-		status = n.answerState(ctx, w, queue, id)
+		status = n.answerState(ctx, w, queue, id, from)
 	case http.MethodDelete:
-		status = n.cancel(ctx, w, queue, id)
+		status = n.cancel(ctx, w, queue, id, from)
 	default:
 		status = http.StatusMethodNotAllowed
 		n.refuse(w, status, "unknown method")
 	}
-	observe(n.Registry, "requests."+strings.ToLower(r.Method)+"."+strconv.Itoa(status), time.Since(began))
+	observe(n.Registry, "requests."+methodLabel(r.Method)+"."+strconv.Itoa(status), time.Since(began))
+}
+
+// methodLabel returns the name of a method in metrics. Unknown methods share one, since each name keeps a histogram in memory.
+func methodLabel(method string) string {
+	switch method {
+	case http.MethodPost, http.MethodGet, http.MethodDelete:
+		return strings.ToLower(method)
+	}
+	return "other"
 }
 
 const (
@@ -122,9 +142,8 @@
 
 // refuseUnknownQueue refuses a request for a queue that the configuration does not have. A configuration that may be out of date cannot tell
 // that a queue does not exist: the caller then comes back.
-func (n *Node) refuseUnknownQueue(w http.ResponseWriter, r *http.Request, version int64) {
+func (n *Node) refuseUnknownQueue(w http.ResponseWriter, r *http.Request, version int64, age time.Duration) {
 	status, title := http.StatusNotFound, "no such queue"
-	age := n.View.age()
 	if age > staleAfter {
 		status, title = http.StatusServiceUnavailable, "queue unknown; the configuration may be out of date"
 	}
@@ -171,7 +190,7 @@
 		p.Outcome = "unknown"
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(status)
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -42,6 +42,7 @@
 	WorkerLease  time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker keeps its runs without a lease renewal"`
 	LargeTask    float64       `long:"large-task" env:"VERBENA_LARGE_TASK" default:"0.25" description:"share of a worker from which on a waiting task gets a reservation; above 1 for none"`
 	NoSecondRuns bool          `long:"no-second-runs" env:"VERBENA_NO_SECOND_RUNS" description:"start no second runs of speculative tasks"`
+	Intake       IntakeFlags   `group:"Intake"`
 	LogLevel     string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
 }
 
@@ -63,12 +64,12 @@
 	if f.LargeTask != 0 && !(f.LargeTask >= leastLargeTask && f.LargeTask <= mostLargeTask) {
 		return fmt.Errorf("%w: --large-task is %v, want %v to %v", ErrFlags, f.LargeTask, leastLargeTask, mostLargeTask)
 	}
-	return nil
+	return f.Intake.check()
 }
 
 // memoryLimitPercent is the percentage of the process's memory limit above which garbage is collected more often; the platform kills a
 // process that exceeds its limit.
-const memoryLimitPercent = 70
+const memoryLimitPercent = 55
 
 // Node is a running entry instance.
 type Node struct {
@@ -90,9 +91,12 @@
 	pools         pools
 	claimedOrders newestOrders
 	queuePools    queuePools
+	outlooks      outlooks
 	leaving       atomic.Bool
 	// refusals limits the log lines for refused requests.
 	refusals logs.Budget
+	// intake bounds what clients can take of the process.
+	intake *clientIntake
 	// listenAt opens the node's listeners.
 	listenAt func(addr netip.AddrPort) (net.Listener, error)
 	// notifications runs the calls that notify holders of stored requests; nothing waits for them, and their timeout ends them.
@@ -200,7 +204,7 @@
 ) *Node {
 	return &Node{
 		Settings: s, Flags: f, Log: log, Clock: clock, Store: st, Workers: w, Machines: m, Advice: a, Elector: elector, View: v, Peers: p, Registry: r,
-		StoreTimeout: timeout, refusals: logs.Budget{PerSecond: refusalLines},
+		StoreTimeout: timeout, refusals: logs.Budget{PerSecond: refusalLines}, intake: newClientIntake(s, f),
 	}
 }
 
@@ -229,6 +233,7 @@
 	n.Elector.RequestStatus = n.Peers.requestStatus
 	n.Elector.FenceWorkers = n.fenceWorkers
 	n.View.OnChange = n.configurationChanged
+	n.View.Workspaces = n.Settings.Workspaces
 	n.Peers.Handler = n.handlePeerCall
 	if err := n.View.register(n.Registry); err != nil {
 		return fmt.Errorf("register metrics: %w", err)
@@ -236,7 +241,9 @@
 	group.Go(func() error { return n.View.Run(groupCtx) })
 	group.Go(func() error { return n.followConfigurationOfPeers(groupCtx) })
 	group.Go(func() error { return n.Elector.Run(groupCtx) })
-	group.Go(func() error { return n.Peers.Serve(groupCtx, listeners.peer) })
+	n.registerIntake()
+	n.Peers.Limits = n.peerLimits()
+	group.Go(func() error { return n.Peers.Serve(groupCtx, n.limitListener(listenerPeer, listeners.peer)) })
 	servers := n.serve(group, listeners)
 	group.Go(func() error { return n.watchSettings(groupCtx) })
 	group.Go(func() error { return n.reportCounts(groupCtx) })
--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -10,7 +10,7 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// notificationLimit bounds the concurrent notifications of holders; a notification beyond it is skipped, and the holder receives the change
+// notificationLimit bounds the concurrent notifications of holders, whose jobs are bounded in bytes as well; a notification beyond it is skipped, and the holder receives the change
 // by its watch.
 const notificationLimit = 64
 
@@ -22,21 +22,44 @@
 	Revision store.Revision  `json:"revision"`
 }
 
-// notifyHolder notifies a pool's holder of a change that a request has stored, without waiting; if this node is the holder, it calls local.
-// The holder also receives the change by its watch, but not for seconds when the store has compacted its history.
-func (n *Node) notifyHolder(name, method string, params any, local func(*pool)) {
+// notifyHolder notifies a pool's holder of a change that a request has stored, without waiting; if this node is the holder, it calls local. Once the
+// holder has answered, with result, it calls answered. The holder also receives the change by its watch, but not for seconds when the store has compacted
+// its history.
+func (n *Node) notifyHolder(name, method string, params, result any, local func(*pool), answered func()) {
 	if held := n.pools.get(name); held != nil {
 		local(held)
+		answered()
 		return
 	}
-	n.notifications.TryGo(func() error {
+	size := n.intake.noticeSize(params)
+	if !n.intake.notices.TryAcquire(size) {
+		return
+	}
+	if started := n.notifications.TryGo(func() error {
+		defer n.intake.notices.Release(size)
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
-		if err := n.callHolder(ctx, name, method, params, nil); err != nil {
+		if err := n.callHolder(ctx, name, method, params, result); err != nil {
 			n.Log.Debug().Str("pool", name).Err(err).Msg("holder not notified of a stored request")
+			return nil
 		}
+		answered()
 		return nil
-	})
+	}); !started {
+		n.intake.notices.Release(size)
+	}
+}
+
+// noticeCopies is the memory of a notification as a multiple of its job: the record, its message and the buffer in which that is encoded.
+const noticeCopies = 4
+
+// noticeSize returns the memory of a notification.
+func (i *clientIntake) noticeSize(params any) int64 {
+	s, ok := params.(*storedJob)
+	if !ok {
+		return 0
+	}
+	return min(noticeCopies*int64(len(s.Value)), i.noticeBytes)
 }
 
 // addStoredJob adds a newly stored job. Jobs that were stored before this holder took the duty are in its list of jobs.
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"verbenalanding.example/fleet/leadership"
+	"verbenalanding.example/fleet/metering"
 	"verbenalanding.example/fleet/rpc"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
@@ -30,6 +31,8 @@
 	// The holder of a pool is notified of stored jobs and of recorded cancellation requests.
 	methodStored    = "job.stored"
 	methodCancelled = "job.cancelled"
+	// It is also notified of jobs that were refused at the call.
+	methodRefused = "job.refused"
 	// A node whose calls the store rejects reads and writes through other nodes.
 	methodGet   = "store.get"
 	methodApply = "store.apply"
@@ -40,6 +43,8 @@
 	// Operators ask any node why a job or the jobs of a queue wait.
 	methodExplainJob   = "job.explain"
 	methodExplainQueue = "queue.explain"
+	// The holder of a workspace's home adds up its arrivals at all pools.
+	methodArrivals = "workspace.arrivals"
 )
 
 // peerTimeout is the timeout of a call to another node; requests fall back to the store when the holder does not answer.
@@ -56,6 +61,8 @@
 type jobAnswer struct {
 	Known bool           `json:"known"`
 	State workload.State `json:"state,omitempty"`
+	// Workspace is that of the job; empty for a job without one.
+	Workspace string `json:"workspace,omitempty"`
 }
 
 type pendingAnswer struct {
@@ -67,6 +74,8 @@
 	Elector *leadership.Elector
 	// Handler handles the calls of other nodes.
 	Handler rpc.Handler
+	// Limits bound what clients of the inner port can take of the process; nil for none.
+	Limits *rpc.Limits
 	// Dial opens connections to other nodes; nil uses net.Dialer.
 	Dial Dial
 	// Log gets the lines about disturbed connections, at most connectionLines a second.
@@ -88,7 +97,7 @@
 
 // Serve serves the calls of other nodes until the context ends.
 func (p *Peers) Serve(ctx context.Context, l net.Listener) error {
-	server := rpc.Server{Listener: l, Sentinels: peerSentinels, Log: &p.Log, Handler: func(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	server := rpc.Server{Listener: l, Sentinels: peerSentinels, Log: &p.Log, Limits: p.Limits, Handler: func(ctx context.Context, method string, params json.RawMessage) (any, error) {
 		return p.Handler(ctx, method, params)
 	}}
 	return server.Run(ctx)
@@ -206,7 +215,21 @@
 		return rpc.Answer(params, n.presentHolder)
 	case methodStored:
 		return rpc.Answer(params, func(s storedJob) (any, error) {
-			return nil, n.withPool(s.Pool, func(p *pool) error { return p.addStoredJob(s) })
+			var answer storedAnswer
+			err := n.withPool(s.Pool, func(p *pool) error {
+				err := p.addStoredJob(s)
+				answer = p.storedAnswer()
+				return err
+			})
+			return answer, err
+		})
+	case methodArrivals:
+		return rpc.Answer(params, func(a arrivals) (totals []metering.Total, err error) {
+			err = n.withPool(a.Home, func(p *pool) error {
+				totals = p.addArrivals(a)
+				return nil
+			})
+			return totals, err
 		})
 	}
 	return rpc.Answer(params, func(item poolItem) (answer any, err error) {
@@ -242,6 +265,9 @@
 	case methodCancelled:
 		p.cancelJob(name)
 		return nil, nil
+	case methodRefused:
+		p.noteRefusal(name)
+		return nil, nil
 	}
 	return nil, fmt.Errorf("unknown method %q", method)
 }
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -16,6 +16,8 @@
 	"verbenalanding.example/fleet/follow"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/leadership"
+	"verbenalanding.example/fleet/metering"
+	"verbenalanding.example/fleet/pacing"
 	"verbenalanding.example/fleet/retry"
 	"verbenalanding.example/fleet/ring"
 	"verbenalanding.example/fleet/store"
@@ -31,8 +33,9 @@
 	planPause = 4 * time.Millisecond
 	// registrationPause is the time over which changed registrations of workers are batched; each heartbeat writes a registration again.
 	registrationPause = 150 * time.Millisecond
-	// planPauseFactor is the pause after a plan as a multiple of the planning time; it leaves processor time for orders and reports.
-	planPauseFactor = 2
+	// planPauseFactor is the pause after a plan as a multiple of the planning time: a plan takes at most a fifth of the processor time, and leaves
+	// the rest for orders and reports.
+	planPauseFactor = 4
 	// maxOrders bounds the orders of a pool that are in flight. An unanswered order takes up to a second, and must not delay other starts so
 	// long that workers refuse them as late.
 	maxOrders = 512
@@ -88,7 +91,9 @@
 
 	mu        sync.Mutex
 	scheduler *dispatch.Pool
-	budget    logs.Budget
+	// arrivals holds what the pools have told of the workspaces whose home this pool is.
+	arrivals metering.Sums
+	budget   logs.Budget
 	// confirmedAge is how old the last confirmation of the duty was at the last plan, confirmedBy who gave it.
 	confirmedAge time.Duration
 	confirmedBy  leadership.Confirmer
@@ -106,6 +111,8 @@
 	writeTries int
 	// startBudget limits the repetitions of unanswered starts.
 	startBudget retry.Budget
+	// lateness is how late the waits between plans end.
+	lateness pacing.Lateness
 	// leased holds the workers whose lease a goroutine renews.
 	leased map[string]bool
 
@@ -118,6 +125,7 @@
 	orders    errgroup.Group
 	machines  *machineTracker
 	upkeeps   *upkeeps
+	grants    *grants
 }
 
 // holdPool carries out the duty of a pool until the context ends.
@@ -128,12 +136,13 @@
 		planNow: ring.New[struct{}](1), writeNow: ring.New[struct{}](1), recordNow: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(maxOrders)
-	p.scheduler = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), OnEvent: p.logEvent, OnFirstStart: p.observeFirstStart, AwaitConfirmation: true}
+	p.scheduler = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), OnEvent: p.logEvent, OnFirstStart: p.observeFirstStart, OnMetered: p.countMetered, AwaitConfirmation: true}
 	p.scheduler.AwaitWorkerList = n.Settings.Machines.IsValid()
 	p.scheduler.RecordWorkers = !p.scheduler.AwaitWorkerList
 	p.scheduler.Begin(p.takenAt)
 	p.machines = newMachineTracker(p)
 	p.upkeeps = newUpkeeps(p)
+	p.grants = newGrants(p)
 	p.configure(n.View.Configuration())
 	group, groupCtx := errgroup.WithContext(ctx)
 	p.group = group
@@ -160,7 +169,8 @@
 	}
 	size := sizer{pool: p}
 	for _, run := range []func(context.Context) error{
-		jobs.load, size.run, p.dropEndedWorkers, p.runPlans, p.write, p.upkeeps.run, p.recordUnresponsive, p.readUnknownJobs, (&cancelledIDs{pool: p}).run,
+		jobs.load, size.run, p.dropEndedWorkers, p.runPlans, p.write, p.upkeeps.run, p.recordUnresponsive, p.readUnknownJobs, (&cancelledIDs{pool: p}).run, p.grants.run,
+		p.exchangeArrivals,
 	} {
 		group.Go(func() error { return run(groupCtx) })
 	}
@@ -310,6 +320,7 @@
 	p.update(func(scheduler *dispatch.Pool) {
 		scheduler.SetQueues(queues)
 		scheduler.SetWorkspaces(c.Workspaces)
+		p.grants.configure(c, scheduler)
 	})
 }
 
@@ -317,7 +328,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state, known := p.scheduler.JobState(id)
-	return jobAnswer{Known: known, State: state}
+	return jobAnswer{Known: known, State: state, Workspace: p.scheduler.Workspace(id)}
 }
 
 func (p *pool) pending(q workload.Queue) pendingAnswer {
@@ -330,12 +341,22 @@
 func (p *pool) runPlans(ctx context.Context) error {
 	for range interval.EachOr(ctx, planInterval, p.planNow.Items()) {
 		if p.valid() {
-			interval.Wait(ctx, p.plan(ctx))
+			p.waitAfterPlan(ctx, p.plan(ctx))
 		}
 	}
 	return nil
 }
 
+// waitAfterPlan waits before the next plan, and records how late the wait has ended.
+func (p *pool) waitAfterPlan(ctx context.Context, pause time.Duration) {
+	began := time.Now()
+	interval.Wait(ctx, pause)
+	took := time.Since(began)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateness.Observe(pause, took)
+}
+
 // plan plans once, sends the orders and returns the pause before the next plan. The time for which orders wait to be sent does not lengthen
 // the pause: it uses no processor time, and slow answers of workers would otherwise delay queued tasks.
 func (p *pool) plan(ctx context.Context) time.Duration {
@@ -351,6 +372,9 @@
 		actions = p.scheduler.Plan(now)
 	}
 	ended, unconfirmed := p.scheduler.HasEndedJobs(), p.scheduler.NeedsConfirmation()
+	if p.scheduler.QuotaShort() {
+		_ = p.grants.now.Offer(struct{}{})
+	}
 	p.mu.Unlock()
 	if unconfirmed {
 		p.node.Elector.RequestConfirmation(ctx, p.name, p.fence)
