--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"verbenalanding.example/fleet/quota"
@@ -34,8 +35,17 @@
 	MaxSuspicion time.Duration
 	// StatusRetention is how long the state of a finished job is kept.
 	StatusRetention time.Duration
+	// LargeTask is the share of a worker, in the resource of which a task needs most, from which on a waiting task gets a reservation;
+	// Never for none.
+	LargeTask float64
+	// SecondRuns scales the time that a run of a speculative step takes before a second one is started beside it: 1 is that of the slowest
+	// twentieth of its kind, relative to their steps; Never for no second runs.
+	SecondRuns float64
 }
 
+// Never is a share or factor that nothing reaches.
+const Never = math.MaxFloat64
+
 // Default returns s with the defaults in unset fields.
 func (s Settings) Default() Settings {
 	s.Lease = cmp.Or(s.Lease, 3500*time.Millisecond)
@@ -52,6 +62,8 @@
 	s.StopRetry = cmp.Or(s.StopRetry, 400*time.Millisecond)
 	s.MaxSuspicion = cmp.Or(s.MaxSuspicion, 16*time.Second)
 	s.StatusRetention = cmp.Or(s.StatusRetention, 120*time.Second)
+	s.LargeTask = cmp.Or(s.LargeTask, 0.25)
+	s.SecondRuns = cmp.Or(s.SecondRuns, 1)
 	return s
 }
 
@@ -182,7 +194,20 @@
 	// runTimes holds the learned run times in seconds, whatever the tasks declare.
 	runTimes  map[meanKey]*runningMean
 	queueWork map[string]*runningMean
-	tickets   map[stepKey]*ticketSet
+	// runRatios holds the learned spread of run times.
+	runRatios map[meanKey]*runRatios
+	// withinStep holds the learned spread of run times relative to the other tasks of their step; secondRunsAt is when such long runs were last
+	// searched for.
+	withinStep   map[meanKey]*runRatios
+	secondRunsAt time.Time
+	// reservations are those of large tasks that wait; toReserve is the task that gets the next one after the present plan.
+	reservations []*reservation
+	toReserve    *task
+	// roomSoughtAt is when room for a reservation was last searched for.
+	roomSoughtAt time.Time
+	// searchFrom is the position of the first worker that the next search looks at.
+	searchFrom int
+	tickets    map[stepKey]*ticketSet
 	// priorLeasesUntil is the time until which runs of a previous holder may be present on workers that have not reported;
 	// handedOverLeases holds the workers on which those that the handover names may be present for longer.
 	priorLeasesUntil time.Time
@@ -250,6 +275,7 @@
 	p.absentJobs = map[string]time.Time{}
 	p.runTimes = map[meanKey]*runningMean{}
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
+	p.runRatios, p.withinStep = map[meanKey]*runRatios{}, map[meanKey]*runRatios{}
 	p.tickets = map[stepKey]*ticketSet{}
 	p.dirty = map[string]*job{}
 	p.orphaned, p.uncertainRoom = map[string]orphans{}, anything
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -42,6 +42,7 @@
 	for _, j := range p.active {
 		p.openDue(j, now)
 	}
+	p.checkReservations(now)
 	u := p.currentUncertainty(now)
 	p.index, p.startsLeft = p.newIndex(now), maxStarts
 	p.freeAtFirst = p.index.maxFreeCPU()
@@ -51,6 +52,8 @@
 	for _, c := range list {
 		p.place(c, u, now)
 	}
+	p.startSecondRuns(u, now)
+	p.reserve(now)
 	p.updateOutlook(list, u, now)
 	p.indexBuffer = p.index.release()
 	p.index = nil
@@ -216,10 +219,15 @@
 			p.noteWait(c.job, 0, now)
 			return
 		}
+		large := p.isLarge(&c.job.Steps[s])
 		if c.job.Steps[s].Gang {
 			if p.placeGang(st, u, now) {
+				if large && !st.hasRuns() {
+					p.noteLargeWait(st.tasks[0], now)
+				}
 				p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
 			}
+			p.index.unplacedCPU += int64(st.withoutRun) * c.job.Steps[s].Reserved().CPU
 			continue
 		}
 		for _, t := range st.tasks {
@@ -243,6 +251,9 @@
 			if w == nil {
 				p.noteWait(c.job, t.step.Reserved().CPU, now)
 			}
+			if w == nil && large {
+				p.noteLargeWait(t, now)
+			}
 			if w == nil && len(t.failedOn) > 0 {
 				// Other tasks of the step may run where this one has failed.
 				continue
@@ -253,6 +264,7 @@
 			}
 			p.start(t, w, p.nextRun(t), now)
 		}
+		p.index.unplacedCPU += int64(st.withoutRun) * c.job.Steps[s].Reserved().CPU
 	}
 }
 
@@ -266,12 +278,16 @@
 
 func (p *Pool) start(t *task, w *worker, number int, now time.Time) {
 	j := t.job
-	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100}
+	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100, resumed: t.checkpoint != ""}
 	x.startLeaseEnd = w.clockAt(now) + p.Settings.StartLease
 	p.extendLease(w, now, p.Settings.StartLease)
 	w.leaseSentAt = now
 	p.startsLeft--
 	j.first.change(CauseOrders, now)
+	waited := now.Sub(t.readySince)
+	if len(t.runs) > 0 {
+		waited = 0
+	}
 	freeBefore := w.free().CPU
 	x.attach()
 	if p.index != nil {
@@ -279,7 +295,7 @@
 	}
 	p.actions = append(p.actions, Start{
 		Worker: w.Worker, Task: t.id, Run: number, Spec: j.Spec, Checkpoint: t.checkpoint, Ticket: p.ticket(t, w, now),
-		LeaseEnd: x.startLeaseEnd, Waited: now.Sub(t.readySince),
+		LeaseEnd: x.startLeaseEnd, Waited: waited,
 	})
 }
 
@@ -394,6 +410,12 @@
 	if step.MaxPerWorker > 0 && p.onWorker(t, w) >= step.MaxPerWorker {
 		return false
 	}
+	if p.keptFree(w, t, now) {
+		if p.index != nil {
+			p.index.kept = true
+		}
+		return false
+	}
 	return true
 }
 
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -46,6 +46,11 @@
 	// inStops is true while the pool's list of stops holds the run.
 	inStops bool
 	percent int
+	// firstSeen is when a report first listed the run, firstPercent its progress then.
+	firstSeen    time.Time
+	firstPercent int
+	// resumed runs began with a checkpoint.
+	resumed bool
 	// progressAt is when a report last showed a change of the percentage; zero before the first report of the run.
 	progressAt time.Time
 	metric     float64
@@ -65,6 +70,9 @@
 func (x *run) attach() {
 	x.worker.runs[runKey{x.task.id, x.number}] = x
 	x.worker.used = x.worker.used.Plus(x.task.step.Reserved())
+	if x.task.step.LongRunning {
+		x.worker.longRunningCPU += x.task.step.Reserved().CPU
+	}
 	x.aged = x.task.job.aged
 	x.task.job.account.add(x)
 	if !x.task.done && len(x.task.runs) == 0 {
@@ -83,6 +91,9 @@
 func (x *run) detach() {
 	delete(x.worker.runs, runKey{x.task.id, x.number})
 	x.worker.used = x.worker.used.Minus(x.task.step.Reserved())
+	if x.task.step.LongRunning {
+		x.worker.longRunningCPU -= x.task.step.Reserved().CPU
+	}
 	x.task.job.account.remove(x)
 }
 
