fix(inlet): a body that is whole is not interrupted

Cause: a review told a body to give way and set the deadline of its connection after the body had arrived whole; the request was then ended while it was handled.

Change: the deadline is set under the room's lock, and reset at the end of a body that was told to give way. TestWholeMessageIsNotInterrupted fails without it: the deadline stays in the past.

--- a/fleet/inlet/room.go
+++ b/fleet/inlet/room.go
@@ -65,105 +65,11 @@
 	return r.room.Held()
 }
 
-// Share is the room of a message until its Release.
-type Share struct {
-	room  *Room
-	share intake.Share
-	// resumed gets a value when the wait for room ends.
-	resumed chan struct{}
-	// conn is the connection on which the message arrives; nil for work that needs room.
-	conn *Conn
-}
-
-// Release returns the room; nil and a second call do nothing.
-func (s *Share) Release() {
-	if s == nil {
-		return
-	}
-	s.room.mu.Lock()
-	defer s.room.mu.Unlock()
-	s.room.room.Release(&s.share)
-	s.room.wakeResumed()
-}
-
-// wakeResumed wakes the messages that have got room; the lock must be held.
-func (r *Room) wakeResumed() {
-	for _, s := range r.room.Resumed() {
-		s.Owner.(*Share).resumed <- struct{}{}
-	}
-}
-
-func (r *Room) newShare(conn *Conn) *Share {
-	s := &Share{room: r, conn: conn}
-	s.share.Owner = s
-	return s
-}
-
-// Take returns a share of the room for work that does not depend on a client; ErrNoRoom once the context or WaitLimit ends.
-func (r *Room) Take(ctx context.Context, bytes int64) (*Share, error) {
-	s := r.newShare(nil)
-	if err := s.take(ctx, bytes); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
-// take raises what the share holds to a number of bytes, and waits for them if need be.
-func (s *Share) take(ctx context.Context, bytes int64) error {
-	r := s.room
-	r.mu.Lock()
-	verdict := r.room.Take(&s.share, bytes)
-	if verdict == intake.Waits && s.resumed == nil {
-		s.resumed = make(chan struct{}, 1)
-	}
-	r.mu.Unlock()
-	switch verdict {
-	case intake.Granted:
-		return nil
-	case intake.Refused:
-		return ErrNoRoom
-	case intake.Waits:
-	}
-	return s.await(ctx)
-}
-
-// await waits until the share is resumed. Whoever waits reviews the messages that are being read.
-func (s *Share) await(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.room.WaitLimit)
-	defer cancel()
-	ticker := time.NewTicker(reviewInterval)
-	defer ticker.Stop()
-	for {
-		s.room.review()
-		select {
-		case <-s.resumed:
-			return nil
-		case <-ctx.Done():
-			return s.endWait()
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Share) endWait() error {
-	s.room.mu.Lock()
-	defer s.room.mu.Unlock()
-	select {
-	case <-s.resumed:
-		return nil
-	default:
-	}
-	s.room.room.Withdraw(&s.share)
-	s.room.wakeResumed()
-	return ErrNoRoom
-}
-
-// review interrupts the messages that have to give their room up.
+// review interrupts the messages that have to give their room up. The lock orders that before the end of a message, which resets the deadline.
 func (r *Room) review() {
 	r.mu.Lock()
-	overdue := r.room.Overdue(time.Now())
-	r.mu.Unlock()
-	for _, s := range overdue {
+	defer r.mu.Unlock()
+	for _, s := range r.room.Overdue(time.Now()) {
 		if conn := s.Owner.(*Share).conn; conn != nil {
 			_ = conn.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
@@ -276,7 +182,7 @@
 	defer m.room.mu.Unlock()
 	m.ended = true
 	m.room.room.Complete(&m.share)
-	if m.limited {
+	if m.limited || m.share.Leaving() {
 		m.conn.Busy()
 		// The deadline of a connection that was closed cannot be set.
 		_ = m.conn.Conn.SetReadDeadline(time.Time{})
