--- a/fleet/inlet/room.go
+++ b/fleet/inlet/room.go
@@ -78,7 +78,7 @@
 
 // reading is a message that is being read.
 type reading struct {
-	*Share
+	Share
 
 	ctx     context.Context
 	began   time.Time
@@ -144,17 +144,15 @@
 	if declared == 0 {
 		return nil, nil, nil
 	}
-	m := &reading{Share: r.newShare(conn), ctx: ctx, began: time.Now()}
+	m := &reading{Share: Share{room: r, conn: conn}, ctx: ctx, began: time.Now()}
+	m.share.Owner = &m.Share
 	first := int64(firstBuffer)
 	if declared >= 0 && declared <= max(atOnce, firstBuffer) {
 		first = declared
 	}
-	err := m.take(ctx, first)
+	err := m.take(ctx, first, m.began)
 	if err == nil {
 		m.content = make([]byte, 0, first)
-		r.mu.Lock()
-		r.room.Begin(&m.share, m.began)
-		r.mu.Unlock()
 		if conn != nil {
 			m.arrivedBefore = conn.arrived.Load()
 			conn.message.Store(m)
@@ -171,7 +169,7 @@
 		m.Release()
 		return nil, nil, err
 	}
-	return m.content, m.Share, nil
+	return m.content, &m.Share, nil
 }
 
 // end ends the reading of the message.
@@ -208,7 +206,7 @@
 		}
 		n, err := src.Read(m.content[len(m.content):cap(m.content)])
 		m.content = m.content[:len(m.content)+n]
-		if n > 0 {
+		if n > 0 && int64(len(m.content)) != declared {
 			m.room.mu.Lock()
 			m.room.room.Progress(&m.share, int64(n), time.Now())
 			m.room.mu.Unlock()
@@ -239,7 +237,7 @@
 // grow moves what has arrived into a larger buffer. The share holds both, since the smaller one is freed later.
 func (m *reading) grow(size int64) error {
 	began := time.Now()
-	if err := m.take(m.ctx, size+int64(cap(m.content))); err != nil {
+	if err := m.take(m.ctx, size+int64(cap(m.content)), time.Time{}); err != nil {
 		return err
 	}
 	m.extend(time.Since(began))
--- a/fleet/inlet/share.go
+++ b/fleet/inlet/share.go
@@ -44,17 +44,21 @@
 // Take returns a share of the room for work that does not depend on a client; ErrNoRoom once the context or WaitLimit ends.
 func (r *Room) Take(ctx context.Context, bytes int64) (*Share, error) {
 	s := r.newShare(nil)
-	if err := s.take(ctx, bytes); err != nil {
+	if err := s.take(ctx, bytes, time.Time{}); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-// take raises what the share holds to a number of bytes, and waits for them if need be.
-func (s *Share) take(ctx context.Context, bytes int64) error {
+// take raises what the share holds to a number of bytes, and waits for them if need be. The share is a message that is being read from begin on,
+// unless that is zero.
+func (s *Share) take(ctx context.Context, bytes int64, begin time.Time) error {
 	r := s.room
 	r.mu.Lock()
 	verdict := r.room.Take(&s.share, bytes)
+	if verdict == intake.Granted && !begin.IsZero() {
+		r.room.Begin(&s.share, begin)
+	}
 	if verdict == intake.Waits && s.resumed == nil {
 		s.resumed = make(chan struct{}, 1)
 	}
@@ -66,7 +70,13 @@
 		return ErrNoRoom
 	case intake.Waits:
 	}
-	return s.await(ctx)
+	if err := s.await(ctx); err != nil || begin.IsZero() {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.room.Begin(&s.share, time.Now())
+	return nil
 }
 
 // await waits until the share is resumed. Whoever waits reviews the messages that are being read.
