--- a/fleet/inlet/room.go
+++ b/fleet/inlet/room.go
@@ -65,105 +65,11 @@
 	return r.room.Held()
 }
 
-// Share is the room of a message until its Release.
-type Share struct {
-	room  *Room
-	share intake.Share
-	// resumed gets a value when the wait for room ends.
-	resumed chan struct{}
-	// conn is the connection on which the message arrives; nil for work that needs room.
-	conn *Conn
-}
-
-// Release returns the room; nil and a second call do nothing.
-func (s *Share) Release() {
-	if s == nil {
-		return
-	}
-	s.room.mu.Lock()
-	defer s.room.mu.Unlock()
-	s.room.room.Release(&s.share)
-	s.room.wakeResumed()
-}
-
-// wakeResumed wakes the messages that have got room; the lock must be held.
-func (r *Room) wakeResumed() {
-	for _, s := range r.room.Resumed() {
-		s.Owner.(*Share).resumed <- struct{}{}
-	}
-}
-
-func (r *Room) newShare(conn *Conn) *Share {
-	s := &Share{room: r, conn: conn}
-	s.share.Owner = s
-	return s
-}
-
-// Take returns a share of the room for work that does not depend on a client; ErrNoRoom once the context or WaitLimit ends.
-func (r *Room) Take(ctx context.Context, bytes int64) (*Share, error) {
-	s := r.newShare(nil)
-	if err := s.take(ctx, bytes); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
-// take raises what the share holds to a number of bytes, and waits for them if need be.
-func (s *Share) take(ctx context.Context, bytes int64) error {
-	r := s.room
-	r.mu.Lock()
-	verdict := r.room.Take(&s.share, bytes)
-	if verdict == intake.Waits && s.resumed == nil {
-		s.resumed = make(chan struct{}, 1)
-	}
-	r.mu.Unlock()
-	switch verdict {
-	case intake.Granted:
-		return nil
-	case intake.Refused:
-		return ErrNoRoom
-	case intake.Waits:
-	}
-	return s.await(ctx)
-}
-
-// await waits until the share is resumed. Whoever waits reviews the messages that are being read.
-func (s *Share) await(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.room.WaitLimit)
-	defer cancel()
-	ticker := time.NewTicker(reviewInterval)
-	defer ticker.Stop()
-	for {
-		s.room.review()
-		select {
-		case <-s.resumed:
-			return nil
-		case <-ctx.Done():
-			return s.endWait()
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Share) endWait() error {
-	s.room.mu.Lock()
-	defer s.room.mu.Unlock()
-	select {
-	case <-s.resumed:
-		return nil
-	default:
-	}
-	s.room.room.Withdraw(&s.share)
-	s.room.wakeResumed()
-	return ErrNoRoom
-}
-
-// review interrupts the messages that have to give their room up.
+// review interrupts the messages that have to give their room up. The lock orders that before the end of a message, which resets the deadline.
 func (r *Room) review() {
 	r.mu.Lock()
-	overdue := r.room.Overdue(time.Now())
-	r.mu.Unlock()
-	for _, s := range overdue {
+	defer r.mu.Unlock()
+	for _, s := range r.room.Overdue(time.Now()) {
 		if conn := s.Owner.(*Share).conn; conn != nil {
 			_ = conn.Conn.SetReadDeadline(time.Unix(1, 0))
 		}
@@ -172,7 +78,7 @@
 
 // reading is a message that is being read.
 type reading struct {
-	*Share
+	Share
 
 	ctx     context.Context
 	began   time.Time
@@ -238,17 +144,15 @@
 	if declared == 0 {
 		return nil, nil, nil
 	}
-	m := &reading{Share: r.newShare(conn), ctx: ctx, began: time.Now()}
+	m := &reading{Share: Share{room: r, conn: conn}, ctx: ctx, began: time.Now()}
+	m.share.Owner = &m.Share
 	first := int64(firstBuffer)
 	if declared >= 0 && declared <= max(atOnce, firstBuffer) {
 		first = declared
 	}
-	err := m.take(ctx, first)
+	err := m.take(ctx, first, m.began)
 	if err == nil {
 		m.content = make([]byte, 0, first)
-		r.mu.Lock()
-		r.room.Begin(&m.share, m.began)
-		r.mu.Unlock()
 		if conn != nil {
 			m.arrivedBefore = conn.arrived.Load()
 			conn.message.Store(m)
@@ -265,7 +169,7 @@
 		m.Release()
 		return nil, nil, err
 	}
-	return m.content, m.Share, nil
+	return m.content, &m.Share, nil
 }
 
 // end ends the reading of the message.
@@ -276,7 +180,7 @@
 	defer m.room.mu.Unlock()
 	m.ended = true
 	m.room.room.Complete(&m.share)
-	if m.limited {
+	if m.limited || m.share.Leaving() {
 		m.conn.Busy()
 		// The deadline of a connection that was closed cannot be set.
 		_ = m.conn.Conn.SetReadDeadline(time.Time{})
@@ -302,7 +206,7 @@
 		}
 		n, err := src.Read(m.content[len(m.content):cap(m.content)])
 		m.content = m.content[:len(m.content)+n]
-		if n > 0 {
+		if n > 0 && int64(len(m.content)) != declared {
 			m.room.mu.Lock()
 			m.room.room.Progress(&m.share, int64(n), time.Now())
 			m.room.mu.Unlock()
@@ -333,7 +237,7 @@
 // grow moves what has arrived into a larger buffer. The share holds both, since the smaller one is freed later.
 func (m *reading) grow(size int64) error {
 	began := time.Now()
-	if err := m.take(m.ctx, size+int64(cap(m.content))); err != nil {
+	if err := m.take(m.ctx, size+int64(cap(m.content)), time.Time{}); err != nil {
 		return err
 	}
 	m.extend(time.Since(began))
