--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -62,7 +62,7 @@
 	s.StopRetry = cmp.Or(s.StopRetry, 400*time.Millisecond)
 	s.MaxSuspicion = cmp.Or(s.MaxSuspicion, 16*time.Second)
 	s.StatusRetention = cmp.Or(s.StatusRetention, 120*time.Second)
-	s.LargeTask = cmp.Or(s.LargeTask, 0.25)
+	s.LargeTask = cmp.Or(s.LargeTask, 0.5)
 	s.SecondRuns = cmp.Or(s.SecondRuns, 1)
 	return s
 }
--- a/verbenabench/gaps/gaps_test.go
+++ b/verbenabench/gaps/gaps_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/workload"
 )
 
@@ -52,7 +53,7 @@
 // Load: a pool at nine tenths of its capacity with tasks of up to two thirds of a worker. Guards against reservations that do not shorten the waits of the
 // largest tasks, or that are paid for by the jobs as a whole, over three days.
 func TestReservationsShortenTheWaitsOfTheLargestTasks(t *testing.T) {
-	b := &Bench{Seed: 1, Days: 3, Workers: 24}
+	b := &Bench{Seed: 1, Days: 3, Workers: 24, Settings: dispatch.Settings{LargeTask: 0.25}}
 	rows, err := b.compare(t.Context(), shapes[1], courses[1])
 	if err != nil {
 		t.Fatal(err)
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -40,7 +40,7 @@
 type Flags struct {
 	DutyTTL      time.Duration `long:"duty-ttl" env:"VERBENA_DUTY_TTL" default:"2500ms" description:"time after which an unreachable holder loses its duties"`
 	WorkerLease  time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker keeps its runs without a lease renewal"`
-	LargeTask    float64       `long:"large-task" env:"VERBENA_LARGE_TASK" default:"0.25" description:"share of a worker from which on a waiting task gets a reservation; above 1 for none"`
+	LargeTask    float64       `long:"large-task" env:"VERBENA_LARGE_TASK" default:"0.5" description:"share of a worker from which on a waiting task gets a reservation; above 1 for none"`
 	NoSecondRuns bool          `long:"no-second-runs" env:"VERBENA_NO_SECOND_RUNS" description:"start no second runs of speculative tasks"`
 	Intake       IntakeFlags   `group:"Intake"`
 	LogLevel     string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
