fix(verbenaentry): reservations and second runs are what an operator asks for

Cause: both were on by default and changed the plans of earlier deployments, and the test that holds these plans had switched reservations off.

TestPlansWithoutWorkspacesAreUnchanged plays the scheduler with its default settings again. The random model and the benches of reservations and second runs set theirs.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -35,11 +35,11 @@
 	MaxSuspicion time.Duration
 	// StatusRetention is how long the state of a finished job is kept.
 	StatusRetention time.Duration
-	// LargeTask is the share of a worker, in the resource of which a task needs most, from which on a waiting task gets a reservation;
-	// Never for none.
+	// LargeTask is the share of a worker, in the resource of which a task needs most, from which on a waiting task gets a reservation; without it
+	// there are none.
 	LargeTask float64
 	// SecondRuns scales the time that a run of a speculative step takes before a second one is started beside it: 1 is that of the slowest
-	// twentieth of its kind, relative to their steps; Never for no second runs.
+	// twentieth of its kind, relative to their steps. Without it there are no second runs.
 	SecondRuns float64
 }
 
@@ -62,8 +62,8 @@
 	s.StopRetry = cmp.Or(s.StopRetry, 400*time.Millisecond)
 	s.MaxSuspicion = cmp.Or(s.MaxSuspicion, 16*time.Second)
 	s.StatusRetention = cmp.Or(s.StatusRetention, 120*time.Second)
-	s.LargeTask = cmp.Or(s.LargeTask, 0.5)
-	s.SecondRuns = cmp.Or(s.SecondRuns, 1)
+	s.LargeTask = cmp.Or(s.LargeTask, Never)
+	s.SecondRuns = cmp.Or(s.SecondRuns, Never)
 	return s
 }
 
--- a/fleet/dispatch/dispatch_test.go
+++ b/fleet/dispatch/dispatch_test.go
@@ -59,7 +59,7 @@
 
 // takeOver starts a new holder without any state of the previous one.
 func (b *bench) takeOver() {
-	b.pool = &dispatch.Pool{Name: "cutting"}
+	b.pool = &dispatch.Pool{Name: "cutting", Settings: dispatch.Settings{LargeTask: 0.5, SecondRuns: 1}}
 	b.pool.Begin(b.now)
 	b.pool.SetQueues([]workload.Queue{queue})
 }
--- a/fleet/dispatch/model_holder_test.go
+++ b/fleet/dispatch/model_holder_test.go
@@ -40,7 +40,7 @@
 	}
 	m.removeEndedHolders()
 	m.revision += 100
-	h := &holder{fence: m.revision, pool: &dispatch.Pool{Name: "cutting", Epoch: m.revision, AwaitWorkerList: true, AwaitConfirmation: true}}
+	h := &holder{fence: m.revision, pool: &dispatch.Pool{Name: "cutting", Epoch: m.revision, AwaitWorkerList: true, AwaitConfirmation: true, Settings: dispatch.Settings{LargeTask: 0.5, SecondRuns: 1}}}
 	h.pool.Begin(m.now)
 	h.pool.SetQueues([]workload.Queue{queue})
 	m.current = h
--- a/fleet/dispatch/unchangedplan_test.go
+++ b/fleet/dispatch/unchangedplan_test.go
@@ -57,8 +57,6 @@
 
 func newDrawnPool(seed uint64) *drawnPool {
 	d := &drawnPool{Rand: rand.New(rand.NewPCG(seed, 1)), pool: &dispatch.Pool{Name: "cutting", Epoch: 3}, now: epoch}
-	// The recorded plans are those of a time without reservations; the drawn jobs have tasks that would get some.
-	d.pool.Settings.LargeTask = dispatch.Never
 	d.pool.Begin(d.now)
 	for i, name := range []string{"urgent", "standard", "deferrable"} {
 		d.queues = append(d.queues, workload.Queue{
--- a/verbenabench/command/measurements.go
+++ b/verbenabench/command/measurements.go
@@ -239,7 +239,7 @@
 	Workers    int     `long:"workers" default:"24" description:"number of workers of the pool"`
 	Offline    bool    `long:"offline" description:"also place the days with all run times known"`
 	LargeTask  float64 `long:"large-task" default:"0.25" description:"share of a worker from which on a waiting task gets a reservation"`
-	SecondRuns float64 `long:"second-runs" description:"multiple of the time of nine tenths of a run's kind from which on a second run is started; the default of the program if not given"`
+	SecondRuns float64 `long:"second-runs" default:"1" description:"multiple of the time of 95 in 100 runs of a kind from which on a second run is started"`
 }
 
 // Execute runs the measurement.
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -38,18 +38,18 @@
 
 // Flags are the settings of a node that are not part of the platform's settings file.
 type Flags struct {
-	DutyTTL      time.Duration `long:"duty-ttl" env:"VERBENA_DUTY_TTL" default:"2500ms" description:"time after which an unreachable holder loses its duties"`
-	WorkerLease  time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker keeps its runs without a lease renewal"`
-	LargeTask    float64       `long:"large-task" env:"VERBENA_LARGE_TASK" default:"0.5" description:"share of a worker from which on a waiting task gets a reservation; above 1 for none"`
-	NoSecondRuns bool          `long:"no-second-runs" env:"VERBENA_NO_SECOND_RUNS" description:"start no second runs of speculative tasks"`
-	Intake       IntakeFlags   `group:"Intake"`
-	LogLevel     string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
+	DutyTTL     time.Duration `long:"duty-ttl" env:"VERBENA_DUTY_TTL" default:"2500ms" description:"time after which an unreachable holder loses its duties"`
+	WorkerLease time.Duration `long:"worker-lease" env:"VERBENA_WORKER_LEASE" default:"3500ms" description:"time for which a worker keeps its runs without a lease renewal"`
+	LargeTask   float64       `long:"large-task" env:"VERBENA_LARGE_TASK" description:"share of a worker from which on a waiting task gets a reservation; 0 for none"`
+	SecondRuns  bool          `long:"second-runs" env:"VERBENA_SECOND_RUNS" description:"start second runs of speculative tasks that take long"`
+	Intake      IntakeFlags   `group:"Intake"`
+	LogLevel    string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
 }
 
-// The range of --large-task; without the flag, as in tests, the default of fleet/dispatch holds.
+// The range of --large-task.
 const (
 	leastLargeTask = 0.05
-	mostLargeTask  = 2
+	mostLargeTask  = 1
 )
 
 // Check returns ErrFlags, with the flag's name, if a flag is out of range.
@@ -358,8 +358,8 @@
 func (n *Node) dispatchSettings() dispatch.Settings {
 	b := n.Settings.Bounds
 	secondRuns := 0.0
-	if n.Flags.NoSecondRuns {
-		secondRuns = dispatch.Never
+	if n.Flags.SecondRuns {
+		secondRuns = 1
 	}
 	return dispatch.Settings{
 		LargeTask: n.Flags.LargeTask, SecondRuns: secondRuns,
