feat(dispatch): say where a job would go now, without adding it

Operators asked which workers a job would get now, and why. A pool answers by adding the job to a copy of itself and planning there, so that the answer comes from the candidate order, quota check and choice of a plan and the pool stays as it is. Two hooks of a plan note what goes before the job and the score that chose each worker; no decision changes.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -222,6 +222,8 @@
 	backlog backlog
 	// backlogFull is true if an occurrence got no state since the last plan, because the backlog was full.
 	backlogFull bool
+	// trial notes the placement of a job in a copy of the pool; nil in the pool itself.
+	trial *trial
 }
 
 // Event is a decision to be logged.
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -97,12 +97,7 @@
 
 func (p *Pool) newExplainer(now time.Time) *explainer {
 	x := &explainer{pool: p, now: now, u: p.currentUncertainty(now), before: map[*job]workBefore{}}
-	for _, w := range p.sortedWorkers() {
-		if p.usable(w, now) {
-			x.cores += float64(w.Capacity.CPU) / milliPerCore
-			x.free += float64(max(0, w.free().CPU)) / milliPerCore
-		}
-	}
+	x.cores, x.free = p.cores(now)
 	var before workBefore
 	for _, c := range p.candidates(x.u, now) {
 		if _, listed := x.before[c.job]; !listed {
@@ -115,6 +110,17 @@
 	return x
 }
 
+// cores returns the capacity of the workers that take starts, and what no task has reserved.
+func (p *Pool) cores(now time.Time) (all, free float64) {
+	for _, w := range p.sortedWorkers() {
+		if p.usable(w, now) {
+			all += float64(w.Capacity.CPU) / milliPerCore
+			free += float64(max(0, w.free().CPU)) / milliPerCore
+		}
+	}
+	return all, free
+}
+
 // Explain says why a job waits; known is false for an unknown job.
 func (p *Pool) Explain(id string, now time.Time) (e Explanation, known bool) {
 	j := p.jobs[id]
--- /dev/null
+++ b/fleet/dispatch/placement_export_test.go
@@ -0,0 +1,4 @@
+package dispatch
+
+// Copy returns the copy on which Place plans.
+func (p *Pool) Copy() *Pool { return p.copy() }
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -47,6 +47,7 @@
 	p.freeAtFirst = p.index.maxFreeCPU()
 	p.beginQuota(now)
 	list := p.candidates(u, now)
+	p.trial.noteOrder(p, list, u)
 	p.placeAged(list, u, now)
 	for _, c := range list {
 		p.place(c, u, now)
@@ -265,6 +266,7 @@
 }
 
 func (p *Pool) start(t *task, w *worker, number int, now time.Time) {
+	p.trial.noteStart(p, t, w, now)
 	j := t.job
 	x := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, pace: 100}
 	x.startLeaseEnd = w.clockAt(now) + p.Settings.StartLease
@@ -351,10 +353,7 @@
 		if !free.Fits(need) {
 			continue
 		}
-		score := p.score(w, t, free, now)
-		if siblings != "" && siblings != w.Rack {
-			score += scoreOtherRack
-		}
+		score := p.scoreBeside(w, t, free, siblings, now)
 		if failedHere {
 			failed.offer(w, score)
 		} else {
--- a/fleet/dispatch/score.go
+++ b/fleet/dispatch/score.go
@@ -37,6 +37,15 @@
 	return score
 }
 
+// scoreBeside returns the score of a worker for a task the siblings of which run on a rack; empty if it has none that matter.
+func (p *Pool) scoreBeside(w *worker, t *task, free workload.Resources, siblings string, now time.Time) float64 {
+	score := p.score(w, t, free, now)
+	if siblings != "" && siblings != w.Rack {
+		score += scoreOtherRack
+	}
+	return score
+}
+
 // penalty is the part of a worker's score that depends on neither the task nor the free capacity.
 func (w *worker) penalty(now time.Time) float64 {
 	penalty := scoreFailures * w.failures
--- a/fleet/dispatch/unchangedplan_test.go
+++ b/fleet/dispatch/unchangedplan_test.go
@@ -39,6 +39,10 @@
 	nextJob int
 	digest  strings.Builder
 	actions int
+	// workspaces are those of which jobs are drawn in turn; empty for jobs without one.
+	workspaces []string
+	// events counts what the pool has reported.
+	events int
 }
 
 type drawnWorker struct {
@@ -80,10 +84,23 @@
 	d.pool.SetWorker(w.info, d.now)
 }
 
-// addJob adds a drawn job: one of several steps, a gang, a schedule, or one whose tasks run until it is cancelled.
+// workspaceAt returns the workspace of the job with a number.
+func (d *drawnPool) workspaceAt(n int) string {
+	if len(d.workspaces) == 0 {
+		return ""
+	}
+	return d.workspaces[n%len(d.workspaces)]
+}
+
 func (d *drawnPool) addJob() {
+	j := d.newJob()
+	d.pool.AddJob(j, nil, d.IntN(10) == 0, d.now)
+}
+
+// newJob draws a job: one of several steps, a gang, a schedule, or one whose tasks run until it is cancelled.
+func (d *drawnPool) newJob() workload.Job {
 	q := d.queues[d.IntN(len(d.queues))]
-	j := workload.Job{ID: fmt.Sprintf("%016x", d.nextJob), Queue: q.Name, Pool: "cutting", Terms: q, Accepted: d.now}
+	j := workload.Job{ID: fmt.Sprintf("%016x", d.nextJob), Queue: q.Name, Pool: "cutting", Terms: q, Accepted: d.now, Workspace: d.workspaceAt(d.nextJob)}
 	d.nextJob++
 	for s := range 1 + d.IntN(3) {
 		step := workload.Step{
@@ -116,7 +133,7 @@
 		j.Times, j.Start, j.Interval = 3, d.now.Add(400*time.Millisecond), 700*time.Millisecond
 	}
 	d.jobs = append(d.jobs, j.ID)
-	d.pool.AddJob(j, nil, d.IntN(10) == 0, d.now)
+	return j
 }
 
 // tick lets a tick pass on all workers, reports them and plans.
