--- a/fleet/dispatch/placement_reason_test.go
+++ b/fleet/dispatch/placement_reason_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -85,3 +86,18 @@
 		t.Errorf("refusal: got %+v, want that of a call, %+v", got, r)
 	}
 }
+
+// BenchmarkPlace measures a question to an overloaded pool, during which the pool does not plan.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []struct{ workers, jobs, workspaces int }{{85, 400, 20}, {540, 250, 200}, {540, 3400, 200}, {4300, 250, 200}} {
+		b.Run(fmt.Sprintf("%d workers, %d jobs, %d workspaces", size.workers, size.jobs, size.workspaces), func(b *testing.B) {
+			p, now := shared(size.workers, size.jobs, size.workspaces)
+			p.Plan(now)
+			j := workload.Job{Workspace: "w0", Queue: queue.Name, Pool: "cutting", Terms: queue, Steps: []workload.Step{tasks(8, 1000)}}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Place(j, now)
+			}
+		})
+	}
+}
