feat(verbenaentry): operators ask where a job would go

POST /operator/queues/{name}/placement takes the job as a caller would send it and asks the holder of the queue's pool with job.placement. The answer has the moment, the holder and the version of the configuration, and for a refusal the Retry-After of the instance that was asked, which is not advanced. The body is bounded as that of a call; a pool answers once in 200 ms, since a plan waits for an answer.

Problems of the operators' calls now have the reason that verbenactl looks for: without it an unknown job ended with exit code 5 after four repetitions, where docs/verbenactl.md names 9. The new sentinel of calls between nodes is the last one, because its place in the list is its code.

--- a/verbenaentry/node/explain.go
+++ b/verbenaentry/node/explain.go
@@ -125,20 +125,21 @@
 		e, err := n.explainQueue(r.Context(), chi.URLParam(r, "name"))
 		n.answerExplanation(w, e, err)
 	})
+	router.Post("/operator/queues/{name}/placement", n.placeForOperator)
 }
 
 func (n *Node) answerExplanation(w http.ResponseWriter, explanation any, err error) {
 	switch {
 	case errors.Is(err, errUnknownJob), errors.Is(err, errUnknownQueue), errors.Is(err, errUnknownWorkspace):
-		n.refuse(w, http.StatusNotFound, err.Error())
+		n.refuseOperator(w, http.StatusNotFound, reasonOf(http.StatusNotFound), err.Error())
 		return
 	case err != nil:
-		n.refuse(w, http.StatusServiceUnavailable, err.Error())
+		n.refuseOperator(w, http.StatusServiceUnavailable, reasonOf(http.StatusServiceUnavailable), err.Error())
 		return
 	}
 	body, err := json.Marshal(explanation)
 	if err != nil {
-		n.refuse(w, http.StatusInternalServerError, "explanation not encoded")
+		n.refuseOperator(w, http.StatusInternalServerError, reasonOf(http.StatusInternalServerError), "explanation not encoded")
 		return
 	}
 	n.answerJSON(w, body)
--- a/verbenaentry/node/peercall_fuzz_test.go
+++ b/verbenaentry/node/peercall_fuzz_test.go
@@ -13,7 +13,7 @@
 // peerMethods are the methods of calls between nodes, and one that no version has.
 var peerMethods = []string{
 	methodJobState, methodPending, methodStatus, methodStored, methodCancelled, methodGet, methodApply, methodConfiguration, methodHolder,
-	methodExplainJob, methodExplainQueue, methodArrivals, methodRefused, "job.unknown",
+	methodExplainJob, methodExplainQueue, methodArrivals, methodRefused, methodPlacement, "job.unknown",
 }
 
 // Guards against a call of another node, of another version or with a broken content, that ends the holder or gives it a job that no node can
@@ -26,9 +26,10 @@
 		methodStored: `{"pool":"cutting","id":"00000000000000a1","value":` + job + `,"revision":7}`, methodGet: `"job/cutting/00000000000000a1"`,
 		methodApply: `{"If":[{"Key":"a","Revision":-1}],"Put":[{"Key":"a","Value":"e30="}]}`, methodConfiguration: `-3`, methodHolder: `"cutting"`,
 		methodExplainJob: `{"pool":"cutting","name":"00000000000000a1"}`, methodExplainQueue: `{"pool":"cutting","name":"q","queue":"h/q/"}`,
-		methodArrivals: `{"home":"cutting","pool":"billing","counts":[{"workspace":"a","arrivals":-1e300},{"workspace":"a","arrivals":7}]}`,
-		methodRefused:  `{"pool":"cutting","name":"00000000000000a1"}`,
-		"job.unknown":  `[{"pool":null}]`,
+		methodArrivals:  `{"home":"cutting","pool":"billing","counts":[{"workspace":"a","arrivals":-1e300},{"workspace":"a","arrivals":7}]}`,
+		methodRefused:   `{"pool":"cutting","name":"00000000000000a1"}`,
+		methodPlacement: `{"pool":"cutting","job":` + job + `}`,
+		"job.unknown":   `[{"pool":null}]`,
 	} {
 		for i, known := range peerMethods {
 			if method == known {
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -43,6 +43,8 @@
 	// Operators ask any node why a job or the jobs of a queue wait.
 	methodExplainJob   = "job.explain"
 	methodExplainQueue = "queue.explain"
+	// They also ask where a job would go now.
+	methodPlacement = "job.placement"
 	// The holder of a workspace's home adds up its arrivals at all pools.
 	methodArrivals = "workspace.arrivals"
 )
@@ -85,7 +87,7 @@
 	clients map[netip.AddrPort]*rpc.Client
 }
 
-var peerSentinels = rpc.Sentinels{ErrNotHolder, errStoreUnreachable, store.ErrNotFound, store.ErrConflict, store.ErrRefused, store.ErrUnavailable}
+var peerSentinels = rpc.Sentinels{ErrNotHolder, errStoreUnreachable, store.ErrNotFound, store.ErrConflict, store.ErrRefused, store.ErrUnavailable, errPlacementBusy}
 
 // connectionLines is the number of log lines per second about disturbed connections to other nodes.
 const connectionLines = 10
@@ -223,6 +225,14 @@
 			})
 			return answer, err
 		})
+	case methodPlacement:
+		return rpc.Answer(params, func(c placementCall) (answer placement, err error) {
+			err = n.withPool(c.Pool, func(p *pool) error {
+				answer, err = p.placement(c.Job)
+				return err
+			})
+			return answer, err
+		})
 	case methodArrivals:
 		return rpc.Answer(params, func(a arrivals) (totals []metering.Total, err error) {
 			err = n.withPool(a.Home, func(p *pool) error {
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -91,6 +91,8 @@
 
 	mu        sync.Mutex
 	scheduler *dispatch.Pool
+	// placedAt is when the last question where a job would go was answered.
+	placedAt time.Time
 	// arrivals holds what the pools have told of the workspaces whose home this pool is.
 	arrivals metering.Sums
 	budget   logs.Budget
--- a/verbenaentry/testfleet/testfleet.go
+++ b/verbenaentry/testfleet/testfleet.go
@@ -336,6 +336,14 @@
 	return standin.Request{Method: http.MethodGet, Host: Host, Path: "/operator/" + path}.Send(ctx, f.client, n.settings.Readiness)
 }
 
+// Ask sends an operator's question with a body to the readiness address of an instance and returns status and body.
+func (f *Fleet) Ask(ctx context.Context, i int, path string, body []byte) (int, []byte, error) {
+	f.mu.Lock()
+	n := f.nodes[i]
+	f.mu.Unlock()
+	return standin.Request{Method: http.MethodPost, Host: Host, Path: "/operator/" + path, Body: body}.Send(ctx, f.client, n.settings.Readiness)
+}
+
 // retryDelay is the delay between two attempts of a caller.
 const retryDelay = 100 * time.Millisecond
 
