feat(verbenactl): place says where a job would go now

The command sends the job of a file to the operators' listener and prints the answer as text or JSON.

--- a/verbenactl/client/explain.go
+++ b/verbenactl/client/explain.go
@@ -26,6 +26,26 @@
 	return get[quota.View](ctx, c, "/operator/workspaces/"+url.PathEscape(name))
 }
 
+// Placement says where a job would go now, with the holder that has answered and the version of the configuration by which it decides.
+type Placement struct {
+	dispatch.Placement
+	Holder        string `json:"holder"`
+	Configuration int64  `json:"configuration"`
+}
+
+// Place returns where a job would go now; job is the body that a caller would send. Nothing is sent to the queue.
+func (c *Client) Place(ctx context.Context, queue, workspace string, job []byte) (out Placement, err error) {
+	path := "/operator/queues/" + url.PathEscape(queue) + "/placement"
+	if workspace != "" {
+		path += "?workspace=" + url.QueryEscape(workspace)
+	}
+	a, err := c.do(ctx, call{method: http.MethodPost, path: path, body: job})
+	if err != nil {
+		return out, err
+	}
+	return decode[Placement](a)
+}
+
 func get[T any](ctx context.Context, c *Client, path string) (out T, err error) {
 	a, err := c.do(ctx, call{method: http.MethodGet, path: path})
 	if err != nil {
--- a/verbenactl/command/command.go
+++ b/verbenactl/command/command.go
@@ -68,6 +68,7 @@
 		{"prompt", "run statements interactively", &promptCommand{}},
 		{"job", "say why a job of the users' platform waits, and when it is likely to start", &jobCommand{}},
 		{"queue", "say why the jobs of a queue of the users' platform wait", &queueCommand{}},
+		{"place", "say where a job of the users' platform would go now, without sending it", &placeCommand{}},
 		{"workspace", "show how the limit of a workspace of the users' platform is divided", &workspaceCommand{}},
 		{"report", "print a report: burn, waves or moves", &reportCommand{}},
 		{"hash-token", "create a token and its entry for the tokens file", &hashTokenCommand{}},
