--- a/fleet/dispatch/placement_test.go
+++ b/fleet/dispatch/placement_test.go
@@ -23,6 +23,8 @@
 // drawPlacementPool drives a pool for a drawn number of ticks, in half of the cases with workspaces.
 func drawPlacementPool(t *rapid.T) *drawnPool {
 	d := newDrawnPool(rapid.Uint64Range(0, 1<<20).Draw(t, "seed"))
+	// A tick may cancel one of the jobs.
+	d.addJob()
 	d.pool.OnMetered = func(dispatch.Metered) { d.events++ }
 	d.pool.OnEvent = func(dispatch.Event) { d.events++ }
 	d.pool.AwaitConfirmation = rapid.Bool().Draw(t, "await confirmation")
@@ -91,6 +93,8 @@
 			}
 		}
 		spec.Workspace = asked.workspaceAt(1)
+		asked.addJob()
+		other.addJob()
 		for i := range 80 {
 			if i%every == 0 {
 				asked.pool.Place(spec, asked.now)
