fix(dispatch): a question where a job would go copies reservations and learned spreads

The merge of reservations brought fields that the copy of a pool did not know; TestCopySharesNothingThatChanges names them. Drawn pools have reservations and second runs in half of the cases.

--- a/fleet/dispatch/copy.go
+++ b/fleet/dispatch/copy.go
@@ -42,6 +42,8 @@
 	d.jobs = copyValues(p.jobs, c.listed)
 	d.refusals, d.absentJobs = maps.Clone(p.refusals), maps.Clone(p.absentJobs)
 	d.means, d.runTimes, d.queueWork = copyValues(p.means, copyOf), copyValues(p.runTimes, copyOf), copyValues(p.queueWork, copyOf)
+	d.runRatios, d.withinStep = copyValues(p.runRatios, (*runRatios).copy), copyValues(p.withinStep, (*runRatios).copy)
+	d.reservations, d.toReserve = copyAll(p.reservations, c.reservation), c.task(p.toReserve)
 	d.tickets = copyValues(p.tickets, func(s *ticketSet) *ticketSet {
 		return &ticketSet{tickets: maps.Clone(s.tickets), until: s.until, requestedAt: s.requestedAt, denied: maps.Clone(s.denied)}
 	})
@@ -84,6 +86,19 @@
 
 func copyTasks(t TasksByWorker) TasksByWorker { return copyValues(t, slices.Clone[[]workload.TaskID]) }
 
+func (r *runRatios) copy() *runRatios {
+	s := copyOf(r)
+	s.sorted = slices.Clone(r.sorted)
+	return s
+}
+
+func (c *copier) reservation(r *reservation) *reservation {
+	s := copyOf(r)
+	s.step, s.task = c.state(r.step), c.task(r.task)
+	s.places = copyAll(r.places, func(pl place) place { return place{c.worker(pl.worker), pl.need} })
+	return s
+}
+
 func (c *copier) account(a *account) *account {
 	if b := c.accounts[a]; b != nil || a == nil {
 		return b
--- a/fleet/dispatch/placement_test.go
+++ b/fleet/dispatch/placement_test.go
@@ -38,6 +38,9 @@
 		all := workload.Resources{CPU: 12_000, MemoryMB: 40_000}
 		d.pool.SetAllowance("fitters", quota.Allowance{Amount: all, Alone: all})
 	}
+	if rapid.Bool().Draw(t, "reservations") {
+		d.pool.Settings.LargeTask, d.pool.Settings.SecondRuns = 0.25, 1
+	}
 	for range rapid.IntRange(0, 80).Draw(t, "ticks") {
 		d.tick()
 	}
