test: benchmark of plans while many jobs wait

The existing benchmarks of an overloaded pool have few workspaces and sizes, no learned run times, and plan at one moment, so that the waits of the jobs by cause do not grow.

--- a/fleet/dispatch/export_test.go
+++ b/fleet/dispatch/export_test.go
@@ -207,3 +207,10 @@
 	}
 	return ""
 }
+
+// LearnRunTime sets what is learned of the tasks of an image: the ratio of their run time to the declared one, and the run time.
+func (p *Pool) LearnRunTime(queue, image string, ratio, spread float64, runTime time.Duration) {
+	key := meanKey{queue, image}
+	p.means[key] = &runningMean{mean: ratio, samples: minKindSamples, spread: spread}
+	p.runTimes[key] = &runningMean{mean: runTime.Seconds(), samples: minKindSamples, spread: maxSpread / 4}
+}
