perf: first waits change their record only with their cause

Cause: each plan added the time since the previous one to a map by cause, for each job that waits for its first run. Change: the wait keeps the latest time of its present cause and adds it up once the cause changes. The sums are the same.

--- a/fleet/dispatch/firststart.go
+++ b/fleet/dispatch/firststart.go
@@ -36,8 +36,9 @@
 // firstWait is the wait of a job that has no run yet.
 type firstWait struct {
 	from time.Time
-	// Since the time `since`, the wait has the cause `cause`.
+	// Since the time `since`, the wait has the cause `cause`, and until is the latest time at which it had it.
 	since  time.Time
+	until  time.Time
 	cause  WaitCause
 	causes map[WaitCause]time.Duration
 }
@@ -48,7 +49,7 @@
 	if due := j.Due(0); due.After(from) {
 		from = due
 	}
-	j.first = &firstWait{from: from, since: from, cause: CauseStore, causes: map[WaitCause]time.Duration{}}
+	j.first = &firstWait{from: from, since: from, until: from, cause: CauseStore, causes: map[WaitCause]time.Duration{}}
 	if from.Before(p.begunAt) {
 		j.first.cause = CauseNoHolder
 		j.first.change(CauseStore, p.begunAt)
@@ -62,11 +63,16 @@
 		return
 	}
 	// The clock of the node that accepted the job may be ahead, and its first occurrence may be due later.
-	if now.After(f.since) {
-		f.causes[f.cause] += now.Sub(f.since)
-		f.since = now
+	if now.After(f.until) {
+		f.until = now
 	}
-	f.cause = cause
+	if cause == f.cause {
+		return
+	}
+	if f.until.After(f.since) {
+		f.causes[f.cause] += f.until.Sub(f.since)
+	}
+	f.since, f.cause = f.until, cause
 }
 
 // hasOrder reports whether a start was ordered; the rest of the wait is for its confirmation, whatever else is ordered.
