perf: order of waiting jobs by number keys, estimates without maps

Cause: with 1,000 waiting jobs nearly all of the time of a plan and of the demand went into the list of candidates: a stable sort of structures of 136 bytes by a comparison (twice where workspaces share the pool), two look-ups by strings for each step, and scans over the tasks of each step.

Change: the order sorts keys of 24 bytes without pointers, byte by byte, and compares only what is equal up to there; what follows from the shares sorts the same keys again by class and share. The demand sums over the unsorted list. A step keeps the learned means of its kind, which the pool never replaces, and what the order needs of the declared step. The number of tasks without a run stands for a scan where no run of a previous holder is uncertain. The fields of a job and of a task that a plan reads stand together. What is placed by age is not searched for once it has its part of the pool. No decision changes. Products are rounded before they are added, so that arm64 gets the same sums as x86-64.

The drawn pool of TestPlansWithoutWorkspacesAreUnchanged got hooks that it doesn't use; its recorded plans are the same.

--- a/fleet/dispatch/account.go
+++ b/fleet/dispatch/account.go
@@ -14,6 +14,8 @@
 	agedCPU int64
 	// planned is reservedUse with what the candidates of a plan need that go first.
 	planned workload.Resources
+	// sharedWeight is the workspace's weight as of the last plan that compared shares.
+	sharedWeight float64
 
 	limit     workload.Resources
 	allowance quota.Allowance
--- a/fleet/dispatch/aging.go
+++ b/fleet/dispatch/aging.go
@@ -15,26 +15,28 @@
 
 // placeAged places the jobs that have waited longest, where workspaces share the pool, until their runs occupy their part of it. Each gets the room that
 // it needs if none of them runs.
-func (p *Pool) placeAged(list []candidate, u uncertainty, now time.Time) {
+func (p *Pool) placeAged(list []*candidate, u uncertainty, now time.Time) {
 	if len(p.workspaces) == 0 {
 		return
 	}
+	limit := p.capacity().CPU / agedParts
+	used := p.agedCPU()
+	if used > 0 && used >= limit {
+		return
+	}
 	var aged []agedCandidate
-	for i := range list {
-		c := &list[i]
+	for _, c := range list {
 		if c.longRunning || now.Sub(c.job.Accepted) < agingWait {
 			continue
 		}
 		if since := c.waitingSince(u); now.Sub(since) >= agingWait {
-			aged = append(aged, agedCandidate{*c, since})
+			aged = append(aged, agedCandidate{c, since})
 		}
 	}
 	if len(aged) == 0 {
 		return
 	}
 	slices.SortStableFunc(aged, func(a, b agedCandidate) int { return a.since.Compare(b.since) })
-	limit := p.capacity().CPU / agedParts
-	used := p.agedCPU()
 	for _, c := range aged {
 		if used > 0 && used >= limit {
 			return
@@ -51,7 +53,7 @@
 
 // agedCandidate is a candidate that has waited since a time.
 type agedCandidate struct {
-	candidate
+	*candidate
 	since time.Time
 }
 
--- a/fleet/dispatch/demand.go
+++ b/fleet/dispatch/demand.go
@@ -60,12 +60,16 @@
 func (p *Pool) waitingCPU(now time.Time) int64 {
 	sum := int64(0)
 	u := p.currentUncertainty(now)
-	for _, c := range p.candidates(u, now) {
-		if !c.longRunning && !c.inTime {
+	list := p.unsortedCandidates(u, now)
+	for i := range list {
+		c := &list[i]
+		if c.use != useInTime {
 			continue
 		}
-		for t := range c.waitingTasks(u) {
-			sum += t.step.Reserved().CPU
+		for s := range c.occurrence.steps {
+			if st := &c.occurrence.steps[s]; st.ready {
+				sum += int64(st.countWaiting(u)) * st.reserved.CPU
+			}
 		}
 	}
 	return sum
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -163,9 +163,14 @@
 	endConfirmed map[string]time.Time
 	// index holds the workers that take starts while a plan places tasks; nil at other times.
 	index *workerIndex
-	// indexBuffer and candidateBuffer keep the memory of the longest lists of a plan for the next one.
+	// The buffers keep the memory of the longest lists of a plan for the next one.
 	indexBuffer     []indexed
 	candidateBuffer []candidate
+	sortedBuffer    []*candidate
+	keyBuffer       []radixKey
+	otherKeyBuffer  []radixKey
+	priorityBuffer  []int
+	pathBuffer      []stepPath
 	// startsLeft is how many tasks the present plan may still start.
 	startsLeft int
 	// freeAtFirst is the largest free CPU of a worker before the present plan placed its first task.
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"verbenalanding.example/fleet/workload"
@@ -75,35 +76,50 @@
 	f.samples++
 }
 
-// kindRunTime returns the learned run time of a task's kind if that tells more than what the task declares: the tasks of the kind differ less in their
-// run times than in the ratio of these to the declared ones.
-func (p *Pool) kindRunTime(t *task) (time.Duration, bool) {
-	ratio, absolute := p.means[t.meanKey()], p.runTimes[t.meanKey()]
+// learned returns the learned run times of the kind of a step's tasks, which are nil before its first measured run. The pool never replaces them, so that
+// the step keeps what was found.
+func (p *Pool) learned(st *stepState) (ratio, runTime *runningMean) {
+	if st.ratio == nil {
+		key := st.tasks[0].meanKey()
+		st.ratio, st.runTime = p.means[key], p.runTimes[key]
+	}
+	return st.ratio, st.runTime
+}
+
+// kindRunTime returns the learned run time of the kind of a step's tasks if that tells more than what the step declares: the tasks of the kind differ
+// less in their run times than in the ratio of these to the declared ones.
+func (p *Pool) kindRunTime(st *stepState) (time.Duration, bool) {
+	ratio, absolute := p.learned(st)
 	if ratio == nil || absolute == nil || absolute.samples < minKindSamples || absolute.spread >= ratio.spread {
 		return 0, false
 	}
 	return workload.Scale(time.Second, absolute.mean), true
 }
 
-func declaredDuration(t *task) time.Duration {
-	if t.step.Estimate <= 0 {
+func declaredDuration(t *task) time.Duration { return t.state.declared }
+
+// declaredRunTime returns the run time that a step declares for its tasks, or the assumed one.
+func declaredRunTime(step *workload.Step) time.Duration {
+	if step.Estimate <= 0 {
 		return defaultEstimate
 	}
-	return t.step.Estimate
+	return step.Estimate
 }
 
 // expectedDuration returns how long a task is likely to run.
-func (p *Pool) expectedDuration(t *task) time.Duration {
-	d := declaredDuration(t)
+func (p *Pool) expectedDuration(t *task) time.Duration { return p.expectedRunTime(t.state) }
+
+// expectedRunTime returns how long the tasks of a step are likely to run.
+func (p *Pool) expectedRunTime(st *stepState) time.Duration {
 	if len(p.workspaces) > 0 {
-		if learned, ok := p.kindRunTime(t); ok {
+		if learned, ok := p.kindRunTime(st); ok {
 			return min(learned, workload.MaxEstimate)
 		}
 	}
-	if f := p.means[t.meanKey()]; f != nil {
-		return min(workload.Scale(d, f.mean), workload.MaxEstimate)
+	if ratio, _ := p.learned(st); ratio != nil {
+		return min(workload.Scale(st.declared, ratio.mean), workload.MaxEstimate)
 	}
-	return d
+	return st.declared
 }
 
 // jobEstimate is the estimated work of an occurrence of a job.
@@ -116,28 +132,34 @@
 	total float64
 }
 
-func (p *Pool) estimate(j *job, oc *occurrence, now time.Time) jobEstimate {
+// stepPath is the time of the longest chain of steps up to one.
+type stepPath struct{ remaining, critical time.Duration }
+
+func (p *Pool) estimate(oc *occurrence, now time.Time) jobEstimate {
 	var e jobEstimate
-	remainingPaths := make([]time.Duration, len(oc.steps))
-	criticalPaths := make([]time.Duration, len(oc.steps))
+	paths := slices.Grow(p.pathBuffer[:0], len(oc.steps))[:len(oc.steps)]
+	clear(paths)
+	p.pathBuffer = paths
 	for s := range oc.steps {
 		st := &oc.steps[s]
-		each := p.expectedDuration(st.tasks[0])
-		cores := float64(j.Steps[s].Need.CPU) / 1000
-		e.total += cores * each.Seconds() * float64(len(st.tasks))
-		e.work += cores * each.Seconds() * float64(len(st.tasks)-st.done)
+		each := p.expectedRunTime(st)
+		work := st.cores * each.Seconds()
+		// The conversions keep the sums equal on processors that multiply and add in one operation.
+		e.total += float64(work * float64(len(st.tasks)))
+		e.work += float64(work * float64(len(st.tasks)-st.done))
 		remaining := each
 		if st.done == len(st.tasks) {
 			remaining = 0
 		} else if !st.startedAt.IsZero() && st.withoutRun == 0 {
 			remaining = max(0, each-now.Sub(st.startedAt))
 		}
-		for _, a := range j.Steps[s].After {
-			remainingPaths[s], criticalPaths[s] = max(remainingPaths[s], remainingPaths[a]), max(criticalPaths[s], criticalPaths[a])
+		path := &paths[s]
+		for _, a := range st.after {
+			path.remaining, path.critical = max(path.remaining, paths[a].remaining), max(path.critical, paths[a].critical)
 		}
-		remainingPaths[s] += remaining
-		criticalPaths[s] += each
-		e.remainingPath, e.criticalPath = max(e.remainingPath, remainingPaths[s]), max(e.criticalPath, criticalPaths[s])
+		path.remaining += remaining
+		path.critical += each
+		e.remainingPath, e.criticalPath = max(e.remainingPath, path.remaining), max(e.criticalPath, path.critical)
 	}
 	return e
 }
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -192,14 +192,21 @@
 }
 
 // waitingWork returns the work of a candidate's waiting tasks in core-seconds. Long-running tasks keep their cores, and count as work of a second.
-func (p *Pool) waitingWork(c candidate, u uncertainty) float64 {
+func (p *Pool) waitingWork(c *candidate, u uncertainty) float64 {
 	work := 0.0
-	for t := range c.waitingTasks(u) {
-		took := p.expectedDuration(t)
-		if t.step.LongRunning {
-			took = time.Second
+	for s := range c.occurrence.steps {
+		st := &c.occurrence.steps[s]
+		if !st.ready || st.withoutRun == 0 {
+			continue
+		}
+		took := time.Second
+		if !st.longRunning {
+			took = p.expectedRunTime(st)
+		}
+		each := float64(float64(st.reserved.CPU) / milliPerCore * took.Seconds())
+		for range st.countWaiting(u) {
+			work += each
 		}
-		work += float64(t.step.Reserved().CPU) / milliPerCore * took.Seconds()
 	}
 	return work
 }
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -16,14 +16,14 @@
 	// state is that of the task's step in its occurrence.
 	state *stepState
 	done  bool
+	runs  []*run
+	// readySince is when the task last became ready to start.
+	readySince time.Time
+	failedOn   []string
 	// failedRuns holds the numbers of the failed runs; workers list them in any order.
 	failedRuns []int
 	lastRun    int
 	checkpoint string
-	runs       []*run
-	failedOn   []string
-	// readySince is when the task last became ready to start.
-	readySince time.Time
 }
 
 // countWithoutRun changes the numbers of tasks that are not done and have no run.
@@ -32,6 +32,8 @@
 	t.job.schedule.withoutRun += change
 }
 
+// stepState is the state of a step in an occurrence. A plan reads that of each waiting job: it repeats what the order needs of the declared step, which
+// lies elsewhere in memory, and has these fields first.
 type stepState struct {
 	tasks []*task
 	done  int
@@ -39,6 +41,14 @@
 	withoutRun int
 	// ready is true once all steps that this one depends on are done.
 	ready bool
+	// The following are the step's: declared is the run time of a task, cores and reserved are what each needs.
+	longRunning, gang bool
+	declared          time.Duration
+	cores             float64
+	reserved          workload.Resources
+	after             []int
+	// ratio and runTime are the learned run times of the step's kind; nil as long as none were found.
+	ratio, runTime *runningMean
 	// startedAt is when a worker first confirmed to this holder that a task of the step has begun; zero before.
 	startedAt time.Time
 	// reserveFrom is when a task of the step may get a reservation again.
@@ -49,25 +59,29 @@
 // hasRuns reports whether a task that is not done has a run, confirmed or ordered.
 func (st *stepState) hasRuns() bool { return st.done+st.withoutRun < len(st.tasks) }
 
+// job is a job that the pool knows. What a plan reads of each waiting one stands together, before what was accepted.
 type job struct {
-	workload.Job
+	queue    workload.Queue
+	schedule schedule
 	// account is that of the job's workspace.
 	account *account
-	queue   workload.Queue
-	state   workload.State
+	worth   float64
+	// from is when the objective begins unless an occurrence is due later: when the job was first refused at the call, or accepted.
+	from time.Time
+	// beyond is set for a job beyond the rate that its workspace is owed, aged while its tasks are placed because they have waited long.
+	beyond, aged bool
+	// longRunning is set for a job with long-running tasks.
+	longRunning bool
+	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
+	first *firstWait
+
+	workload.Job
+	state workload.State
 	// started is true once a worker has confirmed that a task of the job has begun; an order to start one may be refused or lost.
 	started bool
 	// restored is set if a previous holder may have started tasks of the job.
 	restored bool
-	schedule schedule
 	finished time.Time
-	// first is the wait for the first run; nil once a run was present or if a previous holder may have started the job.
-	first *firstWait
-	worth float64
-	// firstCall is when the job was first refused at the call; zero for one that was not.
-	firstCall time.Time
-	// beyond is set for a job beyond the rate that its workspace is owed, aged while its tasks are placed because they have waited long.
-	beyond, aged bool
 	// version counts the changes of the record; recordedVersion is the last version known to be in the store.
 	version         int
 	recordedVersion int
@@ -89,7 +103,10 @@
 	if q, ok := p.queues[spec.Queue]; ok {
 		j.queue = q
 	}
-	j.firstCall = p.firstCallOf(spec.ID, now)
+	j.from = p.firstCallOf(spec.ID, now)
+	if j.from.IsZero() {
+		j.from = j.Accepted
+	}
 	p.jobs[spec.ID] = j
 	if spec.Workspace != "" {
 		p.unmetered = append(p.unmetered, j)
@@ -102,7 +119,7 @@
 		j.Job.Steps, j.Job.Spec = nil, ""
 		return
 	}
-	j.schedule.total = j.Occurrences()
+	j.schedule.total, j.longRunning = j.Occurrences(), j.LongRunning()
 	if record == nil || !record.Started {
 		p.beginFirstWait(j, now)
 	}
--- a/fleet/dispatch/outlook.go
+++ b/fleet/dispatch/outlook.go
@@ -55,7 +55,7 @@
 func (p *Pool) Outlook() *Outlook { return p.outlook }
 
 // updateOutlook makes the outlook after a plan has placed what it could of the candidates.
-func (p *Pool) updateOutlook(list []candidate, u uncertainty, now time.Time) {
+func (p *Pool) updateOutlook(list []*candidate, u uncertainty, now time.Time) {
 	if len(p.workspaces) == 0 {
 		p.outlook = nil
 		return
@@ -71,19 +71,18 @@
 		}
 	}
 	work := map[string]float64{}
-	for i := range list {
-		c := &list[i]
-		waits := p.waitingWork(*c, u)
-		if waits <= 0 || c.rank.use == useNone {
+	for _, c := range list {
+		waits := p.waitingWork(c, u)
+		if waits <= 0 || c.use == useNone {
 			continue
 		}
-		if c.rank.beyond {
+		if c.job.beyond {
 			work[c.job.Workspace] += waits
 			continue
 		}
 		level := o.level(c.job.queue.Priority)
 		level.Owed += waits
-		if c.rank.use == useInTime {
+		if c.use == useInTime {
 			level.InTime += waits
 		}
 	}
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -14,15 +14,10 @@
 	job         *job
 	occurrence  *occurrence
 	longRunning bool
-	inTime      bool
 	begun       bool
-	density     float64
-	// from is when its objective began, target when that ends, end when it is likely to be done.
-	from   time.Time
-	target time.Time
-	end    time.Time
-	// rank is set where workspaces share the pool.
-	rank rank
+	// use and density are those of finite tasks; density is the worth per core-second.
+	use     use
+	density float64
 }
 
 // maxStarts bounds the tasks that one plan starts, and with it the time of a plan; a gang that has begun to start is not divided. A pool has
@@ -94,34 +89,51 @@
 	return !t.overQuota() && p.choose(t, t.step.Reserved(), now) != nil
 }
 
+// countWaiting returns how many tasks of a step are not done and certainly have no run.
+func (st *stepState) countWaiting(u uncertainty) int {
+	if u.isNone() {
+		return st.withoutRun
+	}
+	n := 0
+	for _, t := range st.tasks {
+		if waiting(t, u) {
+			n++
+		}
+	}
+	return n
+}
+
 // waiting reports whether a task is not done and certainly has no run.
 func waiting(t *task, u uncertainty) bool {
 	return !t.done && len(t.runs) == 0 && !u.mayRun(t)
 }
 
 // candidates returns the candidates in the order in which they are placed; the list is valid until the next call.
-func (p *Pool) candidates(u uncertainty, now time.Time) []candidate {
+func (p *Pool) candidates(u uncertainty, now time.Time) []*candidate {
+	return p.sortCandidates(p.unsortedCandidates(u, now))
+}
+
+// unsortedCandidates returns the candidates in the order of their jobs; the list is valid until the next call.
+func (p *Pool) unsortedCandidates(u uncertainty, now time.Time) []candidate {
 	list := p.candidateBuffer[:0]
 	for _, j := range p.active {
 		if j.schedule.withoutRun == 0 {
 			continue
 		}
 		for _, oc := range j.schedule.open {
-			if c, ok := p.candidate(j, oc, u, now); ok {
-				list = append(list, c)
-			}
+			list = p.addCandidate(list, oc, j, u, now)
 		}
 	}
-	p.sortCandidates(list)
 	// What is left of a longer list would keep jobs that have ended.
 	clear(list[len(list):cap(list)])
 	p.candidateBuffer = list
 	return list
 }
 
-func (p *Pool) candidate(j *job, oc *occurrence, u uncertainty, now time.Time) (candidate, bool) {
+// addCandidate adds an occurrence to a list of candidates if it has tasks that can be started.
+func (p *Pool) addCandidate(list []candidate, oc *occurrence, j *job, u uncertainty, now time.Time) []candidate {
 	if oc.stepsLeft == 0 || oc.due.After(now) {
-		return candidate{}, false
+		return list
 	}
 	hasWaiting, uncertain := false, false
 	begun := false
@@ -133,34 +145,29 @@
 			continue
 		}
 		uncertain = true
-		if slices.ContainsFunc(st.tasks, func(t *task) bool { return waiting(t, u) }) {
+		if u.isNone() || slices.ContainsFunc(st.tasks, func(t *task) bool { return waiting(t, u) }) {
 			hasWaiting = true
-			longRunning = longRunning || j.Steps[s].LongRunning
+			longRunning = longRunning || st.longRunning
 		}
 	}
 	if !hasWaiting {
 		if uncertain && !j.first.hasOrder() {
 			j.first.change(CauseUnreported, now)
 		}
-		return candidate{}, false
+		return list
 	}
-	c := candidate{job: j, occurrence: oc, longRunning: longRunning, begun: begun}
 	if longRunning {
-		return c, true
-	}
-	est := p.estimate(j, oc, now)
-	from := j.Accepted
-	if !j.firstCall.IsZero() {
-		from = j.firstCall
+		return append(list, candidate{job: j, occurrence: oc, longRunning: true, begun: begun})
 	}
+	est := p.estimate(oc, now)
+	from := j.from
 	if oc.due.After(from) {
 		from = oc.due
 	}
 	target := from.Add(workload.Scale(est.criticalPath, j.queue.Stretch) + j.queue.TargetDuration)
-	c.from, c.target, c.end = from, target, now.Add(est.remainingPath)
-	c.inTime = !c.end.After(target)
-	c.density = p.worth(j, est) / max(est.work, 0.001)
-	return c, true
+	return append(list, candidate{
+		job: j, occurrence: oc, begun: begun, use: useOf(from, target, now.Add(est.remainingPath)), density: p.worth(j, est) / max(est.work, 0.001),
+	})
 }
 
 // A job's worth consists of a fixed part and a part in proportion to its work relative to the mean of its queue.
@@ -171,44 +178,22 @@
 )
 
 func (p *Pool) worth(j *job, est jobEstimate) float64 {
+	if j.worth != 0 {
+		return j.worth
+	}
 	f := p.queueWork[j.Queue]
 	if f == nil {
 		f = &runningMean{mean: est.total}
 		p.queueWork[j.Queue] = f
 	}
-	if j.worth == 0 {
-		f.samples++
-		f.mean += max(learnWeight, 1/float64(f.samples)) * (est.total - f.mean)
-		j.worth = min(fixedWorth+workWorth*est.total/max(f.mean, 0.001), maxWorth)
-	}
+	f.samples++
+	f.mean += max(learnWeight, 1/float64(f.samples)) * (est.total - f.mean)
+	j.worth = min(fixedWorth+workWorth*est.total/max(f.mean, 0.001), maxWorth)
 	return j.worth
 }
 
-// compareCandidates orders long-running tasks first, then by priority; then occurrences that can still meet their target time before the
-// rest, and those that were begun before others; then by worth per core-second.
-func compareCandidates(a, b candidate) int {
-	return cmp.Or(
-		compareTrueFirst(a.longRunning, b.longRunning),
-		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-		compareTrueFirst(a.inTime, b.inTime),
-		compareTrueFirst(a.begun, b.begun),
-		-cmp.Compare(a.density, b.density),
-		a.job.Accepted.Compare(b.job.Accepted),
-	)
-}
-
-func compareTrueFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	}
-	return 1
-}
-
 // place starts the tasks of a candidate for which there is free capacity.
-func (p *Pool) place(c candidate, u uncertainty, now time.Time) {
+func (p *Pool) place(c *candidate, u uncertainty, now time.Time) {
 	oc := c.occurrence
 	for s := range oc.steps {
 		st := &oc.steps[s]
@@ -219,15 +204,15 @@
 			p.noteWait(c.job, 0, now)
 			return
 		}
-		large := p.isLarge(&c.job.Steps[s])
-		if c.job.Steps[s].Gang {
+		large := p.isLarge(st)
+		if st.gang {
 			if p.placeGang(st, u, now) {
 				if large && !st.hasRuns() {
 					p.noteLargeWait(st.tasks[0], now)
 				}
-				p.noteWait(c.job, c.job.Steps[s].Reserved().CPU, now)
+				p.noteWait(c.job, st.reserved.CPU, now)
 			}
-			p.index.unplacedCPU += int64(st.withoutRun) * c.job.Steps[s].Reserved().CPU
+			p.index.unplacedCPU += int64(st.withoutRun) * st.reserved.CPU
 			continue
 		}
 		for _, t := range st.tasks {
@@ -242,14 +227,14 @@
 				break
 			}
 			var w *worker
-			if t.step.Reserved().CPU <= p.index.maxFreeCPU() {
-				w = p.choose(t, t.step.Reserved(), now)
+			if st.reserved.CPU <= p.index.maxFreeCPU() {
+				w = p.choose(t, st.reserved, now)
 			}
-			if w == nil && t.step.LongRunning && !t.step.Fills {
+			if w == nil && st.longRunning && !t.step.Fills {
 				p.preempt(t, now)
 			}
 			if w == nil {
-				p.noteWait(c.job, t.step.Reserved().CPU, now)
+				p.noteWait(c.job, st.reserved.CPU, now)
 			}
 			if w == nil && large {
 				p.noteLargeWait(t, now)
@@ -264,7 +249,7 @@
 			}
 			p.start(t, w, p.nextRun(t), now)
 		}
-		p.index.unplacedCPU += int64(st.withoutRun) * c.job.Steps[s].Reserved().CPU
+		p.index.unplacedCPU += int64(st.withoutRun) * st.reserved.CPU
 	}
 }
 
--- a/fleet/dispatch/reserve.go
+++ b/fleet/dispatch/reserve.go
@@ -59,8 +59,8 @@
 }
 
 // isLarge reports whether the tasks of a step are large.
-func (p *Pool) isLarge(step *workload.Step) bool {
-	return !step.LongRunning && p.index.sizeOf(step.Reserved()) >= p.Settings.LargeTask
+func (p *Pool) isLarge(st *stepState) bool {
+	return !st.longRunning && p.index.sizeOf(st.reserved) >= p.Settings.LargeTask
 }
 
 // checkReservations ends the reservations whose tasks do not wait any more, whose workers take no starts, or that have proved wrong.
--- a/fleet/dispatch/schedule.go
+++ b/fleet/dispatch/schedule.go
@@ -29,27 +29,22 @@
 
 // level returns a job's level in the backlog.
 func (j *job) level() int {
-	if j.LongRunning() {
+	if j.longRunning {
 		return longRunningLevel
 	}
 	return j.queue.Priority
 }
 
-// size returns how many tasks have a state.
-func (oc *occurrence) size() int {
-	n := 0
-	for s := range oc.steps {
-		n += len(oc.steps[s].tasks)
-	}
-	return n
-}
-
 // countBacklog counts the tasks of the active jobs that have a state.
 func (p *Pool) countBacklog() backlog {
 	b := backlog{}
 	for _, j := range p.active {
+		tasks := 0
 		for _, oc := range j.schedule.open {
-			b[j.level()] += oc.size()
+			tasks += oc.tasks
+		}
+		if tasks > 0 {
+			b[j.level()] += tasks
 		}
 	}
 	return b
@@ -85,6 +80,8 @@
 	openedAt  time.Time
 	steps     []stepState
 	stepsLeft int
+	// tasks is the number of tasks of all steps.
+	tasks int
 }
 
 // find returns the open occurrence with a number, or nil.
@@ -133,8 +130,8 @@
 		if oc.number != s.next-1 || now.Sub(oc.openedAt) < backlogTurn || oc.begun() {
 			return dropped
 		}
-		p.backlog[j.level()] -= oc.size()
-		s.withoutRun -= oc.size()
+		p.backlog[j.level()] -= oc.tasks
+		s.withoutRun -= oc.tasks
 		p.dropTickets(j, oc)
 		s.open = s.open[:len(s.open)-1]
 		s.next--
@@ -186,7 +183,7 @@
 	}
 	oc := j.newOccurrence(number, now)
 	s.open = slices.Insert(s.open, i, oc)
-	p.backlog[j.level()] += oc.size()
+	p.backlog[j.level()] += oc.tasks
 	p.updateReadySteps(j, oc, now)
 	return oc
 }
@@ -203,7 +200,11 @@
 			}
 			tasks[i] = &block[i]
 		}
-		oc.steps[s].tasks, oc.steps[s].withoutRun = tasks, step.Tasks
+		st := &oc.steps[s]
+		st.tasks, st.withoutRun = tasks, step.Tasks
+		st.longRunning, st.gang, st.after = step.LongRunning, step.Gang, step.After
+		st.declared, st.cores, st.reserved = declaredRunTime(step), float64(step.Need.CPU)/1000, step.Reserved()
+		oc.tasks += step.Tasks
 		j.schedule.withoutRun += step.Tasks
 	}
 	return oc
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -15,7 +15,7 @@
 // capacity returns the capacity of all workers.
 func (p *Pool) capacity() workload.Resources {
 	var sum workload.Resources
-	for _, w := range p.workers {
+	for _, w := range p.sortedWorkers() {
 		sum = sum.Plus(w.Capacity)
 	}
 	return sum
--- a/fleet/dispatch/uncertainty.go
+++ b/fleet/dispatch/uncertainty.go
@@ -124,9 +124,12 @@
 	return !ended || !p.confirmedSince(seenAt)
 }
 
+// isNone reports whether no run of a previous holder is uncertain.
+func (u uncertainty) isNone() bool { return !u.allRestored && len(u.tasks) == 0 }
+
 // mayRun reports whether a run of the task that a previous holder started may be present on a worker that has not reported.
 func (u uncertainty) mayRun(t *task) bool {
-	return u.tasks[t.id] || (t.job.restored && u.allRestored)
+	return (len(u.tasks) > 0 && u.tasks[t.id]) || (t.job.restored && u.allRestored)
 }
 
 // priorRunUntil returns the time until which a run of a task by a previous holder may be present on a worker that has not reported.
--- a/fleet/dispatch/unchangedplan_test.go
+++ b/fleet/dispatch/unchangedplan_test.go
@@ -39,6 +39,11 @@
 	nextJob int
 	digest  strings.Builder
 	actions int
+	// workspaces hold the drawn jobs, if there are any; beforePlan is called before each plan, unless it is nil.
+	workspaces []workload.Workspace
+	beforePlan func()
+	// listed is a job that is not known and of which a worker lists a run.
+	listed string
 }
 
 type drawnWorker struct {
@@ -117,6 +122,12 @@
 	case 1:
 		j.Times, j.Start, j.Interval = 3, d.now.Add(400*time.Millisecond), 700*time.Millisecond
 	}
+	if len(d.workspaces) > 0 {
+		j.Workspace = d.workspaces[d.IntN(len(d.workspaces))].Name
+		if d.IntN(8) == 0 {
+			d.pool.NoteRefusal(j.ID, d.now.Add(-time.Duration(d.IntN(4000))*time.Millisecond))
+		}
+	}
 	d.jobs = append(d.jobs, j.ID)
 	d.pool.AddJob(j, nil, d.IntN(10) == 0, d.now)
 }
@@ -143,6 +154,9 @@
 		w.endRuns(d.now)
 		d.report(w)
 	}
+	if d.beforePlan != nil {
+		d.beforePlan()
+	}
 	actions := d.pool.Plan(d.now)
 	d.actions += len(actions)
 	for _, a := range actions {
