--- a/fleet/dispatch/copy.go
+++ b/fleet/dispatch/copy.go
@@ -27,7 +27,8 @@
 	}
 	d := *p
 	d.OnEvent, d.OnFirstStart, d.OnMetered = nil, nil, nil
-	d.usage, d.index, d.indexBuffer, d.candidateBuffer, d.sortedByID, d.outlook = nil, nil, nil, nil, nil, nil
+	d.usage, d.index, d.sortedByID, d.outlook = nil, nil, nil, nil
+	d.indexBuffer, d.candidateBuffer, d.sortedBuffer, d.keyBuffer, d.otherKeyBuffer, d.priorityBuffer, d.pathBuffer = nil, nil, nil, nil, nil, nil, nil
 	d.queues = maps.Clone(p.queues)
 	d.workspaces = copyValues(p.workspaces, copyOf)
 	d.accounts = copyValues(p.accounts, c.account)
@@ -145,6 +146,7 @@
 	}
 	v := copyOf(st)
 	c.states[st] = v
+	v.separate()
 	v.tasks = copyAll(st.tasks, c.task)
 	return v
 }
@@ -171,11 +173,17 @@
 	return k
 }
 
+// separate gives the copy of a step lists of its own, and drops the learned run times that the step has found: a plan finds those of its own pool.
+func (st *stepState) separate() {
+	st.after, st.ratio, st.runTime = slices.Clone(st.after), nil, nil
+}
+
 // occurrence copies an occurrence without its tasks, which refer to the elements of the list of steps.
 func (c *copier) occurrence(oc *occurrence) *occurrence {
 	n := copyOf(oc)
 	n.steps = slices.Clone(oc.steps)
 	for s := range oc.steps {
+		n.steps[s].separate()
 		c.states[&oc.steps[s]] = &n.steps[s]
 	}
 	return n
--- a/fleet/dispatch/placement.go
+++ b/fleet/dispatch/placement.go
@@ -93,7 +93,7 @@
 }
 
 // noteOrder notes what a plan places before the job.
-func (r *trial) noteOrder(p *Pool, list []candidate, u uncertainty) {
+func (r *trial) noteOrder(p *Pool, list []*candidate, u uncertainty) {
 	if r == nil {
 		return
 	}
--- a/fleet/dispatch/placement_test.go
+++ b/fleet/dispatch/placement_test.go
@@ -33,7 +33,7 @@
 		d.pool.SetQueues(d.queues)
 	}
 	if rapid.Bool().Draw(t, "workspaces") {
-		d.workspaces = []string{"", "fitters", "cutters"}
+		d.turns = []string{"", "fitters", "cutters"}
 		d.pool.SetWorkspaces(placementWorkspaces)
 		all := workload.Resources{CPU: 12_000, MemoryMB: 40_000}
 		d.pool.SetAllowance("fitters", quota.Allowance{Amount: all, Alone: all})
@@ -90,7 +90,7 @@
 		spec := newDrawnPool(rapid.Uint64Range(0, 1<<20).Draw(t, "seed of the job")).drawnSpec()
 		for _, d := range []*drawnPool{asked, other} {
 			if seed%2 == 0 {
-				d.workspaces = []string{"", "fitters", "cutters"}
+				d.turns = []string{"", "fitters", "cutters"}
 				d.pool.SetWorkspaces(placementWorkspaces)
 				d.pool.SetAllowance("fitters", quota.Allowance{Amount: placementWorkspaces[0].MaxRunning, Alone: placementWorkspaces[0].MaxRunning})
 			}
--- a/fleet/dispatch/unchangedplan_test.go
+++ b/fleet/dispatch/unchangedplan_test.go
@@ -39,10 +39,15 @@
 	nextJob int
 	digest  strings.Builder
 	actions int
-	// workspaces are those of which jobs are drawn in turn; empty for jobs without one.
-	workspaces []string
+	// turns names the workspaces of which jobs are drawn in turn, with an empty name for jobs without one.
+	turns []string
 	// events counts what the pool has reported.
 	events int
+	// workspaces hold the drawn jobs, if there are any; beforePlan is called before each plan, unless it is nil.
+	workspaces []workload.Workspace
+	beforePlan func()
+	// listed is a job that is not known and of which a worker lists a run.
+	listed string
 }
 
 type drawnWorker struct {
@@ -86,10 +91,10 @@
 
 // workspaceAt returns the workspace of the job with a number.
 func (d *drawnPool) workspaceAt(n int) string {
-	if len(d.workspaces) == 0 {
+	if len(d.turns) == 0 {
 		return ""
 	}
-	return d.workspaces[n%len(d.workspaces)]
+	return d.turns[n%len(d.turns)]
 }
 
 func (d *drawnPool) addJob() {
@@ -132,6 +137,12 @@
 	case 1:
 		j.Times, j.Start, j.Interval = 3, d.now.Add(400*time.Millisecond), 700*time.Millisecond
 	}
+	if len(d.workspaces) > 0 {
+		j.Workspace = d.workspaces[d.IntN(len(d.workspaces))].Name
+		if d.IntN(8) == 0 {
+			d.pool.NoteRefusal(j.ID, d.now.Add(-time.Duration(d.IntN(4000))*time.Millisecond))
+		}
+	}
 	d.jobs = append(d.jobs, j.ID)
 	return j
 }
@@ -158,6 +169,9 @@
 		w.endRuns(d.now)
 		d.report(w)
 	}
+	if d.beforePlan != nil {
+		d.beforePlan()
+	}
 	actions := d.pool.Plan(d.now)
 	d.actions += len(actions)
 	for _, a := range actions {
