--- a/verbenaentry/node/wave.go
+++ b/verbenaentry/node/wave.go
@@ -38,6 +38,8 @@
 	done map[string]map[string]bool
 	// firstSeen is when this holder first processed each wave.
 	firstSeen map[string]time.Time
+	// starts holds when the time of each wave began, as far as this holder knows.
+	starts map[string]waveStart
 	// running and completed hold the waves that were reported to the operator as running or completed.
 	running, completed map[string]bool
 	// unconfirmed holds the workers that are cordoned until a list of machines shows whether an upkeep order has ended them, by id.
@@ -49,7 +51,7 @@
 func newUpkeeps(p *pool) *upkeeps {
 	return &upkeeps{
 		pool: p, slots: map[string]reservedSlot{}, done: map[string]map[string]bool{}, firstSeen: map[string]time.Time{},
-		running: map[string]bool{}, completed: map[string]bool{}, unconfirmed: map[string]unconfirmedEnd{},
+		starts: map[string]waveStart{}, running: map[string]bool{}, completed: map[string]bool{}, unconfirmed: map[string]unconfirmedEnd{},
 	}
 }
 
@@ -120,8 +122,8 @@
 // movesEnded reports whether a wave has used so much of its time that machines whose upkeep is due must stay in their pool.
 func (u *upkeeps) movesEnded(now time.Time) bool {
 	return u.anyOpen(func(w workload.Wave) bool {
-		firstSeen := u.firstSeen[w.ID]
-		return !firstSeen.IsZero() && now.Sub(firstSeen) > time.Duration(movesEndShare*float64(w.Within))
+		start, known := u.starts[w.ID]
+		return known && now.Sub(start.at) > time.Duration(movesEndShare*float64(w.Within))
 	})
 }
 
@@ -139,6 +141,7 @@
 	u.mu.Lock()
 	if u.firstSeen[w.ID].IsZero() {
 		u.firstSeen[w.ID] = now
+		u.starts[w.ID] = waveStart{at: now}
 	}
 	completed := u.completed[w.ID]
 	u.mu.Unlock()
@@ -153,6 +156,7 @@
 		u.reportStatus(ctx, w)
 		return
 	}
+	u.agreeOnStart(ctx, w, now)
 	u.pool.machines.refresh(ctx, machineListInterval)
 	u.finish(ctx, w, now)
 	u.evacuateDue(now)
--- a/verbenaentry/node/waveplan.go
+++ b/verbenaentry/node/waveplan.go
@@ -21,7 +21,7 @@
 func (u *upkeeps) input(w workload.Wave, now time.Time) (in upkeep.Input, machines map[string]workload.Machine, unavailable int) {
 	u.mu.Lock()
 	in = upkeep.Input{
-		Now: now, Deadline: u.firstSeen[w.ID].Add(w.Within), MaxDown: w.MaxDown, Cycle: u.pool.node.Settings.Bounds.Upkeep + lateReturnMargin,
+		Now: now, Deadline: u.starts[w.ID].at.Add(w.Within), MaxDown: w.MaxDown, Cycle: u.pool.node.Settings.Bounds.Upkeep + lateReturnMargin,
 	}
 	busy := map[string]bool{}
 	for _, s := range u.slotsOf(w.ID) {
