refactor(quota): names of the decision's parts, comments of quota, metering and pacing

claim is the word of the field for idempotency in this project, and told, far, everything and lowerBound said little. Constants that divide say so.

--- a/fleet/metering/exchange.go
+++ b/fleet/metering/exchange.go
@@ -13,15 +13,15 @@
 	Arrivals  float64 `json:"arrivals"`
 }
 
-// Total is the number of recent arrivals of a workspace at all pools; Own is what the pool that asks had told.
+// Total is the number of recent arrivals of a workspace at all pools; Own is the part of it that the asking pool has reported.
 type Total struct {
 	Workspace string  `json:"workspace"`
 	Arrivals  float64 `json:"arrivals"`
 	Own       float64 `json:"own"`
 }
 
-// Home returns the pool whose holder adds up the arrivals of a workspace; all pools that know the same names choose the same one. When a pool is added
-// or removed, only the workspaces change their home whose home it is.
+// Home returns the pool whose holder adds up the arrivals of a workspace, by rendezvous hashing: all pools that know the same names choose the same one,
+// and when a pool is added or removed, only the workspaces whose home it is change their home.
 func Home(workspace string, pools []string) string {
 	home, best := "", uint64(0)
 	for _, pool := range pools {
@@ -35,7 +35,7 @@
 	return home
 }
 
-// mix spreads the differences between similar names over all bits.
+// mix is the finalizer of MurmurHash3: it spreads the differences between similar names over all bits.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
@@ -46,40 +46,40 @@
 
 // Sums adds up the arrivals of the workspaces of one home. The zero value is ready to use.
 type Sums struct {
-	told map[toldKey]told
+	reports map[reportKey]report
 }
 
-type toldKey struct{ workspace, pool string }
+type reportKey struct{ workspace, pool string }
 
-type told struct {
+type report struct {
 	arrivals float64
 	at       time.Time
 }
 
-// maxTold bounds the counts that a home keeps, some 5 MB; a pool beyond it counts as one without arrivals.
-const maxTold = 50_000
+// maxReports bounds the counts that a home keeps, which take some 5 MB; further counts are left out of the totals.
+const maxReports = 50_000
 
-// Add replaces what a pool has told of workspaces, and returns the totals of these workspaces, by name.
+// Add replaces the counts that a pool has reported of workspaces, and returns the totals of these workspaces, sorted by name.
 func (s *Sums) Add(pool string, counts []Count, now time.Time) []Total {
-	if s.told == nil {
-		s.told = map[toldKey]told{}
+	if s.reports == nil {
+		s.reports = map[reportKey]report{}
 	}
-	for k, t := range s.told {
+	for k, t := range s.reports {
 		if now.Sub(t.at) > totalAge {
-			delete(s.told, k)
+			delete(s.reports, k)
 		}
 	}
 	own := map[string]float64{}
 	for _, c := range counts {
-		k := toldKey{c.Workspace, pool}
-		if _, known := s.told[k]; !known && len(s.told) >= maxTold {
+		k := reportKey{c.Workspace, pool}
+		if _, known := s.reports[k]; !known && len(s.reports) >= maxReports {
 			continue
 		}
-		s.told[k] = told{max(0, c.Arrivals), now}
+		s.reports[k] = report{max(0, c.Arrivals), now}
 		own[c.Workspace] = max(0, c.Arrivals)
 	}
 	sums := map[string]float64{}
-	for k, t := range s.told {
+	for k, t := range s.reports {
 		if _, asked := own[k.workspace]; asked {
 			sums[k.workspace] += t.arrivals
 		}
--- a/fleet/metering/meter.go
+++ b/fleet/metering/meter.go
@@ -7,12 +7,12 @@
 	Burst = time.Second
 	// Window is the time over which arrivals are counted to divide a rate among pools.
 	Window = 2 * time.Second
-	// slots divides the window, so that arrivals leave the count bit by bit.
+	// slots is the number of parts of the window; an arrival leaves the count with its part.
 	slots    = 8
 	slotTime = Window / slots
-	// minShare is the smallest share of its rate that a pool assumes: a pool to which a workspace turns has it until the next count.
+	// minShare is the smallest share of a workspace's rate that a pool assumes, so that a pool at which the workspace just begins admits some arrivals.
 	minShare = 0.05
-	// totalAge is how long the count over all pools holds; a pool that hears nothing for longer assumes that it gets all arrivals.
+	// totalAge is how long a count over all pools is used; without a newer one a pool then assumes that it gets all arrivals.
 	totalAge = 2 * time.Second
 )
 
@@ -32,8 +32,8 @@
 	totalAt    time.Time
 }
 
-// Arrive counts an arrival and reports whether it is within the rate. Arrivals may be told out of order; the bucket's time does not run backwards, so
-// that an arrival must not lie in the future.
+// Arrive counts an arrival and reports whether it is within the rate. Arrivals may come out of order. The bucket's time does not run
+// backwards, so an arrival must not lie in the future.
 func (m *Meter) Arrive(at time.Time) bool {
 	m.count(at)
 	rate := m.Rate * m.Share(at)
@@ -99,7 +99,7 @@
 }
 
 // Share returns the share of the rate that the meter assumes for its pool: that of its pool in the recent arrivals. The arrivals at the other pools are
-// taken as they were last told, those at this pool as they are now, so that a pool to which a workspace turns has its share at once.
+// those of the last total, those at this pool are current, so that a pool at which a workspace just begins has its share at once.
 func (m *Meter) Share(now time.Time) float64 {
 	others := max(0, m.total-m.own)
 	if others == 0 || now.Sub(m.totalAt) > totalAge {
--- a/fleet/pacing/pacing.go
+++ b/fleet/pacing/pacing.go
@@ -4,20 +4,20 @@
 
 // Settings configures the pauses. All are set.
 type Settings struct {
-	// Stretch is by how much a pause grows for each unit of time by which timers are late.
+	// Stretch is the factor by which the mean lateness is multiplied before it is added to a pause.
 	Stretch int64
 	// Longest is the longest pause that lateness alone leads to.
 	Longest time.Duration
 }
 
-// smoothing is the part of a new sample in the mean, as one in so many.
+// smoothing divides the weight of a new sample in the mean: 1/smoothing.
 const smoothing = 8
 
 // Lateness is the mean time by which timers fire late. A process that has enough processor time runs a goroutine as soon as its timer fires. The zero
 // value is ready to use; it is not safe for concurrent use.
 type Lateness struct{ mean time.Duration }
 
-// Observe records that a wait for a time took another one.
+// Observe records how long a wait was meant to last and how long it took.
 func (l *Lateness) Observe(waited, took time.Duration) {
 	l.mean += (max(0, took-waited) - l.mean) / smoothing
 }
--- a/fleet/quota/account.go
+++ b/fleet/quota/account.go
@@ -9,13 +9,14 @@
 const (
 	// settleTime is how long nothing is granted after a limit has come into force, until all holders have stated what already runs.
 	settleTime = time.Second
-	// peakWindow is half of the time for which the highest need counts, so that a grant is not given away between two tasks.
+	// peakWindow is half of the longest time for which the highest need counts, so that a grant is not returned between two tasks.
 	peakWindow = 200 * time.Millisecond
 	// writePause is the minimum time between two changes of an account other than raises from what is free.
 	writePause = 50 * time.Millisecond
 	// wantPause is the minimum time between two changes of a want that was registered before.
 	wantPause = 200 * time.Millisecond
-	// smallestStep is the smallest amount that changes hands in a shortage, as one part in so many of the limit.
+	// smallestStep divides the limit: in a shortage a grant changes by limit/smallestStep or by all that is missing, which
+	// bounds the number of writes.
 	smallestStep = 32
 )
 
@@ -52,18 +53,18 @@
 	// bound limits the use while a write that lowers the grant has no known outcome: it may take effect as long as the record has boundRevision.
 	bound         amounts
 	boundRevision uint64
-	// part is the pool's part of a limit into which the grants do not fit, yield its part while others want more.
+	// part bounds the use while the sum of the grants exceeds the limit, yield while other pools want more than is free.
 	part, yield amounts
 	// peaks holds the highest needs of the present and the last window.
 	peaks    [2]amounts
 	peakFrom time.Time
 
 	writtenAt, wantedAt time.Time
-	// lastUsage and lastRevision are those of the last decision, idle is true if it left nothing that time alone changes.
+	// lastUsage and lastRevision are those of the last decision; idle is true if only another usage or revision can lead to a change.
 	lastUsage    Usage
 	lastRevision uint64
 	idle         bool
-	// allowance is kept while computed is true: a sum over all pools of a record takes too long for each look.
+	// allowance is kept while computed is true: the sum over all pools of a record takes too long for each call.
 	allowance Allowance
 	computed  bool
 }
@@ -72,13 +73,14 @@
 func NewAccount(pool string) *Account {
 	a := &Account{pool: pool}
 	a.resetParts()
-	a.bound = everything()
+	a.bound = unbounded()
 	return a
 }
 
-func everything() amounts { return amounts{unlimited, unlimited, unlimited} }
+// unbounded returns amounts that bound nothing.
+func unbounded() amounts { return amounts{unlimited, unlimited, unlimited} }
 
-func (a *Account) resetParts() { a.part, a.yield = everything(), everything() }
+func (a *Account) resetParts() { a.part, a.yield = unbounded(), unbounded() }
 
 // SetLimit applies the limit of a version of the configuration.
 func (a *Account) SetLimit(version int64, limit workload.Resources) {
@@ -95,7 +97,7 @@
 		return
 	}
 	if revision != a.boundRevision {
-		a.bound = everything()
+		a.bound = unbounded()
 	}
 	before, after := amountsOf(a.record.Limit), amountsOf(r.Limit)
 	for i := range after {
--- a/fleet/quota/decide.go
+++ b/fleet/quota/decide.go
@@ -41,12 +41,13 @@
 	// occupied is what runs may occupy, need what the waiting tasks need with it, recent the highest need of late.
 	occupied, need, recent amounts
 	least                  amounts
-	others                 []claim
+	others                 []otherPool
 	// unmet is what other pools want beyond their grants.
 	unmet amounts
 	// oversized is true for a waiting task that is larger than the limit.
 	oversized [resources]bool
-	target    amounts
+	// target is the grant that the pool shall have.
+	target amounts
 }
 
 // Decide returns the change of the record that the pool needs now. What it gives back counts as given at once.
@@ -76,7 +77,7 @@
 	}
 	paused := now.Sub(a.writtenAt) < writePause
 	raisedFromFree := reason == ReasonRaised && d.unmet == (amounts{})
-	a.idle = reason == "" && a.record.Settled && len(d.wanting()) == 0 && u.Short == (workload.Resources{}) && own.Want == (workload.Resources{}) && !d.sum.exceeds(d.limit, d.limit)
+	a.idle = reason == "" && u.Short == (workload.Resources{}) && own.Want == (workload.Resources{}) && a.quiet(&d)
 	if reason == "" || (paused && !raisedFromFree && reason != ReasonLimit && reason != ReasonDeclared) {
 		return Change{}, false
 	}
@@ -92,10 +93,15 @@
 		a.wantedAt = now
 	}
 	a.writtenAt = now
-	a.lowerBound(&d)
+	a.boundUse(&d)
 	return Change{Record: next, Reason: reason, Before: own.Grant}, true
 }
 
+// quiet reports whether the record asks nothing of the pool: it is settled, no other pool wants more, and the grants fit into the limit.
+func (a *Account) quiet(d *decision) bool {
+	return a.record.Settled && len(d.wanting()) == 0 && !d.sum.exceeds(d.limit, d.limit)
+}
+
 // settled reports whether the record can be marked as settled.
 func (a *Account) settled(now time.Time) bool {
 	return !a.record.Settled && !now.Before(a.readyAt) && a.record.Version > 0 && a.record.Limit == a.inForce().resources()
@@ -112,10 +118,10 @@
 	next.Version, next.Limit = a.version, a.limit.resources()
 }
 
-// lowerBound makes what a change gives back unusable from now on: the write may take effect as long as the record has its present revision.
-func (a *Account) lowerBound(d *decision) {
+// boundUse excludes what a change gives back from use from now on: the write may take effect as long as the record has its present revision.
+func (a *Account) boundUse(d *decision) {
 	if a.boundRevision != a.revision {
-		a.bound, a.boundRevision = everything(), a.revision
+		a.bound, a.boundRevision = unbounded(), a.revision
 	}
 	stored := amountsOf(a.Share().Grant)
 	for i := range d.target {
@@ -125,6 +131,7 @@
 	}
 }
 
+// newDecision returns the figures of a decision, before its target is set.
 func (a *Account) newDecision(u Usage, now time.Time) decision {
 	d := decision{
 		limit: a.inForce(), grant: amountsOf(a.Share().Grant), sum: amountsOf(a.record.Granted()), least: amountsOf(u.Least),
@@ -163,8 +170,8 @@
 }
 
 // wanting returns the other pools that want more than they have.
-func (d *decision) wanting() []claim {
-	var list []claim
+func (d *decision) wanting() []otherPool {
+	var list []otherPool
 	for _, c := range d.others {
 		if c.want.exceeds(c.grant, d.limit) {
 			list = append(list, c)
@@ -177,7 +184,7 @@
 func (a *Account) setTarget(d *decision, now time.Time) Reason {
 	reason := Reason("")
 	d.target = d.grant
-	a.yield = everything()
+	a.yield = unbounded()
 	for i, limit := range d.limit {
 		var r Reason
 		switch {
@@ -311,15 +318,16 @@
 	if now.Sub(a.wantedAt) < wantPause {
 		return
 	}
+	// changed divides the larger of two amounts: a want that differs by less is not written.
 	const changed = 4
 	for i := range want {
 		// Others give nothing to a want that the grant covers.
-		if (want[i] > d.target[i] && stored[i] <= d.target[i]) || far(want[i], stored[i], changed) || far(least[i], amountsOf(share.Least)[i], changed) {
+		if (want[i] > d.target[i] && stored[i] <= d.target[i]) || differ(want[i], stored[i], changed) || differ(least[i], amountsOf(share.Least)[i], changed) {
 			share.Want, share.Least = want.resources(), least.resources()
 			return
 		}
 	}
 }
 
-// far reports whether two amounts differ by more than one part in so many of the larger one.
-func far(a, b, parts int64) bool { return max(a, b)-min(a, b) > max(a, b)/parts }
+// differ reports whether two amounts differ by more than the larger one divided by parts.
+func differ(a, b, parts int64) bool { return max(a, b)-min(a, b) > max(a, b)/parts }
--- a/fleet/quota/record.go
+++ b/fleet/quota/record.go
@@ -52,19 +52,19 @@
 	return c
 }
 
-// claim is what another pool holds and wants.
-type claim struct {
+// otherPool is what another pool holds and wants.
+type otherPool struct {
 	pool               string
 	grant, want, least amounts
 }
 
 // others returns what the other pools hold and want, in the order of their names.
-func (r *Record) others(pool string) []claim {
-	var list []claim
+func (r *Record) others(pool string) []otherPool {
+	var list []otherPool
 	for _, name := range slices.Sorted(maps.Keys(r.Pools)) {
 		if name != pool {
 			s := r.Pools[name]
-			list = append(list, claim{name, amountsOf(s.Grant), amountsOf(s.Want), amountsOf(s.Least)})
+			list = append(list, otherPool{name, amountsOf(s.Grant), amountsOf(s.Want), amountsOf(s.Least)})
 		}
 	}
 	return list
