--- a/fleet/inlet/conn.go
+++ b/fleet/inlet/conn.go
@@ -10,7 +10,7 @@
 	"verbenalanding.example/fleet/intake"
 )
 
-// writePiece is the size of the parts in which an answer is written, in bytes: the time limit holds for each, so that a large answer may take
+// writePiece is the size of the parts in which an answer is written, in bytes. AnswerTimeout holds for each part, so that a large answer may take
 // longer on a slow link.
 const writePiece = 64 << 10
 
--- a/fleet/inlet/room.go
+++ b/fleet/inlet/room.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	// firstBuffer is the size of the first buffer of a message whose size is not taken at once, in bytes, and growth the factor by which it grows.
+	// firstBuffer is the size in bytes of the first buffer of a message for which not all room is taken at once, growth the factor by which it grows.
 	firstBuffer = 4 << 10
 	growth      = 4
 	// reviewInterval is how often the messages that are being read are reviewed while others wait.
@@ -65,13 +65,16 @@
 	return r.room.Held()
 }
 
+// past is a read deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 // review interrupts the messages that have to give their room up. The lock orders that before the end of a message, which resets the deadline.
 func (r *Room) review() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.room.Overdue(time.Now()) {
 		if conn := s.Owner.(*Share).conn; conn != nil {
-			_ = conn.Conn.SetReadDeadline(time.Unix(1, 0))
+			_ = conn.Conn.SetReadDeadline(past)
 		}
 	}
 }
@@ -90,9 +93,9 @@
 	limited, ended bool
 }
 
-// beforeRead bounds the next read of the message. A server reads what follows a message before its reading has ended.
+// beforeRead bounds the time of the next read of the message.
 func (m *reading) beforeRead(c *Conn) error {
-	// The lock orders the deadline before the interruption by a review, and before the end of the message.
+	// The lock orders this deadline before that of a review and before its reset at the end of the message.
 	m.room.mu.Lock()
 	defer m.room.mu.Unlock()
 	if m.ended {
@@ -122,13 +125,14 @@
 	}
 	began := time.Now()
 	if err := m.room.paced.WaitN(m.ctx, firstBuffer); err != nil {
-		// The callers' deadline is shorter than the wait.
+		// The caller's deadline is shorter than the wait.
 		return ErrNoRoom
 	}
 	m.extend(time.Since(began))
 	return nil
 }
 
+// extend allows the message more time, since the process itself kept it from being read.
 func (m *reading) extend(by time.Duration) {
 	m.room.mu.Lock()
 	defer m.room.mu.Unlock()
@@ -187,6 +191,7 @@
 	}
 }
 
+// readAll reads the message, which ends at the declared size, or at the end of the source if that is negative.
 func (m *reading) readAll(src io.Reader, declared, limit int64) error {
 	for declared < 0 || int64(len(m.content)) < declared {
 		if len(m.content) == cap(m.content) {
--- a/fleet/inlet/share.go
+++ b/fleet/inlet/share.go
@@ -97,6 +97,7 @@
 	}
 }
 
+// endWait ends the wait of a share; it returns nil if the share has got room meanwhile.
 func (s *Share) endWait() error {
 	s.room.mu.Lock()
 	defer s.room.mu.Unlock()
--- a/fleet/intake/connections.go
+++ b/fleet/intake/connections.go
@@ -1,14 +1,15 @@
 package intake
 
-// Connection is one connection of Connections. Its zero value is one that was not added.
+// Connection is a member of Connections. Its zero value is one that was not added.
 type Connection struct {
 	// Owner is whoever carries the decisions about the connection out.
 	Owner any
 
-	state          connectionState
-	previous, next *Connection
+	links[Connection]
+	state connectionState
 }
 
+// connectionState says in which list of Connections a connection is.
 type connectionState int
 
 const (
@@ -22,8 +23,9 @@
 type Connections struct {
 	Limit int
 
-	count      int
-	quiet, use connectionList
+	count int
+	// quiet and busy hold the connections in the order in which they last became quiet or busy.
+	quiet, busy list[Connection, *Connection]
 }
 
 // Len returns the number of connections.
@@ -34,7 +36,7 @@
 func (c *Connections) Add(n *Connection, stalled func(*Connection) bool) (removed *Connection) {
 	if c.count >= c.Limit {
 		if removed = c.quiet.first; removed == nil {
-			for removed = c.use.first; removed != nil && !stalled(removed); {
+			for removed = c.busy.first; removed != nil && !stalled(removed); {
 				removed = removed.next
 			}
 		}
@@ -75,36 +77,9 @@
 	return true
 }
 
-func (c *Connections) list(n *Connection) *connectionList {
+func (c *Connections) list(n *Connection) *list[Connection, *Connection] {
 	if n.state == quiet {
 		return &c.quiet
 	}
-	return &c.use
-}
-
-// connectionList is a list of connections in the order of their adding.
-type connectionList struct{ first, last *Connection }
-
-func (l *connectionList) add(n *Connection) {
-	n.previous, n.next = l.last, nil
-	if l.last == nil {
-		l.first = n
-	} else {
-		l.last.next = n
-	}
-	l.last = n
-}
-
-func (l *connectionList) remove(n *Connection) {
-	if n.previous == nil {
-		l.first = n.next
-	} else {
-		n.previous.next = n.next
-	}
-	if n.next == nil {
-		l.last = n.previous
-	} else {
-		n.next.previous = n.previous
-	}
-	n.previous, n.next = nil, nil
+	return &c.busy
 }
--- a/fleet/intake/room.go
+++ b/fleet/intake/room.go
@@ -21,11 +21,11 @@
 	// Owner is whoever carries the decisions about the share out.
 	Owner any
 
+	// held, wanted and received are numbers of bytes; wanted is 0 unless the share waits.
 	held, wanted, received int64
 	began, progressed      time.Time
 	reading, leaving       bool
-	// previous and next link the shares that are being read, and those that wait.
-	previous, next *Share
+	links[Share]
 }
 
 // Held returns the bytes that the share holds.
@@ -42,9 +42,11 @@
 
 // The verdicts.
 const (
+	// Granted means that the share holds what it asked for.
 	Granted Verdict = iota
 	// Waits means that the share is in Resumed later, unless Withdraw ends its wait.
 	Waits
+	// Refused means that the share gets no room: it was told to give up what it has, or too much waits.
 	Refused
 )
 
@@ -53,17 +55,18 @@
 	Settings Settings
 
 	// held is what all messages hold, large the part of it that large ones hold; leaving and leavingLarge are the parts of these that were told
-	// to give their room up.
-	held, large, leaving, leavingLarge, waiting int64
-	reading, waits                              shares
-	resumed                                     []*Share
+	// to give their room up. All are in bytes, as is waitingBytes, which is what waiting messages lack.
+	held, large, leaving, leavingLarge, waitingBytes int64
+	// reading holds the messages that are being read, waiting those that wait for room. One that is being read and waits is in waiting only.
+	reading, waiting list[Share, *Share]
+	resumed          []*Share
 }
 
 // Held returns the bytes that all messages hold.
 func (r *Room) Held() int64 { return r.held }
 
 // Waiting reports whether a message waits for room.
-func (r *Room) Waiting() bool { return r.waits.first != nil }
+func (r *Room) Waiting() bool { return r.waiting.first != nil }
 
 // Begin adds a message that is being read from now on.
 func (r *Room) Begin(s *Share, now time.Time) {
@@ -85,13 +88,13 @@
 		r.charge(s, bytes)
 		return Granted
 	}
-	if r.waiting+bytes-s.held > r.Settings.MaxWaiting {
+	if r.waitingBytes+bytes-s.held > r.Settings.MaxWaiting {
 		return Refused
 	}
-	r.unread(s)
+	r.removeReading(s)
 	s.wanted = bytes
-	r.waiting += bytes - s.held
-	r.waits.add(s)
+	r.waitingBytes += bytes - s.held
+	r.waiting.add(s)
 	return Waits
 }
 
@@ -139,7 +142,7 @@
 
 // Complete notes that a message has arrived whole; it is not told to give its room up any more.
 func (r *Room) Complete(s *Share) {
-	r.unread(s)
+	r.removeReading(s)
 	s.reading = false
 }
 
@@ -168,16 +171,16 @@
 }
 
 func (r *Room) endWait(s *Share) {
-	r.waits.remove(s)
-	r.waiting -= s.wanted - s.held
+	r.waiting.remove(s)
+	r.waitingBytes -= s.wanted - s.held
 	s.wanted = 0
 	if s.reading {
 		r.reading.add(s)
 	}
 }
 
-// unread takes a share out of those that are being read.
-func (r *Room) unread(s *Share) {
+// removeReading takes a share out of those that are being read, if it is among them.
+func (r *Room) removeReading(s *Share) {
 	if s.reading && s.wanted == 0 {
 		r.reading.remove(s)
 	}
@@ -186,7 +189,7 @@
 // resume grants room to the shares that wait, in their order. A large one that does not fit lets no other large one pass it.
 func (r *Room) resume() {
 	blocked := false
-	for s := r.waits.first; s != nil; {
+	for s := r.waiting.first; s != nil; {
 		next, wanted := s.next, s.wanted
 		large := !r.small(wanted)
 		if r.fits(s, wanted) && (!large || !blocked) {
@@ -210,7 +213,7 @@
 // Overdue returns the shares that have to give their room up to those that wait: messages that have stalled or arrive too slowly, the one that
 // is furthest behind first, and no more of them than the first waiting one needs.
 func (r *Room) Overdue(now time.Time) []*Share {
-	first := r.waits.first
+	first := r.waiting.first
 	if first == nil {
 		return nil
 	}
@@ -246,7 +249,7 @@
 	return last
 }
 
-// behind returns for how long a message has been without progress, or how far it is behind the slowest rate; 0 if neither is too long.
+// behind returns the time for which a message has been without progress, or by which it is behind the lowest rate; 0 if neither is too long.
 func (r *Room) behind(s *Share, now time.Time) time.Duration {
 	quiet := now.Sub(s.progressed)
 	if quiet < r.Settings.Stall {
@@ -255,30 +258,3 @@
 	expected := time.Duration(float64(s.received) / float64(r.Settings.Rate) * float64(time.Second))
 	return max(quiet, now.Sub(s.began)-r.Settings.Stall-expected, 0)
 }
-
-// shares is a list of shares in the order of their adding.
-type shares struct{ first, last *Share }
-
-func (l *shares) add(s *Share) {
-	s.previous, s.next = l.last, nil
-	if l.last == nil {
-		l.first = s
-	} else {
-		l.last.next = s
-	}
-	l.last = s
-}
-
-func (l *shares) remove(s *Share) {
-	if s.previous == nil {
-		l.first = s.next
-	} else {
-		s.previous.next = s.next
-	}
-	if s.next == nil {
-		l.last = s.previous
-	} else {
-		s.next.previous = s.previous
-	}
-	s.previous, s.next = nil, nil
-}
--- a/fleet/rpc/limit.go
+++ b/fleet/rpc/limit.go
@@ -30,7 +30,7 @@
 const (
 	// maxConnCalls is the number of calls of one connection that are answered at a time; the next one is read afterwards.
 	maxConnCalls = 256
-	// callBytes is the memory of a call beside its message, in bytes, and callCopies the number of copies of the message that answering it takes.
+	// callBytes is the memory of a call beside its message, in bytes, and callCopies the number of copies of its message that exist while it is answered.
 	callBytes  = 4 << 10
 	callCopies = 4
 	// acceptPause is the time before the next attempt to accept a connection once the process has no descriptor for it.
