--- a/verbenabench/days/workspace.go
+++ b/verbenabench/days/workspace.go
@@ -11,14 +11,19 @@
 // workspaces is the number of workspaces of a day with keys.
 const workspaces = 2
 
-// hasKeys reports whether the day's callers send keys, as those of every second day do. Where they do, nodes that nothing confirms refuse all
-// calls, so that the other days show more of what nodes answer then.
+// hasKeys reports whether the day's callers send keys, as those of every second day do. With keys, nodes whose
+// configuration nothing confirms refuse all calls, so only the other days test what such nodes answer.
 func (s *script) hasKeys() bool { return s.seed%2 == 1 }
 
-// key returns the key of the caller's workspace.
-func (c *submission) key() string {
-	return "key-" + strconv.Itoa(int(c.job.ID[len(c.job.ID)-1])%workspaces)
-}
+func workspaceName(i int) string { return "workspace-" + strconv.Itoa(i) }
+
+func workspaceKey(i int) string { return "key-" + strconv.Itoa(i) }
+
+// workspaceIndex returns the index of the caller's workspace, which the job's id selects.
+func (c *submission) workspaceIndex() int { return int(c.job.ID[len(c.job.ID)-1]) % workspaces }
+
+// workspace returns the name of the caller's workspace.
+func (c *submission) workspace() string { return workspaceName(c.workspaceIndex()) }
 
 // tenants returns the day's workspaces.
 func (s *script) tenants() []wire.Tenant {
@@ -27,14 +32,14 @@
 	}
 	list := make([]wire.Tenant, 0, workspaces)
 	for i := range workspaces {
-		t := wire.Tenant{Name: "workspace-" + strconv.Itoa(i), Weight: 1, APIKeys: []string{"key-" + strconv.Itoa(i)}}
+		t := wire.Tenant{Name: workspaceName(i), Weight: 1, APIKeys: []string{workspaceKey(i)}}
 		t.MaxCount.CPU = s.limit(t.Name)
 		list = append(list, t)
 	}
 	return list
 }
 
-// limitShare is the part of the day's capacity, as one in so many, that a workspace may run beside its long-running tasks.
+// limitShare divides the day's capacity: a workspace may run 1/limitShare of it beside its long-running tasks.
 const limitShare = 4
 
 // limit returns the limit of a workspace in thousandths of a core. Its long-running tasks fit into it, since each of them has to run.
@@ -50,14 +55,9 @@
 	return cpu
 }
 
-// workspace returns the name of the caller's workspace.
-func (c *submission) workspace() string {
-	return "workspace-" + strconv.Itoa(int(c.job.ID[len(c.job.ID)-1])%workspaces)
-}
-
 // sign adds the caller's key to a request.
 func (d *day) sign(r *http.Request, c *submission) {
 	if d.script.hasKeys() {
-		r.Header.Set(platform.KeyHeader, platform.KeyScheme+" "+c.key())
+		r.Header.Set(platform.KeyHeader, platform.KeyScheme+" "+workspaceKey(c.workspaceIndex()))
 	}
 }
--- a/verbenabench/soak/key.go
+++ b/verbenabench/soak/key.go
@@ -18,21 +18,23 @@
 )
 
 const (
-	// workspaces is the number of workspaces. Each has a lasting key, which its callers send, and one that is replaced again and again.
+	// workspaces is the number of workspaces. Each has a lasting key, which its callers send, and one that is replaced repeatedly.
 	workspaces = 3
+	// workspaceCPU is the limit of a workspace in thousandths of a core. Its tasks wait for it at times, and its long-running ones fit into it.
+	workspaceCPU = 12000
 	// unknownKey is a key that no configuration holds.
 	unknownKey = "never-configured"
 	// keyInterval is the mean time between two replacements of a key.
 	keyInterval = time.Second
 	// keyCheckInterval is the time between two requests that check the keys on a process.
 	keyCheckInterval = 150 * time.Millisecond
-	// An answer of a watch that is delayed on its way makes a configuration seem up to watchWait newer than it is.
+	// watchWait is by how much a delayed answer of a watch makes a configuration seem newer than it is, at most.
 	watchWait = 2 * time.Second
-	// addedLimit is the time after which a key that was added is refused by no process: a node refuses by a configuration of at most 3 s.
+	// addedLimit is the time after which no process refuses a key that was added: a node refuses keys only by a configuration that is at most 3 s old.
 	addedLimit = 3*time.Second + watchWait
 )
 
-// removedLimit is the time after which a key that was removed is accepted by no process, whatever disturbs it.
+// removedLimit returns the time after which no process accepts a key that was removed, whatever fault there is.
 func removedLimit() time.Duration {
 	b := standin.Bounds()
 	return b.Configuration + b.ConfigurationSkew + watchWait
@@ -121,9 +123,6 @@
 	return list
 }
 
-// workspaceCPU is the limit of a workspace in thousandths of a core. Its tasks wait for it at times, and its long-running ones fit into it.
-const workspaceCPU = 12000
-
 func workspaceName(i int) string { return "workspace-" + strconv.Itoa(i) }
 
 // startKeys writes the first configuration, with the workspaces and their keys.
--- a/verbenaentry/node/view.go
+++ b/verbenaentry/node/view.go
@@ -114,7 +114,7 @@
 func (v *View) configure(value []byte) bool {
 	v.configuring.Lock()
 	defer v.configuring.Unlock()
-	decode := platform.DecodeOpenConfiguration
+	decode := platform.DecodeConfigurationWithoutKeys
 	if v.Workspaces {
 		decode = platform.DecodeConfiguration
 	}
