--- a/verbenabench/gaps/day.go
+++ b/verbenabench/gaps/day.go
@@ -28,13 +28,16 @@
 }
 
 const (
+	// A spread is the standard deviation of a logarithm: of the CPU, memory and run time of a step's tasks, and of their number.
 	cpuSpread, memorySpread, runSpread, widthSpread = 0.45, 0.6, 0.5, 0.6
 	// stepSpread is the spread of the run times of the tasks of one step.
 	stepSpread = 0.3
 	// largest is the largest need of a task as a multiple of the mean, longest that of its run time before a tail.
-	largest, longest     = 3, 5
+	largest, longest = 3, 5
+	// meanWidth is the mean number of tasks of a step, mostWidth the largest one.
 	meanWidth, mostWidth = 8, 32
-	tailFactor           = 7
+	// tailFactor is how many times as long the tasks of some steps run.
+	tailFactor = 7
 	// slowFactor is how many times as long tasks take that begin on a slow worker in the second quarter of a period.
 	slowFactor = 5
 )
@@ -56,10 +59,13 @@
 var courses = []course{{"even, 0.75 of the capacity", 0.75, 0.75}, {"even, 0.9 of the capacity", 0.9, 0.9}, {"by turns, 1.4 and 0.2", 1.4, 0.2}}
 
 const (
+	// period is the time after which the load repeats itself, dayTime the time for which jobs arrive.
 	period  = 24 * time.Second
 	dayTime = 96 * time.Second
 )
 
+const milliPerCore = 1000
+
 // slow reports whether a worker is slow.
 func (s shape) slow(worker int, at time.Duration) bool {
 	return s.slowWorkers > 0 && worker%s.slowWorkers == 0 && at%period*4/period == 1
@@ -83,6 +89,7 @@
 	chain time.Duration
 }
 
+// drawLognormal draws a number of a lognormal distribution with a mean, bounded by most.
 func drawLognormal(r *rand.Rand, mean, spread, most float64) float64 {
 	return min(mean*math.Exp(spread*r.NormFloat64()-spread*spread/2), most)
 }
@@ -99,7 +106,7 @@
 	var jobs []drawnJob
 	arriving := 0.0
 	for at := time.Duration(0); at < dayTime; at += stepInterval {
-		arriving += c.load(at) * float64(workers) * float64(s.capacity.CPU) / 1000 * stepInterval.Seconds()
+		arriving += c.load(at) * float64(workers) * float64(s.capacity.CPU) / milliPerCore * stepInterval.Seconds()
 		for arriving > 0 {
 			j := s.drawJob(r, len(jobs), at)
 			jobs = append(jobs, j)
@@ -147,7 +154,7 @@
 	work := 0.0
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			work += float64(s.Need.CPU) / 1000 * t.runs.Seconds()
+			work += float64(s.Need.CPU) / milliPerCore * t.runs.Seconds()
 		}
 	}
 	return work
@@ -176,6 +183,7 @@
 	return bounds
 }
 
+// decileOf returns the decile of a size, from 0 on.
 func decileOf(bounds []float64, size float64) int {
 	i, _ := slices.BinarySearchFunc(bounds, size, func(bound, size float64) int { return cmp.Compare(bound, size) })
 	return i
--- a/verbenabench/gaps/offline.go
+++ b/verbenabench/gaps/offline.go
@@ -71,6 +71,7 @@
 		order[i] = &jobs[i]
 	}
 	if largestFirst {
+		// window is the time within which jobs count as arrived together.
 		const window = 2 * time.Second
 		slices.SortStableFunc(order, func(a, b *drawnJob) int {
 			return cmp.Or(cmp.Compare(a.arrives/window, b.arrives/window), -cmp.Compare(dominant(a.steps[0].Need, s.capacity), dominant(b.steps[0].Need, s.capacity)))
--- a/verbenabench/gaps/online.go
+++ b/verbenabench/gaps/online.go
@@ -27,7 +27,8 @@
 	id     string
 	number int
 	active []activeRun
-	ends   int64
+	// ends is the number of the last reported end.
+	ends int64
 }
 
 type activeRun struct {
--- a/verbenabench/overload/model.go
+++ b/verbenabench/overload/model.go
@@ -10,34 +10,58 @@
 	"verbenalanding.example/fleet/workload"
 )
 
+// The pool and the time of a run.
 const (
-	workers     = 84
-	workerCPU   = 16_000
+	workers = 84
+	// rackWorkers is the number of workers that the loss of a rack takes away.
 	rackWorkers = 28
-	tick        = 20 * time.Millisecond
+	// workerCPU is the capacity of a worker in thousandths of a core.
+	workerCPU    = 16_000
+	milliPerCore = 1000
+	// tick is the simulated time between two plans.
+	tick = 20 * time.Millisecond
+	// Jobs arrive for trafficTime; those that are left have drainTime to end.
 	trafficTime = 40 * time.Second
 	drainTime   = 25 * time.Second
-	workspaces  = 11
-	usualRate   = 2
-	weight      = 3
-	maxTries    = 3
-	wrongBy     = 1.9
-	unevenBy    = 0.3
-	lateCredit  = 0.07
-	lateFactor  = 3
-	stretch     = 2
-	targetTime  = 600 * time.Millisecond
+)
+
+// The callers.
+const (
+	workspaces = 11
+	// usualRate is the mean number of jobs that a workspace sends per second, weight the number that it is owed.
+	usualRate = 2
+	weight    = 3
+	// maxTries is how often a caller sends a job that is refused.
+	maxTries = 3
+	// A declared run time is up to declaredFactor times too long or too short.
+	declaredFactor = 1.9
+	// The actual run times of a kind differ by up to this part from their mean.
+	runTimeSpread = 0.3
+	// A job is in time within stretch times its run time and targetTime more. Up to lateFactor times that it earns lateCredit of its worth.
+	stretch    = 2
+	targetTime = 600 * time.Millisecond
+	lateFactor = 3
+	lateCredit = 0.07
+)
+
+// The disturbances.
+const (
 	disturbedAt = 8 * time.Second
 	usualTime   = 10 * time.Second
 	longTime    = 22 * time.Second
-	hotFactor   = 8
+	// hotWorkspace is the index of the workspace that sends more than the others.
+	hotWorkspace = 0
+	// In a burst all workspaces send burstFactor times their usual rate; the hot workspace sends hotFactor times it.
 	burstFactor = 3
+	hotFactor   = 8
 )
 
 // kind is a kind of job: steps one after the other, each of eight equal tasks.
 type kind struct {
-	cpu   int64
-	run   time.Duration
+	// cpu is the need of a task in thousandths of a core.
+	cpu int64
+	run time.Duration
+	// share is the part of the jobs that are of the kind.
 	share float64
 }
 
@@ -45,7 +69,7 @@
 
 const stepTasks = 8
 
-// load is what happens from disturbedAt on.
+// load names the disturbances that begin at disturbedAt, and how long they last.
 type load struct {
 	name             string
 	burst, hot, rack bool
@@ -94,8 +118,9 @@
 	run       time.Duration
 	objective time.Duration
 	worth     float64
-	work      float64
-	// owed is the bench's own count: the first jobs of each second up to the weight.
+	// work is in core-seconds.
+	work float64
+	// owed is counted here and not taken from the scheduler: the first jobs of each second up to the weight are owed.
 	owed  bool
 	tries int
 	// began is when the first task began, ended when the job was completed; zero before.
@@ -103,6 +128,8 @@
 	refused      bool
 }
 
+func workspaceName(w int) string { return fmt.Sprint("w", w) }
+
 // drawCalls draws the calls of a load; they are the same for each policy.
 func drawCalls(l load, seed uint64, began time.Time) []*call {
 	random := rand.New(rand.NewPCG(seed, 2))
@@ -115,7 +142,7 @@
 				if l.burst {
 					rate *= burstFactor
 				}
-				if l.hot && w == 0 {
+				if l.hot && w == hotWorkspace {
 					rate = max(rate, hotFactor*usualRate)
 				}
 			}
@@ -128,7 +155,7 @@
 			}
 			sent++
 			c := drawCall(random, fmt.Sprintf("%02d%014d", w, len(calls)), began.Add(at))
-			c.job.Workspace, c.owed = fmt.Sprint("w", w), sent <= weight
+			c.job.Workspace, c.owed = workspaceName(w), sent <= weight
 			calls = append(calls, c)
 		}
 	}
@@ -142,7 +169,7 @@
 	}
 	steps := 1 + random.IntN(2)
 	c := &call{at: at, first: at, run: k.run}
-	declared := workload.Scale(k.run, math.Exp((2*random.Float64()-1)*math.Log(wrongBy)))
+	declared := workload.Scale(k.run, math.Exp((2*random.Float64()-1)*math.Log(declaredFactor)))
 	for s := range steps {
 		step := workload.Step{Tasks: stepTasks, Need: workload.Resources{CPU: k.cpu, MemoryMB: 100}, Estimate: declared, Image: fmt.Sprint(k.cpu)}
 		if s > 0 {
@@ -152,9 +179,11 @@
 	}
 	c.job.ID, c.job.Queue, c.job.Pool = id, "q", "pool"
 	c.objective = stretch*time.Duration(steps)*k.run + targetTime
-	c.work = float64(steps*stepTasks) * float64(k.cpu) / 1000 * k.run.Seconds()
-	mean := 1.5 * stepTasks * float64(k.cpu) / 1000 * k.run.Seconds()
-	c.worth = 0.3 + 0.7*c.work/mean
+	c.work = float64(steps*stepTasks) * float64(k.cpu) / milliPerCore * k.run.Seconds()
+	// A part of the worth is that of any job, the rest is in proportion to the job's work.
+	const fixedWorth, varyingWorth, meanSteps = 0.3, 0.7, 1.5
+	mean := meanSteps * stepTasks * float64(k.cpu) / milliPerCore * k.run.Seconds()
+	c.worth = fixedWorth + varyingWorth*c.work/mean
 	return c
 }
 
@@ -211,7 +240,7 @@
 	if p.order == owedFirst {
 		var list []workload.Workspace
 		for w := range workspaces {
-			list = append(list, workload.Workspace{Name: fmt.Sprint("w", w), Weight: weight})
+			list = append(list, workload.Workspace{Name: workspaceName(w), Weight: weight})
 		}
 		m.pool.SetWorkspaces(list)
 	}
@@ -227,6 +256,7 @@
 	return m
 }
 
+// observe notes the ends of jobs.
 func (m *model) observe(e dispatch.Event) {
 	if c := m.calls[e.Job]; c != nil && e.Kind == "job completed" {
 		c.ended = m.now
@@ -253,6 +283,7 @@
 	}
 }
 
+// submit sends a call, which the policy refuses or the scheduler takes.
 func (m *model) submit(c *call) {
 	c.job.Accepted = m.now
 	c.job.Terms = workload.Queue{Name: "q", Pool: "pool", MaxAttempts: 5, Stretch: stretch, TargetDuration: targetTime}
@@ -273,6 +304,7 @@
 	m.pool.AddJob(c.job, nil, false, m.now)
 }
 
+// decide returns why a call is refused by the policy, or nil.
 func (m *model) decide(c *call) *dispatch.Refusal {
 	switch m.policy.refusal {
 	case refuseUse:
@@ -281,7 +313,7 @@
 		cores := 0.0
 		for _, w := range m.workers {
 			if !w.lost {
-				cores += workerCPU / 1000
+				cores += workerCPU / milliPerCore
 			}
 		}
 		r := &dispatch.Refusal{Wait: workload.Scale(time.Second, m.open/cores), Useful: c.objective, Each: workload.Scale(time.Second, c.work/cores)}
@@ -339,7 +371,7 @@
 	if c.began.IsZero() {
 		c.began = m.now
 	}
-	took := workload.Scale(c.run, 1+unevenBy*(2*m.random.Float64()-1))
+	took := workload.Scale(c.run, 1+runTimeSpread*(2*m.random.Float64()-1))
 	w.runs = append(w.runs, modelRun{ActiveRun: workload.ActiveRun{Task: s.Task, Run: s.Run}, until: m.now.Add(took)})
 	m.pool.StartAnswered(s, dispatch.Present, workload.ClockReading{Incarnation: w.info.Incarnation, Clock: m.now.Sub(w.born)}, m.now)
 }
--- a/verbenabench/overload/overload.go
+++ b/verbenabench/overload/overload.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		earned, owed = earned+credit, owed+c.worth
-		if c.job.Workspace == "w0" {
+		if c.job.Workspace == workspaceName(hotWorkspace) {
 			continue
 		}
 		earnedOthers, owedOthers = earnedOthers+credit, owedOthers+c.worth
