--- a/verbenaentry/node/arrivals.go
+++ b/verbenaentry/node/arrivals.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// arrivalsInterval is how often a holder tells the homes of workspaces their arrivals at its pool.
+	// arrivalsInterval is how often a holder sends the homes of workspaces their arrivals at its pool.
 	arrivalsInterval = 500 * time.Millisecond
 	// arrivalCalls bounds the concurrent calls of a pool to homes.
 	arrivalCalls = 8
 )
 
-// arrivals is what a pool's holder tells the home of workspaces: their recent arrivals at its pool.
+// arrivals holds the recent arrivals of workspaces at a pool, which its holder sends to their home.
 type arrivals struct {
 	// Home is the pool whose holder adds up, Pool the one at which the jobs arrived.
 	Home   string           `json:"home"`
@@ -26,8 +26,8 @@
 	Counts []metering.Count `json:"counts"`
 }
 
-// exchangeArrivals tells the homes of the workspaces their arrivals at this pool, and applies the totals of all pools. A home that does not answer leaves
-// the last totals in force for a short time; after that the pool counts as the only one to which these workspaces send.
+// exchangeArrivals sends the homes of the workspaces their arrivals at this pool, and applies the totals of all pools. If a home does not answer, the
+// last totals hold for a short time; then the pool assumes that these workspaces send to no other one.
 func (p *pool) exchangeArrivals(ctx context.Context) error {
 	for range interval.Each(ctx, arrivalsInterval) {
 		c := p.node.View.Configuration()
@@ -78,7 +78,7 @@
 	p.mu.Unlock()
 }
 
-// addArrivals adds what another pool, or this one, tells as the home of the workspaces.
+// addArrivals adds the arrivals at a pool to those of the workspaces whose home this pool is, and returns the totals.
 func (p *pool) addArrivals(a arrivals) []metering.Total {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/verbenaentry/node/intake.go
+++ b/verbenaentry/node/intake.go
@@ -50,6 +50,7 @@
 }
 
 func (f IntakeFlags) check() error {
+	// largestShare is a percentage: four such parts would leave no memory for the process itself.
 	const largestShare, longest, mostConnections = 25, 10 * time.Minute, 1 << 16
 	f = f.withDefaults()
 	for _, e := range []struct {
@@ -82,34 +83,34 @@
 	reservedFDs = 200
 	// connectionBytes is the memory of a connection: its goroutines, the buffers of its requests and a header, which may be as large as 20 kB.
 	connectionBytes = 32 << 10
-	// Callers' connections may take one part in callerMemory of the memory and one in callerSockets of the sockets, those of other nodes one in
-	// peerSockets, and those of the readiness port one in readinessSockets. The rest is for the connections that the process opens itself.
+	// Callers' connections may take 1/callerMemory of the memory and 1/callerSockets of the sockets, those of other nodes 1/peerSockets and those of
+	// the readiness port 1/readinessSockets. The rest is for the connections that the process opens itself.
 	callerMemory        = 8
 	callerSockets       = 2
 	peerSockets         = 8
 	readinessSockets    = 16
 	maxReadinessSockets = 64
-	// smallBody is the size up to which a body may use the reserve, which is one part in reservePart of the room. Nearly all jobs are smaller.
+	// smallBody is the size in bytes up to which a body may use the reserve, which is 1/reservePart of the room. Nearly all jobs are smaller.
 	smallBody   = 16 << 10
 	reservePart = 4
-	// largeBody is the size of the largest body that the operator usually allows.
+	// largeBody is the size in bytes of the largest body that the operator usually allows.
 	largeBody = 256 << 10
-	// stallTime is the time without a byte after which a body gives way. On a link of slowestLink bytes per second that all bodies share, each gets
-	// bytes ten times as often.
+	// stallTime is the time without a byte after which a body gives its room up. On a link of slowestLink bytes per second that all bodies share, each
+	// gets bytes ten times as often.
 	stallTime   = time.Second
 	slowestLink = 10_000_000 / 8
 	// rateMargin is how many times slower than its part of the slowest link a body may arrive.
 	rateMargin = 4
 	// roomWait bounds the time for which a body waits for room; the callers' default deadline is 3 s.
 	roomWait = 2 * time.Second
-	// jobCopies is the memory that storing a job takes as a multiple of its body: the decoded job, its record and the call to the store.
+	// Storing a job takes jobBytes and jobCopies times its body of memory: the decoded job, its record and the call to the store.
 	jobCopies = 10
 	jobBytes  = 4 << 10
 	// maxPeerMessage is the size of the largest message of another node, in bytes: a transaction of some large values.
 	maxPeerMessage = 8 << 20
-	// peerMessagePart is the part of the memory that one message of another node may take at most.
+	// One message of another node may take 1/peerMessagePart of the memory.
 	peerMessagePart = 16
-	// noticePart is the part of the memory that notifications of stored jobs may take.
+	// Notifications of stored jobs may take 1/noticePart of the memory.
 	noticePart = 32
 	// intakeLines is the number of log lines per second for each cause.
 	intakeLines = 10
@@ -121,12 +122,16 @@
 	// connections holds the largest number of connections by listener.
 	connections map[string]int
 	// bodies holds bodies, jobs the jobs that are being stored.
-	bodies, jobs    *inlet.Room
+	bodies, jobs *inlet.Room
+	// messages holds the messages of other nodes, calls their calls that are being answered.
 	messages, calls *inlet.Room
-	maxMessage      int64
-	notices         *semaphore.Weighted
-	noticeBytes     int64
-	log             logs.Budgets
+	// maxMessage is the size of the largest message of another node, in bytes.
+	maxMessage int64
+	// notices bounds the memory of notifications of stored jobs to noticeBytes.
+	notices     *semaphore.Weighted
+	noticeBytes int64
+	// log limits the log lines about refused clients for each cause.
+	log logs.Budgets
 }
 
 // The listeners, as metrics and log lines name them.
@@ -136,6 +141,7 @@
 	listenerPeer      = "peer"
 )
 
+// newClientIntake derives the bounds from the process's memory and descriptors.
 func newClientIntake(s platform.Settings, f Flags) *clientIntake {
 	flags := f.Intake.withDefaults()
 	memory := cmp.Or(s.MemoryMB, defaultMemoryMB) << 20
@@ -176,6 +182,7 @@
 	s.ConnState, s.ConnContext, s.Handler = l.TrackState, inlet.ConnContext, inlet.Handler(s.Handler)
 }
 
+// peerLimits returns the bounds of the server for other nodes.
 func (n *Node) peerLimits() *rpc.Limits {
 	return &rpc.Limits{
 		MaxMessage: n.intake.maxMessage, Messages: n.intake.messages, Calls: n.intake.calls,
@@ -187,6 +194,7 @@
 	}
 }
 
+// registerIntake registers gauges of the bytes that clients' messages hold.
 func (n *Node) registerIntake() {
 	for name, room := range map[string]*inlet.Room{"bodies": n.intake.bodies, "jobs": n.intake.jobs, "messages": n.intake.messages, "calls": n.intake.calls} {
 		metrics.NewRegisteredFunctionalGauge("intakeBytes."+name, n.Registry, room.Held)
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -46,7 +46,7 @@
 	LogLevel    string        `long:"log-level" env:"VERBENA_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"minimum level of log lines"`
 }
 
-// The range of --large-task.
+// The range of --large-task, as shares of a worker.
 const (
 	leastLargeTask = 0.05
 	mostLargeTask  = 1
--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -10,8 +10,8 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// notificationLimit bounds the concurrent notifications of holders, whose jobs are bounded in bytes as well; a notification beyond it is skipped, and the holder receives the change
-// by its watch.
+// notificationLimit bounds the concurrent notifications of holders, as clientIntake.notices bounds their bytes. A notification beyond either is skipped,
+// and the holder receives the change by its watch.
 const notificationLimit = 64
 
 // storedJob notifies a holder of a newly stored job.
@@ -53,7 +53,7 @@
 // noticeCopies is the memory of a notification as a multiple of its job: the record, its message and the buffer in which that is encoded.
 const noticeCopies = 4
 
-// noticeSize returns the memory of a notification.
+// noticeSize returns the memory of a notification in bytes; only those of stored jobs count.
 func (i *clientIntake) noticeSize(params any) int64 {
 	s, ok := params.(*storedJob)
 	if !ok {
--- a/verbenaentry/node/order.go
+++ b/verbenaentry/node/order.go
@@ -31,7 +31,7 @@
 	holdRetryPause = 150 * time.Millisecond
 )
 
-// pollPacing makes the pause between holds longer while the holder is short of processor time: orders to workers would otherwise wait so long that
+// pollPacing lengthens the pause between holds while the holder is short of processor time: orders to workers would otherwise wait so long that
 // workers refuse them as late.
 var pollPacing = pacing.Settings{Stretch: 10, Longest: 250 * time.Millisecond}
 
--- a/verbenaentry/node/outlook.go
+++ b/verbenaentry/node/outlook.go
@@ -33,10 +33,10 @@
 }
 
 const (
-	// unansweredKept is how long a write may be carried out after its call has ended, with a margin; maxUnanswered bounds the ids that are kept. With more
-	// of them the store is disturbed, and nothing is refused.
+	// unansweredKept is how long a write may be carried out after its call has ended, with a margin.
 	unansweredKept = time.Minute
-	maxUnanswered  = 10_000
+	// maxUnanswered bounds the ids that are kept. While there are as many, the store is disturbed, and no job is refused.
+	maxUnanswered = 10_000
 )
 
 type receivedOutlook struct {
@@ -74,7 +74,7 @@
 	return o.returns[pool].After(r, now)
 }
 
-// noteUnanswered records that a job may be stored although the store has not answered.
+// noteUnanswered records that the store has not answered the write of a job, which may still be carried out.
 func (o *outlooks) noteUnanswered(id string, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -97,7 +97,7 @@
 	return (noted && now.Sub(at) <= unansweredKept) || len(o.unanswered) >= maxUnanswered
 }
 
-// refuseUseless refuses a job that certainly cannot be of use in its time, and reports whether it has done so. A job whose id may have been accepted by an
+// refuseUseless refuses a job that certainly ends too late to be of use to its caller, and reports whether it has done so. A job whose id may have been accepted by an
 // earlier call is stored as any other one: that is known only once the store has answered.
 func (n *Node) refuseUseless(ctx context.Context, w http.ResponseWriter, j *workload.Job, log *zerolog.Logger) bool {
 	now := n.Clock.Now()
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -31,7 +31,7 @@
 	// The holder of a pool is notified of stored jobs and of recorded cancellation requests.
 	methodStored    = "job.stored"
 	methodCancelled = "job.cancelled"
-	// It is also notified of jobs that were refused at the call.
+	// The holder of a pool is also notified of jobs that were refused at the call.
 	methodRefused = "job.refused"
 	// A node whose calls the store rejects reads and writes through other nodes.
 	methodGet   = "store.get"
--- a/verbenaentry/node/quota.go
+++ b/verbenaentry/node/quota.go
@@ -25,7 +25,7 @@
 	grantPrefix = "grant/"
 	// grantKeyBytes is the length of a workspace's part of its key before its encoding; names may be longer than a key.
 	grantKeyBytes = 16
-	// quotaInterval is how often grants are decided without an event, quotaPause the minimum pause between two decisions.
+	// quotaInterval is the time after which grants are decided without an event, quotaPause the shortest pause between two decisions.
 	quotaInterval = 50 * time.Millisecond
 	quotaPause    = 10 * time.Millisecond
 	// grantsPerWrite is the number of records in a transaction, which also holds a condition for each and one for the duty.
@@ -57,10 +57,11 @@
 	// workspaces holds the names of the accounts, sorted.
 	workspaces []string
 
+	// now triggers a decision before quotaInterval has passed.
 	now    *ring.Ring[struct{}]
 	budget logs.Budget
-	// following is true once the records are followed, tries is the number of the present attempt to write since the last answer, gaugesAt the time of
-	// the last update of the gauges. Only run uses them.
+	// following is true once the records are followed, tries is the number of the present attempt to write since the last answer. Only run uses these
+	// and gauges.
 	following bool
 	tries     int
 	gauges    workspaceGauges
@@ -208,7 +209,8 @@
 }
 
 // write writes changes on condition that the duty is held and that the records are those on which the changes were decided, so that a write that
-// arrives late has no effect. A raise counts only once the store has answered. It returns false if the store has not.
+// arrives late has no effect. A raise counts only once the store has answered. It returns false if the store has not, and once the duty
+// is lost.
 func (g *grants) write(ctx context.Context, changes []grantChange) (answered bool) {
 	p := g.pool
 	t := store.Transaction{If: []store.Condition{p.dutyCondition()}}
--- a/verbenaentry/node/workspacegauges.go
+++ b/verbenaentry/node/workspacegauges.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxWorkspaceGauges bounds the workspaces of a pool that have gauges: those whose tasks lack the most, then those that run the most.
+	// maxWorkspaceGauges bounds the workspaces of a pool that have gauges: those whose tasks lack the most CPU, then those that use the most.
 	maxWorkspaceGauges = 16
 	// gaugeInterval is how often the gauges of workspaces are updated.
 	gaugeInterval = time.Second
