--- a/fleet/dispatch/account.go
+++ b/fleet/dispatch/account.go
@@ -5,23 +5,23 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// account is what the jobs of a workspace occupy in the pool, and what they may occupy. The jobs without a workspace have one together, without a limit.
+// account is what the jobs of a workspace occupy in the pool, and what they may occupy. All jobs without a workspace share one, which has no limit.
 type account struct {
 	name string
-	// used is what runs occupy that may be present, with the CPU of tasks that fill; reservedUse is the same without it.
+	// used is what the runs that may be present occupy, with the CPU of fillers; reservedUse is the same without it.
 	used, reservedUse workload.Resources
 	// agedCPU is the CPU of the runs that were placed because their jobs had waited long.
 	agedCPU int64
-	// planned is reservedUse with what the candidates of a plan need that go first.
+	// planned is reservedUse and the need of the candidates of the workspace that go first in a plan.
 	planned workload.Resources
 
 	limit     workload.Resources
 	allowance quota.Allowance
 	// short is the need of the ready tasks that only the allowance kept from starting in the last plan, least that of the largest one.
 	short, least workload.Resources
-	// uncertain is what tasks of the workspace occupy that this holder only knows from a record or a list; p.uncertainRoom comes on top.
+	// uncertain is what the tasks of the workspace that this holder only knows from a record or a list may occupy, beside Pool.uncertainRoom.
 	uncertain workload.Resources
-	// reserved has the resources for which a task has waited so long that no further one of the workspace gets any in the present plan.
+	// reserved holds the resources for which a task has waited for reserveAfter: no further task of the workspace gets any in the present plan.
 	reserved workload.Resources
 }
 
--- a/fleet/dispatch/aging.go
+++ b/fleet/dispatch/aging.go
@@ -8,13 +8,13 @@
 const (
 	// agingWait is how long a task waits, where workspaces share a pool, until its job joins those that are placed first by their age.
 	agingWait = 10 * time.Second
-	// agedParts is the part of the pool's CPU, as one in so many, that the jobs have that are placed by their age. Work that is always overtaken begins
-	// after agingWait and the time that this part of the pool needs for what has waited longer.
+	// agedParts divides the pool's CPU: jobs that are placed by their age may occupy 1/agedParts of it. Work that is always overtaken begins after agingWait
+	// and the time that this part of the pool needs for work that has waited longer.
 	agedParts = 16
 )
 
-// placeAged places the jobs that have waited longest, where workspaces share the pool, until their runs occupy their part of it. Each gets the room that
-// it needs if none of them runs.
+// placeAged places the jobs that have waited longest, where workspaces share the pool, until their runs occupy 1/agedParts of its CPU. While none of them
+// runs, the first one may exceed that part.
 func (p *Pool) placeAged(list []candidate, u uncertainty, now time.Time) {
 	if len(p.workspaces) == 0 {
 		return
--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -26,7 +26,7 @@
 	// minRunTime is the shortest run time that is learned, minKindSamples the number of runs of a kind after which its run time is used.
 	minRunTime     = 10 * time.Millisecond
 	minKindSamples = 20
-	// maxSpread bounds a learned spread, and with it what one run that hangs adds.
+	// maxSpread bounds the deviation of one run, so that a run that hangs changes a learned spread little.
 	maxSpread = 1
 )
 
@@ -61,7 +61,7 @@
 	f.spread += weight * (min(math.Abs(sample-f.mean)/f.mean, maxSpread) - f.spread)
 }
 
-// learnAbsolute learns the run time of a kind of tasks whatever they declare.
+// learnAbsolute learns the run time of a kind of tasks in seconds, whatever they declare.
 func (p *Pool) learnAbsolute(key meanKey, took time.Duration) {
 	sample := max(took.Seconds(), minRunTime.Seconds())
 	f := p.runTimes[key]
@@ -75,8 +75,8 @@
 	f.samples++
 }
 
-// kindRunTime returns the learned run time of a task's kind if that tells more than what the task declares: the tasks of the kind differ less in their
-// run times than in the ratio of these to the declared ones.
+// kindRunTime returns the learned run time of a task's kind if that is the better estimate: if the run times of the kind differ less than their ratios to the
+// declared ones.
 func (p *Pool) kindRunTime(t *task) (time.Duration, bool) {
 	ratio, absolute := p.means[t.meanKey()], p.runTimes[t.meanKey()]
 	if ratio == nil || absolute == nil || absolute.samples < minKindSamples || absolute.spread >= ratio.spread {
--- a/fleet/dispatch/explain.go
+++ b/fleet/dispatch/explain.go
@@ -39,7 +39,7 @@
 	WaitReserved WaitReason = "reserved"
 	// WaitQuota means that the limit of the job's workspace does not admit the task now.
 	WaitQuota WaitReason = "quota"
-	// WaitShare means that there is no capacity, and that what other workspaces are owed goes before the job, which its workspace is not owed.
+	// WaitShare means that there is no capacity, and that owed work of other workspaces goes before the job, which its workspace is not owed.
 	WaitShare WaitReason = "share"
 	// WaitOtherWorker means that the task has failed on each worker with enough free capacity, and waits for another one.
 	WaitOtherWorker WaitReason = "otherWorker"
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// use says what an occurrence is still worth to its caller.
+// use says whether an occurrence can still be of use to its caller.
 type use int
 
 const (
@@ -50,20 +50,21 @@
 	useNone
 )
 
-// lateFactor is up to how many times its objective a late job is still of some use.
+// lateFactor is the number of objectives after which a late job is of no use any more.
 const lateFactor = 3
 
 // rank is the place of a candidate in the order by workspaces.
 type rank struct {
-	use    use
+	use use
+	// beyond is true for a job that its workspace is not owed.
 	beyond bool
-	// worth is the worth per core-second as a power of two: a share counts among jobs of similar worth.
+	// worth is the exponent of the worth per core-second as a power of two: shares are compared among jobs of similar worth.
 	worth int
 	// share is the dominant share of the pool that the candidate's workspace has before the candidate is placed, over its weight.
 	share float64
 }
 
-// use returns what a candidate is still worth to its caller.
+// use returns whether a candidate can still be of use to its caller.
 func (c *candidate) use() use {
 	switch {
 	case c.inTime:
@@ -74,8 +75,8 @@
 	return useNone
 }
 
-// rankByWorkspace ranks the candidates. Each of a workspace counts as placed for the next one, as far as they go before one another for other reasons
-// than their shares.
+// rankByWorkspace ranks the candidates. The share of a candidate counts those of its workspace as placed that go before it for other reasons than their
+// shares.
 func (p *Pool) rankByWorkspace(list []candidate) {
 	for i := range list {
 		c := &list[i]
@@ -98,9 +99,9 @@
 	}
 }
 
-// compareByWorkspace orders long-running tasks first, then by priority, and what is of no use any more last; then what its workspace is owed before what
-// lies beyond, and what can still be in time before what is late; then what was begun, the more worth per core-second, in powers of two, the workspaces
-// with the least of the pool for their weight, and within one of them again by worth. Work beyond goes before owed work of no use, which nobody needs.
+// compareByWorkspace orders candidates by the first of these that differs: long-running tasks first; the priority; work of no use last; owed work before
+// work beyond; work that can be in time before late work; begun work first; the worth per core-second, as a power of two; the workspace's share over its
+// weight; the exact worth; the time of acceptance. Work beyond goes before owed work of no use, which nobody needs.
 func compareByWorkspace(a, b candidate) int {
 	switch {
 	case a.longRunning != b.longRunning:
--- a/fleet/dispatch/outlook.go
+++ b/fleet/dispatch/outlook.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	// outlookInterval is how often the outlook of a pool is made, OutlookValid how long it is used.
+	// outlookInterval is the time between two outlooks of a pool.
 	outlookInterval = 200 * time.Millisecond
 	// OutlookValid is how long a node uses an outlook after it has received it.
 	OutlookValid = time.Second
-	// leastPath is the part of a declared run time that a job may need in fact where a refusal has to be certain; declared times are wrong by up to a factor
+	// leastPath is the part of its declared run time that a job is assumed to need when a refusal is decided: declared times are wrong by up to a factor
 	// of two.
 	leastPath = 0.5
-	// maxOutlookWorkspaces bounds the workspaces of an outlook, which each stored job brings to the node that stored it; those with the most work are kept.
+	// maxOutlookWorkspaces bounds the workspaces of an outlook, which is sent with the answer to each stored job; those with the most work are kept.
 	maxOutlookWorkspaces = 24
 )
 
-// Outlook is what the holder of a pool tells the nodes that take jobs for it: how much work waits before a new job. It is made only where workspaces
-// share a pool that is full.
+// Outlook says how much work waits before a new job of a pool; the pool's holder sends it to the nodes that take jobs. There is one only where workspaces
+// share a pool in which work waits.
 type Outlook struct {
 	// Cores is the capacity of the workers that take starts, and of the machines on their way.
 	Cores float64 `json:"cores"`
@@ -33,10 +33,10 @@
 	Beyond []OutlookWorkspace `json:"beyond,omitempty"`
 }
 
-// OutlookLevel is the work in core-seconds that waits at a priority. It leaves out what is of no use any more.
+// OutlookLevel is the work in core-seconds that waits at a priority, without that which is of no use any more.
 type OutlookLevel struct {
 	Priority int `json:"priority"`
-	// InTime is what workspaces are owed and can be in time, Owed that and what is owed and late.
+	// InTime is the work that workspaces are owed and that can still be in time; Owed also has the owed work that is late.
 	InTime float64 `json:"inTime"`
 	Owed   float64 `json:"owed"`
 }
@@ -44,7 +44,7 @@
 // OutlookWorkspace is a workspace whose next job is beyond what it is owed.
 type OutlookWorkspace struct {
 	Workspace string `json:"workspace"`
-	// Work is what waits of its jobs beyond what it is owed, in core-seconds.
+	// Work is the waiting work of its jobs beyond what it is owed, in core-seconds.
 	Work float64 `json:"work"`
 }
 
@@ -117,9 +117,9 @@
 
 // The causes of a refusal.
 const (
-	// RefusedBeyond means that the job's workspace has used up what it is owed, and that what goes before the job takes longer than it is of use.
+	// RefusedBeyond means that the job's workspace has used up what it is owed, and that the work before the job takes too long for it to be of use.
 	RefusedBeyond RefusalCause = "beyond"
-	// RefusedBacklog means that what workspaces are owed and that goes before the job takes longer than it is of use.
+	// RefusedBacklog means that the owed work before the job takes too long for it to be of use.
 	RefusedBacklog RefusalCause = "backlog"
 )
 
@@ -167,7 +167,7 @@
 }
 
 const (
-	// refusalKept is how long a refusal is remembered: longer than callers are asked to wait. maxRefusals bounds those that are.
+	// refusalKept is how long a refusal is remembered: longer than callers are asked to wait. maxRefusals bounds the number of remembered ones.
 	refusalKept = 4 * maxReturn
 	maxRefusals = 10_000
 )
@@ -220,9 +220,9 @@
 // maxReturn bounds the time after which a refused caller is asked to return: what waits now says nothing about later.
 const maxReturn = 30 * time.Second
 
-// Returns spreads the times at which refused callers are asked to return: once the pool has done what waits, those first who were refused first, and no
-// faster than the pool could take their jobs. Callers who return as soon as a job would be of some use again take the room of jobs that can be in time. The
-// zero value is ready to use.
+// Returns spreads the times at which refused callers are asked to return: once the pool has done the waiting work, in the order of their refusals, and no
+// faster than the pool can take their jobs. If callers returned as soon as their jobs were of some use again, these would take the room of jobs that can be
+// in time. The zero value is ready to use.
 type Returns struct{ last time.Time }
 
 // After returns after how many whole seconds a caller should return that is refused now.
--- a/fleet/dispatch/plan.go
+++ b/fleet/dispatch/plan.go
@@ -17,7 +17,7 @@
 	inTime      bool
 	begun       bool
 	density     float64
-	// from is when its objective began, target when that ends, end when it is likely to be done.
+	// from is when its objective begins and target when it ends; end is when the candidate is likely to be done.
 	from   time.Time
 	target time.Time
 	end    time.Time
--- a/fleet/dispatch/quota.go
+++ b/fleet/dispatch/quota.go
@@ -8,8 +8,8 @@
 	"verbenalanding.example/fleet/workload"
 )
 
-// reserveAfter is how long a task waits for its workspace's grant until smaller tasks of the workspace that are placed after it wait too; they would
-// take each amount that becomes free.
+// reserveAfter is how long a task waits for its workspace's grant before smaller tasks of the workspace behind it wait too, which would otherwise take each
+// amount that becomes free.
 const reserveAfter = time.Second
 
 // setLimits applies the limits of the configuration's workspaces.
@@ -73,8 +73,7 @@
 	return false
 }
 
-// roomShare is the part of the pool's capacity, as one in so many, by which the wanted grants exceed the free capacity: runs that end free more before
-// the next decision.
+// roomShare divides the pool's capacity: wanted grants exceed the free capacity by 1/roomShare of it, since runs that end free more before the next decision.
 const roomShare = 8
 
 // startableRoom returns the capacity for which grants are of use now.
@@ -97,7 +96,7 @@
 	return workload.Resources{CPU: min(a.CPU, b.CPU), MemoryMB: min(a.MemoryMB, b.MemoryMB), GPU: min(a.GPU, b.GPU)}
 }
 
-// beginQuota prepares the checks of a plan.
+// beginQuota resets what the last plan noted of limits, and counts what runs may be present that this holder does not know.
 func (p *Pool) beginQuota(now time.Time) {
 	if len(p.limited) == 0 {
 		return
@@ -111,9 +110,9 @@
 // quotaCheck is the outcome of a check of a start against the limit of its workspace.
 type quotaCheck struct {
 	allowed bool
-	// never is true for a gang that does not fit into the limit even alone.
+	// never is true for a gang that exceeds the limit even if nothing else runs.
 	never bool
-	// short has the need of the resources that are missing.
+	// short is the need of the resources of which too little is left.
 	short workload.Resources
 }
 
@@ -178,7 +177,7 @@
 	return workload.Resources{CPU: r.CPU * n, MemoryMB: r.MemoryMB * n, GPU: r.GPU * n}
 }
 
-// overQuota reports whether a task's workspace has more running than it may: a run that is stopped would not start again.
+// overQuota reports whether a task's workspace runs more than it may, so that a run that is stopped could not start elsewhere.
 func (t *task) overQuota() bool {
 	a := t.job.account
 	return (a.limit.CPU > 0 && a.used.CPU > a.allowance.Amount.CPU) || (a.limit.MemoryMB > 0 && a.used.MemoryMB > a.allowance.Amount.MemoryMB) ||
--- a/fleet/dispatch/workerindex.go
+++ b/fleet/dispatch/workerindex.go
@@ -23,9 +23,10 @@
 	misses []workload.Resources
 	// largest holds the largest capacity of a worker in each resource.
 	largest workload.Resources
-	// totalCPU is the capacity of the workers that take starts, less what long-running tasks reserve, unplacedCPU the need of the tasks that the plan has not placed.
+	// totalCPU is the CPU of the workers that take starts, less what long-running tasks reserve; unplacedCPU is the need of the tasks that the plan has not
+	// placed.
 	totalCPU, unplacedCPU int64
-	// kept is true once a reservation has kept the present task from a worker.
+	// kept is true once a reservation has kept the task that is being placed from a worker.
 	kept bool
 }
 
