--- a/fleet/dispatch/estimate.go
+++ b/fleet/dispatch/estimate.go
@@ -27,7 +27,7 @@
 	// minRunTime is the shortest run time that is learned, minKindSamples the number of runs of a kind after which its run time is used.
 	minRunTime     = 10 * time.Millisecond
 	minKindSamples = 20
-	// maxSpread bounds a learned spread, and with it what one run that hangs adds.
+	// maxSpread bounds the deviation of one run, so that a run that hangs changes a learned spread little.
 	maxSpread = 1
 )
 
@@ -62,7 +62,7 @@
 	f.spread += weight * (min(math.Abs(sample-f.mean)/f.mean, maxSpread) - f.spread)
 }
 
-// learnAbsolute learns the run time of a kind of tasks whatever they declare.
+// learnAbsolute learns the run time of a kind of tasks in seconds, whatever they declare.
 func (p *Pool) learnAbsolute(key meanKey, took time.Duration) {
 	sample := max(took.Seconds(), minRunTime.Seconds())
 	f := p.runTimes[key]
--- a/fleet/dispatch/order.go
+++ b/fleet/dispatch/order.go
@@ -76,7 +76,7 @@
 	return p.keyBuffer
 }
 
-// use says what an occurrence is still worth to its caller.
+// use says whether an occurrence can still be of use to its caller.
 type use int
 
 const (
@@ -88,7 +88,7 @@
 	useNone
 )
 
-// lateFactor is up to how many times its objective a late job is still of some use.
+// lateFactor is the number of objectives after which a late job is of no use any more.
 const lateFactor = 3
 
 // useOf returns what an occurrence is still worth to its caller if its objective begins at from and ends at target, and it is likely to be done at end.
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -98,7 +98,7 @@
 	lastStoreContact time.Time
 	// storeUnreachableAt is when the monitoring of holders last found the store unreachable.
 	storeUnreachableAt time.Time
-	health           map[string]*holderHealth
+	health             map[string]*holderHealth
 	// holders are the holders that this node monitors; holdersStale is true when they must be chosen again.
 	holders      []Member
 	holdersStale bool
