refactor(intake): elements of a list have a node

staticcheck took the method that the type constraint of the shared list needed for unused. With a node that names its element no constraint is needed.

--- a/fleet/intake/list.go
+++ b/fleet/intake/list.go
@@ -1,41 +1,34 @@
 package intake
 
-// links are the neighbours of an element in a list.
-type links[T any] struct{ previous, next *T }
+// list holds elements in the order of their adding. An element has a node and is in one list at most, and is removed without a search.
+type list[T any] struct{ first, last *node[T] }
 
-func (l *links[T]) neighbours() *links[T] { return l }
-
-// linked is an element of a list, which embeds its links.
-type linked[T any] interface {
-	*T
-	neighbours() *links[T]
+// node is the place of an element in a list.
+type node[T any] struct {
+	previous, next *node[T]
+	element        *T
 }
 
-// list holds elements in the order of their adding. An element is in one list at most, and is removed without a search.
-type list[T any, P linked[T]] struct{ first, last P }
-
-func (l *list[T, P]) add(e P) {
-	n := e.neighbours()
-	n.previous, n.next = l.last, nil
+func (l *list[T]) add(n *node[T], element *T) {
+	n.previous, n.next, n.element = l.last, nil, element
 	if l.last == nil {
-		l.first = e
+		l.first = n
 	} else {
-		l.last.neighbours().next = e
+		l.last.next = n
 	}
-	l.last = e
+	l.last = n
 }
 
-func (l *list[T, P]) remove(e P) {
-	n := e.neighbours()
+func (l *list[T]) remove(n *node[T]) {
 	if n.previous == nil {
 		l.first = n.next
 	} else {
-		P(n.previous).neighbours().next = n.next
+		n.previous.next = n.next
 	}
 	if n.next == nil {
 		l.last = n.previous
 	} else {
-		P(n.next).neighbours().previous = n.previous
+		n.next.previous = n.previous
 	}
 	n.previous, n.next = nil, nil
 }
--- a/fleet/intake/room.go
+++ b/fleet/intake/room.go
@@ -25,7 +25,8 @@
 	held, wanted, received int64
 	began, progressed      time.Time
 	reading, leaving       bool
-	links[Share]
+	// place is that among the shares that are being read, or among those that wait.
+	place node[Share]
 }
 
 // Held returns the bytes that the share holds.
@@ -58,7 +59,7 @@
 	// to give their room up. All are in bytes, as is waitingBytes, which is what waiting messages lack.
 	held, large, leaving, leavingLarge, waitingBytes int64
 	// reading holds the messages that are being read, waiting those that wait for room. One that is being read and waits is in waiting only.
-	reading, waiting list[Share, *Share]
+	reading, waiting list[Share]
 	resumed          []*Share
 }
 
@@ -71,7 +72,7 @@
 // Begin adds a message that is being read from now on.
 func (r *Room) Begin(s *Share, now time.Time) {
 	s.began, s.progressed, s.reading = now, now, true
-	r.reading.add(s)
+	r.reading.add(&s.place, s)
 }
 
 // Take asks for room so that the share holds a number of bytes in all. A share that could never get it is given what all large messages may
@@ -94,7 +95,7 @@
 	r.removeReading(s)
 	s.wanted = bytes
 	r.waitingBytes += bytes - s.held
-	r.waiting.add(s)
+	r.waiting.add(&s.place, s)
 	return Waits
 }
 
@@ -171,26 +172,27 @@
 }
 
 func (r *Room) endWait(s *Share) {
-	r.waiting.remove(s)
+	r.waiting.remove(&s.place)
 	r.waitingBytes -= s.wanted - s.held
 	s.wanted = 0
 	if s.reading {
-		r.reading.add(s)
+		r.reading.add(&s.place, s)
 	}
 }
 
 // removeReading takes a share out of those that are being read, if it is among them.
 func (r *Room) removeReading(s *Share) {
 	if s.reading && s.wanted == 0 {
-		r.reading.remove(s)
+		r.reading.remove(&s.place)
 	}
 }
 
 // resume grants room to the shares that wait, in their order. A large one that does not fit lets no other large one pass it.
 func (r *Room) resume() {
 	blocked := false
-	for s := r.waiting.first; s != nil; {
-		next, wanted := s.next, s.wanted
+	for p := r.waiting.first; p != nil; {
+		s, next := p.element, p.next
+		wanted := s.wanted
 		large := !r.small(wanted)
 		if r.fits(s, wanted) && (!large || !blocked) {
 			r.endWait(s)
@@ -199,7 +201,7 @@
 		} else {
 			blocked = blocked || large
 		}
-		s = next
+		p = next
 	}
 }
 
@@ -213,10 +215,10 @@
 // Overdue returns the shares that have to give their room up to those that wait: messages that have stalled or arrive too slowly, the one that
 // is furthest behind first, and no more of them than the first waiting one needs.
 func (r *Room) Overdue(now time.Time) []*Share {
-	first := r.waiting.first
-	if first == nil {
+	if !r.Waiting() {
 		return nil
 	}
+	first := r.waiting.first.element
 	var overdue []*Share
 	for {
 		large := !r.small(first.wanted) && r.large-r.leavingLarge-r.largeOf(first.held)+first.wanted > r.limit(first.wanted)
@@ -238,7 +240,8 @@
 func (r *Room) furthestBehind(large bool, now time.Time) *Share {
 	var last *Share
 	var most time.Duration
-	for s := r.reading.first; s != nil; s = s.next {
+	for p := r.reading.first; p != nil; p = p.next {
+		s := p.element
 		if s.leaving || s.held == 0 || large && r.small(s.held) {
 			continue
 		}
