fix(leadership): a holder is kept when the store is back for all nodes

A holder is now replaced for that reason only once the standby itself has reached the store for as long as the holder must have missed it, 0.44 of a lease. The cost: a holder whose node stays cut off after such an outage is replaced up to 1.1 s later.

TestHolderKeepsItsDutyWhenTheStoreIsBackForAllNodes failed in 5 of 5 runs before and passed in 5 of 5 after.

--- a/fleet/leadership/failover.go
+++ b/fleet/leadership/failover.go
@@ -118,6 +118,7 @@
 		return nil
 	}
 	for range interval.Each(ctx, monitorInterval) {
+		el.observeStore()
 		for _, holder := range el.monitoredHolders() {
 			el.checkHolder(ctx, holder)
 		}
@@ -125,6 +126,15 @@
 	return nil
 }
 
+// observeStore records when the store was last unreachable.
+func (el *Elector) observeStore() {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	if now := el.Clock(); !el.storeReachable(now) {
+		el.storeUnreachableAt = now
+	}
+}
+
 // monitoredHolders returns the holders that this node monitors.
 func (el *Elector) monitoredHolders() []Member {
 	el.mu.Lock()
@@ -181,6 +191,10 @@
 	if reason == "" {
 		return
 	}
+	if reason == holderDisconnected && now.Sub(el.storeUnreachableAt) < fraction(el.TTL, storeLostAfter) {
+		// After an outage of the store for all nodes, the first one that it answers must not replace holders that it is about to answer.
+		return
+	}
 	h.takeoverAt = now
 	el.group.Go(func() error {
 		if reason != holderUnresponsive || el.confirmUnresponsive(ctx, holder) {
--- a/fleet/leadership/failover_test.go
+++ b/fleet/leadership/failover_test.go
@@ -201,6 +201,27 @@
 	})
 }
 
+// Guards against a healthy holder that is replaced after an outage of the store for all nodes: a standby that the store answered a moment earlier
+// took the age of the holder's last contact for a disconnection of the holder alone.
+func TestHolderKeepsItsDutyWhenTheStoreIsBackForAllNodes(t *testing.T) {
+	t.Parallel()
+	n := newNodes(t)
+	net, first := startWithStandbys(t, n, "a", "b", "c")
+	n.store.rejectAll()
+	// The holder counts as disconnected from 0.44 of a lease on, and keeps its lease in the store.
+	time.Sleep(leaseTTL / 2)
+	n.store.acceptAll()
+	for name, el := range net.nodes {
+		if name != first.node {
+			el.RecordStoreContact()
+		}
+	}
+	assertNoSuccessor(t, n, 1500*time.Millisecond)
+	if !net.nodes[first.node].Valid("pool", first.fence) {
+		t.Errorf("holder once the store is back: got not valid, want valid")
+	}
+}
+
 // Guards against duties that stay on a node with few processors while another one is idle.
 func TestDutyMovesToTheNodeWithMoreProcessors(t *testing.T) {
 	t.Parallel()
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -96,7 +96,9 @@
 	resumedAt time.Time
 	// lastStoreContact is when the store last answered any call of the node.
 	lastStoreContact time.Time
-	health           map[string]*holderHealth
+	// storeUnreachableAt is when the monitoring of holders last found the store unreachable.
+	storeUnreachableAt time.Time
+	health             map[string]*holderHealth
 	// holders are the holders that this node monitors; holdersStale is true when they must be chosen again.
 	holders      []Member
 	holdersStale bool
--- a/fleet/leadership/leadership_test.go
+++ b/fleet/leadership/leadership_test.go
@@ -164,6 +164,13 @@
 	m.down = true
 }
 
+// acceptAll ends rejectAll.
+func (m *memory) acceptAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = false
+}
+
 // term is the time for which a node holds a duty.
 type term struct {
 	node  string
