fix(verbenaentry): the program leaves the parser of declarations out again

Cause: the answers to operators used a type of fleet/operator/message, which imports the declarations and their parser.

Change: the reasons of problems are a package without imports, and the node has its own problem body with the same fields.

--- a/fleet/operator/message/message.go
+++ b/fleet/operator/message/message.go
@@ -5,6 +5,7 @@
 
 	"verbenalanding.example/fleet/configuration"
 	"verbenalanding.example/fleet/declaration"
+	"verbenalanding.example/fleet/operator/reason"
 )
 
 // Paths of the calls.
@@ -146,19 +147,19 @@
 
 // Reasons of problems.
 const (
-	ReasonUnauthorized   = "unauthorized"
-	ReasonForbidden      = "forbidden"
-	ReasonInvalid        = "invalidRequest"
-	ReasonTooLarge       = "tooLarge"
-	ReasonRefused        = "refused"
-	ReasonEdit           = "editRefused"
-	ReasonConflict       = "conflict"
-	ReasonNotReady       = "notReady"
-	ReasonUnavailable    = "unavailable"
-	ReasonUnknownOutcome = "unknownOutcome"
-	ReasonNotFound       = "notFound"
-	ReasonBusy           = "busy"
-	ReasonInternal       = "internal"
+	ReasonUnauthorized   = reason.Unauthorized
+	ReasonForbidden      = reason.Forbidden
+	ReasonInvalid        = reason.Invalid
+	ReasonTooLarge       = reason.TooLarge
+	ReasonRefused        = reason.Refused
+	ReasonEdit           = reason.Edit
+	ReasonConflict       = reason.Conflict
+	ReasonNotReady       = reason.NotReady
+	ReasonUnavailable    = reason.Unavailable
+	ReasonUnknownOutcome = reason.UnknownOutcome
+	ReasonNotFound       = reason.NotFound
+	ReasonBusy           = reason.Busy
+	ReasonInternal       = reason.Internal
 )
 
 // Problem is the RFC 9457 body of an answer other than success.
--- a/verbenaentry/node/placement.go
+++ b/verbenaentry/node/placement.go
@@ -12,7 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"verbenalanding.example/fleet/dispatch"
-	"verbenalanding.example/fleet/operator/message"
+	"verbenalanding.example/fleet/operator/reason"
 	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 )
@@ -111,7 +111,7 @@
 func (n *Node) placeForOperator(w http.ResponseWriter, r *http.Request) {
 	c := n.View.Configuration()
 	if c == nil {
-		n.refuseOperator(w, http.StatusServiceUnavailable, message.ReasonNotReady, "no configuration yet")
+		n.refuseOperator(w, http.StatusServiceUnavailable, reason.NotReady, "no configuration yet")
 		return
 	}
 	workspace := r.URL.Query().Get("workspace")
@@ -158,12 +158,12 @@
 	case errors.Is(err, errWorkspaceMissing), errors.Is(err, errWorkspaceUnused):
 		status = http.StatusBadRequest
 	case errors.Is(err, workload.ErrInvalidJob):
-		n.refuseOperator(w, http.StatusBadRequest, message.ReasonRefused, err.Error())
+		n.refuseOperator(w, http.StatusBadRequest, reason.Refused, err.Error())
 		return
 	case errors.Is(err, errJobTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errPlacementBusy):
-		n.refuseOperator(w, status, message.ReasonBusy, errPlacementBusy.Error())
+		n.refuseOperator(w, status, reason.Busy, errPlacementBusy.Error())
 		return
 	case errors.Is(err, errHoldersMissing):
 		err = errors.New("the holder of the queue's pool has not answered")
@@ -175,25 +175,36 @@
 func reasonOf(status int) string {
 	switch status {
 	case http.StatusNotFound:
-		return message.ReasonNotFound
+		return reason.NotFound
 	case http.StatusRequestEntityTooLarge:
-		return message.ReasonRefused
+		return reason.Refused
 	case http.StatusBadRequest, http.StatusRequestTimeout:
-		return message.ReasonInvalid
+		return reason.Invalid
 	case http.StatusInternalServerError:
-		return message.ReasonInternal
+		return reason.Internal
 	}
-	return message.ReasonUnavailable
+	return reason.Unavailable
+}
+
+// operatorProblem is the RFC 9457 body of an answer to an operator, with the fields of message.Problem that this program uses: package message would
+// bring the parser of declarations with it, which takes 6 MB of each node's memory.
+type operatorProblem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Reason    string `json:"reason"`
+	RequestID string `json:"requestId"`
 }
 
 // refuseOperator answers an operator's call with a problem.
-func (n *Node) refuseOperator(w http.ResponseWriter, status int, reason, detail string) {
+func (n *Node) refuseOperator(w http.ResponseWriter, status int, why, detail string) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(status)
-	p := message.Problem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail, Reason: reason}
+	p := operatorProblem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail, Reason: why}
 	if err := json.NewEncoder(w).Encode(p); err != nil {
 		n.Log.Debug().Err(err).Msg("response not sent")
 	}
