fix(verbenaentry): the kernel keeps a bounded part of what clients send

Callers saw: nothing yet; a process on a machine of 184 MB would have been killed, since bytes that have arrived and were not read count towards its memory. The crowd's tests read the resident size alone.

Cause: the kernel's receive buffer of each connection, accepted or not, takes 128 KB and more before its window closes, and answers that nobody reads lie in send buffers of up to some MB.

Change: the listeners set both buffers, which their connections inherit before they are accepted: 16 and 32 KB for callers and probes, 32 and 64 KB for other nodes. The crowd's harness samples the unread bytes of the process's listeners from /proc/net/tcp beside the resident size and holds their sum at one moment against the machine's memory in all cases; clients of a crowd may return.

--- a/verbenabench/crowd/entry_linux_test.go
+++ b/verbenabench/crowd/entry_linux_test.go
@@ -34,6 +34,8 @@
 	length  int
 	content []byte
 	piece   int
+	// oneID makes all clients submit the job under the same id.
+	oneID bool
 }
 
 // whole returns a submission whose body lacks the last bytes.
@@ -76,8 +78,12 @@
 		framing = "Content-Length: " + strconv.Itoa(s.length)
 	}
 	return func(conn net.Conn) error {
+		id := clients.Add(1) + 1<<20
+		if s.oneID {
+			id = 1 << 20
+		}
 		if _, err := fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nRequest-Deadline: 3000\r\n%s%s\r\n\r\n",
-			cmp.Or(s.prefix, standin.PoolPrefix(pool)), clients.Add(1)+1<<20, host, s.fields, framing); err != nil {
+			cmp.Or(s.prefix, standin.PoolPrefix(pool)), id, host, s.fields, framing); err != nil {
 			return err
 		}
 		for rest := s.content; len(rest) > 0; {
@@ -202,3 +208,32 @@
 		})
 	}
 }
+
+// underOneID submits the job under the same id from all clients.
+func (s submission) underOneID() submission {
+	s.oneID = true
+	return s
+}
+
+// Guards against a process that exceeds the memory of the smallest machine, for which bytes count that have arrived and were not read.
+func TestReturningClients(t *testing.T) {
+	const (
+		machineMB, machineFDs = 184, 4100
+		clients, returns      = 1500, 2
+	)
+	for _, tt := range []struct {
+		name string
+		act  send
+	}{
+		{"whole bodies", whole(largeJob(), 0).send()},
+		{"one job from all", whole(largeJob(), 0).underOneID().send()},
+		{"bodies without their last byte", whole(largeJob(), 1).send()},
+		{"one large chunk without its end", chunked(largeJob(), maxBody).send()},
+		{"bodies of an unknown queue", whole(largeJob(), 0).toUnknownQueue().send()},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := start(t, machineMB, machineFDs)
+			s.check(t, s.entry, &crowd{clients: clients, returns: returns, act: tt.act}, machineMB, machineFDs)
+		})
+	}
+}
--- a/verbenabench/crowd/harness_linux_test.go
+++ b/verbenabench/crowd/harness_linux_test.go
@@ -3,6 +3,7 @@
 package crowd_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -56,10 +57,13 @@
 type target struct {
 	entry, readiness, peer netip.AddrPort
 
-	command *exec.Cmd
-	exited  chan struct{}
-	jobs    int
-	client  *http.Client
+	path, settings string
+	command        *exec.Cmd
+	exited         chan struct{}
+	jobs           int
+	client         *http.Client
+	// machineMB is the memory limit of the process, for which its resident size and the bytes that it has not read count.
+	machineMB int
 }
 
 var build = sync.OnceValues(func() (string, error) {
@@ -105,13 +109,26 @@
 		t.Fatal(err)
 	}
 	p.Configure(1, host, 3)
-	s := &target{entry: nextAddr(), readiness: nextAddr(), peer: nextAddr(), exited: make(chan struct{})}
+	s := &target{entry: nextAddr(), readiness: nextAddr(), peer: nextAddr(), exited: make(chan struct{}), machineMB: limitMB}
 	s.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	s.run(t, path, writeSettings(t, p, s, limitMB, limitFDs))
+	s.path, s.settings = path, writeSettings(t, p, s, limitMB, limitFDs)
+	s.run(t)
 	s.awaitAnswer(t, startLimit)
 	return s
 }
 
+// restart kills the process and starts it again, with what its store holds.
+func (s *target) restart(t *testing.T) {
+	t.Helper()
+	if err := s.command.Process.Kill(); err != nil {
+		t.Fatalf("process: got %v, want it alive", err)
+	}
+	<-s.exited
+	s.exited = make(chan struct{})
+	s.run(t)
+	s.awaitAnswer(t, startLimit)
+}
+
 // writeSettings writes the settings file of the process, with its limits.
 func writeSettings(t *testing.T, p *standin.Platform, s *target, limitMB, limitFDs int) string {
 	t.Helper()
@@ -142,24 +159,25 @@
 }
 
 // run starts the program; the test's end kills it by its ID.
-func (s *target) run(t *testing.T, path, settings string) {
+func (s *target) run(t *testing.T) {
 	t.Helper()
-	log, err := os.Create(filepath.Join(t.ArtifactDir(), "verbenaentry.log"))
+	log, err := os.OpenFile(filepath.Join(t.ArtifactDir(), "verbenaentry.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.command = exec.Command(path, "--settings", settings)
+	s.command = exec.Command(s.path, "--settings", s.settings)
 	s.command.Stdout, s.command.Stderr = log, log
 	if err := s.command.Start(); err != nil {
 		t.Fatal(err)
 	}
 	var waiting errgroup.Group
+	command, exited := s.command, s.exited
 	waiting.Go(func() error {
-		defer close(s.exited)
-		return s.command.Wait()
+		defer close(exited)
+		return command.Wait()
 	})
 	t.Cleanup(func() {
-		_ = s.command.Process.Kill()
+		_ = command.Process.Kill()
 		// Wait reports that the process was killed.
 		_ = waiting.Wait()
 		_ = log.Close()
@@ -190,19 +208,17 @@
 	t.Errorf("ordinary request: got status %d and error %v at try %d, want %d", status, err, tries, http.StatusOK)
 }
 
-// openFDs returns the number of the process's open descriptors and how many of them are sockets.
-func (s *target) openFDs() (all, sockets int) {
-	dir := fmt.Sprintf("/proc/%d/fd", s.command.Process.Pid)
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return 0, 0
-	}
-	for _, e := range entries {
-		if link, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && strings.HasPrefix(link, "socket:") {
-			sockets++
+// awaitHolder waits until the pool has a holder that knows its jobs.
+func (s *target) awaitHolder(t *testing.T) {
+	t.Helper()
+	q := standin.Request{Method: http.MethodGet, Host: host, Path: standin.PoolPrefix(pool)}
+	for end := time.Now().Add(answerLimit); time.Now().Before(end); time.Sleep(10 * sampleTime) {
+		if status, body, err := q.Send(t.Context(), s.client, s.entry); err == nil && status == http.StatusOK {
+			t.Logf("waiting jobs: %s", bytes.TrimSpace(body))
+			return
 		}
 	}
-	return len(entries), sockets
+	t.Error("pool: got no holder, want one")
 }
 
 // peakMemory returns the largest resident size that the process has had, in kilobytes.
@@ -228,65 +244,96 @@
 // send is what a client of the crowd does on its connection; a connection that the process closes ends it with an error, which is allowed.
 type send func(conn net.Conn) error
 
-// checkCrowd opens the connections of a crowd at once, and checks the process while they are open.
-func (s *target) checkCrowd(t *testing.T, addr netip.AddrPort, clients int, act send, limitMB, limitFDs int) {
-	t.Helper()
-	before := s.peakMemory(t)
-	var mu sync.Mutex
-	var conns []net.Conn
-	defer func() {
-		for _, c := range conns {
-			_ = c.Close()
-		}
-	}()
-	var crowd errgroup.Group
-	end := time.Now().Add(sendTime)
-	for range clients {
-		crowd.Go(func() error {
-			conn, err := net.DialTimeout("tcp", addr.String(), sendTime)
-			if err != nil {
-				return nil
+// crowd is a number of clients that act at once. Each returns on a new connection once it has got an answer or lost its connection.
+type crowd struct {
+	clients, returns int
+	act              send
+	end              time.Time
+
+	mu    sync.Mutex
+	conns []net.Conn
+	group errgroup.Group
+}
+
+// start lets the clients act. Their last connections stay open until close.
+func (c *crowd) start(addr netip.AddrPort) {
+	c.end = time.Now().Add(sendTime)
+	for range c.clients {
+		c.group.Go(func() error {
+			for range c.returns {
+				if conn := c.call(addr); conn != nil {
+					_, _ = conn.Read(make([]byte, 1))
+					_ = conn.Close()
+				}
 			}
-			mu.Lock()
-			conns = append(conns, conn)
-			mu.Unlock()
-			// The process may close the connection at any time.
-			_ = conn.SetDeadline(end)
-			_ = act(conn)
+			c.call(addr)
 			return nil
 		})
 	}
-	sampleCtx, stop := context.WithCancel(t.Context())
-	var sampling errgroup.Group
-	var mostFDs, mostSockets int
-	sampling.Go(func() error {
-		for sampleCtx.Err() == nil {
-			all, sockets := s.openFDs()
-			mostFDs, mostSockets = max(mostFDs, all), max(mostSockets, sockets)
-			time.Sleep(sampleTime)
-		}
+}
+
+// call opens a connection and acts on it; it returns nil without a connection.
+func (c *crowd) call(addr netip.AddrPort) net.Conn {
+	conn, err := net.DialTimeout("tcp", addr.String(), time.Until(c.end))
+	if err != nil {
 		return nil
-	})
-	_ = crowd.Wait()
+	}
+	c.mu.Lock()
+	c.conns = append(c.conns, conn)
+	c.mu.Unlock()
+	// The process may close the connection at any time.
+	_ = conn.SetDeadline(c.end)
+	_ = c.act(conn)
+	return conn
+}
+
+func (c *crowd) close() {
+	_ = c.group.Wait()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+// checkCrowd opens the connections of a crowd at once, and checks the process while they are open.
+func (s *target) checkCrowd(t *testing.T, addr netip.AddrPort, clients int, act send, limitMB, limitFDs int) {
+	t.Helper()
+	s.check(t, addr, &crowd{clients: clients, act: act}, limitMB, limitFDs)
+}
+
+// check lets a crowd act, and checks the process while the crowd's connections are open.
+func (s *target) check(t *testing.T, addr netip.AddrPort, c *crowd, limitMB, limitFDs int) {
+	t.Helper()
+	defer c.close()
+	sampling := startSampler(t.Context(), s)
+	c.start(addr)
+	_ = c.group.Wait()
 	time.Sleep(holdTime)
 	s.awaitAnswer(t, answerLimit)
 	s.awaitJob(t, largeJob(), answerLimit)
-	stop()
-	_ = sampling.Wait()
+	s.checkUsage(t, sampling.end(), limitMB, limitFDs)
+}
+
+// checkUsage checks that the process lives and what it has used.
+func (s *target) checkUsage(t *testing.T, most usage, limitMB, limitFDs int) {
+	t.Helper()
 	select {
 	case <-s.exited:
 		t.Fatalf("process: got its end (%v), want it alive", s.command.ProcessState)
 	default:
 	}
 	peak := s.peakMemory(t)
-	t.Logf("peak memory %.1f MB (%.1f MB before), at most %d descriptors, %d sockets", float64(peak)/1024, float64(before)/1024, mostFDs, mostSockets)
+	t.Logf("peak memory %.1f MB, unread %.1f MB, both %.1f MB, at most %d descriptors, %d sockets", float64(peak)/1024, float64(most.unread)/(1<<20),
+		float64(most.total)/(1<<20), most.descriptors, most.sockets)
 	if peak > limitMB<<10 {
 		t.Errorf("peak memory: got %d kB, want at most %d kB", peak, limitMB<<10)
 	}
-	if mostSockets > limitFDs-reservedFDs {
-		t.Errorf("open sockets: got %d, want at most %d", mostSockets, limitFDs-reservedFDs)
+	if most.total > int64(s.machineMB)<<20 {
+		t.Errorf("memory and unread bytes at one moment: got %d kB, want at most %d kB", most.total>>10, s.machineMB<<10)
+	}
+	if most.sockets > limitFDs-reservedFDs {
+		t.Errorf("open sockets: got %d, want at most %d", most.sockets, limitFDs-reservedFDs)
 	}
-	if mostFDs > limitFDs {
-		t.Errorf("open descriptors: got %d, want at most %d", mostFDs, limitFDs)
+	if most.descriptors > limitFDs {
+		t.Errorf("open descriptors: got %d, want at most %d", most.descriptors, limitFDs)
 	}
 }
--- a/verbenaentry/node/environment.go
+++ b/verbenaentry/node/environment.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"verbenalanding.example/fleet/inlet"
 	"verbenalanding.example/fleet/monotonic"
 	"verbenalanding.example/platform"
 )
@@ -35,9 +36,10 @@
 	return platform.NewClientWithDial(e.Dial)
 }
 
-func (e Environment) listen(addr netip.AddrPort) (net.Listener, error) {
+// listen opens a listener; the buffers of an environment's own one are its matter.
+func (e Environment) listen(addr netip.AddrPort, b inlet.Buffers) (net.Listener, error) {
 	if e.Listen == nil {
-		return net.Listen("tcp", addr.String())
+		return inlet.Listen(context.Background(), addr, b)
 	}
 	return e.Listen(addr)
 }
--- a/verbenaentry/node/intake.go
+++ b/verbenaentry/node/intake.go
@@ -118,6 +118,13 @@
 
 // clientIntake bounds what clients take of the process.
 type clientIntake struct {
+// The kernel's buffers of callers' connections and of those of other nodes. A body passes through the former as fast as through larger ones where the sender
+// is some milliseconds away; messages between nodes are larger.
+var (
+	callerBuffers = inlet.Buffers{Receive: 16 << 10, Send: 32 << 10}
+	peerBuffers   = inlet.Buffers{Receive: 32 << 10, Send: 64 << 10}
+)
+
 	flags IntakeFlags
 	// connections holds the largest number of connections by listener.
 	connections map[string]int
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/fleet/dispatch"
+	"verbenalanding.example/fleet/inlet"
 	"verbenalanding.example/fleet/interval"
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/monotonic"
@@ -98,7 +99,7 @@
 	// intake bounds what clients can take of the process.
 	intake *clientIntake
 	// listenAt opens the node's listeners.
-	listenAt func(addr netip.AddrPort) (net.Listener, error)
+	listenAt func(addr netip.AddrPort, b inlet.Buffers) (net.Listener, error)
 	// notifications runs the calls that notify holders of stored requests; nothing waits for them, and their timeout ends them.
 	notifications errgroup.Group
 }
@@ -266,8 +267,9 @@
 	for _, e := range []struct {
 		addr     netip.AddrPort
 		listener *net.Listener
-	}{{n.Settings.Entry, &l.entry}, {n.Settings.Readiness, &l.readiness}, {n.Elector.Self.Peer, &l.peer}} {
-		listener, err := n.listenAt(e.addr)
+	}{{n.Settings.Entry, callerBuffers, &l.entry}, {n.Settings.Readiness, callerBuffers, &l.readiness}, {n.Elector.Self.Peer, peerBuffers, &l.peer}} {
+		listener, err := n.listenAt(e.addr, e.buffers)
+		buffers  inlet.Buffers
 		if err != nil {
 			l.close()
 			return l, fmt.Errorf("%w: %w", ErrListen, err)
--- a/verbenaentry/node/node_test.go
+++ b/verbenaentry/node/node_test.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"verbenalanding.example/fleet/inlet"
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/platform"
 	"verbenalanding.example/verbenaentry/logs"
@@ -45,7 +46,7 @@
 func TestListenersAreClosedIfOneCannotBeOpened(t *testing.T) {
 	opened, closed := 0, 0
 	const addresses = 3
-	n := &Node{Elector: &leadership.Elector{}, listenAt: func(netip.AddrPort) (net.Listener, error) {
+	n := &Node{Elector: &leadership.Elector{}, listenAt: func(netip.AddrPort, inlet.Buffers) (net.Listener, error) {
 		if opened == addresses-1 {
 			return nil, syscall.EADDRINUSE
 		}
