fix(verbenaentry): a pool keeps jobs up to a bound

Callers saw: nothing yet; a process would have been killed for its memory, then each one that took its pool over, and the pool would have stayed without a holder.

Cause: an accepted job stays in the memory of its pool's holder until it ends, and nothing bounded the sum. 183 legal jobs with large specifications that are due later take more than a machine of 64 MB; a job of 250 steps that wait for each other takes 300 kB. Steps and their lists stayed with ended jobs for as long as their state is shown, and a caller could name an earlier step any number of times.

Change: dispatch.Pool counts the memory of the jobs that it keeps; LargestJob is the size up to which it takes a new one: any, 16 KB from three quarters of its room on, none once it is full. The holder announces that to all nodes under control/announcement/<pool>, which they follow with the duties, and nodes refuse a job beyond it with 503, notRun and Retry-After: 5, before its body is read if the pool is full. An id that an earlier call may have stored is not refused. While no holder counts, each node stores its part of the large jobs only. Steps are dropped when a job ends, and earlier steps count once.

It works since what a holder keeps is bounded at the entry, where the caller can still be told.

--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -41,6 +41,8 @@
 	// SecondRuns scales the time that a run of a speculative step takes before a second one is started beside it: 1 is that of the slowest
 	// twentieth of its kind, relative to their steps. Without it there are no second runs.
 	SecondRuns float64
+	// KeptBytes is the memory for the jobs that the pool keeps, in bytes; without it there is no limit.
+	KeptBytes int64
 }
 
 // Never is a share or factor that nothing reaches.
@@ -182,6 +184,7 @@
 	// sortedByID caches the workers sorted by id; it is nil after a change.
 	sortedByID []*worker
 	jobs       map[string]*job
+	kept       keptJobs
 	active     []*job
 	// unmetered holds the jobs of workspaces that became known since the last plan.
 	unmetered []*job
@@ -279,6 +282,7 @@
 	p.endConfirmed = map[string]time.Time{}
 	p.departed = map[string]time.Time{}
 	p.jobs = map[string]*job{}
+	p.kept = keptJobs{largest: AnyJob}
 	p.absentJobs = map[string]time.Time{}
 	p.runTimes = map[meanKey]*runningMean{}
 	p.means, p.queueWork = map[meanKey]*runningMean{}, map[string]*runningMean{}
--- a/fleet/dispatch/endedrun.go
+++ b/fleet/dispatch/endedrun.go
@@ -32,7 +32,7 @@
 		if !p.confirmedSince(e.seenAt) {
 			return false
 		}
-		e.task.removeRun(e.run)
+		p.removeFromTask(e.run)
 		p.emitLost(e.run, e.reason)
 		return true
 	})
--- a/fleet/dispatch/job.go
+++ b/fleet/dispatch/job.go
@@ -76,7 +76,9 @@
 	first *firstWait
 
 	workload.Job
-	state workload.State
+	// memory is what the job counts for in the pool's kept bytes.
+	memory int64
+	state  workload.State
 	// started is true once a worker has confirmed that a task of the job has begun; an order to start one may be refused or lost.
 	started bool
 	// restored is set if a previous holder may have started tasks of the job.
@@ -117,8 +119,10 @@
 			j.finished = now
 		}
 		j.Job.Steps, j.Job.Spec = nil, ""
+		p.recount(j)
 		return
 	}
+	p.recount(j)
 	j.schedule.total, j.longRunning = j.Occurrences(), j.LongRunning()
 	if record == nil || !record.Started {
 		p.beginFirstWait(j, now)
@@ -305,7 +309,9 @@
 // RemoveJobs removes expired jobs that were deleted from the store.
 func (p *Pool) RemoveJobs(ids []string) {
 	for _, id := range ids {
-		delete(p.jobs, id)
+		if j := p.jobs[id]; j != nil {
+			p.drop(j)
+		}
 	}
 }
 
@@ -322,7 +328,15 @@
 // removeRun removes a run and frees the capacity that it reserved.
 func (p *Pool) removeRun(r *run) {
 	r.detach()
+	p.removeFromTask(r)
+}
+
+// removeFromTask removes a run from its task; a job that has ended is released with its last run.
+func (p *Pool) removeFromTask(r *run) {
 	r.task.removeRun(r)
+	if j := r.task.job; j.state.Terminal() && j.recordedVersion == j.version {
+		p.releaseJob(j)
+	}
 }
 
 // lose removes a run that ended without a result; its task may be started again.
--- a/fleet/dispatch/record.go
+++ b/fleet/dispatch/record.go
@@ -123,7 +123,7 @@
 			delete(p.dirty, c.Job)
 		}
 		if j.state.Terminal() {
-			j.release()
+			p.releaseJob(j)
 		}
 	}
 	for id, n := range b.ends {
@@ -133,8 +133,8 @@
 	}
 }
 
-// release drops the tasks and the specification of a job that has ended and has no runs left.
-func (j *job) release() {
+// releaseJob drops the tasks, the steps and the specification of a job that has ended and has no runs left.
+func (p *Pool) releaseJob(j *job) {
 	for _, oc := range j.schedule.open {
 		for s := range oc.steps {
 			for _, t := range oc.steps[s].tasks {
@@ -144,7 +144,8 @@
 			}
 		}
 	}
-	j.schedule.open, j.Job.Spec = nil, ""
+	j.schedule.open, j.Job.Steps, j.Job.Spec = nil, nil, ""
+	p.recount(j)
 }
 
 func (j *job) record() Record {
--- a/fleet/dispatch/run.go
+++ b/fleet/dispatch/run.go
@@ -97,7 +97,7 @@
 	x.task.job.account.remove(x)
 }
 
-// removeRun removes a run from its task; a job that has ended is released with its last run.
+// removeRun removes a run from its task.
 func (t *task) removeRun(x *run) {
 	if i := slices.Index(t.runs, x); i >= 0 {
 		t.runs = slices.Delete(t.runs, i, i+1)
@@ -105,9 +105,6 @@
 			t.countWithoutRun(1)
 		}
 	}
-	if j := t.job; j.state.Terminal() && j.recordedVersion == j.version {
-		j.release()
-	}
 }
 
 // failedAttempts returns how often a task has failed, or its gang: the tasks of one run of a gang have the same number.
--- a/fleet/leadership/leadership.go
+++ b/fleet/leadership/leadership.go
@@ -24,6 +24,8 @@
 	// controlPrefix is the key prefix of duties and nodes; a single watch covers both.
 	controlPrefix = "control/"
 	nodePrefix    = controlPrefix + "node/"
+	// AnnouncementPrefix is the key prefix of what the holders of duties announce to all nodes.
+	AnnouncementPrefix = controlPrefix + "announcement/"
 )
 
 const (
@@ -63,6 +65,8 @@
 	FenceWorkers func(ctx context.Context, name string, fence uint64) error
 	// OnEvent is called with changes to log; nil ignores them.
 	OnEvent func(Event)
+	// OnAnnouncement is called with each changed key under AnnouncementPrefix, by the name of its duty; nil ignores them.
+	OnAnnouncement func(duty string, e store.Event)
 
 	mu     sync.Mutex
 	wanted []string
@@ -306,6 +310,7 @@
 
 // applyEvents updates the duties and nodes from changes in the store; listed is true for the events of a complete list.
 func (el *Elector) applyEvents(events []store.Event, listed bool) {
+	el.passAnnouncements(events)
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	initial := listed && !el.synced
@@ -321,6 +326,18 @@
 	}
 }
 
+// passAnnouncements passes what the holders of duties announce.
+func (el *Elector) passAnnouncements(events []store.Event) {
+	if el.OnAnnouncement == nil {
+		return
+	}
+	for _, e := range events {
+		if duty, ok := strings.CutPrefix(e.Entry.Key, AnnouncementPrefix); ok {
+			el.OnAnnouncement(duty, e)
+		}
+	}
+}
+
 // setDuty updates a duty from a change in the store; the lock must be held.
 func (el *Elector) setDuty(e store.Event, name string) {
 	var d Duty
--- /dev/null
+++ b/verbenabench/crowd/kept_linux_test.go
@@ -0,0 +1,157 @@
+//go:build crowd
+
+package crowd_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenalanding.example/platform/standin"
+)
+
+// farFuture is a time at which no test is running, in milliseconds since 1970.
+const farFuture = 7_000_000_000_000
+
+// largeSpecification is a valid job whose specification takes most of the largest body. It is not due while a test runs.
+func largeSpecification() []byte {
+	const rest = 4 << 10
+	return fmt.Appendf(nil, `{"Spec":%q,"Times":1,"StartTimeMs":%d,"Steps":[{"Count":1,"Cpu":500,"MemMb":256,"EstimateMs":300}]}`,
+		strings.Repeat("a", maxBody-rest), farFuture)
+}
+
+// dependentSteps is a valid job of many steps, each of which waits for all before it. It is not due while a test runs.
+func dependentSteps() []byte {
+	const steps = 250
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"Spec":"a","Times":1,"StartTimeMs":%d,"Steps":[`, farFuture)
+	for i := range steps {
+		after := make([]string, i)
+		for k := range after {
+			after[k] = strconv.Itoa(k)
+		}
+		fmt.Fprintf(&b, `{"Count":1,"Cpu":500,"MemMb":256,"EstimateMs":300,"After":[%s]},`, strings.Join(after, ","))
+	}
+	return []byte(strings.TrimSuffix(b.String(), ",") + "]}")
+}
+
+// smallKept is the ordinary job, due when no test runs.
+func smallKept() []byte {
+	return fmt.Appendf(nil, `{"Spec":"a","Times":1,"StartTimeMs":%d,"Steps":[{"Count":1,"Cpu":500,"MemMb":256,"EstimateMs":300}]}`, farFuture)
+}
+
+// manyTasks is a valid job with the most tasks that a job may have. It runs for longer than a test.
+func manyTasks() []byte {
+	const steps = 16
+	step := `{"Count":4096,"Cpu":500,"MemMb":256,"EstimateMs":300000}`
+	return []byte(`{"Spec":"a","Steps":[` + strings.TrimSuffix(strings.Repeat(step+",", steps), ",") + `]}`)
+}
+
+// submitter submits jobs one after the other, as a client does that comes back when it is refused.
+type submitter struct {
+	addr   string
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// exchange sends a request and returns the status of its answer; an error means that the connection has ended.
+func (s *submitter) exchange(method string, id int64, body []byte) (status int, err error) {
+	if s.conn == nil {
+		if s.conn, err = net.DialTimeout("tcp", s.addr, callTimeout); err != nil {
+			return 0, err
+		}
+		s.reader = bufio.NewReader(s.conn)
+	}
+	_ = s.conn.SetDeadline(time.Now().Add(callTimeout))
+	_, err = fmt.Fprintf(s.conn, "%s %s%016x HTTP/1.1\r\nHost: %s\r\nRequest-Deadline: 3000\r\nContent-Length: %d\r\n\r\n%s",
+		method, standin.PoolPrefix(pool), id, host, len(body), body)
+	var answer *http.Response
+	if err == nil {
+		answer, err = http.ReadResponse(s.reader, nil)
+	}
+	if err == nil {
+		_, err = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+	if err != nil || answer.Close {
+		_ = s.conn.Close()
+		s.conn = nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return answer.StatusCode, nil
+}
+
+// untilAccepted repeats a request until it is accepted, at most refusals times.
+func (s *submitter) untilAccepted(method string, id int64, body []byte) (accepted bool) {
+	const refusals = 20
+	for range refusals {
+		if status, err := s.exchange(method, id, body); err == nil && status == http.StatusOK {
+			return true
+		}
+		time.Sleep(sampleTime)
+	}
+	return false
+}
+
+// series submits a number of jobs one after the other, until one is refused for good, and cancels each at once if cancelled is set.
+func series(t *testing.T, job []byte, count int, cancelled bool) (act send, report func()) {
+	var clients, accepted atomic.Int64
+	act = func(conn net.Conn) error {
+		client := clients.Add(1)
+		s := submitter{addr: conn.RemoteAddr().String()}
+		defer func() {
+			if s.conn != nil {
+				_ = s.conn.Close()
+			}
+		}()
+		for i := range count {
+			id := client<<20 + int64(i)
+			if !s.untilAccepted(http.MethodPost, id, job) {
+				return nil
+			}
+			accepted.Add(1)
+			if cancelled {
+				s.untilAccepted(http.MethodDelete, id, nil)
+			}
+		}
+		return nil
+	}
+	return act, func() { t.Logf("jobs accepted: %d of %d", accepted.Load(), clients.Load()*int64(count)) }
+}
+
+// Guards against legal jobs that wait, or have ended, and end the process that keeps them, or each process that takes their pool over.
+func TestKeptJobs(t *testing.T) {
+	for _, tt := range []struct {
+		name           string
+		limitMB        int
+		job            []byte
+		clients, count int
+		cancelled      bool
+	}{
+		{"large specifications", memoryMB, largeSpecification(), 8, 50, false},
+		{"steps that depend on many", memoryMB, dependentSteps(), 8, 50, false},
+		{"small jobs", 184, smallKept(), 40, 500, false},
+		{"jobs of many tasks", memoryMB, manyTasks(), 8, 5, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := start(t, tt.limitMB, maxFDs)
+			act, report := series(t, tt.job, tt.count, tt.cancelled)
+			s.check(t, s.entry, &crowd{clients: tt.clients, act: act}, tt.limitMB, maxFDs)
+			report()
+			s.restart(t)
+			sampling := startSampler(t.Context(), s)
+			s.awaitHolder(t)
+			s.awaitJob(t, largeJob(), answerLimit)
+			s.checkUsage(t, sampling.end(), tt.limitMB, maxFDs)
+		})
+	}
+}
--- a/verbenaentry/node/intake.go
+++ b/verbenaentry/node/intake.go
@@ -24,6 +24,7 @@
 	BodyMemory    int           `long:"body-memory" env:"VERBENA_BODY_MEMORY" default:"10" description:"percentage of the process's memory for the bodies of requests"`
 	JobMemory     int           `long:"job-memory" env:"VERBENA_JOB_MEMORY" default:"6" description:"percentage of the process's memory for the jobs that are being stored"`
 	PeerMemory    int           `long:"peer-memory" env:"VERBENA_PEER_MEMORY" default:"5" description:"percentage of the process's memory for the messages of other nodes, and as much for their calls"`
+	KeptMemory    int           `long:"kept-memory" env:"VERBENA_KEPT_MEMORY" default:"24" description:"percentage of the process's memory for accepted jobs, divided by the number of pools, at most 6"`
 	Connections   int           `long:"connections" env:"VERBENA_CONNECTIONS" default:"0" description:"open connections of callers; 0 derives them from the process's memory and descriptors"`
 	BodyStall     time.Duration `long:"body-stall" env:"VERBENA_BODY_STALL" default:"10s" description:"time after which a body of which nothing arrives is refused"`
 	BodyTimeout   time.Duration `long:"body-timeout" env:"VERBENA_BODY_TIMEOUT" default:"60s" description:"time after which a body that has not arrived whole is refused"`
@@ -35,6 +36,7 @@
 	defaultBodyMemory    = 10
 	defaultJobMemory     = 6
 	defaultPeerMemory    = 5
+	defaultKeptMemory    = 24
 	defaultBodyStall     = 10 * time.Second
 	defaultBodyTimeout   = time.Minute
 	defaultAnswerTimeout = 10 * time.Second
@@ -43,7 +45,7 @@
 func (f IntakeFlags) withDefaults() IntakeFlags {
 	return IntakeFlags{
 		BodyMemory: cmp.Or(f.BodyMemory, defaultBodyMemory), JobMemory: cmp.Or(f.JobMemory, defaultJobMemory),
-		PeerMemory: cmp.Or(f.PeerMemory, defaultPeerMemory), Connections: f.Connections,
+		PeerMemory: cmp.Or(f.PeerMemory, defaultPeerMemory), KeptMemory: cmp.Or(f.KeptMemory, defaultKeptMemory), Connections: f.Connections,
 		BodyStall: cmp.Or(f.BodyStall, defaultBodyStall), BodyTimeout: cmp.Or(f.BodyTimeout, defaultBodyTimeout),
 		AnswerTimeout: cmp.Or(f.AnswerTimeout, defaultAnswerTimeout),
 	}
@@ -56,7 +58,7 @@
 	for _, e := range []struct {
 		name    string
 		percent int
-	}{{"--body-memory", f.BodyMemory}, {"--job-memory", f.JobMemory}, {"--peer-memory", f.PeerMemory}} {
+	}{{"--body-memory", f.BodyMemory}, {"--job-memory", f.JobMemory}, {"--peer-memory", f.PeerMemory}, {"--kept-memory", f.KeptMemory}} {
 		if e.percent < 1 || e.percent > largestShare {
 			return fmt.Errorf("%w: %s is %d, want 1 to %d", ErrFlags, e.name, e.percent, largestShare)
 		}
@@ -116,8 +118,6 @@
 	intakeLines = 10
 )
 
-// clientIntake bounds what clients take of the process.
-type clientIntake struct {
 // The kernel's buffers of callers' connections and of those of other nodes. A body passes through the former as fast as through larger ones where the sender
 // is some milliseconds away; messages between nodes are larger.
 var (
@@ -125,6 +125,8 @@
 	peerBuffers   = inlet.Buffers{Receive: 32 << 10, Send: 64 << 10}
 )
 
+// clientIntake bounds what clients take of the process.
+type clientIntake struct {
 	flags IntakeFlags
 	// connections holds the largest number of connections by listener.
 	connections map[string]int
@@ -132,6 +134,8 @@
 	bodies, jobs *inlet.Room
 	// messages holds the messages of other nodes, calls their calls that are being answered.
 	messages, calls *inlet.Room
+	// keptBytes is the memory for accepted jobs of all pools together, in bytes.
+	keptBytes int64
 	// maxMessage is the size of the largest message of another node, in bytes.
 	maxMessage int64
 	// notices bounds the memory of notifications of stored jobs to noticeBytes.
@@ -167,7 +171,7 @@
 			listenerPeer:  max(sockets/peerSockets, 1), listenerReadiness: max(min(sockets/readinessSockets, maxReadinessSockets), 1),
 		},
 		bodies: room(flags.BodyMemory, roomWait), jobs: room(flags.JobMemory, roomWait), messages: room(flags.PeerMemory, roomWait),
-		calls: room(flags.PeerMemory, roomWait), maxMessage: min(memory/peerMessagePart, maxPeerMessage), noticeBytes: memory / noticePart,
+		calls: room(flags.PeerMemory, roomWait), keptBytes: memory / 100 * int64(flags.KeptMemory), maxMessage: min(memory/peerMessagePart, maxPeerMessage), noticeBytes: memory / noticePart,
 		log: logs.Budgets{PerSecond: intakeLines},
 	}
 	i.notices = semaphore.NewWeighted(i.noticeBytes)
--- a/verbenaentry/node/node.go
+++ b/verbenaentry/node/node.go
@@ -93,6 +93,8 @@
 	claimedOrders newestOrders
 	queuePools    queuePools
 	outlooks      outlooks
+	jobLimits     jobLimits
+	uncounted     uncountedJobs
 	leaving       atomic.Bool
 	// refusals limits the log lines for refused requests.
 	refusals logs.Budget
@@ -233,6 +235,7 @@
 	n.Elector.OnAcquired = n.holdPool
 	n.Elector.RequestStatus = n.Peers.requestStatus
 	n.Elector.FenceWorkers = n.fenceWorkers
+	n.Elector.OnAnnouncement = n.announced
 	n.View.OnChange = n.configurationChanged
 	n.View.Workspaces = n.Settings.Workspaces
 	n.Peers.Handler = n.handlePeerCall
@@ -266,10 +269,10 @@
 	var l listeners
 	for _, e := range []struct {
 		addr     netip.AddrPort
+		buffers  inlet.Buffers
 		listener *net.Listener
 	}{{n.Settings.Entry, callerBuffers, &l.entry}, {n.Settings.Readiness, callerBuffers, &l.readiness}, {n.Elector.Self.Peer, peerBuffers, &l.peer}} {
 		listener, err := n.listenAt(e.addr, e.buffers)
-		buffers  inlet.Buffers
 		if err != nil {
 			l.close()
 			return l, fmt.Errorf("%w: %w", ErrListen, err)
@@ -365,6 +368,6 @@
 	}
 	return dispatch.Settings{
 		LargeTask: n.Flags.LargeTask, SecondRuns: secondRuns,
-		Lease: min(n.Flags.WorkerLease, b.MaxLease), MaxLease: b.MaxLease, Takeover: n.Elector.TTL, StopTime: b.Stop, StatusRetention: b.StatusRetention,
+		Lease: min(n.Flags.WorkerLease, b.MaxLease), MaxLease: b.MaxLease, KeptBytes: n.keptJobBytes(), Takeover: n.Elector.TTL, StopTime: b.Stop, StatusRetention: b.StatusRetention,
 	}
 }
--- a/verbenaentry/node/outlook.go
+++ b/verbenaentry/node/outlook.go
@@ -124,12 +124,16 @@
 // notifyStored notifies a pool's holder of a newly stored job, without waiting; the answer brings the pool's outlook.
 func (n *Node) notifyStored(s *storedJob, log *zerolog.Logger) {
 	var answer storedAnswer
+	n.uncounted.add(s.Pool, int64(len(s.Value)))
 	n.notifyHolder(s.Pool, methodStored, s, &answer, func(p *pool) {
 		if err := p.addStoredJob(*s); err != nil {
 			log.Warn().Err(err).Msg("stored job not passed to the holder's scheduler")
 		}
 		answer = p.storedAnswer()
-	}, func() { n.outlooks.set(s.Pool, answer.Outlook, n.Clock.Now()) })
+	}, func() {
+		n.uncounted.clear(s.Pool)
+		n.outlooks.set(s.Pool, answer.Outlook, n.Clock.Now())
+	})
 }
 
 // noteRefusal records that a node has refused a job of the pool.
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -123,11 +123,13 @@
 	writeNow *ring.Ring[struct{}]
 	// recordNow triggers an immediate write of the record of unresponsive workers.
 	recordNow *ring.Ring[struct{}]
-	group     *errgroup.Group
-	orders    errgroup.Group
-	machines  *machineTracker
-	upkeeps   *upkeeps
-	grants    *grants
+	// announceNow triggers an immediate announcement of the pool's limit.
+	announceNow *ring.Ring[struct{}]
+	group       *errgroup.Group
+	orders      errgroup.Group
+	machines    *machineTracker
+	upkeeps     *upkeeps
+	grants      *grants
 }
 
 // holdPool carries out the duty of a pool until the context ends.
@@ -135,7 +137,8 @@
 	p := &pool{
 		node: n, name: name, fence: fence, takenAt: n.Clock.Now(), log: n.Log.With().Str("pool", name).Uint64("fence", fence).Logger(),
 		revisions: map[string]store.Revision{}, refusedWrites: map[string]int{}, leased: map[string]bool{}, startBudget: newStartBudget(),
-		planNow: ring.New[struct{}](1), writeNow: ring.New[struct{}](1), recordNow: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
+		planNow: ring.New[struct{}](1), writeNow: ring.New[struct{}](1), recordNow: ring.New[struct{}](1),
+		announceNow: ring.New[struct{}](1), budget: logs.Budget{PerSecond: decisionLines},
 	}
 	p.orders.SetLimit(maxOrders)
 	p.scheduler = &dispatch.Pool{Name: name, Epoch: fence, Settings: n.dispatchSettings(), OnEvent: p.logEvent, OnFirstStart: p.observeFirstStart, OnMetered: p.countMetered, AwaitConfirmation: true}
@@ -172,7 +175,7 @@
 	size := sizer{pool: p}
 	for _, run := range []func(context.Context) error{
 		jobs.load, size.run, p.dropEndedWorkers, p.runPlans, p.write, p.upkeeps.run, p.recordUnresponsive, p.readUnknownJobs, (&cancelledIDs{pool: p}).run, p.grants.run,
-		p.exchangeArrivals,
+		p.exchangeArrivals, p.announceLimit,
 	} {
 		group.Go(func() error { return run(groupCtx) })
 	}
@@ -381,6 +384,9 @@
 	if unconfirmed {
 		p.node.Elector.RequestConfirmation(ctx, p.name, p.fence)
 	}
+	if takenOver && p.announcementDiffers() {
+		_ = p.announceNow.Offer(struct{}{})
+	}
 	pause := max(planPause, planPauseFactor*time.Since(began))
 	if ended {
 		_ = p.writeNow.Offer(struct{}{})
--- a/verbenaentry/node/submit.go
+++ b/verbenaentry/node/submit.go
@@ -18,6 +18,9 @@
 	if from.submitsFor != "" {
 		log = log.With().Str("workspace", from.submitsFor).Logger()
 	}
+	if n.refuseFull(ctx, w, q, id, leastJob, &log) {
+		return http.StatusServiceUnavailable
+	}
 	content, release, err := n.readJob(ctx, r, n.maxBodyBytes(maxBody))
 	if err != nil {
 		return n.refuseBody(w, r, err)
@@ -36,6 +39,9 @@
 		n.refuse(w, http.StatusRequestEntityTooLarge, err.Error())
 		return http.StatusRequestEntityTooLarge
 	}
+	if n.refuseFull(ctx, w, q, id, job.Memory(), &log) {
+		return http.StatusServiceUnavailable
+	}
 	if n.refuseUseless(ctx, w, job, &log) {
 		return http.StatusTooManyRequests
 	}
