fix(verbenaentry): a successor does not hold the ended jobs of its pool whole

Callers saw: nothing yet; each process that took a pool over would have been killed, one after the other.

Cause: the store keeps a job that has ended whole until its state is no longer shown, 4 minutes. A new holder collected the list of all jobs before it applied the first one, and the entries of all records as well. Clients that submit large jobs and cancel them at once fill that list at no cost.

Change: the follower passes what a list has brought after each page. Records are decoded page by page, and the value of a job is freed once it is decoded.

--- a/fleet/follow/follow.go
+++ b/fleet/follow/follow.go
@@ -40,6 +40,9 @@
 	// Apply is called with changes, in order. listed is true for the first call, after an interruption and after the store has
 	// compacted its history; keys that no longer exist are then passed as deleted.
 	Apply func(events []store.Event, listed bool)
+	// OnPage, if set, is called after each page of a list with all changes that the list has brought so far. It may replace their values by smaller
+	// ones, since a list may be large.
+	OnPage func(ctx context.Context, events []store.Event)
 	// OnStateChange, if set, is called with an error when calls to the store begin to fail and, while they keep failing, with the
 	// latest error each failureInterval; it is called with nil when they succeed again.
 	OnStateChange func(err error)
@@ -163,6 +166,9 @@
 				events = append(events, store.Event{Entry: e})
 			}
 		}
+		if f.OnPage != nil {
+			f.OnPage(ctx, events)
+		}
 		if page.Next == "" {
 			break
 		}
--- a/verbenabench/crowd/kept_linux_test.go
+++ b/verbenabench/crowd/kept_linux_test.go
@@ -139,6 +139,7 @@
 	}{
 		{"large specifications", memoryMB, largeSpecification(), 8, 50, false},
 		{"steps that depend on many", memoryMB, dependentSteps(), 8, 50, false},
+		{"large specifications of cancelled jobs", memoryMB, largeSpecification(), 8, 50, true},
 		{"small jobs", 184, smallKept(), 40, 500, false},
 		{"jobs of many tasks", memoryMB, manyTasks(), 8, 5, false},
 	} {
--- a/verbenaentry/node/follower.go
+++ b/verbenaentry/node/follower.go
@@ -64,19 +64,17 @@
 		return
 	}
 	if !f.applied && p.node.Clock.Now().Sub(receivedAt) > staleListAge {
-		entries, err := p.listAll(ctx, jobKey(p.name, ""), "list of jobs not read again yet")
-		if err != nil {
+		var err error
+		if events, err = f.listJobs(ctx); err != nil {
 			return
 		}
-		events = nil
-		for _, e := range entries {
-			events = append(events, store.Event{Entry: e})
-		}
 	}
 	now := p.node.Clock.Now()
 	p.mu.Lock()
 	var cancelled []string
-	for _, e := range events {
+	for i, e := range events {
+		// The memory of a value is free once it is decoded: a first list may be large.
+		events[i].Entry.Value = nil
 		id := strings.TrimPrefix(e.Entry.Key, "job/"+p.name+"/")
 		if e.Deleted {
 			continue
--- a/verbenaentry/node/pool.go
+++ b/verbenaentry/node/pool.go
@@ -153,7 +153,10 @@
 	p.group = group
 	jobs := &jobFollower{pool: p, loaded: make(chan struct{}), ready: make(chan struct{})}
 	followers := []follow.Follower{
-		{Store: n.Store, Prefix: "job/" + name + "/", Apply: func(events []store.Event, _ bool) { jobs.apply(groupCtx, events) }},
+		{
+			Store: n.Store, Prefix: jobKey(name, ""), OnPage: jobs.shrink,
+			Apply: func(events []store.Event, _ bool) { jobs.apply(groupCtx, events) },
+		},
 		{Store: n.Store, Prefix: machinePrefix, Apply: p.machines.apply},
 		{Store: n.Store, Prefix: platform.WorkerPrefix, BatchDelay: registrationPause, Apply: func(events []store.Event, _ bool) {
 			// The first list of registrations is valid only if the duty was still held when it was read.
@@ -194,27 +197,24 @@
 // loadRecords reads the records of the pool's jobs, and names those that cannot be decoded; no other node writes them while the duty is held.
 func (p *pool) loadRecords(ctx context.Context) (records map[string]dispatch.Record, invalid map[string]bool, err error) {
 	prefix := stateKey(p.name, "")
-	entries, err := p.listAll(ctx, prefix, "records of jobs not read yet")
-	if err != nil {
-		return nil, nil, err
-	}
 	records, invalid = map[string]dispatch.Record{}, map[string]bool{}
-	for _, e := range entries {
-		id := strings.TrimPrefix(e.Key, prefix)
-		r, err := dispatch.DecodeRecord(e.Value)
-		if err != nil {
-			p.log.Error().Err(err).Str("job", id).Msg("record of a job cannot be decoded")
-			invalid[id] = true
-			continue
+	err = p.listPages(ctx, prefix, "records of jobs not read yet", func(page []store.Entry) {
+		for _, e := range page {
+			id := strings.TrimPrefix(e.Key, prefix)
+			r, err := dispatch.DecodeRecord(e.Value)
+			if err != nil {
+				p.log.Error().Err(err).Str("job", id).Msg("record of a job cannot be decoded")
+				invalid[id] = true
+				continue
+			}
+			records[id], p.revisions[id] = r, e.Revision
 		}
-		records[id], p.revisions[id] = r, e.Revision
-	}
-	return records, invalid, nil
+	})
+	return records, invalid, err
 }
 
-// listAll reads the entries under a prefix. Answers may be lost, so each page is requested until the store has answered.
-func (p *pool) listAll(ctx context.Context, prefix, message string) ([]store.Entry, error) {
-	var entries []store.Entry
+// listPages reads the entries under a prefix and passes them on page by page. Answers may be lost, so each page is requested until the store has answered.
+func (p *pool) listPages(ctx context.Context, prefix, message string, use func(page []store.Entry)) error {
 	for from := ""; ; {
 		var page store.Page
 		err := p.retryUntilAnswered(ctx, message, func(ctx context.Context) (err error) {
@@ -222,11 +222,11 @@
 			return err
 		})
 		if err != nil {
-			return nil, err
+			return err
 		}
-		entries = append(entries, page.Entries...)
+		use(page.Entries)
 		if page.Next == "" {
-			return entries, nil
+			return nil
 		}
 		from = page.Next
 	}
