--- a/verbenaentry/node/joblimit_test.go
+++ b/verbenaentry/node/joblimit_test.go
@@ -14,7 +14,6 @@
 	"verbenalanding.example/fleet/dispatch"
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/store"
-	"verbenalanding.example/fleet/workload"
 	"verbenalanding.example/platform"
 )
 
