fix(verbenaentry): calls to the store for others use a part of the sockets

Callers saw: nothing yet; a process with many callers beside a slow or silent store has no descriptor left for its own connections, so that it loses its lease, its duties and its workers.

Cause: each request of a caller, and each call that a node relays, has a connection to the store of its own while it waits, and nothing bounded them beside the connections of the callers themselves.

Change: at most an eighth of the sockets are used by calls to the store for callers and other nodes. Others wait for their turn; one whose turn does not come counts as refused, which says truthfully that it was not sent.

--- a/verbenaentry/node/cancel_test.go
+++ b/verbenaentry/node/cancel_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		t.Fatalf("job: got %v, want it to be encoded", err)
 	}
-	st := directAccess{n.Store, n.Elector}
+	st := n.directAccess()
 	if status, _ := n.tryCancelIn(s.ctx, st, "cutting", job.ID, anyone, 1); status != http.StatusGone {
 		t.Fatalf("cancel before the job is stored: got %d, want %d", status, http.StatusGone)
 	}
--- a/verbenaentry/node/intake.go
+++ b/verbenaentry/node/intake.go
@@ -85,11 +85,13 @@
 	reservedFDs = 200
 	// connectionBytes is the memory of a connection: its goroutines, the buffers of its requests and a header, which may be as large as 20 kB.
 	connectionBytes = 32 << 10
-	// Callers' connections may take 1/callerMemory of the memory and 1/callerSockets of the sockets, those of other nodes 1/peerSockets and those of
-	// the readiness port 1/readinessSockets. The rest is for the connections that the process opens itself.
+	// Callers' connections may take 1/callerMemory of the memory and 1/callerSockets of the sockets, those of other nodes 1/peerSockets, those of the
+	// readiness port 1/readinessSockets and calls to the store for callers and nodes 1/storeSockets. The rest is for the connections that the process opens
+	// for itself.
 	callerMemory        = 8
 	callerSockets       = 2
 	peerSockets         = 8
+	storeSockets        = 8
 	readinessSockets    = 16
 	maxReadinessSockets = 64
 	// smallBody is the size in bytes up to which a body may use the reserve, which is 1/reservePart of the room. Nearly all jobs are smaller.
@@ -138,6 +140,8 @@
 	keptBytes int64
 	// maxMessage is the size of the largest message of another node, in bytes.
 	maxMessage int64
+	// storeCalls bounds the calls to the store for callers and other nodes, each of which takes a connection while the store does not answer.
+	storeCalls *semaphore.Weighted
 	// notices bounds the memory of notifications of stored jobs to noticeBytes.
 	notices     *semaphore.Weighted
 	noticeBytes int64
@@ -177,6 +181,7 @@
 	i.notices = semaphore.NewWeighted(i.noticeBytes)
 	return i
 }
+	i.storeCalls = semaphore.NewWeighted(int64(max(sockets/storeSockets, 1)))
 
 // limitListener bounds the connections of a listener.
 func (n *Node) limitListener(name string, l net.Listener) *inlet.Listener {
--- a/verbenaentry/node/queuepool_test.go
+++ b/verbenaentry/node/queuepool_test.go
@@ -43,7 +43,7 @@
 		}
 	}
 	q := movedJob("fitting").Terms
-	accepted, err := n.acceptanceOf(s.ctx, directAccess{n.Store, n.Elector}, &q, movedJob("fitting").ID, 1)
+	accepted, err := n.acceptanceOf(s.ctx, n.directAccess(), &q, movedJob("fitting").ID, 1)
 	if err != nil || accepted.Pool != "cutting" {
 		t.Errorf("pool of the job: got %q and %v, want cutting", accepted.Pool, err)
 	}
--- a/verbenaentry/node/relay.go
+++ b/verbenaentry/node/relay.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/rpc"
 	"verbenalanding.example/fleet/store"
@@ -22,10 +24,41 @@
 	holderFence(ctx context.Context, pool string) uint64
 }
 
-// directAccess accesses the store over the node's own connections.
+// directAccess accesses the store over the node's own connections, of which calls for callers and other nodes use a bounded number.
 type directAccess struct {
-	*platform.Store
+	store   *platform.Store
 	elector *leadership.Elector
+	slots   *semaphore.Weighted
+}
+
+func (n *Node) directAccess() directAccess {
+	return directAccess{n.Store, n.Elector, n.intake.storeCalls}
+}
+
+// Get returns the entry of key.
+func (a directAccess) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := a.acquire(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	defer a.slots.Release(1)
+	return a.store.Get(ctx, key)
+}
+
+// Apply runs a transaction.
+func (a directAccess) Apply(ctx context.Context, t store.Transaction) (store.Revision, []store.Entry, error) {
+	if err := a.acquire(ctx); err != nil {
+		return 0, nil, err
+	}
+	defer a.slots.Release(1)
+	return a.store.Apply(ctx, t)
+}
+
+// acquire waits for a call's turn; a call whose turn does not come was not sent.
+func (a directAccess) acquire(ctx context.Context) error {
+	if err := a.slots.Acquire(ctx, 1); err != nil {
+		return fmt.Errorf("%w: calls to the store take too long: %w", store.ErrRefused, err)
+	}
+	return nil
 }
 
 func (a directAccess) holderFence(_ context.Context, pool string) uint64 {
@@ -46,7 +79,7 @@
 // comes first unless the store has not answered this node recently.
 func (n *Node) storeFor(attempt int) storeAccess {
 	if odd := attempt%2 == 1; odd == n.Elector.StoreReachable() {
-		return directAccess{n.Store, n.Elector}
+		return n.directAccess()
 	}
 	return relay{n}
 }
@@ -146,13 +179,13 @@
 
 // relayGet reads a key for another node.
 func (n *Node) relayGet(ctx context.Context, key string) (any, error) {
-	return serveRelay(ctx, n, func(ctx context.Context) (store.Entry, error) { return n.Store.Get(ctx, key) })
+	return serveRelay(ctx, n, func(ctx context.Context) (store.Entry, error) { return n.directAccess().Get(ctx, key) })
 }
 
 // relayApply runs a transaction for another node.
 func (n *Node) relayApply(ctx context.Context, t store.Transaction) (any, error) {
 	return serveRelay(ctx, n, func(ctx context.Context) (store.Revision, error) {
-		revision, _, err := n.Store.Apply(ctx, t)
+		revision, _, err := n.directAccess().Apply(ctx, t)
 		return revision, err
 	})
 }
