fix(verbenaentry): long requests do not keep all others out

Callers saw: while the store is silent, clients that send Request-Deadline: 3600000 take all connections; the connection of each other caller is closed without an answer, for up to an hour, also of those that ask for nothing that needs the store.

Cause: a connection whose request is being answered never made place for a new one, unless its client did not read, and the deadline of a request was whatever the caller said.

Change: where no connection waits for its client, the one whose request is handled for longest makes place, from 10 s on, three times the usual deadline. A request is handled for 60 s at most, and is answered then as at the end of its deadline.

TestLongestRequestMakesPlace, TestDeadlineIsBounded.

--- a/fleet/inlet/conn.go
+++ b/fleet/inlet/conn.go
@@ -34,12 +34,15 @@
 	discardBy time.Time
 	// writingSince is when the present write began, in nanoseconds since 1970; 0 if there is none.
 	writingSince atomic.Int64
+	// busySince is when the connection became busy, in the same unit.
+	busySince atomic.Int64
 	// writeDeadline is the deadline that was set last; only the writer uses it.
 	writeDeadline time.Time
 }
 
 // Quiet notes that the connection waits for its client, or that its client has just sent something.
 func (c *Conn) Quiet() {
+	c.busySince.Store(0)
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.listener.connections.Quiet(&c.place)
@@ -47,6 +50,7 @@
 
 // Busy notes that the connection does not wait for its client.
 func (c *Conn) Busy() {
+	c.busySince.CompareAndSwap(0, time.Now().UnixNano())
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.listener.connections.Busy(&c.place)
--- a/fleet/inlet/inlet_test.go
+++ b/fleet/inlet/inlet_test.go
@@ -222,3 +222,39 @@
 		t.Errorf("room: got %d bytes held, want 0", got)
 	}
 }
+
+// Guards against requests that are handled for as long as their clients like and keep newcomers out for that time.
+func TestLongestRequestMakesPlace(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &inlet.Listener{Listener: l, Limit: 2, LongestUse: 300 * time.Millisecond}
+	began := make(chan struct{}, 2)
+	server := &http.Server{ReadHeaderTimeout: time.Second, ConnState: listener.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			began <- struct{}{}
+			<-r.Context().Done()
+		}
+		fmt.Fprint(w, "0")
+	})}
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	defer func() {
+		_ = server.Close()
+		_ = group.Wait()
+	}()
+	addr := l.Addr().String()
+	first := send(t, addr, "/wait", 0, "")
+	<-began
+	send(t, addr, "/wait", 0, "")
+	<-began
+	if _, err := send(t, addr, "/", 0, "").Read(make([]byte, 1)); err == nil {
+		t.Error("newcomer beside two short requests: got an answer, want its end")
+	}
+	time.Sleep(400 * time.Millisecond)
+	wantAnswer(t, "newcomer beside two long requests", send(t, addr, "/", 0, ""), http.StatusOK, "0")
+	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("longest request: got %v, want the end of its connection", err)
+	}
+}
--- a/fleet/inlet/listener.go
+++ b/fleet/inlet/listener.go
@@ -33,6 +33,8 @@
 	Limit int
 	// AnswerTimeout bounds the time for which a client reads nothing of an answer.
 	AnswerTimeout time.Duration
+	// LongestUse is the time for which a connection is busy from which on it makes place for a new one, if none waits for its client; 0 for any time.
+	LongestUse time.Duration
 	// OnRefusal is called, without a lock held, for each connection that was closed or refused; nil for none.
 	OnRefusal func(cause Cause, remote net.Addr)
 
@@ -51,7 +53,7 @@
 		c.place.Owner = c
 		l.mu.Lock()
 		l.connections.Limit = l.Limit
-		removed := l.connections.Add(&c.place, isStalled)
+		removed := l.connections.Add(&c.place, l.givesWay)
 		l.mu.Unlock()
 		if removed == nil {
 			return c, nil
@@ -81,9 +83,15 @@
 	}
 }
 
-func isStalled(n *intake.Connection) bool {
-	since := n.Owner.(*Conn).writingSince.Load()
-	return since != 0 && time.Since(time.Unix(0, since)) > stalledWrite
+// givesWay reports whether a busy connection makes place for a new one: its client does not read its answer, or its request is handled for too long.
+func (l *Listener) givesWay(n *intake.Connection) bool {
+	c := n.Owner.(*Conn)
+	return isPast(c.writingSince.Load(), stalledWrite) || l.LongestUse > 0 && isPast(c.busySince.Load(), l.LongestUse)
+}
+
+// isPast reports whether a time, in nanoseconds since 1970, was longer ago than a duration; 0 is none.
+func isPast(since int64, d time.Duration) bool {
+	return since != 0 && time.Since(time.Unix(0, since)) > d
 }
 
 // TrackState is the ConnState of a server on the listener: a connection that serves a request is busy.
--- a/verbenabench/crowd/entry_linux_test.go
+++ b/verbenabench/crowd/entry_linux_test.go
@@ -34,6 +34,8 @@
 	length  int
 	content []byte
 	piece   int
+	// deadlineMs is the caller's deadline in milliseconds; 0 for the usual one.
+	deadlineMs int
 	// oneID makes all clients submit the job under the same id.
 	oneID bool
 }
@@ -82,8 +84,8 @@
 		if s.oneID {
 			id = 1 << 20
 		}
-		if _, err := fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nRequest-Deadline: 3000\r\n%s%s\r\n\r\n",
-			cmp.Or(s.prefix, standin.PoolPrefix(pool)), id, host, s.fields, framing); err != nil {
+		if _, err := fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nRequest-Deadline: %d\r\n%s%s\r\n\r\n",
+			cmp.Or(s.prefix, standin.PoolPrefix(pool)), id, host, cmp.Or(s.deadlineMs, 3000), s.fields, framing); err != nil {
 			return err
 		}
 		for rest := s.content; len(rest) > 0; {
--- a/verbenabench/crowd/harness_linux_test.go
+++ b/verbenabench/crowd/harness_linux_test.go
@@ -55,6 +55,7 @@
 
 // target is a process with lowered limits beside a stand-in of the platform.
 type target struct {
+	platform               *standin.Platform
 	entry, readiness, peer netip.AddrPort
 
 	path, settings string
@@ -89,6 +90,16 @@
 
 // start starts the process and the stand-in, and waits until an ordinary request is answered. Both end with the test.
 func start(t *testing.T, limitMB, limitFDs int) *target {
+	t.Helper()
+	s := prepare(t, limitMB, limitFDs)
+	s.platform.Configure(1, host, 3)
+	s.run(t)
+	s.awaitAnswer(t, startLimit)
+	return s
+}
+
+// prepare starts the stand-in, which has no configuration yet, and writes the settings of the process.
+func prepare(t *testing.T, limitMB, limitFDs int) *target {
 	t.Helper()
 	path, err := build()
 	if err != nil {
@@ -108,12 +119,9 @@
 	if err := p.Start(groupCtx, group); err != nil {
 		t.Fatal(err)
 	}
-	p.Configure(1, host, 3)
-	s := &target{entry: nextAddr(), readiness: nextAddr(), peer: nextAddr(), exited: make(chan struct{}), machineMB: limitMB}
+	s := &target{platform: p, entry: nextAddr(), readiness: nextAddr(), peer: nextAddr(), exited: make(chan struct{}), machineMB: limitMB}
 	s.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	s.path, s.settings = path, writeSettings(t, p, s, limitMB, limitFDs)
-	s.run(t)
-	s.awaitAnswer(t, startLimit)
 	return s
 }
 
@@ -208,6 +216,34 @@
 	t.Errorf("ordinary request: got status %d and error %v at try %d, want %d", status, err, tries, http.StatusOK)
 }
 
+// awaitAnyAnswer sends an ordinary request until it is answered, with success or without.
+func (s *target) awaitAnyAnswer(t *testing.T, limit time.Duration) {
+	t.Helper()
+	s.jobs++
+	q := standin.Request{Method: http.MethodPost, Host: host, Path: standin.PoolPrefix(pool) + fmt.Sprintf("%016x", s.jobs), Body: smallJob}
+	var err error
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * sampleTime) {
+		var status int
+		if status, _, err = q.Send(t.Context(), s.client, s.entry); err == nil {
+			t.Logf("ordinary request: answered with %d", status)
+			return
+		}
+	}
+	t.Errorf("ordinary request: got %v, want an answer", err)
+}
+
+// awaitListener waits until the process accepts connections.
+func (s *target) awaitListener(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(sampleTime) {
+		if conn, err := net.DialTimeout("tcp", s.entry.String(), callTimeout); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	t.Fatal("process: got no connection, want one")
+}
+
 // awaitHolder waits until the pool has a holder that knows its jobs.
 func (s *target) awaitHolder(t *testing.T) {
 	t.Helper()
--- a/verbenaentry/node/entry.go
+++ b/verbenaentry/node/entry.go
@@ -23,6 +23,8 @@
 	maxHeaderBytes = 16 << 10
 	// defaultDeadline is the deadline of requests without a valid deadline header.
 	defaultDeadline = 3 * time.Second
+	// maxDeadline bounds the time for which a request is handled; a caller that waits for longer is answered as if its deadline ended then.
+	maxDeadline = time.Minute
 	// answerReserve is the part of a caller's deadline that is reserved for the transfer of the response.
 	answerReserve = 150 * time.Millisecond
 	// retryAfter is the value of the Retry-After header of refusals, in seconds.
@@ -162,7 +164,7 @@
 	if err != nil || waits == 0 {
 		return defaultDeadline
 	}
-	return max(waits, 2*answerReserve)
+	return min(max(waits, 2*answerReserve), maxDeadline)
 }
 
 func validID(id string) bool {
--- a/verbenaentry/node/intake.go
+++ b/verbenaentry/node/intake.go
@@ -156,6 +156,9 @@
 	listenerPeer      = "peer"
 )
 
+// longestUse is the time for which a request is handled from which on its connection makes place for a new one, by listener. Callers wait 3 s by default.
+var longestUse = map[string]time.Duration{listenerEntry: 10 * time.Second, listenerReadiness: 10 * time.Second}
+
 // newClientIntake derives the bounds from the process's memory and descriptors.
 func newClientIntake(s platform.Settings, f Flags) *clientIntake {
 	flags := f.Intake.withDefaults()
@@ -178,16 +181,16 @@
 		calls: room(flags.PeerMemory, roomWait), keptBytes: memory / 100 * int64(flags.KeptMemory), maxMessage: min(memory/peerMessagePart, maxPeerMessage), noticeBytes: memory / noticePart,
 		log: logs.Budgets{PerSecond: intakeLines},
 	}
+	i.storeCalls = semaphore.NewWeighted(int64(max(sockets/storeSockets, 1)))
 	i.notices = semaphore.NewWeighted(i.noticeBytes)
 	return i
 }
-	i.storeCalls = semaphore.NewWeighted(int64(max(sockets/storeSockets, 1)))
 
 // limitListener bounds the connections of a listener.
 func (n *Node) limitListener(name string, l net.Listener) *inlet.Listener {
 	limited := &inlet.Listener{
 		Listener: l, Limit: n.intake.connections[name], AnswerTimeout: n.intake.flags.AnswerTimeout,
-		OnRefusal: func(cause inlet.Cause, remote net.Addr) { n.countRefusal(name, string(cause), remote.String()) },
+		LongestUse: longestUse[name], OnRefusal: func(cause inlet.Cause, remote net.Addr) { n.countRefusal(name, string(cause), remote.String()) },
 	}
 	metrics.NewRegisteredFunctionalGauge("connections."+name, n.Registry, func() int64 { return int64(limited.Open()) })
 	return limited
--- a/verbenaentry/node/intake_test.go
+++ b/verbenaentry/node/intake_test.go
@@ -140,3 +140,16 @@
 	v.configure(configuration)
 	return v
 }
+
+// Guards against a caller that keeps a request open for as long as it likes, and against a usual deadline that is cut short.
+func TestDeadlineIsBounded(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": defaultDeadline, "0": defaultDeadline, "a": defaultDeadline, "3000": 3 * time.Second, "60000": time.Minute, "3600000": maxDeadline, "9223372036854775807": maxDeadline,
+	} {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil)
+		r.Header.Set(platform.DeadlineHeader, text)
+		if got := deadline(r); got != want {
+			t.Errorf("deadline %q: got %v, want %v", text, got, want)
+		}
+	}
+}
