--- a/verbenaentry/node/cancelledids_test.go
+++ b/verbenaentry/node/cancelledids_test.go
@@ -1,13 +1,23 @@
 package node
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"verbenalanding.example/fleet/monotonic"
 	"verbenalanding.example/fleet/store"
+	"verbenalanding.example/platform"
+	"verbenalanding.example/platform/wire"
 )
 
 // cancelUnknown cancels a job that was not accepted, and returns the write of it that was not answered.
@@ -70,3 +80,42 @@
 	}
 	s.assertLateWrite(first, nil)
 }
+
+// Guards against a holder that keeps something for each id that clients have cancelled without a job.
+func TestCancelledIDsTakeNoMemoryEach(t *testing.T) {
+	const marks, perPage, mostPerMark = 50_000, 500, 16
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var after int
+		if text := r.URL.Query().Get("After"); text != "" {
+			if _, err := fmt.Sscanf(text[strings.LastIndexByte(text, '/')+1:], "%x", &after); err != nil {
+				t.Errorf("key after which a page begins: got %q, want that of a mark", text)
+			}
+		}
+		page := wire.Items{StoreRevision: marks, HasMore: after+perPage < marks}
+		for i := range perPage {
+			page.Items = append(page.Items, wire.Item{Key: cancelledKey("cutting", "queue", fmt.Sprintf("%016x", after+i+1)), Value: []byte("{}"), Revision: uint64(after + i + 1)})
+		}
+		_ = json.NewEncoder(w).Encode(page)
+	}))
+	defer server.Close()
+	n := &Node{Clock: monotonic.New(), Store: &platform.Store{Client: platform.NewClient(), Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}}
+	ids := cancelledIDs{pool: &pool{node: n, name: "cutting", log: zerolog.Nop()}}
+	ids.deleteExpired(t.Context())
+	ids.deleteExpired(t.Context())
+	held := heap()
+	runtime.KeepAlive(&ids)
+	ids = cancelledIDs{pool: ids.pool}
+	if got := held - heap(); got > marks*mostPerMark {
+		t.Errorf("memory for %d marks: got %d bytes, want at most %d", marks, got, marks*mostPerMark)
+	}
+	runtime.KeepAlive(&ids)
+}
+
+// heap returns the bytes that are in use.
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
