--- a/verbenabench/crowd/harness_linux_test.go
+++ b/verbenabench/crowd/harness_linux_test.go
@@ -59,12 +59,15 @@
 	entry, readiness, peer netip.AddrPort
 
 	path, settings string
-	command        *exec.Cmd
-	exited         chan struct{}
-	jobs           int
-	client         *http.Client
+	// machines is the address of the list of machines, if it is not that of the stand-in.
+	machines string
+	command  *exec.Cmd
+	exited   chan struct{}
+	jobs     int
+	client   *http.Client
 	// machineMB is the memory limit of the process, for which its resident size and the bytes that it has not read count.
 	machineMB int
+	maxFDs    int
 }
 
 var build = sync.OnceValues(func() (string, error) {
@@ -98,7 +101,7 @@
 	return s
 }
 
-// prepare starts the stand-in, which has no configuration yet, and writes the settings of the process.
+// prepare starts the stand-in, which has no configuration yet.
 func prepare(t *testing.T, limitMB, limitFDs int) *target {
 	t.Helper()
 	path, err := build()
@@ -121,7 +124,7 @@
 	}
 	s := &target{platform: p, entry: nextAddr(), readiness: nextAddr(), peer: nextAddr(), exited: make(chan struct{}), machineMB: limitMB}
 	s.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	s.path, s.settings = path, writeSettings(t, p, s, limitMB, limitFDs)
+	s.path, s.maxFDs = path, limitFDs
 	return s
 }
 
@@ -138,8 +141,9 @@
 }
 
 // writeSettings writes the settings file of the process, with its limits.
-func writeSettings(t *testing.T, p *standin.Platform, s *target, limitMB, limitFDs int) string {
+func (s *target) writeSettings(t *testing.T) string {
 	t.Helper()
+	p := s.platform
 	path := filepath.Join(t.TempDir(), "settings.json")
 	err := standin.WriteSettings(path, platform.Settings{
 		Node: "n0", DataCentre: "z1", IP: s.peer.Addr(), Entry: s.entry, Readiness: s.readiness, PeerPorts: [2]uint16{s.peer.Port(), s.peer.Port()},
@@ -156,7 +160,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fields["Limits"] = map[string]any{"CpuShare": 1, "Cores": 1, "MemoryMb": limitMB, "MaxFds": limitFDs, "LinkMbps": 10}
+	if s.machines != "" {
+		fields["CloudApi"] = map[string]any{"Address": s.machines}
+	}
+	fields["Limits"] = map[string]any{"CpuShare": 1, "Cores": 1, "MemoryMb": s.machineMB, "MaxFds": s.maxFDs, "LinkMbps": 10}
 	if content, err = json.Marshal(fields); err == nil {
 		err = os.WriteFile(path, content, 0o600)
 	}
@@ -173,6 +180,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if s.settings == "" {
+		s.settings = s.writeSettings(t)
+	}
 	s.command = exec.Command(s.path, "--settings", s.settings)
 	s.command.Stdout, s.command.Stderr = log, log
 	if err := s.command.Start(); err != nil {
