fix(rpc): a message is bounded on connections without limits

Operators saw: nothing yet; a process at the address of a node, or a client of a server without limits, ends the process with one message.

Cause: the limits of messages were those of verbenaentry's server alone. Clients, the older daemon's port for peers and the stand-ins read a message of whatever size it declares.

Change: without limits a message has at most 32 MB, and takes memory as it arrives. verbenaentry's clients take answers of other nodes up to the limit of its server.

--- a/fleet/rpc/client.go
+++ b/fleet/rpc/client.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -27,6 +28,8 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Log gets a line for each message that cannot be decoded or has no call; nil writes to standard error.
 	Log *zerolog.Logger
+	// MaxMessage is the size of the largest message that the other process may send, in bytes; 0 selects the default.
+	MaxMessage int64
 
 	// received counts the messages that the other process sent.
 	received atomic.Int64
@@ -127,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(raw, sizedCodec{max: cmp.Or(c.MaxMessage, maxMessage)})
 	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectCall), logOption(c.Log, raw),
 		jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { c.received.Add(1) }))
 	return c.conn, nil
--- a/fleet/rpc/limit.go
+++ b/fleet/rpc/limit.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"math"
 	"net"
 	"syscall"
@@ -37,6 +39,35 @@
 	acceptPause = 100 * time.Millisecond
 )
 
+// maxMessage is the size in bytes of the largest message where nothing else is set: 32 values of the store, the most that a transaction has.
+const maxMessage = 32 << 20
+
+// sizedCodec reads messages up to a size, for connections without Limits. A message takes memory as it arrives, whatever size it declares.
+type sizedCodec struct {
+	jsonrpc2.VarintObjectCodec
+
+	max int64
+}
+
+// ReadObject reads the next message.
+func (c sizedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if size > uint64(c.max) {
+		return fmt.Errorf("%w: %d bytes, want at most %d", inlet.ErrTooLarge, size, c.max)
+	}
+	content, err := io.ReadAll(io.LimitReader(stream, int64(size)))
+	if err == nil && uint64(len(content)) < size {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(content, v)
+}
+
 func (l *Limits) refused(err error, conn net.Conn) {
 	if l.OnRefusal != nil {
 		l.OnRefusal(err, conn.RemoteAddr())
--- a/fleet/rpc/limit_test.go
+++ b/fleet/rpc/limit_test.go
@@ -1,7 +1,9 @@
 package rpc_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"io"
@@ -147,3 +149,57 @@
 		t.Errorf("server: got %v, want no error", err)
 	}
 }
+
+// Guards against a process that sends messages without an end, to a client or to a server without limits.
+func TestMessageWithoutLimitsIsBounded(t *testing.T) {
+	endless := append(binary.AppendUvarint(nil, 1<<40), `{"jsonrpc":"2.0","id":0,"result":"`...)
+	block := bytes.Repeat([]byte("a"), 1<<20)
+	// flood sends until the other side closes the connection, and returns the number of blocks that it took.
+	flood := func(conn net.Conn) (blocks int) {
+		_ = conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
+		_, err := conn.Write(endless)
+		for ; err == nil; blocks++ {
+			_, err = conn.Write(block)
+		}
+		return blocks
+	}
+	const most = 40
+	t.Run("client", func(t *testing.T) {
+		client, server := net.Pipe()
+		var group errgroup.Group
+		group.Go(func() error {
+			_, _ = server.Read(make([]byte, 1))
+			group.Go(func() error {
+				_, _ = io.Copy(io.Discard, server)
+				return nil
+			})
+			if got := flood(server); got > most {
+				t.Errorf("answer: got %d MB taken, want at most %d", got, most)
+			}
+			return server.Close()
+		})
+		c := &rpc.Client{Dial: func(context.Context, string, string) (net.Conn, error) { return client, nil }}
+		if err := c.Call(t.Context(), "call", struct{}{}, nil); !errors.Is(err, rpc.ErrUnreachable) {
+			t.Errorf("call: got %v, want %v", err, rpc.ErrUnreachable)
+		}
+		_ = c.Close()
+		_ = group.Wait()
+	})
+	t.Run("server", func(t *testing.T) {
+		listener := newPipeListener()
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		server := &rpc.Server{Listener: listener, Handler: echo}
+		group.Go(func() error { return server.Run(ctx) })
+		conn, err := listener.dial(ctx, "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := flood(conn); got > most {
+			t.Errorf("message: got %d MB taken, want at most %d", got, most)
+		}
+		_ = conn.Close()
+		cancel()
+		_ = group.Wait()
+	})
+}
--- a/fleet/rpc/server.go
+++ b/fleet/rpc/server.go
@@ -21,7 +21,7 @@
 	Sentinels Sentinels
 	// Log gets a line for each message that cannot be decoded, or whose answer cannot be sent; nil writes to standard error.
 	Log *zerolog.Logger
-	// Limits bound the server's memory; nil for none.
+	// Limits bound the server's memory; nil bounds the size of a message only.
 	Limits *Limits
 
 	mu    sync.Mutex
@@ -58,7 +58,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	var messages jsonrpc2.ObjectCodec = jsonrpc2.VarintObjectCodec{}
+	var messages jsonrpc2.ObjectCodec = sizedCodec{max: maxMessage}
 	calls := jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()
 	handler := jsonrpc2.AsyncHandler(calls)
 	if s.Limits != nil {
--- a/verbenaentry/node/peers.go
+++ b/verbenaentry/node/peers.go
@@ -194,12 +194,20 @@
 	defer p.mu.Unlock()
 	c := p.clients[addr]
 	if c == nil {
-		c = &rpc.Client{Addr: addr, Sentinels: peerSentinels, Dial: p.Dial, Log: &p.Log}
+		c = &rpc.Client{Addr: addr, Sentinels: peerSentinels, Dial: p.Dial, Log: &p.Log, MaxMessage: p.maxMessage()}
 		p.clients[addr] = c
 	}
 	return c
 }
 
+// maxMessage returns the size of the largest message that another node may send, in bytes; 0 without limits.
+func (p *Peers) maxMessage() int64 {
+	if p.Limits == nil {
+		return 0
+	}
+	return p.Limits.MaxMessage
+}
+
 // handlePeerCall handles the calls of other nodes.
 func (n *Node) handlePeerCall(ctx context.Context, method string, params json.RawMessage) (any, error) {
 	switch method {
