fix(peer): the port for peers has limits

Operators saw: nothing yet; whoever reaches the port of the older daemon for its peers takes its memory and its descriptors with unfinished messages, calls without a reader or idle connections.

Cause: the limits of the inner port were built for verbenaentry alone.

Change: 512 connections, the one whose last message is the oldest makes place; messages up to 8 MB, 32 MB of messages that are being read and 32 MB of calls that are being answered.

Evidence: TestConnectionsOfStrangersAreBounded, 700 idle connections: at most 512 stay open and a peer's call is answered. The test was not run on the code before, which has no bound. The ports for callers and operators of that daemon have no bound of connections yet.

--- a/fleet/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -17,6 +17,7 @@
 	"verbenalanding.example/fleet/claim"
 	"verbenalanding.example/fleet/configuration"
 	"verbenalanding.example/fleet/drain"
+	"verbenalanding.example/fleet/inlet"
 	"verbenalanding.example/fleet/mirror"
 	"verbenalanding.example/fleet/rpc"
 	"verbenalanding.example/fleet/store"
@@ -126,7 +127,8 @@
 // Run answers peers and sends heartbeats until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	server := &rpc.Server{Listener: n.Listener, Handler: n.handle, Sentinels: sentinels, Log: n.connectionLog()}
+	listener := &inlet.Listener{Listener: n.Listener, Limit: maxConnections, AnswerTimeout: answerTimeout}
+	server := &rpc.Server{Listener: listener, Handler: n.handle, Sentinels: sentinels, Log: n.connectionLog(), Limits: newLimits()}
 	group.Go(func() error { return server.Run(ctx) })
 	group.Go(func() error { return n.runHeartbeats(ctx) })
 	return group.Wait()
