test(soak): crowds of clients that misbehave

The soak knew no client that keeps a request unfinished, an answer unread or a connection idle while processes are killed, stopped and replaced around it. Three of 37 draws are now crowds of 40 to 200 clients of one of six kinds, at one process or at all, that come back to whatever listens there until the fault ends; a process that has then taken more than its memory breaks a promise.

--- a/verbenabench/soak/fault.go
+++ b/verbenabench/soak/fault.go
@@ -30,7 +30,7 @@
 
 // injectAll injects faults until their time is over, and returns once the active ones have ended. The time of faults that are alone is added.
 func (s *Soak) injectAll(ctx context.Context, random *rand.Rand) error {
-	// A fault returns an error only if the context has ended.
+	// A fault returns an error if the context has ended, or if it has broken a promise.
 	var group errgroup.Group
 	for end := time.Now().Add(s.Duration); time.Now().Before(end); {
 		for _, f := range s.drawFaults(random) {
@@ -70,7 +70,7 @@
 // drawFaults chooses the next faults: one, or several that disturb a takeover together.
 func (s *Soak) drawFaults(random *rand.Rand) []fault {
 	duration := time.Duration(200+random.IntN(3300)) * time.Millisecond
-	switch random.IntN(34) {
+	switch random.IntN(37) {
 	case 14, 15:
 		return s.takeoverFaults(random)
 	case 16:
@@ -88,6 +88,8 @@
 		return s.allKilled(random)
 	case 31, 32:
 		return []fault{s.missedConfigurations(random)}
+	case 34, 35, 36:
+		return []fault{s.crowd(random, duration)}
 	case 33:
 		return []fault{s.standbyReturns(random)}
 	case 20:
