test(crowd): one process takes all pools over

TestTakeoverOfFullPools: three processes of 64 MB and four pools, filled with large specifications; two processes are killed.

--- a/verbenabench/crowd/harness_linux_test.go
+++ b/verbenabench/crowd/harness_linux_test.go
@@ -56,6 +56,7 @@
 // target is a process with lowered limits beside a stand-in of the platform.
 type target struct {
 	platform               *standin.Platform
+	name                   string
 	entry, readiness, peer netip.AddrPort
 
 	path, settings string
@@ -101,17 +102,22 @@
 	return s
 }
 
-// prepare starts the stand-in, which has no configuration yet.
+// prepare starts the stand-in, which has no configuration yet, and returns a process that is still to be started.
 func prepare(t *testing.T, limitMB, limitFDs int) *target {
 	t.Helper()
-	path, err := build()
-	if err != nil {
-		t.Fatal(err)
-	}
+	return newTarget(t, startPlatform(t, pool), "n0", limitMB, limitFDs)
+}
+
+// startPlatform starts the stand-in with pools of two machines.
+func startPlatform(t *testing.T, pools ...string) *standin.Platform {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	group, groupCtx := errgroup.WithContext(ctx)
 	p := &standin.Platform{
-		Seed: 1, Pools: map[string]int{pool: 2}, Capacity: wire.Resources{CPU: 8000, MemMb: 16000}, Tick: 5 * time.Millisecond,
+		Seed: 1, Pools: map[string]int{}, Capacity: wire.Resources{CPU: 8000, MemMb: 16000}, Tick: 5 * time.Millisecond,
+	}
+	for _, name := range pools {
+		p.Pools[name] = 2
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -122,10 +128,20 @@
 	if err := p.Start(groupCtx, group); err != nil {
 		t.Fatal(err)
 	}
-	s := &target{platform: p, entry: nextAddr(), readiness: nextAddr(), peer: nextAddr(), exited: make(chan struct{}), machineMB: limitMB}
-	s.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	s.path, s.maxFDs = path, limitFDs
-	return s
+	return p
+}
+
+func newTarget(t *testing.T, p *standin.Platform, name string, limitMB, limitFDs int) *target {
+	t.Helper()
+	path, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := nextAddr()
+	return &target{
+		platform: p, name: name, path: path, machineMB: limitMB, maxFDs: limitFDs, exited: make(chan struct{}),
+		entry: entry, readiness: nextAddr(), peer: nextAddr(), client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
 }
 
 // restart kills the process and starts it again, with what its store holds.
@@ -146,7 +162,7 @@
 	p := s.platform
 	path := filepath.Join(t.TempDir(), "settings.json")
 	err := standin.WriteSettings(path, platform.Settings{
-		Node: "n0", DataCentre: "z1", IP: s.peer.Addr(), Entry: s.entry, Readiness: s.readiness, PeerPorts: [2]uint16{s.peer.Port(), s.peer.Port()},
+		Node: s.name, DataCentre: "z1", IP: s.peer.Addr(), Entry: s.entry, Readiness: s.readiness, PeerPorts: [2]uint16{s.peer.Port(), s.peer.Port()},
 		Store: p.StoreAddr, Machines: p.CloudAddr, Cores: 1, MinLeaseTTL: 500 * time.Millisecond, Bounds: standin.Bounds(),
 	})
 	var content []byte
@@ -176,7 +192,7 @@
 // run starts the program; the test's end kills it by its ID.
 func (s *target) run(t *testing.T) {
 	t.Helper()
-	log, err := os.OpenFile(filepath.Join(t.ArtifactDir(), "verbenaentry.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(t.ArtifactDir(), s.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -254,8 +270,8 @@
 	t.Fatal("process: got no connection, want one")
 }
 
-// awaitHolder waits until the pool has a holder that knows its jobs.
-func (s *target) awaitHolder(t *testing.T) {
+// awaitHolder waits until a pool has a holder that knows its jobs.
+func (s *target) awaitHolder(t *testing.T, pool string) {
 	t.Helper()
 	q := standin.Request{Method: http.MethodGet, Host: host, Path: standin.PoolPrefix(pool)}
 	for end := time.Now().Add(answerLimit); time.Now().Before(end); time.Sleep(10 * sampleTime) {
--- a/verbenabench/crowd/kept_linux_test.go
+++ b/verbenabench/crowd/kept_linux_test.go
@@ -57,6 +57,7 @@
 // submitter submits jobs one after the other, as a client does that comes back when it is refused.
 type submitter struct {
 	addr   string
+	pool   string
 	conn   net.Conn
 	reader *bufio.Reader
 }
@@ -71,7 +72,7 @@
 	}
 	_ = s.conn.SetDeadline(time.Now().Add(callTimeout))
 	_, err = fmt.Fprintf(s.conn, "%s %s%016x HTTP/1.1\r\nHost: %s\r\nRequest-Deadline: 3000\r\nContent-Length: %d\r\n\r\n%s",
-		method, standin.PoolPrefix(pool), id, host, len(body), body)
+		method, standin.PoolPrefix(s.pool), id, host, len(body), body)
 	var answer *http.Response
 	if err == nil {
 		answer, err = http.ReadResponse(s.reader, nil)
@@ -102,12 +103,12 @@
 	return false
 }
 
-// series submits a number of jobs one after the other, until one is refused for good, and cancels each at once if cancelled is set.
-func series(t *testing.T, job []byte, count int, cancelled bool) (act send, report func()) {
+// series submits a number of jobs to a pool one after the other, until one is refused for good, and cancels each at once if cancelled is set.
+func series(t *testing.T, pool string, job []byte, count int, cancelled bool) (act send, report func()) {
 	var clients, accepted atomic.Int64
 	act = func(conn net.Conn) error {
 		client := clients.Add(1)
-		s := submitter{addr: conn.RemoteAddr().String()}
+		s := submitter{addr: conn.RemoteAddr().String(), pool: pool}
 		defer func() {
 			if s.conn != nil {
 				_ = s.conn.Close()
@@ -125,7 +126,7 @@
 		}
 		return nil
 	}
-	return act, func() { t.Logf("jobs accepted: %d of %d", accepted.Load(), clients.Load()*int64(count)) }
+	return act, func() { t.Logf("jobs of %s accepted: %d of %d", pool, accepted.Load(), clients.Load()*int64(count)) }
 }
 
 // Guards against legal jobs that wait, or have ended, and end the process that keeps them, or each process that takes their pool over.
@@ -145,14 +146,58 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := start(t, tt.limitMB, maxFDs)
-			act, report := series(t, tt.job, tt.count, tt.cancelled)
+			act, report := series(t, pool, tt.job, tt.count, tt.cancelled)
 			s.check(t, s.entry, &crowd{clients: tt.clients, act: act}, tt.limitMB, maxFDs)
 			report()
 			s.restart(t)
 			sampling := startSampler(t.Context(), s)
-			s.awaitHolder(t)
+			s.awaitHolder(t, pool)
 			s.awaitJob(t, largeJob(), answerLimit)
 			s.checkUsage(t, sampling.end(), tt.limitMB, maxFDs)
 		})
 	}
 }
+
+// Guards against the one process that is left, which takes all pools over and does not survive what they keep.
+func TestTakeoverOfFullPools(t *testing.T) {
+	const clients, perClient = 4, 30
+	checkTakeover(t, largeSpecification(), clients, perClient)
+}
+
+// checkTakeover submits jobs to four pools, kills two of three processes and checks the one that is left.
+func checkTakeover(t *testing.T, job []byte, clients, count int) {
+	t.Helper()
+	const processes = 3
+	pools := []string{"work", "cutting", "fitting", "billing"}
+	p := startPlatform(t, pools...)
+	p.Configure(1, host, 3)
+	var all []*target
+	for i := range processes {
+		s := newTarget(t, p, fmt.Sprintf("n%d", i), memoryMB, maxFDs)
+		s.run(t)
+		all = append(all, s)
+	}
+	for _, s := range all {
+		s.awaitAnswer(t, startLimit)
+	}
+	for i, name := range pools {
+		all[0].awaitHolder(t, name)
+		act, report := series(t, name, job, count, false)
+		c := &crowd{clients: clients, act: act}
+		c.start(all[i%processes].entry)
+		c.close()
+		report()
+	}
+	last := all[processes-1]
+	for _, s := range all[:processes-1] {
+		if err := s.command.Process.Kill(); err != nil {
+			t.Fatalf("process: got %v, want it alive", err)
+		}
+	}
+	sampling := startSampler(t.Context(), last)
+	for _, name := range pools {
+		last.awaitHolder(t, name)
+	}
+	last.awaitAnswer(t, answerLimit)
+	last.checkUsage(t, sampling.end(), memoryMB, maxFDs)
+}
--- a/verbenabench/crowd/moments_linux_test.go
+++ b/verbenabench/crowd/moments_linux_test.go
@@ -96,7 +96,7 @@
 			again.start(s.entry)
 			s.awaitAnswer(t, startLimit)
 			_ = again.group.Wait()
-			s.awaitHolder(t)
+			s.awaitHolder(t, pool)
 			s.awaitJob(t, largeJob(), answerLimit)
 			s.checkUsage(t, sampling.end(), memoryMB, maxFDs)
 		})
