refactor(verbenaentry): a type for the outcome of a cancellation, one value for a notification

tryCancelIn used a status that is not for callers as a mark, and notifyHolder had six parameters, one of which it looked into for its type. The reading of a process's peak memory stands once for the crowd tests and the soak. No change of behaviour; the tests of both stay as strict.

--- a/verbenabench/crowd/harness_linux_test.go
+++ b/verbenabench/crowd/harness_linux_test.go
@@ -14,8 +14,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +23,7 @@
 	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/standin"
 	"verbenalanding.example/platform/wire"
+	"verbenalanding.example/verbenabench/procfs"
 )
 
 // The limits of the process, and the crowd that each test sends. The bounds follow from the limits alone: the platform kills a process that
@@ -286,21 +285,11 @@
 // peakMemory returns the largest resident size that the process has had, in kilobytes.
 func (s *target) peakMemory(t *testing.T) int {
 	t.Helper()
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.command.Process.Pid))
+	peak, err := procfs.PeakResident(s.command.Process.Pid)
 	if err != nil {
 		t.Fatalf("process: got %v, want it alive", err)
 	}
-	for line := range strings.Lines(string(content)) {
-		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			size, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(text), " kB"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			return size
-		}
-	}
-	t.Fatal("process: got no peak of its memory, want it alive")
-	return 0
+	return int(peak >> 10)
 }
 
 // send is what a client of the crowd does on its connection; a connection that the process closes ends it with an error, which is allowed.
--- /dev/null
+++ b/verbenabench/procfs/doc.go
@@ -0,0 +1,2 @@
+// Package procfs reads from Linux what another process uses.
+package procfs
--- a/verbenabench/soak/crowd.go
+++ b/verbenabench/soak/crowd.go
@@ -8,14 +8,13 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"os"
-	"strconv"
 	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/verbenabench/procfs"
 )
 
 const (
@@ -129,18 +128,9 @@
 	p.mu.Lock()
 	pid := p.command.Process.Pid
 	p.mu.Unlock()
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	peak, err := procfs.PeakResident(pid)
 	if err != nil {
 		return 0
 	}
-	for line := range strings.Lines(string(content)) {
-		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			size, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), " kB"), 10, 64)
-			if err != nil {
-				return 0
-			}
-			return size << 10
-		}
-	}
-	return 0
+	return peak
 }
--- a/verbenaentry/node/cancel.go
+++ b/verbenaentry/node/cancel.go
@@ -16,7 +16,7 @@
 		if runsIn, status, answered := n.tryCancel(ctx, q, id, from, attempt); answered {
 			n.Log.Info().Str("job", id).Str("pool", runsIn).Int("status", status).Msg("cancellation requested")
 			if status == http.StatusOK {
-				n.notifyHolder(runsIn, methodCancelled, poolItem{Pool: runsIn, Name: id}, nil, func(p *pool) { p.cancelJob(id) }, func() {})
+				n.notifyHolder(notice{pool: runsIn, method: methodCancelled, params: poolItem{Pool: runsIn, Name: id}, local: func(p *pool) { p.cancelJob(id) }})
 				n.answerJSON(w, []byte("{}"))
 			} else {
 				n.refuse(w, status, "no such job")
@@ -35,13 +35,13 @@
 // false if the store has not answered. A job of another workspace than the caller's is left alone and answered like an unknown one.
 func (n *Node) tryCancel(ctx context.Context, q *workload.Queue, id string, from caller, attempt int) (runsIn string, status int, answered bool) {
 	st := n.storeFor(attempt)
-	status, answered = n.tryCancelIn(ctx, st, q.Pool, id, from, attempt)
-	if status != http.StatusGone && status != http.StatusForbidden {
-		return q.Pool, status, answered
+	outcome := n.tryCancelIn(ctx, st, q.Pool, id, from, attempt)
+	if outcome == cancelRecorded || outcome == cancelUnanswered {
+		return q.Pool, outcome.status(), outcome.answered()
 	}
 	accepted, err := n.acceptanceOf(ctx, st, q, id, attempt)
 	switch {
-	case errors.Is(err, store.ErrNotFound) && status == http.StatusForbidden, err == nil && !from.mayAccess(accepted.Workspace):
+	case errors.Is(err, store.ErrNotFound) && outcome == cancelForbidden, err == nil && !from.mayAccess(accepted.Workspace):
 		// While a job of another workspace has the id, no unanswered write can store the caller's.
 		return q.Pool, http.StatusGone, true
 	case errors.Is(err, store.ErrNotFound):
@@ -52,10 +52,8 @@
 		return q.Pool, http.StatusGone, true
 	}
 	// The queue was moved after the job was accepted.
-	if status, answered = n.tryCancelIn(ctx, st, accepted.Pool, id, from, attempt); status == http.StatusForbidden {
-		status = http.StatusGone
-	}
-	return accepted.Pool, status, answered
+	outcome = n.tryCancelIn(ctx, st, accepted.Pool, id, from, attempt)
+	return accepted.Pool, outcome.status(), outcome.answered()
 }
 
 // preventAcceptance marks an id as cancelled, so that no unanswered write can still store a job with it, and reports whether that is certain. Without
@@ -77,21 +75,46 @@
 	return err == nil
 }
 
-// tryCancelIn attempts once to record the request in a pool. The status is http.StatusForbidden, which is not for callers, if a job of another
-// workspace than the caller's has the id.
-func (n *Node) tryCancelIn(ctx context.Context, st storeAccess, pool, id string, from caller, attempt int) (status int, answered bool) {
+// cancelOutcome is the outcome of an attempt to record a cancellation in a pool.
+type cancelOutcome int
+
+const (
+	// cancelUnanswered means that the store has not answered.
+	cancelUnanswered cancelOutcome = iota
+	cancelRecorded
+	// cancelNoJob means that the pool has no job with the id, cancelForbidden that the one with it is of another workspace than the caller's.
+	cancelNoJob
+	cancelForbidden
+)
+
+func (o cancelOutcome) answered() bool { return o != cancelUnanswered }
+
+// status returns the status of the response; 0 without an answer of the store. A job of another workspace is answered like an unknown one.
+func (o cancelOutcome) status() int {
+	switch o {
+	case cancelRecorded:
+		return http.StatusOK
+	case cancelNoJob, cancelForbidden:
+		return http.StatusGone
+	case cancelUnanswered:
+	}
+	return 0
+}
+
+// tryCancelIn attempts once to record the request in a pool.
+func (n *Node) tryCancelIn(ctx context.Context, st storeAccess, pool, id string, from caller, attempt int) cancelOutcome {
 	// One attempt consists of a read and a write.
 	ctx, cancel := context.WithTimeout(ctx, 2*n.StoreTimeout.forAttempt(attempt))
 	defer cancel()
 	entry, err := st.Get(ctx, jobKey(pool, id))
 	if errors.Is(err, store.ErrNotFound) {
-		return http.StatusGone, true
+		return cancelNoJob
 	}
 	if err != nil {
-		return 0, false
+		return cancelUnanswered
 	}
 	if !from.mayAccess(storedWorkspace(entry)) {
-		return http.StatusForbidden, true
+		return cancelForbidden
 	}
 	_, _, err = st.Apply(ctx, store.Transaction{
 		If:  []store.Condition{{Key: entry.Key, Revision: entry.Revision}, {Key: cancelKey(pool, id)}},
@@ -99,7 +122,7 @@
 	})
 	if err == nil || errors.Is(err, store.ErrConflict) {
 		// The job's own key never changes, so a conflict means that the cancellation was already recorded.
-		return http.StatusOK, true
+		return cancelRecorded
 	}
-	return 0, false
+	return cancelUnanswered
 }
--- a/verbenaentry/node/cancel_test.go
+++ b/verbenaentry/node/cancel_test.go
@@ -59,8 +59,8 @@
 		t.Fatalf("job: got %v, want it to be encoded", err)
 	}
 	st := n.directAccess()
-	if status, _ := n.tryCancelIn(s.ctx, st, "cutting", job.ID, anyone, 1); status != http.StatusGone {
-		t.Fatalf("cancel before the job is stored: got %d, want %d", status, http.StatusGone)
+	if got := n.tryCancelIn(s.ctx, st, "cutting", job.ID, anyone, 1); got != cancelNoJob {
+		t.Fatalf("cancel before the job is stored: got outcome %d, want %d", got, cancelNoJob)
 	}
 	if _, _, err := n.Store.Apply(s.ctx, accept); err != nil {
 		t.Fatalf("store job: got %v, want none", err)
--- a/verbenaentry/node/notify.go
+++ b/verbenaentry/node/notify.go
@@ -22,16 +22,31 @@
 	Revision store.Revision  `json:"revision"`
 }
 
-// notifyHolder notifies a pool's holder of a change that a request has stored, without waiting; if this node is the holder, it calls local. Once the
-// holder has answered, with result, it calls answered. The holder also receives the change by its watch, but not for seconds when the store has compacted
-// its history.
-func (n *Node) notifyHolder(name, method string, params, result any, local func(*pool), answered func()) {
-	if held := n.pools.get(name); held != nil {
-		local(held)
-		answered()
+// notice notifies a pool's holder of a change that a request has stored.
+type notice struct {
+	pool, method string
+	// params are those of the call to another node; result receives its answer, unless it is nil.
+	params, result any
+	// local notifies the holder if it is this node.
+	local func(*pool)
+	// answered is called once the holder has answered; nil for none.
+	answered func()
+	// bytes is the memory of the notification; 0 for one that does not count.
+	bytes int64
+}
+
+// notifyHolder notifies a pool's holder, without waiting. The holder also receives the change by its watch, but not for seconds when the store has
+// compacted its history.
+func (n *Node) notifyHolder(c notice) {
+	if c.answered == nil {
+		c.answered = func() {}
+	}
+	if held := n.pools.get(c.pool); held != nil {
+		c.local(held)
+		c.answered()
 		return
 	}
-	size := n.intake.noticeSize(params)
+	size := min(c.bytes, n.intake.noticeBytes)
 	if !n.intake.notices.TryAcquire(size) {
 		return
 	}
@@ -39,29 +54,20 @@
 		defer n.intake.notices.Release(size)
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
-		if err := n.callHolder(ctx, name, method, params, result); err != nil {
-			n.Log.Debug().Str("pool", name).Err(err).Msg("holder not notified of a stored request")
+		if err := n.callHolder(ctx, c.pool, c.method, c.params, c.result); err != nil {
+			n.Log.Debug().Str("pool", c.pool).Err(err).Msg("holder not notified of a stored request")
 			return nil
 		}
-		answered()
+		c.answered()
 		return nil
 	}); !started {
 		n.intake.notices.Release(size)
 	}
 }
 
-// noticeCopies is the memory of a notification as a multiple of its job: the record, its message and the buffer in which that is encoded.
+// noticeCopies is the memory of a notification of a stored job as a multiple of that job: the record, its message and the buffer in which that is encoded.
 const noticeCopies = 4
 
-// noticeSize returns the memory of a notification in bytes; only those of stored jobs count.
-func (i *clientIntake) noticeSize(params any) int64 {
-	s, ok := params.(*storedJob)
-	if !ok {
-		return 0
-	}
-	return min(noticeCopies*int64(len(s.Value)), i.noticeBytes)
-}
-
 // addStoredJob adds a newly stored job. Jobs that were stored before this holder took the duty are in its list of jobs.
 func (p *pool) addStoredJob(s storedJob) error {
 	if uint64(s.Revision) < p.fence {
--- a/verbenaentry/node/outlook.go
+++ b/verbenaentry/node/outlook.go
@@ -109,7 +109,7 @@
 	if !errors.Is(err, store.ErrNotFound) {
 		return false
 	}
-	n.notifyHolder(j.Pool, methodRefused, poolItem{Pool: j.Pool, Name: j.ID}, nil, func(p *pool) { p.noteRefusal(j.ID) }, func() {})
+	n.notifyHolder(notice{pool: j.Pool, method: methodRefused, params: poolItem{Pool: j.Pool, Name: j.ID}, local: func(p *pool) { p.noteRefusal(j.ID) }})
 	after := n.outlooks.returnAfter(j.Pool, refusal, now)
 	count(n.Registry, "refusals."+string(refusal.Cause))
 	if leftOut, ok := n.refusals.Allow(time.Now()); ok {
@@ -125,15 +125,17 @@
 func (n *Node) notifyStored(s *storedJob, log *zerolog.Logger) {
 	var answer storedAnswer
 	n.uncounted.add(s.Pool, int64(len(s.Value)))
-	n.notifyHolder(s.Pool, methodStored, s, &answer, func(p *pool) {
+	local := func(p *pool) {
 		if err := p.addStoredJob(*s); err != nil {
 			log.Warn().Err(err).Msg("stored job not passed to the holder's scheduler")
 		}
 		answer = p.storedAnswer()
-	}, func() {
+	}
+	answered := func() {
 		n.uncounted.clear(s.Pool)
 		n.outlooks.set(s.Pool, answer.Outlook, n.Clock.Now())
-	})
+	}
+	n.notifyHolder(notice{pool: s.Pool, method: methodStored, params: s, result: &answer, local: local, answered: answered, bytes: noticeCopies * int64(len(s.Value))})
 }
 
 // noteRefusal records that a node has refused a job of the pool.
