fix(verbenalanding): connections of callers and operators are bounded

Operators saw: nothing yet; clients that open connections and keep them take the descriptors of the older daemon, which then reaches neither its store nor its backend servers.

Cause: its listeners accepted connections without a bound.

Change: both listeners keep a bounded number, 4,096 of callers and 256 of operators, as verbenaentry's do, also below TLS.

--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -104,6 +104,8 @@
 	WriteTimeout time.Duration
 	// MaxPoolRequests bounds the requests of one pool that are queued or in flight at this entry instance; 8,192 when 0.
 	MaxPoolRequests int64
+	// ConnState is called with each change of a caller's connection, as by http.Server; nil for none.
+	ConnState func(net.Conn, http.ConnState)
 	// MaxBuffered bounds the bytes of request bodies in memory; 256 MB when 0.
 	MaxBuffered int64
 
--- a/fleet/entry/handler.go
+++ b/fleet/entry/handler.go
@@ -44,6 +44,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         e.ConnState,
 	}
 }
 
--- a/fleet/inlet/listener.go
+++ b/fleet/inlet/listener.go
@@ -96,6 +96,9 @@
 
 // TrackState is the ConnState of a server on the listener: a connection that serves a request is busy.
 func (l *Listener) TrackState(conn net.Conn, state http.ConnState) {
+	if encrypted, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = encrypted.NetConn()
+	}
 	c, ok := conn.(*Conn)
 	if !ok {
 		return
--- a/fleet/operator/operator.go
+++ b/fleet/operator/operator.go
@@ -70,6 +70,8 @@
 	// MaxCalls is the maximum number of concurrent calls of each role; further calls are refused as busy.
 	MaxCalls int
 	Timeout  time.Duration
+	// ConnState is called with each change of an operator's connection, as by http.Server; nil for none.
+	ConnState func(net.Conn, http.ConnState)
 }
 
 // SetDefaults gives the optional fields that are unset their default values.
@@ -141,6 +143,7 @@
 		WriteTimeout:      s.Timeout + 10*time.Second,
 		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    32 << 10,
+		ConnState:         s.ConnState,
 	}
 	if s.Certificates != nil {
 		config, err := s.Certificates.Config()
--- a/verbenalanding/daemon/daemon.go
+++ b/verbenalanding/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"verbenalanding.example/fleet/configuration"
+	"verbenalanding.example/fleet/inlet"
 	"verbenalanding.example/fleet/platform"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/verbenalanding/settings"
@@ -54,35 +55,55 @@
 
 	configLog atomic.Pointer[configuration.Log]
 	// callers, operators and peers are opened by Listen.
-	callers, operators, peers net.Listener
+	callers, operators *inlet.Listener
+	peers              net.Listener
+}
+
+const (
+	// maxCallerConnections and maxOperatorConnections bound the connections, so that clients that keep them open leave descriptors for the daemon itself.
+	maxCallerConnections   = 4096
+	maxOperatorConnections = 256
+	// longestUse is the time for which a request is handled from which on its connection makes place for a new one, if none waits for its client: the longest
+	// deadline of a caller.
+	longestUse = time.Minute
+	// answerTimeout is the time for which a client reads nothing of its answer.
+	answerTimeout = 10 * time.Second
+)
+
+func limited(l net.Listener, connections int) *inlet.Listener {
+	return &inlet.Listener{Listener: l, Limit: connections, LongestUse: longestUse, AnswerTimeout: answerTimeout}
 }
 
 // Listen opens the listeners, or returns an error that wraps ErrListen and names the setting.
 func (d *Daemon) Listen() error {
-	var err error
 	for _, l := range []struct {
-		flag     string
-		addr     netip.AddrPort
-		listener *net.Listener
+		flag string
+		addr netip.AddrPort
+		keep func(net.Listener)
 	}{
-		{"caller-addr", d.Settings.CallerAddr.AddrPort, &d.callers},
-		{"operator-addr", d.Settings.OperatorAddr.AddrPort, &d.operators},
-		{"peer-addr", d.Settings.PeerAddr.AddrPort, &d.peers},
+		{"caller-addr", d.Settings.CallerAddr.AddrPort, func(l net.Listener) { d.callers = limited(l, maxCallerConnections) }},
+		{"operator-addr", d.Settings.OperatorAddr.AddrPort, func(l net.Listener) { d.operators = limited(l, maxOperatorConnections) }},
+		{"peer-addr", d.Settings.PeerAddr.AddrPort, func(l net.Listener) { d.peers = l }},
 	} {
-		*l.listener, err = net.Listen("tcp", l.addr.String())
+		listener, err := net.Listen("tcp", l.addr.String())
 		if err != nil {
 			d.closeListeners()
 			return fmt.Errorf("%w: --%s %s: %w; choose another one or stop the process that uses it", ErrListen, l.flag, l.addr, err)
 		}
+		l.keep(listener)
 	}
 	return nil
 }
 
 func (d *Daemon) closeListeners() {
-	for _, l := range []net.Listener{d.callers, d.operators, d.peers} {
-		if l != nil {
-			_ = l.Close()
-		}
+	if d.callers != nil {
+		_ = d.callers.Close()
+	}
+	if d.operators != nil {
+		_ = d.operators.Close()
+	}
+	if d.peers != nil {
+		_ = d.peers.Close()
 	}
 }
 
--- a/verbenalanding/daemon/entry.go
+++ b/verbenalanding/daemon/entry.go
@@ -43,6 +43,7 @@
 		Log:           log,
 		Metrics:       registry,
 		LeaveDelay:    d.Settings.LeaveDelay,
+		ConnState:     d.callers.TrackState,
 	}
 	v.entry = e
 	return e, nil
--- a/verbenalanding/daemon/operator.go
+++ b/verbenalanding/daemon/operator.go
@@ -30,6 +30,7 @@
 		Metrics:       metricsHandler(registry),
 		Version:       d.Version,
 		Log:           log,
+		ConnState:     d.operators.TrackState,
 	}
 	if d.Settings.OperatorCert != "" {
 		s.Certificates = &operator.Certificates{CertFile: d.Settings.OperatorCert, KeyFile: d.Settings.OperatorKey, Log: log}
