refactor(verbenaentry): announcements and uncounted jobs have files of their own

A refusal of a full pool no longer closes its connection: a body that was not read is discarded within its bound, as with each other refusal.

--- a/verbenabench/crowd/harness_linux_test.go
+++ b/verbenabench/crowd/harness_linux_test.go
@@ -59,6 +59,8 @@
 	entry, readiness, peer netip.AddrPort
 
 	path, settings string
+	// key is that of the workspace that sends ordinary requests; empty where callers need none.
+	key string
 	// machines is the address of the list of machines, if it is not that of the stand-in.
 	machines string
 	command  *exec.Cmd
@@ -163,6 +165,7 @@
 	err := standin.WriteSettings(path, platform.Settings{
 		Node: s.name, DataCentre: "z1", IP: s.peer.Addr(), Entry: s.entry, Readiness: s.readiness, PeerPorts: [2]uint16{s.peer.Port(), s.peer.Port()},
 		Store: p.StoreAddr, Machines: p.CloudAddr, Cores: 1, MinLeaseTTL: 500 * time.Millisecond, Bounds: standin.Bounds(),
+		Workspaces: s.key != "",
 	})
 	var content []byte
 	if err == nil {
@@ -227,7 +230,7 @@
 func (s *target) awaitJob(t *testing.T, job []byte, limit time.Duration) {
 	t.Helper()
 	s.jobs++
-	q := standin.Request{Method: http.MethodPost, Host: host, Path: standin.PoolPrefix(pool) + fmt.Sprintf("%016x", s.jobs), Body: job}
+	q := standin.Request{Method: http.MethodPost, Host: host, Path: standin.PoolPrefix(pool) + fmt.Sprintf("%016x", s.jobs), Body: job, Key: s.key}
 	var status int
 	var err error
 	tries := 0
@@ -245,7 +248,7 @@
 func (s *target) awaitAnyAnswer(t *testing.T, limit time.Duration) {
 	t.Helper()
 	s.jobs++
-	q := standin.Request{Method: http.MethodPost, Host: host, Path: standin.PoolPrefix(pool) + fmt.Sprintf("%016x", s.jobs), Body: smallJob}
+	q := standin.Request{Method: http.MethodPost, Host: host, Path: standin.PoolPrefix(pool) + fmt.Sprintf("%016x", s.jobs), Body: smallJob, Key: s.key}
 	var err error
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * sampleTime) {
 		var status int
--- a/verbenabench/crowd/ways_linux_test.go
+++ b/verbenabench/crowd/ways_linux_test.go
@@ -13,6 +13,7 @@
 
 	"verbenalanding.example/platform"
 	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
 )
 
 // raw sends the same bytes on each connection.
@@ -83,7 +84,7 @@
 		{"new paths", novel("GET /#/ HTTP/1.1\r\n"+begin+"\r\n", count)},
 		{"new methods", novel("M# "+prefix+"0000000000000001 HTTP/1.1\r\n"+begin+"\r\n", count)},
 		{"cancellations of new ids", novel("DELETE "+prefix+"# HTTP/1.1\r\n"+begin+"\r\n", count)},
-		{"new keys", novel("GET "+prefix+"0000000000000001 HTTP/1.1\r\n"+begin+platform.KeyHeader+": "+platform.KeyScheme+" a#\r\n\r\n", count)},
+		{"keys where none is needed", novel("GET "+prefix+"0000000000000001 HTTP/1.1\r\n"+begin+platform.KeyHeader+": "+platform.KeyScheme+" a#\r\n\r\n", count)},
 		{"invalid jobs", novel("POST "+prefix+"# HTTP/1.1\r\n"+begin+"Content-Length: 2\r\n\r\n[]", count)},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -92,3 +93,16 @@
 		})
 	}
 }
+
+// Guards against a process that keeps something for each key that a client thinks of, where callers need one.
+func TestNewKeys(t *testing.T) {
+	const count = 500
+	s := prepare(t, memoryMB, maxFDs)
+	s.key = "hemline-1"
+	s.platform.SetTenants([]wire.Tenant{{Name: "hemline", APIKeys: []string{s.key}, Weight: 1}})
+	s.platform.Configure(1, host, 3)
+	s.run(t)
+	s.awaitAnswer(t, startLimit)
+	request := "POST " + standin.PoolPrefix(pool) + "# HTTP/1.1\r\nHost: " + host + "\r\n" + platform.KeyHeader + ": " + platform.KeyScheme + " a#\r\nContent-Length: 2\r\n\r\n{}"
+	s.checkCrowd(t, s.entry, bodyClients, novel(request, count), memoryMB, maxFDs)
+}
--- a/verbenabench/soak/crowd.go
+++ b/verbenabench/soak/crowd.go
@@ -66,7 +66,7 @@
 		targets = []*process{s.processes[random.IntN(len(s.processes))]}
 	}
 	name := fmt.Sprintf("crowd of %d with %s at %d processes", count, kind.name, len(targets))
-	return fault{name: name, run: func(ctx context.Context) error {
+	return fault{name: name, duration: duration, run: func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, duration)
 		defer cancel()
 		var group errgroup.Group
--- a/verbenaentry/node/joblimit.go
+++ b/verbenaentry/node/joblimit.go
@@ -12,8 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"verbenalanding.example/fleet/dispatch"
-	"verbenalanding.example/fleet/interval"
-	"verbenalanding.example/fleet/leadership"
 	"verbenalanding.example/fleet/store"
 	"verbenalanding.example/fleet/workload"
 )
@@ -23,8 +21,6 @@
 	takenOver = 6
 	// fullRetryAfter is after how many seconds the caller of a job returns whose pool is full: room comes with the ends of other jobs.
 	fullRetryAfter = "5"
-	// uncountedShare is the part of a pool's memory for jobs that all nodes together take while no holder counts them: one of so many.
-	uncountedShare = 4
 	// leastJob is less than the memory of any job, in bytes.
 	leastJob = 1
 )
@@ -110,56 +106,6 @@
 	return largest
 }
 
-// uncountedIsFull reports whether this node has stored its part of the jobs that all nodes together store for a pool before its holder counts them; that is
-// one of the largest bodies at least.
-func (n *Node) uncountedIsFull(pool string) bool {
-	stored := n.uncounted.of(pool)
-	return stored >= largeBody && stored >= n.keptJobBytes()/int64(uncountedShare*max(1, len(n.Elector.Members())))
-}
-
-// holderAnswers reports whether a pool has a holder, which then has counted what was stored before.
-func (n *Node) holderAnswers(ctx context.Context, pool string) bool {
-	var answer pendingAnswer
-	if err := n.callHolder(ctx, pool, methodPending, poolItem{Pool: pool}, &answer); err != nil {
-		return false
-	}
-	n.uncounted.clear(pool)
-	return true
-}
-
-// uncountedJobs counts the bytes of the jobs that this node has stored since a pool's holder last answered, by pool.
-type uncountedJobs struct {
-	mu     sync.Mutex
-	byPool map[string]int64
-}
-
-func (u *uncountedJobs) add(pool string, bytes int64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.byPool == nil {
-		u.byPool = map[string]int64{}
-	}
-	u.byPool[pool] += bytes
-}
-
-func (u *uncountedJobs) of(pool string) int64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.byPool[pool]
-}
-
-func (u *uncountedJobs) clear(pool string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.byPool, pool)
-}
-
-func (p *pool) largestJob() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.scheduler.LargestJob()
-}
-
 // refuseFull refuses a job whose pool has no room for its memory, and reports whether it has done so. A job whose id may have been accepted by an earlier
 // call is stored as any other one: that is known only once the store has answered.
 func (n *Node) refuseFull(ctx context.Context, w http.ResponseWriter, q *workload.Queue, id string, memory int64, log *zerolog.Logger) bool {
@@ -174,68 +120,7 @@
 	if leftOut, ok := n.refusals.Allow(time.Now()); ok {
 		log.Info().Int64("linesLeftOut", leftOut).Int64("memory", memory).Int64("limit", limit).Msg("job refused: its pool is full")
 	}
-	w.Header().Set("Connection", "close")
 	w.Header().Set("Retry-After", fullRetryAfter)
 	n.refuse(w, http.StatusServiceUnavailable, "the pool keeps as many jobs as it has memory for")
 	return true
 }
-
-// announceLimit tells all nodes of the largest job that the pool takes, whenever that has changed, until the context ends.
-func (p *pool) announceLimit(ctx context.Context) error {
-	for range interval.EachOr(ctx, time.Second, p.announceNow.Items()) {
-		for ctx.Err() == nil && p.active() && p.announcementDiffers() {
-			if err := p.announce(ctx); err != nil {
-				p.log.Warn().Err(err).Msg("limit of the pool not announced yet")
-				waitRetry(ctx)
-			}
-		}
-	}
-	return nil
-}
-
-func (p *pool) announcementDiffers() bool {
-	return p.node.jobLimits.get(p.name).LargestJob != p.largestJob()
-}
-
-// announce writes the announcement on condition that the duty is still held and that the key has its last known revision, so that a write that arrives
-// late has no effect.
-func (p *pool) announce(ctx context.Context) error {
-	key, known := leadership.AnnouncementPrefix+p.name, p.node.jobLimits.get(p.name)
-	limit := jobLimit{LargestJob: p.largestJob()}
-	t := store.Transaction{If: []store.Condition{p.dutyCondition(), {Key: key, Revision: known.revision}}}
-	if limit.LargestJob == dispatch.AnyJob {
-		t.Delete = []string{key}
-	} else {
-		value, err := json.Marshal(limit)
-		if err != nil {
-			return err
-		}
-		t.Put = []store.Write{{Key: key, Value: value}}
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	revision, current, err := p.node.Store.Apply(ctx, t)
-	switch {
-	case errors.Is(err, store.ErrConflict):
-		// An unanswered attempt may have taken effect, or this node has not learned of the former holder's announcement yet.
-		e := findEntry(current, key)
-		e.Key = key
-		p.node.announced(p.name, store.Event{Entry: e, Deleted: e.Revision == 0})
-		return err
-	case err != nil:
-		return err
-	case len(t.Delete) > 0:
-		p.node.jobLimits.remove(p.name)
-	default:
-		limit.revision = revision
-		p.node.jobLimits.set(p.name, limit)
-	}
-	p.log.Info().Int64("largestJob", limit.LargestJob).Int64("keptBytes", p.keptBytes()).Msg("limit of the pool announced")
-	return nil
-}
-
-func (p *pool) keptBytes() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.scheduler.KeptBytes()
-}
