--- a/verbenabench/crowd/kept_linux_test.go
+++ b/verbenabench/crowd/kept_linux_test.go
@@ -42,6 +42,15 @@
 	return []byte(strings.TrimSuffix(b.String(), ",") + "]}")
 }
 
+// longNames is a valid job with names of labels, racks and images that take most of the largest body, and with many occurrences. It is not due while a test
+// runs.
+func longNames() []byte {
+	const length, occurrences = 80 << 10, 60_000
+	name := strings.Repeat("a", length)
+	return fmt.Appendf(nil, `{"Spec":"a","Times":%d,"StartTimeMs":%d,"IntervalMs":1000,"Steps":[{"Count":1,"Cpu":500,"MemMb":256,"RequiredLabel":%q,"Affinity":%q,"Image":%q}]}`,
+		occurrences, farFuture, name, name, name)
+}
+
 // smallKept is the ordinary job, due when no test runs.
 func smallKept() []byte {
 	return fmt.Appendf(nil, `{"Spec":"a","Times":1,"StartTimeMs":%d,"Steps":[{"Count":1,"Cpu":500,"MemMb":256,"EstimateMs":300}]}`, farFuture)
@@ -141,6 +150,7 @@
 		{"large specifications", memoryMB, largeSpecification(), 8, 50, false},
 		{"steps that depend on many", memoryMB, dependentSteps(), 8, 50, false},
 		{"large specifications of cancelled jobs", memoryMB, largeSpecification(), 8, 50, true},
+		{"long names", memoryMB, longNames(), 8, 50, false},
 		{"small jobs", 184, smallKept(), 40, 500, false},
 		{"jobs of many tasks", memoryMB, manyTasks(), 8, 5, false},
 	} {
