--- /dev/null
+++ b/review/rig-3/main.go
@@ -0,0 +1,61 @@
+// Command rig3 plays the scripts of the third review.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"verbenalanding.example/platform/standin"
+	"verbenalanding.example/platform/wire"
+)
+
+// A case returns whether the rule held; an error means that it could not run.
+var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
+	"silent": silentConnections,
+	"mix":    mix,
+	"cancel": cancelBesideSilentConnections,
+}
+
+func main() { os.Exit(play()) }
+
+func play() int {
+	name, folder := os.Args[1], os.Args[2]
+	dir, err := os.MkdirTemp("", "review-3-")
+	if err != nil {
+		fmt.Println(err)
+		return 2
+	}
+	if os.Getenv("KEEP") == "" {
+		defer os.RemoveAll(dir)
+	} else {
+		fmt.Println("logs:", dir)
+	}
+	record, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Println(err)
+		return 2
+	}
+	defer record.Close()
+	f := &fleet{
+		platform: &standin.Platform{
+			Seed: uint64(time.Now().UnixNano()), Pools: map[string]int{"fitdesk": 4}, Capacity: wire.Resources{CPU: 64000, MemMb: 128000},
+			UpkeepTime: 2 * time.Second, MoveTime: 1500 * time.Millisecond,
+		},
+		dir: dir, record: record, began: time.Now(),
+	}
+	defer f.stop()
+	held, err := cases[name](f, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		f.note("the case could not run: %v", err)
+		fmt.Println("the case could not run:", err)
+		return 2
+	case !held:
+		fmt.Println("rule broken")
+		return 1
+	}
+	fmt.Println("rule held")
+	return 0
+}
