Review 3, case: accepted jobs of a queue with advice do not run after a worker is lost

Shows LOST: once one of eight workers is lost for good, the steps that only it may run ask the advice service again and again and take all its places, so that the jobs of the other workers do not run although these are idle, finish_s after the end of the traffic.

--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -34,7 +34,9 @@
 	mu        sync.Mutex
 	addrCount int
 	// cloud is the address of the list of machines; empty for that of the stand-in. prepare is called once the store runs.
-	cloud   string
+	cloud string
+	// advice is the address of the advice service; empty for none.
+	advice  string
 	prepare func() error
 }
 
@@ -164,6 +166,11 @@
 	if err := standin.WriteSettings(n.path, settings); err != nil {
 		return err
 	}
+	if f.advice != "" {
+		if err := addAdvice(n.path, f.advice); err != nil {
+			return err
+		}
+	}
 	f.nodes = append(f.nodes, n)
 	return nil
 }
@@ -222,3 +229,20 @@
 	}
 	return status, answer
 }
+
+// addAdvice adds the address of the advice service to a settings file.
+func addAdvice(path, addr string) error {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var settings wire.Settings
+	if err := json.Unmarshal(content, &settings); err != nil {
+		return err
+	}
+	settings.Advice = addr
+	if content, err = json.Marshal(settings); err != nil {
+		return err
+	}
+	return os.WriteFile(path, content, 0o600)
+}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"verbenalanding.example/platform/standin"
@@ -13,9 +15,11 @@
 
 // A case returns whether the rule held; an error means that it could not run.
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
-	"silent": silentConnections,
-	"mix":    mix,
-	"cancel": cancelBesideSilentConnections,
+	"silent":  silentConnections,
+	"advice":  adviceAfterLoss,
+	"mix":     mix,
+	"backlog": begunJobsAfterLoss,
+	"cancel":  cancelBesideSilentConnections,
 }
 
 func main() { os.Exit(play()) }
@@ -46,6 +50,13 @@
 		dir: dir, record: record, began: time.Now(),
 	}
 	defer f.stop()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		f.stop()
+		os.Exit(2)
+	}()
 	held, err := cases[name](f, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/rig-3/mix.go
+++ b/review/rig-3/mix.go
@@ -56,7 +56,16 @@
 	step := func() wire.Step {
 		return wire.Step{Count: 1 + r.IntN(4), CPU: int64(500 + r.IntN(2500)), MemMb: int64(100 + r.IntN(1000)), EstimateMs: float64(j.runTime.Milliseconds()), Checkpointing: r.IntN(3) == 0}
 	}
-	switch r.IntN(6) {
+	kind := r.IntN(6)
+	switch os.Getenv("PROFILE") {
+	case "gang":
+		kind = 0
+	case "timed":
+		kind = 1
+	case "steps":
+		kind = 3
+	}
+	switch kind {
 	case 0:
 		s := step()
 		s.Gang, s.Count, s.SameRack = true, 2+r.IntN(4), r.IntN(3) == 0
@@ -109,17 +118,19 @@
 		return false, err
 	}
 	time.Sleep(time.Second)
-	faults := rand.New(rand.NewPCG(seed, 4))
 	client := rand.New(rand.NewPCG(seed, 5))
 	end := time.Now().Add(45 * time.Second)
 	var group sync.WaitGroup
 	if trouble {
-		group.Go(func() {
-			for time.Now().Before(end) {
-				f.fault(v, faults)
-				time.Sleep(time.Duration(faults.IntN(3500)) * time.Millisecond)
-			}
-		})
+		for stream, kinds := range [][]int{{0, 1, 2, 3, 4, 5, 12, 13}, {6, 6, 7, 7, 8, 9, 10, 11, 15, 16, 17}} {
+			r := rand.New(rand.NewPCG(seed, uint64(10+stream)))
+			group.Go(func() {
+				for time.Now().Before(end) {
+					f.fault(v, r, kinds[r.IntN(len(kinds))])
+					time.Sleep(time.Duration(r.IntN(4500)) * time.Millisecond)
+				}
+			})
+		}
 	}
 	n := 0
 	for time.Now().Before(end) {
@@ -265,7 +276,7 @@
 	}
 }
 
-func (f *fleet) fault(v *world, r *rand.Rand) {
+func (f *fleet) fault(v *world, r *rand.Rand, kind int) {
 	n := f.nodes[r.IntN(len(f.nodes))]
 	if r.IntN(3) > 0 {
 		if h := f.holder("fitdesk"); h != nil {
@@ -279,7 +290,6 @@
 		defer v.mu.Unlock()
 		change()
 	}
-	kind := r.IntN(18)
 	f.note("fault %d at %s or %s for %v", kind, n.name, w.id, span)
 	switch kind {
 	case 0, 1, 2:
--- a/review/rig-3/workers.go
+++ b/review/rig-3/workers.go
@@ -29,6 +29,7 @@
 	proxy   func(addr, target string) (*proxy, error)
 	random  *rand.Rand
 	guard   bool
+	advice  *advice
 	stopped bool
 }
 
@@ -112,6 +113,7 @@
 	drain      bool
 	seq        int64
 	unheard    bool
+	gone       bool
 	generation int
 }
 
@@ -472,6 +474,10 @@
 		return 400, w.reading("")
 	}
 	step := &j.Steps[s]
+	if v.advice != nil && !v.advice.valid(o, w) {
+		v.counts["ticket"]++
+		return 409, w.reading("ticket")
+	}
 	u := w.used()
 	cpu := step.CPU
 	if step.Fills {
@@ -649,6 +655,9 @@
 	}
 	list := []machine{}
 	for _, w := range v.workers {
+		if w.gone {
+			continue
+		}
 		list = append(list, machine{w.machine, w.pool, "up", "z1", append(append([]string{}, w.labels...), w.rack), w.cap, w.id})
 	}
 	_ = json.NewEncoder(rw).Encode(map[string]any{"Machines": list})
