Review 3, case: a pool gives away its last machine and never gets one back

Shows RECOVER: while the answers about machines are slow for 5 s after a burst, the holder of a pool returns all of its machines to the standby pool. A pool without a worker takes no machine any more, so that accepted jobs stay queued for good, also after all processes start again.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -15,11 +15,12 @@
 
 // A case returns whether the rule held; an error means that it could not run.
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
-	"silent":  silentConnections,
-	"advice":  adviceAfterLoss,
-	"mix":     mix,
-	"backlog": begunJobsAfterLoss,
-	"cancel":  cancelBesideSilentConnections,
+	"silent":   silentConnections,
+	"advice":   adviceAfterLoss,
+	"mix":      mix,
+	"released": releasedPool,
+	"backlog":  begunJobsAfterLoss,
+	"cancel":   cancelBesideSilentConnections,
 }
 
 func main() { os.Exit(play()) }
