--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -19,6 +19,7 @@
 	"advice":   adviceAfterLoss,
 	"mix":      mix,
 	"released": releasedPool,
+	"single":   lastWorkerLost,
 	"backlog":  begunJobsAfterLoss,
 	"cancel":   cancelBesideSilentConnections,
 }
--- a/review/rig-3/released.go
+++ b/review/rig-3/released.go
@@ -49,9 +49,19 @@
 	return len(p), nil
 }
 
+// serve serves a handler at a free port of loopback and returns its address.
+func serve(handler http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = (&http.Server{Handler: handler}).Serve(l) }()
+	return l.Addr().String(), nil
+}
+
 // releasedPool: the platform's answers about machines are slow for five seconds while a pool returns the machines that a burst of jobs has needed.
 func releasedPool(f *fleet, trouble bool) (bool, error) {
-	f.platform.Pools, f.platform.Standby = map[string]int{"fitdesk": 4, "ledgerhall": 10}, "ledgerhall"
+	f.platform.Pools, f.platform.Standby = map[string]int{"fitdesk": 3, "ledgerhall": 11}, "ledgerhall"
 	f.platform.Capacity = wire.Resources{CPU: 64000, MemMb: 128000}
 	var cloud *slowCloud
 	f.prepare = func() error {
@@ -60,13 +70,8 @@
 			return err
 		}
 		cloud = &slowCloud{next: httputil.NewSingleHostReverseProxy(target)}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		go func() { _ = (&http.Server{Handler: cloud}).Serve(l) }()
-		f.cloud = l.Addr().String()
-		return nil
+		f.cloud, err = serve(cloud)
+		return err
 	}
 	pools := []wire.Service{{Name: "fitdesk", AdmissionCheck: true}, {Name: "ledgerhall", AdmissionCheck: true, Standby: true}}
 	if err := f.start(3, []wire.Route{route("kept", "/kept/")}, pools); err != nil {
@@ -107,8 +112,10 @@
 	// 96 tasks of 7 cores need 12 machines.
 	done, total := f.jobs(fmt.Sprintf("b%03x", round), 12, 8, 2*time.Second, 20*time.Second)
 	f.note("burst: %d of %d jobs are done; %d workers are registered", done, total, f.workers())
-	done, total = f.jobs(fmt.Sprintf("d%03x", round), 1, 96, 1500*time.Millisecond, 20*time.Second)
-	f.note("a job of 96 tasks: %d of %d done; %d workers are registered", done, total, f.workers())
+	// Nine tasks of seven cores fit on a worker, so that all tasks of the last job begin and end at about the same time.
+	tasks := 9 * f.workers()
+	done, total = f.jobs(fmt.Sprintf("d%03x", round), 1, tasks, 1500*time.Millisecond, 20*time.Second)
+	f.note("a job of %d tasks: %d of %d done; %d workers are registered", tasks, done, total, f.workers())
 	if trouble {
 		cloud.slow.Store(50)
 		f.note("answers about machines take 50 times as long")
