--- a/review/rig-3/advice.go
+++ b/review/rig-3/advice.go
@@ -150,7 +150,7 @@
 		v.mu.Lock()
 		v.jobs[id] = j
 		v.mu.Unlock()
-		group.Go(func() { f.submit(v, j, n, false, 0) })
+		group.Go(func() { f.submit(v, j, n) })
 		time.Sleep(time.Second / perSecond)
 	}
 	group.Wait()
--- a/review/rig-3/backlog.go
+++ b/review/rig-3/backlog.go
@@ -41,7 +41,7 @@
 		v.mu.Lock()
 		v.jobs[id] = j
 		v.mu.Unlock()
-		group.Go(func() { f.submit(v, j, n, false, 0) })
+		group.Go(func() { f.submit(v, j, n) })
 	}
 	group.Wait()
 	time.Sleep(time.Second)
@@ -59,7 +59,7 @@
 		v.jobs[id] = j
 		v.mu.Unlock()
 		small = append(small, id)
-		group.Go(func() { f.submit(v, j, n, false, 0) })
+		group.Go(func() { f.submit(v, j, n) })
 		time.Sleep(time.Second / perSecond)
 	}
 	group.Wait()
--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -246,3 +246,9 @@
 	}
 	return os.WriteFile(path, content, 0o600)
 }
+
+// kill ends a process.
+func (f *fleet) kill(n *entry) {
+	_ = n.command.Process.Kill()
+	_ = n.command.Wait()
+}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -17,11 +17,9 @@
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
 	"silent":   silentConnections,
 	"advice":   adviceAfterLoss,
-	"mix":      mix,
 	"released": releasedPool,
 	"single":   lastWorkerLost,
 	"backlog":  begunJobsAfterLoss,
-	"cancel":   cancelBesideSilentConnections,
 }
 
 func main() { os.Exit(play()) }
--- a/review/rig-3/workers.go
+++ b/review/rig-3/workers.go
@@ -50,7 +50,7 @@
 	failed []*ended
 	// points holds the checkpoints of the task, or of its gang.
 	points map[string]bool
-	// afterDone and afterFailed are starts that break a rule once ends are taken note of.
+	// starts are those after an end; they break a rule once that end is taken note of.
 	starts []startNote
 }
 
@@ -88,33 +88,29 @@
 }
 
 type worker struct {
-	world      *world
-	id         string
-	machine    string
-	rack       string
-	labels     []string
-	cap        wire.Resources
-	addr       string
-	pool       string
-	born       time.Time
-	life       int
-	fence      uint64
-	lease      time.Duration
-	runs       map[string]*run
-	last       map[string]int
-	ends       []*ended
-	nextEnd    int64
-	acked      int64
-	lapses     int
-	changed    chan struct{}
-	dark       bool
-	late       float64
-	lost       float64
-	drain      bool
-	seq        int64
-	unheard    bool
-	gone       bool
-	generation int
+	world   *world
+	id      string
+	machine string
+	rack    string
+	labels  []string
+	cap     wire.Resources
+	addr    string
+	pool    string
+	born    time.Time
+	life    int
+	fence   uint64
+	lease   time.Duration
+	runs    map[string]*run
+	last    map[string]int
+	ends    []*ended
+	nextEnd int64
+	acked   int64
+	lapses  int
+	changed chan struct{}
+	dark    bool
+	seq     int64
+	unheard bool
+	gone    bool
 }
 
 const (
@@ -129,12 +125,8 @@
 	if w.unheard {
 		return
 	}
-	state := "ready"
-	if w.drain {
-		state = "draining"
-	}
 	w.world.put(wire.PrefixWorkers+w.id, wire.Worker{
-		Backend: w.pool, Address: w.addr, Zone: "z1", Version: "v1", Slots: 8, State: state, Machine: w.machine, Capacity: w.cap,
+		Backend: w.pool, Address: w.addr, Zone: "z1", Version: "v1", Slots: 8, State: "ready", Machine: w.machine, Capacity: w.cap,
 		Labels: append(append([]string{}, w.labels...), w.rack), Born: w.born.UnixMilli(), Seq: w.seq,
 	})
 }
@@ -192,17 +184,6 @@
 	w.runs, w.last, w.ends, w.changed = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
 }
 
-// reborn ends all runs and starts the worker again under its id.
-func (w *worker) reborn() {
-	for _, r := range w.runs {
-		w.drop(r)
-		w.world.breakGang(r, "")
-	}
-	w.lapses++
-	w.birth()
-	w.register()
-}
-
 func (w *worker) drop(r *run) {
 	delete(w.runs, r.task)
 	t := w.world.task(r.task)
@@ -369,9 +350,6 @@
 	}
 	v.mu.Lock()
 	dark, life := w.dark, w.life
-	lost := v.random.Float64() < w.lost
-	late := v.random.Float64() < w.late && q.URL.Path != wire.PathHold
-	delay := 2*time.Second + time.Duration(v.random.Float64()*float64(10*time.Second))
 	v.mu.Unlock()
 	if dark {
 		<-q.Context().Done()
@@ -381,17 +359,6 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if late {
-		time.AfterFunc(delay, func() {
-			v.mu.Lock()
-			defer v.mu.Unlock()
-			if w.life == life {
-				w.order(q.URL.Path, in.Order, in.Fence, in.DeadlineMs)
-			}
-		})
-		<-q.Context().Done()
-		return
-	}
 	var status int
 	var answer any
 	v.mu.Lock()
@@ -405,9 +372,7 @@
 	} else {
 		status, answer = w.order(q.URL.Path, in.Order, in.Fence, in.DeadlineMs)
 	}
-	if w.dark || w.life != life {
-		lost = true
-	}
+	lost := w.dark || w.life != life
 	v.mu.Unlock()
 	if lost {
 		<-q.Context().Done()
@@ -662,3 +627,51 @@
 	}
 	_ = json.NewEncoder(rw).Encode(map[string]any{"Machines": list})
 }
+
+// begin starts the list of machines and the workers of a pool.
+func (v *world) begin(f *fleet, pool string, workers int) error {
+	v.jobs, v.tasks, v.gangs, v.counts = map[string]*job{}, map[string]*taskState{}, map[string]*gang{}, map[string]int{}
+	v.note, v.put, v.remove, v.proxy = f.note, f.platform.Store.Put, f.platform.Store.Remove, f.proxy
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go func() { _ = (&http.Server{Handler: http.HandlerFunc(v.serveMachines)}).Serve(l) }()
+	f.cloud = l.Addr().String()
+	for i := range workers {
+		if err := v.addWorker(pool, i, []string{"kind-a", "kind-b"}[i%2]); err != nil {
+			return err
+		}
+	}
+	go func() {
+		for i := 0; ; i++ {
+			time.Sleep(10 * time.Millisecond)
+			v.tick()
+			if i%150 == 0 {
+				v.mu.Lock()
+				for _, w := range v.workers {
+					if !w.dark {
+						w.register()
+					}
+				}
+				v.mu.Unlock()
+			}
+		}
+	}()
+	return nil
+}
+
+// submit hands a job in until it is accepted, at one node after the other.
+func (f *fleet) submit(v *world, j *job, first int) {
+	for try := range 40 {
+		status, _ := f.call(f.nodes[(first+try)%len(f.nodes)], http.MethodPost, "/kept/"+j.id, j.Job)
+		if status == http.StatusOK {
+			v.mu.Lock()
+			j.accepted = time.Now()
+			v.mu.Unlock()
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	f.note("%s was not accepted", j.id)
+}
