--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-GOWORK=off go build -C review/rig-3 -o "$PWD/target/rig3" .
+go build -buildvcs=false -o target/rig3 review/rig-3/*.go
